--- /dev/null
+++ b/src/clock.c
@@ -0,0 +1,43 @@
+#include "kumquatbridge.h"
+
+#include <time.h>
+
+static kb_time_t read_clock(clockid_t id)
+{
+	struct timespec now;
+
+	clock_gettime(id, &now);
+	return now.tv_sec * KB_NS_PER_S + now.tv_nsec;
+}
+
+static kb_time_t system_monotonic(kb_clock_t *clock)
+{
+	(void)clock;
+	return read_clock(CLOCK_MONOTONIC);
+}
+
+static kb_time_t system_wall(kb_clock_t *clock)
+{
+	(void)clock;
+	return read_clock(CLOCK_REALTIME);
+}
+
+static const kb_clock_ops_t system_ops = {
+	.monotonic = system_monotonic,
+	.wall = system_wall,
+};
+
+void kb_clock_init_system(kb_clock_t *clock)
+{
+	clock->ops = &system_ops;
+}
+
+kb_time_t kb_clock_monotonic(kb_clock_t *clock)
+{
+	return clock->ops->monotonic(clock);
+}
+
+kb_time_t kb_clock_wall(kb_clock_t *clock)
+{
+	return clock->ops->wall(clock);
+}
