Add a stand-in for a PostgreSQL target

The daemon needs something to talk to that has a term, a log position and the five functions of docs/TARGETS.md. This stand-in speaks the part of the wire protocol that libpq uses, matches a fixed list of statement forms and keeps its rows, locks and log in memory. Replication and the control port are still missing.

--- /dev/null
+++ b/standin/target/execute.h
@@ -0,0 +1,34 @@
+#ifndef ST_EXECUTE_H
+#define ST_EXECUTE_H
+
+#include "result.h"
+#include "statement.h"
+
+/* The parameters of a statement; `data` NULL stands for null. */
+typedef struct st_params {
+	size_t count;
+	kb_str_t values[ST_STATEMENT_MAX_VALUES];
+} st_params_t;
+
+/* A statement about to run. */
+typedef struct st_call {
+	const st_statement_t *statement;
+	const st_params_t *params;
+	st_txn_t *txn;
+	/* The point that position() reports. */
+	kb_point_t point;
+} st_call_t;
+
+/* Returns the names of the columns of a form; `*count` is 0 without rows. */
+const char *const *st_columns(st_form_t form, size_t *count);
+
+/* Returns non-zero if the form reads or writes a table. */
+int st_form_uses_table(st_form_t form);
+
+/*
+ * Runs a statement other than BEGIN, COMMIT and ROLLBACK. Initializes `result`
+ * in any case; the caller finishes it. Returns NULL on success.
+ */
+const st_error_t *st_execute(const st_call_t *call, st_result_t *result);
+
+#endif
--- /dev/null
+++ b/standin/target/options.h
@@ -0,0 +1,34 @@
+#ifndef ST_OPTIONS_H
+#define ST_OPTIONS_H
+
+#include "str.h"
+
+/* The command line of a stand-in target. */
+typedef struct st_options {
+	const char *address;
+	uint16_t port;
+	/* 0 stands for the wire port plus ST_REPLICATION_OFFSET. */
+	uint16_t replication_port;
+	/* 0 means that there is no control port. */
+	uint16_t control_port;
+	const char *name;
+	unsigned slots;
+	unsigned connections;
+	unsigned connect_delay_ms;
+	unsigned receive_lag_ms;
+	unsigned apply_lag_ms;
+	unsigned statement_time_ms;
+	unsigned one_way_latency_ms;
+	/* 0 means to start as a replica. */
+	uint64_t primary_term;
+	/* The primary to follow from the start; port 0 means nobody. */
+	kb_name_t follow_address;
+	uint16_t follow_port;
+} st_options_t;
+
+enum { ST_REPLICATION_OFFSET = 1000 };
+
+/* Parses the command line; exits with a message if it is wrong. */
+void st_options_parse(st_options_t *options, int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/standin/target/session.c
@@ -0,0 +1,116 @@
+#include "session.h"
+
+#include "extended.h"
+#include "session_run.h"
+
+kb_result_t st_session_init(st_session_t *session, st_session_host_t *host,
+			    st_engine_t *engine, st_slots_t *slots,
+			    struct evbuffer *out, unsigned service_ms)
+{
+	memset(session, 0, sizeof(*session));
+	if (st_job_init(&session->job, slots, st_session_on_slot, session))
+		return KB_ERR_NO_MEMORY;
+	session->host = host;
+	session->out = out;
+	session->service_ms = service_ms;
+	st_txn_init(&session->txn, engine);
+	return KB_OK;
+}
+
+void st_session_finish(st_session_t *session)
+{
+	st_job_finish(&session->job);
+	st_result_finish(&session->result);
+	st_text_finish(&session->text);
+	st_text_finish(&session->bound);
+	st_txn_finish(&session->txn);
+}
+
+static char status(const st_session_t *session)
+{
+	if (session->block_failed)
+		return 'E';
+	return session->in_block ? 'T' : 'I';
+}
+
+/* Ends a simple query or a Sync: commits what stands outside a block. */
+static void ready(st_session_t *session)
+{
+	const st_error_t *error = NULL;
+
+	if (!session->in_block)
+		error = st_txn_commit(&session->txn, &session->committed);
+	if (error)
+		st_wire_error(session->out, "ERROR", error);
+	session->simple = 0;
+	session->skipping = 0;
+	if (st_wire_ready(session->out, status(session)))
+		session->host->ops->close(session->host);
+	session->host->ops->flush(session->host);
+	session->carries_data = 0;
+}
+
+/* Runs the statements of a simple query until one has to wait. */
+static void advance(st_session_t *session)
+{
+	while (session->simple && !session->busy) {
+		if (session->skipping || !session->rest.len) {
+			ready(session);
+			return;
+		}
+		if (st_statement_parse(&session->statement, &session->rest)) {
+			st_session_fail(session, &st_error_syntax);
+			continue;
+		}
+		if (session->statement.form != ST_EMPTY)
+			st_session_run(session);
+	}
+}
+
+void st_session_proceed(st_session_t *session)
+{
+	advance(session);
+	if (!session->busy)
+		session->host->ops->resume(session->host);
+}
+
+static void take_query(st_session_t *session, st_reader_t *body)
+{
+	kb_str_t text = st_read_text(body);
+	kb_str_t rest;
+
+	st_text_finish(&session->text);
+	if (body->bad || st_text_init(&session->text, text)) {
+		session->host->ops->close(session->host);
+		return;
+	}
+	memset(&session->params, 0, sizeof(session->params));
+	session->has_statement = 0;
+	session->simple = 1;
+	session->rest = st_text_str(&session->text);
+	rest = session->rest;
+	if (!st_statement_parse(&session->statement, &rest) && !rest.len &&
+	    session->statement.form == ST_EMPTY)
+		st_wire_simple(session->out, 'I');
+	advance(session);
+}
+
+void st_session_message(st_session_t *session, char type, st_reader_t *body)
+{
+	if (type == 'X') {
+		session->host->ops->close(session->host);
+		return;
+	}
+	if (type == 'S') {
+		ready(session);
+		return;
+	}
+	if (session->skipping)
+		return;
+	if (type == 'Q')
+		take_query(session, body);
+	else if (type == 'H')
+		session->host->ops->flush(session->host);
+	else if (st_extended_message(session, type, body))
+		session->host->ops->close(session->host);
+}
--- /dev/null
+++ b/standin/target/slots.h
@@ -0,0 +1,45 @@
+#ifndef ST_SLOTS_H
+#define ST_SLOTS_H
+
+#include "kumquatbridge.h"
+
+#include <event2/event.h>
+
+typedef struct st_job st_job_t;
+
+/* Limits how many statements run at once; more wait in order. */
+typedef struct st_slots {
+	struct event_base *base;
+	/* 0 means no limit. */
+	unsigned limit;
+	unsigned busy;
+	/* No statement ends while this is set. */
+	int stalled;
+	st_job_t *first;
+	st_job_t **last;
+} st_slots_t;
+
+/* A statement that waits for a slot or occupies one. */
+struct st_job {
+	st_slots_t *slots;
+	struct event *timer;
+	void (*done)(void *ctx);
+	void *ctx;
+	unsigned service_ms;
+	enum { ST_JOB_IDLE, ST_JOB_WAITING, ST_JOB_RUNNING } state;
+	st_job_t *next;
+};
+
+void st_slots_init(st_slots_t *slots, struct event_base *base, unsigned limit);
+
+/* Returns KB_OK or KB_ERR_NO_MEMORY. */
+kb_result_t st_job_init(st_job_t *job, st_slots_t *slots,
+			void (*done)(void *ctx), void *ctx);
+
+/* Cancels `job` if it waits or runs. */
+void st_job_finish(st_job_t *job);
+
+/* Calls `done` once the job had a slot for `service_ms`. */
+void st_job_submit(st_job_t *job, unsigned service_ms);
+
+#endif
--- /dev/null
+++ b/standin/target/table.h
@@ -0,0 +1,47 @@
+#ifndef ST_TABLE_H
+#define ST_TABLE_H
+
+#include "text.h"
+
+/* A committed row. */
+typedef struct st_row {
+	st_text_t id;
+	st_text_t body;
+	/* Index in the table's array of rows. */
+	size_t slot;
+	/* Neighbours among the rows that have the same body. */
+	struct st_row *next;
+	struct st_row *previous;
+} st_row_t;
+
+/* A table of committed rows, found by id, by body or in order of arrival. */
+typedef struct st_table {
+	st_text_t name;
+	void *by_id;
+	void *by_body;
+	/* Rows in order of arrival; deleted ones leave NULL. */
+	st_row_t **slots;
+	size_t slot_count;
+	size_t slot_capacity;
+	size_t row_count;
+} st_table_t;
+
+/* Initializes an empty table. Returns KB_OK or KB_ERR_NO_MEMORY. */
+kb_result_t st_table_init(st_table_t *table, kb_str_t name);
+
+/* Frees all rows. */
+void st_table_finish(st_table_t *table);
+
+/* Returns the row with `id`, or NULL. */
+const st_row_t *st_table_find(const st_table_t *table, kb_str_t id);
+
+/* Returns the first row with `body`, linked to the others, or NULL. */
+const st_row_t *st_table_find_body(const st_table_t *table, kb_str_t body);
+
+/* Sets the row `id` to `body`. Returns KB_OK or KB_ERR_NO_MEMORY. */
+kb_result_t st_table_put(st_table_t *table, kb_str_t id, kb_str_t body);
+
+/* Removes the row `id` if it exists. */
+void st_table_remove(st_table_t *table, kb_str_t id);
+
+#endif
