Let stand-in targets replicate and take faults

Failover trials need replicas that lag, a primary that can be cut off and a log tail that diverges. Replicas now connect to the primary's wire port plus 1000, drop what the primary does not have and receive and apply entries after settable lags. A control port sets lags, stalls, a partition, lost and cut answers, and reports the state. `--replication-port` is gone: `follow` only names the wire port.

--- a/standin/target/connection.c
+++ b/standin/target/connection.c
@@ -1,9 +1,11 @@
 #include "connection.h"
 
+#include "listen.h"
 #include "server.h"
 
 #include <arpa/inet.h>
-#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
 
 enum {
 	PROTOCOL_3 = 196608,
@@ -18,8 +20,6 @@
 	/* Row streams pause above the high and continue below the low mark. */
 	OUTPUT_HIGH_BYTES = 256 * 1024,
 	OUTPUT_LOW_BYTES = 64 * 1024,
-	MS_PER_S = 1000,
-	US_PER_MS = 1000,
 };
 
 static const st_error_t error_connections = { "53300", "too many connections" };
@@ -169,9 +169,7 @@
 static void start(st_connection_t *connection)
 {
 	const st_options_t *options = connection->server->options;
-	struct timeval delay = { options->connect_delay_ms / MS_PER_S,
-				 (options->connect_delay_ms % MS_PER_S) *
-					 US_PER_MS };
+	struct timeval delay = st_milliseconds(options->connect_delay_ms);
 
 	if (options->connections &&
 	    connection->server->connection_count > options->connections) {
@@ -299,13 +297,12 @@
 void st_connection_accept(st_server_t *server, evutil_socket_t fd)
 {
 	st_connection_t *connection = calloc(1, sizeof(*connection));
-	int no_delay = 1;
 
 	if (!connection) {
 		evutil_closesocket(fd);
 		return;
 	}
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &no_delay, sizeof(no_delay));
+	st_no_delay(fd);
 	connection->host.ops = &host_ops;
 	connection->server = server;
 	attach(connection);
--- a/standin/target/engine.c
+++ b/standin/target/engine.c
@@ -4,6 +4,8 @@
 #include "txn.h"
 
 #include <search.h>
+#include <stdlib.h>
+#include <string.h>
 
 const st_error_t st_error_no_memory = { "53200", "out of memory" };
 const st_error_t st_error_read_only = { "25006", "the target is a replica" };
--- a/standin/target/engine.h
+++ b/standin/target/engine.h
@@ -6,6 +6,8 @@
 
 #include "report.h"
 
+KB_BEGIN_DECLS
+
 /* Why a statement failed, as the wire protocol reports it. */
 typedef struct st_error {
 	const char *sqlstate;
@@ -85,4 +87,6 @@
 /* Appends and applies an entry of this primary, which the engine then owns. */
 kb_result_t st_engine_commit(st_engine_t *engine, st_entry_t *entry);
 
+KB_END_DECLS
+
 #endif
--- a/standin/target/entry_log.c
+++ b/standin/target/entry_log.c
@@ -1,5 +1,8 @@
 #include "entry_log.h"
 
+#include <stdlib.h>
+#include <string.h>
+
 enum { FIRST_CAPACITY_ENTRIES = 256, FIRST_CAPACITY_TERMS = 16 };
 
 st_change_t *st_change_create(kb_str_t table, kb_str_t id)
--- a/standin/target/entry_log.h
+++ b/standin/target/entry_log.h
@@ -5,6 +5,8 @@
 
 #include "point.h"
 
+KB_BEGIN_DECLS
+
 struct st_txn;
 
 /* The new state of one row, and the old one so that it can be undone. */
@@ -76,4 +78,6 @@
 uint64_t st_log_common(const st_log_t *log, const kb_history_entry_t *terms,
 		       size_t term_count, uint64_t last);
 
+KB_END_DECLS
+
 #endif
--- a/standin/target/execute.c
+++ b/standin/target/execute.c
@@ -1,12 +1,14 @@
 #include "execute.h"
 
 #include <inttypes.h>
+#include <jansson.h>
 #include <stdio.h>
 
 enum { HISTORY_BYTES = 1024, ID_BYTES = 64 };
 
 static const st_error_t error_null = { "23502", "id and body are not null" };
 static const st_error_t error_number = { "22P02", "not a number" };
+static const st_error_t error_encoding = { "22021", "not valid UTF-8" };
 static const st_error_t error_params = { "08P01", "a parameter is not bound" };
 
 static const char *const row_columns[] = { "id", "body" };
@@ -78,13 +80,26 @@
 			    : value->literal;
 }
 
+static const st_error_t *check_text(kb_str_t value)
+{
+	json_t *text;
+
+	if (!value.data)
+		return &error_null;
+	text = json_stringn(value.data, value.len);
+	json_decref(text);
+	return text ? NULL : &error_encoding;
+}
+
 static const st_error_t *insert(const st_call_t *call, st_result_t *result,
 				kb_str_t id, kb_str_t body)
 {
-	const st_error_t *error;
+	const st_error_t *error = check_text(id);
 
-	if (!id.data || !body.data)
-		return &error_null;
+	if (!error)
+		error = check_text(body);
+	if (error)
+		return error;
 	error = st_txn_insert(call->txn, kb_name_str(&call->statement->table),
 			      id, body);
 	result->affected = !error;
@@ -107,9 +122,10 @@
 	kb_str_t body = value_of(call, 0);
 	kb_str_t expected = { NULL, 0 };
 	int checked = call->statement->form == ST_UPDATE_CHECKED;
+	const st_error_t *error = check_text(body);
 
-	if (!body.data)
-		return &error_null;
+	if (error)
+		return error;
 	if (checked)
 		expected = value_of(call, 2);
 	return st_txn_update(call->txn, kb_name_str(&call->statement->table),
--- /dev/null
+++ b/standin/target/listen.c
@@ -0,0 +1,27 @@
+#include "listen.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+
+enum { BACKLOG = 512 };
+
+struct evconnlistener *st_listen(struct event_base *base, const char *address,
+				 uint16_t port, evconnlistener_cb accepted,
+				 void *ctx)
+{
+	struct sockaddr_in name = { .sin_family = AF_INET,
+				    .sin_port = htons(port) };
+
+	if (inet_pton(AF_INET, address, &name.sin_addr) != 1)
+		return NULL;
+	return evconnlistener_new_bind(
+		base, accepted, ctx, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+		BACKLOG, (const struct sockaddr *)&name, sizeof(name));
+}
+
+void st_no_delay(evutil_socket_t fd)
+{
+	int on = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
--- /dev/null
+++ b/standin/target/listen.h
@@ -0,0 +1,16 @@
+#ifndef ST_LISTEN_H
+#define ST_LISTEN_H
+
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <stdint.h>
+
+/* Listens on an IPv4 address; NULL if that fails. */
+struct evconnlistener *st_listen(struct event_base *base, const char *address,
+				 uint16_t port, evconnlistener_cb accepted,
+				 void *ctx);
+
+/* Sends small messages on `fd` without delay. */
+void st_no_delay(evutil_socket_t fd);
+
+#endif
--- a/standin/target/main.c
+++ b/standin/target/main.c
@@ -1,7 +1,8 @@
-#include "server.h"
+#include "control.h"
 
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 
 static void on_signal(evutil_socket_t fd, short what, void *ctx)
 {
@@ -12,14 +13,19 @@
 
 static int serve(struct event_base *base, const st_options_t *options)
 {
+	st_control_t control = { NULL, NULL };
 	st_server_t server;
 	kb_result_t result = st_server_init(&server, base, options);
 
+	if (!result && options->control_port)
+		result = st_control_init(&control, &server,
+					 options->control_port);
 	if (result)
 		fprintf(stderr, "%s: cannot listen on %s:%u\n", options->name,
 			options->address, options->port);
 	else
 		event_base_dispatch(base);
+	st_control_finish(&control);
 	st_server_finish(&server);
 	return result ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/standin/target/options.c
+++ b/standin/target/options.c
@@ -6,7 +6,6 @@
 enum {
 	OPT_ADDRESS = 256,
 	OPT_PORT,
-	OPT_REPLICATION_PORT,
 	OPT_CONTROL_PORT,
 	OPT_NAME,
 	OPT_SLOTS,
@@ -29,9 +28,8 @@
 
 static const struct argp_option option_table[] = {
 	{ "address", OPT_ADDRESS, "ADDRESS", 0, "listen here (127.0.0.1)", 0 },
-	{ "port", OPT_PORT, "PORT", 0, "port of the wire protocol", 0 },
-	{ "replication-port", OPT_REPLICATION_PORT, "PORT", 0,
-	  "port for replicas (wire port plus 1000)", 0 },
+	{ "port", OPT_PORT, "PORT", 0,
+	  "port of the wire protocol; replicas use the one 1000 above", 0 },
 	{ "control-port", OPT_CONTROL_PORT, "PORT", 0,
 	  "port for faults and state over HTTP", 0 },
 	{ "name", OPT_NAME, "NAME", 0, "name in messages", 0 },
@@ -121,11 +119,8 @@
 		options->address = arg;
 		return 0;
 	case OPT_PORT:
-		options->port = (uint16_t)number(state, arg, UINT16_MAX);
-		return 0;
-	case OPT_REPLICATION_PORT:
-		options->replication_port =
-			(uint16_t)number(state, arg, UINT16_MAX);
+		options->port = (uint16_t)number(
+			state, arg, UINT16_MAX - ST_REPLICATION_OFFSET);
 		return 0;
 	case OPT_CONTROL_PORT:
 		options->control_port =
@@ -161,7 +156,4 @@
 	options->port = DEFAULT_PORT;
 	options->name = "target";
 	argp_parse(&argp, argc, argv, 0, NULL, options);
-	if (!options->replication_port)
-		options->replication_port =
-			(uint16_t)(options->port + ST_REPLICATION_OFFSET);
 }
--- a/standin/target/options.h
+++ b/standin/target/options.h
@@ -7,8 +7,6 @@
 typedef struct st_options {
 	const char *address;
 	uint16_t port;
-	/* 0 stands for the wire port plus ST_REPLICATION_OFFSET. */
-	uint16_t replication_port;
 	/* 0 means that there is no control port. */
 	uint16_t control_port;
 	const char *name;
@@ -26,6 +24,7 @@
 	uint16_t follow_port;
 } st_options_t;
 
+/* Replicas connect to the wire port plus this. */
 enum { ST_REPLICATION_OFFSET = 1000 };
 
 /* Parses the command line; exits with a message if it is wrong. */
--- a/standin/target/outbox.h
+++ b/standin/target/outbox.h
@@ -1,19 +1,16 @@
 #ifndef ST_OUTBOX_H
 #define ST_OUTBOX_H
 
-#include "kumquatbridge.h"
+#include "lag.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/event.h>
 
 /* Delays what is written to a connection by the one-way latency. */
 typedef struct st_outbox {
 	struct bufferevent *bev;
-	struct event *timer;
 	unsigned latency_ms;
-	struct st_outbox_chunk *first;
-	struct st_outbox_chunk **last;
+	st_lag_t chunks;
 	/* Bytes that wait for their time. */
 	size_t delayed;
 } st_outbox_t;
--- a/standin/target/result.c
+++ b/standin/target/result.c
@@ -4,6 +4,8 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 enum { FIRST_CAPACITY_CELLS = 8, NUMBER_BYTES = 24 };
 
--- a/standin/target/server.c
+++ b/standin/target/server.c
@@ -1,9 +1,13 @@
 #include "server.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
+#include "listen.h"
 
-enum { BACKLOG = 512 };
+#include <string.h>
+
+static int is_frozen(const st_server_t *server)
+{
+	return server->faults.partition || server->faults.stalled;
+}
 
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *address, int len, void *ctx)
@@ -14,18 +18,34 @@
 	st_connection_accept(ctx, fd);
 }
 
-struct evconnlistener *st_listen(struct event_base *base, const char *address,
-				 uint16_t port, evconnlistener_cb accepted,
-				 void *ctx)
+static void on_appended(st_engine_listener_t *listener)
+{
+	st_server_t *server = (st_server_t *)listener;
+
+	st_source_push(&server->source);
+}
+
+static void on_turned(st_engine_listener_t *listener)
+{
+	st_server_t *server = (st_server_t *)listener;
+
+	st_source_turned(&server->source);
+	st_follower_turned(&server->follower);
+}
+
+static const st_engine_listener_ops_t listener_ops = {
+	.appended = on_appended,
+	.turned = on_turned,
+};
+
+static void on_stall_end(evutil_socket_t fd, short what, void *ctx)
 {
-	struct sockaddr_in name = { .sin_family = AF_INET,
-				    .sin_port = htons(port) };
-
-	if (inet_pton(AF_INET, address, &name.sin_addr) != 1)
-		return NULL;
-	return evconnlistener_new_bind(
-		base, accepted, ctx, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-		BACKLOG, (const struct sockaddr *)&name, sizeof(name));
+	st_server_t *server = ctx;
+
+	(void)fd;
+	(void)what;
+	server->faults.stalled = 0;
+	st_server_freeze(server);
 }
 
 static void start_role(st_server_t *server)
@@ -51,10 +71,24 @@
 	server->options = options;
 	st_engine_init(&server->engine);
 	st_slots_init(&server->slots, base, options->slots);
-	start_role(server);
+	server->stall_timer = evtimer_new(base, on_stall_end, server);
+	if (!server->stall_timer ||
+	    st_follower_init(&server->follower, base, &server->engine))
+		return KB_ERR_NO_MEMORY;
+	server->follower.receive_lag_ms = options->receive_lag_ms;
+	server->follower.apply_lag_ms = options->apply_lag_ms;
+	if (st_source_init(&server->source, base, &server->engine,
+			   options->address,
+			   (uint16_t)(options->port + ST_REPLICATION_OFFSET)))
+		return KB_ERR_IO;
 	server->listener = st_listen(base, options->address, options->port,
 				     on_accept, server);
-	return server->listener ? KB_OK : KB_ERR_IO;
+	if (!server->listener)
+		return KB_ERR_IO;
+	server->engine_listener.ops = &listener_ops;
+	server->engine.listener = &server->engine_listener;
+	start_role(server);
+	return KB_OK;
 }
 
 void st_server_finish(st_server_t *server)
@@ -63,5 +97,28 @@
 		st_connection_free(server->connections);
 	if (server->listener)
 		evconnlistener_free(server->listener);
+	if (server->source.engine)
+		st_source_finish(&server->source);
+	if (server->follower.engine)
+		st_follower_finish(&server->follower);
+	if (server->stall_timer)
+		event_free(server->stall_timer);
 	st_engine_finish(&server->engine);
 }
+
+void st_server_freeze(st_server_t *server)
+{
+	int frozen = is_frozen(server);
+	st_connection_t *next;
+
+	if (frozen)
+		evconnlistener_disable(server->listener);
+	else
+		evconnlistener_enable(server->listener);
+	for (st_connection_t *c = server->connections; c; c = next) {
+		next = c->next;
+		st_connection_freeze(c, frozen);
+	}
+	st_source_freeze(&server->source, frozen);
+	st_follower_freeze(&server->follower, frozen);
+}
--- a/standin/target/server.h
+++ b/standin/target/server.h
@@ -3,10 +3,10 @@
 
 #include "connection.h"
 #include "engine.h"
+#include "follower.h"
 #include "options.h"
 #include "slots.h"
-
-#include <event2/listener.h>
+#include "source.h"
 
 /* Faults that the control port sets. */
 typedef struct st_faults {
@@ -22,11 +22,16 @@
 
 /* Everything that one process runs. */
 typedef struct st_server {
+	st_engine_listener_t engine_listener;
 	struct event_base *base;
 	const st_options_t *options;
 	st_engine_t engine;
 	st_slots_t slots;
+	st_source_t source;
+	st_follower_t follower;
 	st_faults_t faults;
+	/* Ends `faults.stalled`. */
+	struct event *stall_timer;
 	struct evconnlistener *listener;
 	st_connection_t *connections;
 	unsigned connection_count;
@@ -38,9 +43,7 @@
 			   const st_options_t *options);
 void st_server_finish(st_server_t *server);
 
-/* Listens on an IPv4 address; NULL if that fails. */
-struct evconnlistener *st_listen(struct event_base *base, const char *address,
-				 uint16_t port, evconnlistener_cb accepted,
-				 void *ctx);
+/* Stops or continues all traffic as the faults say. */
+void st_server_freeze(st_server_t *server);
 
 #endif
--- a/standin/target/session.c
+++ b/standin/target/session.c
@@ -3,6 +3,8 @@
 #include "extended.h"
 #include "session_run.h"
 
+#include <string.h>
+
 kb_result_t st_session_init(st_session_t *session, st_session_host_t *host,
 			    st_engine_t *engine, st_slots_t *slots,
 			    struct evbuffer *out, unsigned service_ms)
--- a/standin/target/slots.c
+++ b/standin/target/slots.c
@@ -1,8 +1,10 @@
 #include "slots.h"
 
+#include "lag.h"
+
 #include <string.h>
 
-enum { STALL_POLL_MS = 10, MS_PER_S = 1000, US_PER_MS = 1000 };
+enum { STALL_POLL_MS = 10 };
 
 void st_slots_init(st_slots_t *slots, struct event_base *base, unsigned limit)
 {
@@ -14,7 +16,7 @@
 
 static void set_timer(st_job_t *job, unsigned ms)
 {
-	struct timeval delay = { ms / MS_PER_S, (ms % MS_PER_S) * US_PER_MS };
+	struct timeval delay = st_milliseconds(ms);
 
 	evtimer_add(job->timer, &delay);
 }
--- /dev/null
+++ b/standin/target/source.h
@@ -0,0 +1,35 @@
+#ifndef ST_SOURCE_H
+#define ST_SOURCE_H
+
+#include "engine.h"
+
+#include <event2/event.h>
+#include <event2/listener.h>
+
+struct st_feed;
+
+/* Sends the log of a primary to its replicas. */
+typedef struct st_source {
+	struct event_base *base;
+	st_engine_t *engine;
+	struct evconnlistener *listener;
+	struct st_feed *feeds;
+	int frozen;
+} st_source_t;
+
+/* Listens for replicas. Returns KB_OK or KB_ERR_IO. */
+kb_result_t st_source_init(st_source_t *source, struct event_base *base,
+			   st_engine_t *engine, const char *address,
+			   uint16_t port);
+void st_source_finish(st_source_t *source);
+
+/* Sends new entries to every replica. */
+void st_source_push(st_source_t *source);
+
+/* Closes all feeds if the target is no longer primary. */
+void st_source_turned(st_source_t *source);
+
+/* Stops or continues accepting, reading and writing. */
+void st_source_freeze(st_source_t *source, int frozen);
+
+#endif
--- a/standin/target/table.c
+++ b/standin/target/table.c
@@ -3,6 +3,8 @@
 #include "str.h"
 
 #include <search.h>
+#include <stdlib.h>
+#include <string.h>
 
 /* The rows that share a body. */
 typedef struct st_body {
--- a/standin/target/table.h
+++ b/standin/target/table.h
@@ -3,6 +3,8 @@
 
 #include "text.h"
 
+KB_BEGIN_DECLS
+
 /* A committed row. */
 typedef struct st_row {
 	st_text_t id;
@@ -44,4 +46,6 @@
 /* Removes the row `id` if it exists. */
 void st_table_remove(st_table_t *table, kb_str_t id);
 
+KB_END_DECLS
+
 #endif
--- a/standin/target/txn.c
+++ b/standin/target/txn.c
@@ -3,6 +3,8 @@
 #include "str.h"
 
 #include <search.h>
+#include <stdlib.h>
+#include <string.h>
 
 enum { FIRST_CAPACITY_CHANGES = 4 };
 
--- a/standin/target/txn.h
+++ b/standin/target/txn.h
@@ -3,6 +3,8 @@
 
 #include "engine.h"
 
+KB_BEGIN_DECLS
+
 /* A transaction: buffered changes that hold the locks of their rows. */
 struct st_txn {
 	st_engine_t *engine;
@@ -53,4 +55,6 @@
 /* Rolls back every open transaction of `engine`. */
 void st_txn_abort_all(st_engine_t *engine);
 
+KB_END_DECLS
+
 #endif
