--- /dev/null
+++ b/src/exec.c
@@ -0,0 +1,429 @@
+#include "exec.h"
+
+#include "request_record.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define SQL_BEGIN KB_STR("BEGIN")
+#define SQL_BEGIN_READ KB_STR("BEGIN READ ONLY")
+#define SQL_COMMIT KB_STR("COMMIT")
+#define SQL_ROLLBACK KB_STR("ROLLBACK")
+#define SQL_POSITION KB_STR("SELECT * FROM kumquat.position()")
+
+#define SQLSTATE_UNIQUE_VIOLATION "23505"
+#define SQLSTATE_READ_ONLY "25006"
+#define SQLSTATE_SERIALIZATION "40001"
+
+enum {
+	BATCH_MAX = 4,
+	/* Indexes of the statements within their batches. */
+	READ_WORK = 1,
+	WRITE_WORK = 1,
+	WRITE_COMMIT = 2,
+	WRITE_POSITION = 3,
+	KEYED_RECORD = 1,
+	KEYED_WORK = 2,
+	KEYED_STORE = 0,
+	KEYED_COMMIT = 1,
+	KEYED_POSITION = 2,
+	TRANSACTION_COMMIT = 0,
+	TRANSACTION_POSITION = 1,
+	TRANSACTION_RECORD = 0,
+	LOOKUP_RECORD = 1,
+	LOOKUP_POSITION = 2,
+};
+
+void kb_exec_init(kb_exec_t *exec, const kb_exec_events_t *events, void *owner)
+{
+	memset(exec, 0, sizeof(*exec));
+	exec->events = events;
+	exec->owner = owner;
+}
+
+void kb_exec_finish(kb_exec_t *exec)
+{
+	json_decref(exec->body);
+	free(exec->answer);
+	exec->body = NULL;
+	exec->answer = NULL;
+}
+
+static void end(kb_exec_t *exec, int in_transaction)
+{
+	if (exec->body && exec->result == KB_OK)
+		exec->answer = json_dumps(exec->body, JSON_COMPACT);
+	exec->phase = KB_EXEC_IDLE;
+	exec->events->finished(exec, in_transaction);
+}
+
+static void fail(kb_exec_t *exec, kb_result_t result, const char *detail)
+{
+	exec->result = result;
+	snprintf(exec->detail, sizeof(exec->detail), "%s", detail);
+}
+
+static void send_batch(kb_exec_t *exec, kb_exec_phase_t phase,
+		       const kb_statement_t *statements, size_t count)
+{
+	kb_result_t result;
+	int first = exec->phase == KB_EXEC_IDLE;
+
+	exec->phase = phase;
+	exec->failed_index = -1;
+	result = exec->conn->ops->send(exec->conn, statements, count);
+	if (!result)
+		return;
+	if (first && result == KB_ERR_UNREACHABLE)
+		fail(exec, KB_ERR_UNREACHABLE, "the connection was lost");
+	else if (!exec->result)
+		fail(exec, KB_ERR_UNKNOWN, "the connection broke");
+	end(exec, 1);
+}
+
+/* Views the first statement of the request. */
+static kb_statement_t work_statement(const kbx_execute_args *args,
+				     kb_str_t params[KBX_ITEMS_MAX])
+{
+	kb_statement_t work = { KB_STR(""), 0, params };
+	const kbx_statement *statement;
+
+	if (!args->statements.statements_len)
+		return work;
+	statement = &args->statements.statements_val[0];
+	work.sql = kb_str_from(statement->sql);
+	work.param_count = statement->params.params_len;
+	for (size_t i = 0; i < work.param_count; i++) {
+		const kbx_param *param = &statement->params.params_val[i];
+
+		params[i] = param->is_null ? (kb_str_t){ NULL, 0 }
+					   : kb_str_from(param->text);
+	}
+	return work;
+}
+
+static void start_keyed(kb_exec_t *exec, const kb_statement_t *work)
+{
+	kb_request_record_t record;
+	kb_str_t params[KB_REQUEST_RECORD_PARAMS];
+	kb_statement_t batch[] = { { SQL_BEGIN, 0, NULL },
+				   { SQL_BEGIN, 0, NULL },
+				   *work };
+
+	kb_request_record_init(&record, kb_str_from(exec->args->caller),
+			       kb_str_from(exec->args->key), exec->digest);
+	batch[KEYED_RECORD] = kb_request_record_insert(&record, params);
+	send_batch(exec, KB_EXEC_KEYED_WORK, batch, 3);
+	kb_request_record_finish(&record);
+}
+
+static void start_keyed_transaction(kb_exec_t *exec)
+{
+	kb_request_record_t record;
+	kb_str_t params[KB_REQUEST_RECORD_PARAMS];
+	kb_statement_t batch[] = { { SQL_COMMIT, 0, NULL },
+				   { SQL_COMMIT, 0, NULL },
+				   { SQL_POSITION, 0, NULL } };
+
+	kb_request_record_init(&record, kb_str_from(exec->args->caller),
+			       kb_str_from(exec->args->key), exec->digest);
+	batch[TRANSACTION_RECORD] = kb_request_record_insert(&record, params);
+	send_batch(exec, KB_EXEC_KEYED_TRANSACTION, batch, 3);
+	kb_request_record_finish(&record);
+}
+
+static void start_write(kb_exec_t *exec, const kb_statement_t *work)
+{
+	kb_statement_t batch[] = { { SQL_BEGIN, 0, NULL },
+				   *work,
+				   { SQL_COMMIT, 0, NULL },
+				   { SQL_POSITION, 0, NULL } };
+
+	send_batch(exec, KB_EXEC_WRITE, batch, 4);
+}
+
+static void start_read(kb_exec_t *exec, const kb_statement_t *work)
+{
+	kb_statement_t batch[] = { { SQL_BEGIN_READ, 0, NULL },
+				   *work,
+				   { SQL_COMMIT, 0, NULL } };
+
+	send_batch(exec, KB_EXEC_READ, batch, 3);
+}
+
+static void start_commit(kb_exec_t *exec)
+{
+	kb_statement_t batch[] = { { SQL_COMMIT, 0, NULL },
+				   { SQL_POSITION, 0, NULL } };
+
+	if (exec->args->key[0])
+		start_keyed_transaction(exec);
+	else
+		send_batch(exec, KB_EXEC_COMMIT, batch, 2);
+}
+
+static void start_one(kb_exec_t *exec, kb_exec_phase_t phase, kb_str_t sql)
+{
+	kb_statement_t batch = { sql, 0, NULL };
+
+	send_batch(exec, phase, &batch, 1);
+}
+
+void kb_exec_start(kb_exec_t *exec, kb_conn_t *conn,
+		   const kbx_execute_args *args)
+{
+	kb_str_t params[KBX_ITEMS_MAX];
+	kb_statement_t work = work_statement(args, params);
+
+	kb_exec_finish(exec);
+	exec->conn = conn;
+	exec->args = args;
+	exec->phase = KB_EXEC_IDLE;
+	exec->committed = 0;
+	exec->result = KB_OK;
+	exec->detail[0] = 0;
+	exec->point = (kb_point_t){ 0, 0 };
+	exec->replayed = 0;
+	if (work.sql.len)
+		kb_request_record_digest(exec->digest, &work);
+	switch (args->action) {
+	case KBX_ACTION_READ:
+		start_read(exec, &work);
+		break;
+	case KBX_ACTION_WRITE:
+		if (args->key[0])
+			start_keyed(exec, &work);
+		else
+			start_write(exec, &work);
+		break;
+	case KBX_ACTION_BEGIN:
+		start_one(exec, KB_EXEC_BEGIN, SQL_BEGIN);
+		break;
+	case KBX_ACTION_STATEMENT:
+		send_batch(exec, KB_EXEC_STATEMENT, &work, 1);
+		break;
+	case KBX_ACTION_COMMIT:
+		start_commit(exec);
+		break;
+	case KBX_ACTION_ROLLBACK:
+		start_one(exec, KB_EXEC_ROLLBACK, SQL_ROLLBACK);
+		break;
+	}
+}
+
+static void take_body(kb_exec_t *exec, const kb_answer_t *answer)
+{
+	json_decref(exec->body);
+	exec->body = json_pack("{s:O?,s:O?,s:I}", "columns", answer->columns,
+			       "rows", answer->rows, "affected",
+			       (json_int_t)answer->affected);
+	if (!exec->body)
+		fail(exec, KB_ERR_NO_MEMORY, "the answer does not fit");
+}
+
+static kb_str_t cell(const kb_answer_t *answer, size_t column)
+{
+	json_t *value = json_array_get(json_array_get(answer->rows, 0), column);
+
+	return (kb_str_t){ json_string_value(value),
+			   json_string_length(value) };
+}
+
+static void take_point(kb_exec_t *exec, const kb_answer_t *answer)
+{
+	if (kb_str_to_u64(cell(answer, 0), &exec->point.term) ||
+	    kb_str_to_u64(cell(answer, 1), &exec->point.position))
+		exec->point = (kb_point_t){ 0, 0 };
+}
+
+static void take_record(kb_exec_t *exec, const kb_answer_t *answer)
+{
+	kb_str_t stored = cell(answer, 1);
+
+	if (!stored.data) {
+		fail(exec, KB_ERR_ROLLED_BACK,
+		     "a rival request with the same key was rolled back");
+		return;
+	}
+	json_decref(exec->body);
+	exec->body = NULL;
+	exec->result =
+		kb_request_record_read(stored, exec->digest, &exec->body);
+	if (exec->result)
+		fail(exec, exec->result, kb_strerror(exec->result));
+	else
+		exec->replayed = 1;
+}
+
+static void take_error(kb_exec_t *exec, size_t index, const kb_answer_t *answer)
+{
+	exec->failed_index = (int)index;
+	memcpy(exec->sqlstate, answer->sqlstate, sizeof(exec->sqlstate));
+	if (!strcmp(answer->sqlstate, SQLSTATE_SERIALIZATION))
+		exec->result = KB_ERR_ROLLED_BACK;
+	else if (!strcmp(answer->sqlstate, SQLSTATE_READ_ONLY))
+		exec->result = KB_ERR_NO_PRIMARY;
+	else
+		exec->result = KB_ERR_STATEMENT;
+	snprintf(exec->detail, sizeof(exec->detail), "%s: %.*s",
+		 answer->sqlstate, KB_STR_ARG(answer->message));
+}
+
+static int is_work(const kb_exec_t *exec, size_t index)
+{
+	switch (exec->phase) {
+	case KB_EXEC_READ:
+	case KB_EXEC_WRITE:
+		return index == WRITE_WORK;
+	case KB_EXEC_KEYED_WORK:
+		return index == KEYED_WORK;
+	case KB_EXEC_STATEMENT:
+		return 1;
+	default:
+		return 0;
+	}
+}
+
+static int is_commit(const kb_exec_t *exec, size_t index)
+{
+	switch (exec->phase) {
+	case KB_EXEC_WRITE:
+		return index == WRITE_COMMIT;
+	case KB_EXEC_KEYED_COMMIT:
+	case KB_EXEC_KEYED_TRANSACTION:
+		return index == KEYED_COMMIT;
+	case KB_EXEC_COMMIT:
+		return index == TRANSACTION_COMMIT;
+	default:
+		return 0;
+	}
+}
+
+static int is_position(const kb_exec_t *exec, size_t index)
+{
+	switch (exec->phase) {
+	case KB_EXEC_WRITE:
+		return index == WRITE_POSITION;
+	case KB_EXEC_KEYED_COMMIT:
+	case KB_EXEC_KEYED_TRANSACTION:
+		return index == KEYED_POSITION;
+	case KB_EXEC_COMMIT:
+		return index == TRANSACTION_POSITION;
+	case KB_EXEC_LOOKUP:
+		return index == LOOKUP_POSITION;
+	default:
+		return 0;
+	}
+}
+
+void kb_exec_on_answer(kb_exec_t *exec, size_t index, const kb_answer_t *answer)
+{
+	if (answer->result == KB_ERR_STATEMENT) {
+		if (!exec->committed && exec->phase != KB_EXEC_ROLLBACK)
+			take_error(exec, index, answer);
+		return;
+	}
+	if (answer->result) {
+		/* The work is rolled back unless it was only a read. */
+		fail(exec, answer->result, "the answer exceeds the limit");
+		return;
+	}
+	if (is_work(exec, index))
+		take_body(exec, answer);
+	else if (is_commit(exec, index))
+		exec->committed = 1;
+	else if (is_position(exec, index))
+		take_point(exec, answer);
+	else if (exec->phase == KB_EXEC_LOOKUP && index == LOOKUP_RECORD)
+		take_record(exec, answer);
+}
+
+static void store_answer(kb_exec_t *exec)
+{
+	kb_request_record_t record;
+	kb_str_t params[KB_REQUEST_RECORD_PARAMS];
+	kb_statement_t batch[] = { { SQL_COMMIT, 0, NULL },
+				   { SQL_COMMIT, 0, NULL },
+				   { SQL_POSITION, 0, NULL } };
+	kb_result_t result;
+
+	kb_request_record_init(&record, kb_str_from(exec->args->caller),
+			       kb_str_from(exec->args->key), exec->digest);
+	result = kb_request_record_store(&record, exec->body, params,
+					 &batch[KEYED_STORE]);
+	if (result) {
+		fail(exec, result, kb_strerror(result));
+		start_one(exec, KB_EXEC_ROLLBACK, SQL_ROLLBACK);
+	} else {
+		send_batch(exec, KB_EXEC_KEYED_COMMIT, batch, 3);
+	}
+	kb_request_record_finish(&record);
+}
+
+static void look_up(kb_exec_t *exec)
+{
+	kb_request_record_t record;
+	kb_str_t params[KB_REQUEST_RECORD_PARAMS];
+	kb_statement_t batch[] = { { SQL_ROLLBACK, 0, NULL },
+				   { SQL_ROLLBACK, 0, NULL },
+				   { SQL_POSITION, 0, NULL } };
+
+	exec->result = KB_OK;
+	exec->detail[0] = 0;
+	kb_request_record_init(&record, kb_str_from(exec->args->caller),
+			       kb_str_from(exec->args->key), exec->digest);
+	batch[LOOKUP_RECORD] = kb_request_record_select(&record, params);
+	send_batch(exec, KB_EXEC_LOOKUP, batch, 3);
+	kb_request_record_finish(&record);
+}
+
+/* The record of the key was there already. */
+static int key_was_used(const kb_exec_t *exec)
+{
+	int index = exec->phase == KB_EXEC_KEYED_WORK ? (int)KEYED_RECORD
+						      : (int)TRANSACTION_RECORD;
+
+	return (exec->phase == KB_EXEC_KEYED_WORK ||
+		exec->phase == KB_EXEC_KEYED_TRANSACTION) &&
+	       exec->failed_index == index &&
+	       !strcmp(exec->sqlstate, SQLSTATE_UNIQUE_VIOLATION);
+}
+
+static int writes(const kb_exec_t *exec)
+{
+	return exec->args->action != KBX_ACTION_READ;
+}
+
+void kb_exec_on_batch_end(kb_exec_t *exec, int in_transaction)
+{
+	if (key_was_used(exec)) {
+		look_up(exec);
+		return;
+	}
+	if (exec->phase == KB_EXEC_KEYED_WORK && !exec->result) {
+		store_answer(exec);
+		return;
+	}
+	if (exec->result && in_transaction && exec->phase != KB_EXEC_ROLLBACK) {
+		start_one(exec, KB_EXEC_ROLLBACK, SQL_ROLLBACK);
+		return;
+	}
+	if (writes(exec) && (exec->committed || exec->replayed) &&
+	    !exec->point.position)
+		fail(exec, KB_ERR_UNKNOWN, "the position was not reported");
+	else if (exec->committed && exec->result)
+		fail(exec, KB_ERR_UNKNOWN, "committed without an answer");
+	end(exec, in_transaction);
+}
+
+void kb_exec_on_lost(kb_exec_t *exec)
+{
+	int read_only = exec->args->action == KBX_ACTION_READ;
+
+	if (!exec->result || exec->phase != KB_EXEC_ROLLBACK)
+		fail(exec, read_only ? KB_ERR_CLOSED : KB_ERR_UNKNOWN,
+		     "the connection broke before the answer");
+	end(exec, 1);
+}
