--- /dev/null
+++ b/src/store.h
@@ -0,0 +1,131 @@
+#ifndef KB_STORE_H
+#define KB_STORE_H
+
+#include "str.h"
+
+KB_BEGIN_DECLS
+
+/* Expected revision of a key that must not exist. */
+#define KB_STORE_ABSENT INT64_C(0)
+/* Expected revision of a write without a condition. */
+#define KB_STORE_ANY INT64_C(-1)
+
+/* A key and its value as the store holds them. */
+typedef struct kb_store_entry {
+	kb_str_t key;
+	kb_str_t value;
+	/* Revision of the store at the last change of the key. */
+	int64_t revision;
+	/* Set in a report that the key was deleted; `value` is empty. */
+	int deleted;
+} kb_store_entry_t;
+
+/* The keys of a range in ascending order. */
+typedef struct kb_store_range {
+	/* Revision of the store that the range shows. */
+	int64_t revision;
+	size_t count;
+	const kb_store_entry_t *entries;
+} kb_store_range_t;
+
+/* Which keys a call concerns. */
+typedef struct kb_store_keys {
+	kb_str_t key;
+	/* All keys that begin with `key` if set. */
+	int prefix;
+} kb_store_keys_t;
+
+/* A write on a condition. */
+typedef struct kb_store_write {
+	kb_str_t key;
+	/* Ignored by a delete. */
+	kb_str_t value;
+	/* Revision that the key must have, KB_STORE_ABSENT or KB_STORE_ANY. */
+	int64_t expected;
+	/* Lease that the key is bound to, or 0. Ignored by a delete. */
+	int64_t lease;
+} kb_store_write_t;
+
+/* How a write ended. */
+typedef struct kb_store_written {
+	/* Revision of the store after the write, or at the conflict. */
+	int64_t revision;
+	/* After KB_ERR_CONFLICT the present value, NULL if there is none. */
+	const kb_store_entry_t *current;
+} kb_store_written_t;
+
+/*
+ * Receives the answer to a read. `range` is NULL unless `result` is KB_OK,
+ * and lives until the return. Errors: KB_ERR_TIMEOUT, KB_ERR_UNREACHABLE,
+ * KB_ERR_OVERLOADED (retry budget spent), KB_ERR_PROTOCOL.
+ */
+typedef void kb_store_range_fn_t(void *ctx, kb_result_t result,
+				 const kb_store_range_t *range);
+
+/*
+ * Receives the answer to a write; `written` lives until the return and is
+ * NULL unless `result` is KB_OK or KB_ERR_CONFLICT. KB_ERR_UNREACHABLE and
+ * KB_ERR_OVERLOADED: not written. KB_ERR_UNKNOWN: it may have been written.
+ */
+typedef void kb_store_write_fn_t(void *ctx, kb_result_t result,
+				 const kb_store_written_t *written);
+
+/*
+ * Receives the answer to a lease call. `ttl` is what the store grants,
+ * counted from before the call was sent. KB_ERR_NOT_FOUND: it has lapsed.
+ */
+typedef void kb_store_lease_fn_t(void *ctx, kb_result_t result, int64_t lease,
+				 kb_time_t ttl);
+
+/* What a watch reports. Data lives until the return. */
+typedef struct kb_store_watch_ops {
+	/*
+	 * The whole range, at the start of a watch without a revision and
+	 * after a compaction. A key of the range that it lacks has been
+	 * deleted.
+	 */
+	void (*snapshot)(void *ctx, const kb_store_range_t *range);
+	/* One change, in the order of revisions. */
+	void (*changed)(void *ctx, const kb_store_entry_t *entry);
+	/* KB_OK: the stream runs. Else it was cut and will be resumed. */
+	void (*state)(void *ctx, kb_result_t result);
+} kb_store_watch_ops_t;
+
+typedef struct kb_store kb_store_t;
+
+/*
+ * Operations of a store client. Arguments are copied. A call that returns
+ * KB_OK answers exactly once, after its return, unless it is cancelled; one
+ * that returns KB_ERR_NO_MEMORY or KB_ERR_IO never answers.
+ */
+typedef struct kb_store_ops {
+	/* Reads keys at the newest revision. */
+	kb_result_t (*get)(kb_store_t *store, const kb_store_keys_t *keys,
+			   kb_store_range_fn_t *done, void *ctx);
+	kb_result_t (*put)(kb_store_t *store, const kb_store_write_t *write,
+			   kb_store_write_fn_t *done, void *ctx);
+	kb_result_t (*remove)(kb_store_t *store, const kb_store_write_t *write,
+			      kb_store_write_fn_t *done, void *ctx);
+	/*
+	 * Reports the changes after revision `after`; 0 begins with a
+	 * snapshot. Runs until it is cancelled.
+	 */
+	kb_result_t (*watch)(kb_store_t *store, const kb_store_keys_t *keys,
+			     int64_t after, const kb_store_watch_ops_t *ops,
+			     void *ctx);
+	kb_result_t (*lease_grant)(kb_store_t *store, kb_time_t ttl,
+				   kb_store_lease_fn_t *done, void *ctx);
+	kb_result_t (*lease_keep)(kb_store_t *store, int64_t lease,
+				  kb_store_lease_fn_t *done, void *ctx);
+	/* Ends all calls and watches made with `ctx` without an answer. */
+	void (*cancel)(kb_store_t *store, void *ctx);
+} kb_store_ops_t;
+
+/* A client of the platform's store. First member of an implementation. */
+struct kb_store {
+	const kb_store_ops_t *ops;
+};
+
+KB_END_DECLS
+
+#endif
