--- /dev/null
+++ b/src/catalog.h
@@ -0,0 +1,61 @@
+#ifndef KB_CATALOG_H
+#define KB_CATALOG_H
+
+#include "resource.h"
+
+KB_BEGIN_DECLS
+
+/*
+ * The resources in force on this host, by kind and name. A change replaces a
+ * resource as a whole; pointers to one live until it changes.
+ */
+typedef struct kb_catalog {
+	/* Sorted by kind and name. */
+	kb_resource_t **resources;
+	size_t count;
+	size_t capacity;
+	/* Called after each change; `resource` is NULL after a removal. */
+	void (*changed)(void *ctx, kb_kind_t kind, kb_str_t name,
+			const kb_resource_t *resource);
+	void *ctx;
+} kb_catalog_t;
+
+/* Initializes an empty catalogue; set `changed` afterwards if wanted. */
+void kb_catalog_init(kb_catalog_t *catalog);
+
+/* Frees all resources without a call of `changed`. */
+void kb_catalog_finish(kb_catalog_t *catalog);
+
+/* Copies `resource` in, or returns KB_ERR_NO_MEMORY, changing nothing. */
+kb_result_t kb_catalog_put(kb_catalog_t *catalog,
+			   const kb_resource_t *resource);
+
+/* Removes a resource, if it is there. */
+void kb_catalog_remove(kb_catalog_t *catalog, kb_kind_t kind, kb_str_t name);
+
+/* Returns a resource, or NULL. */
+const kb_resource_t *kb_catalog_find(const kb_catalog_t *catalog,
+				     kb_kind_t kind, kb_str_t name);
+
+/* Return the spec of a resource, or NULL. */
+const kb_group_spec_t *kb_catalog_group(const kb_catalog_t *catalog,
+					kb_str_t name);
+const kb_read_kind_t *kb_catalog_read_kind(const kb_catalog_t *catalog,
+					   kb_str_t name);
+const kb_traffic_class_t *kb_catalog_traffic_class(const kb_catalog_t *catalog,
+						   kb_str_t name);
+
+/* Returns whether operators declared the host to be leaving. */
+int kb_catalog_host_leaving(const kb_catalog_t *catalog, kb_str_t host);
+
+/*
+ * Adds the resources of a JSON file that holds an array of them in the form
+ * of the operator interface. Returns KB_ERR_SETTINGS and writes what is wrong
+ * and where into `message`.
+ */
+kb_result_t kb_catalog_load(kb_catalog_t *catalog, const char *path,
+			    char *message, size_t size);
+
+KB_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/control.c
@@ -0,0 +1,268 @@
+#include "control.h"
+
+#include "log.h"
+
+#include <event2/event.h>
+#include <inttypes.h>
+#include <stdio.h>
+
+enum {
+	/* Silence after which the connection is replaced. */
+	ANSWER_TIMEOUT_MS = 1000,
+	PARAMS_MAX = 3,
+	NUMBER_BYTES = 24,
+};
+
+/* Columns of the control functions. */
+enum {
+	COLUMN_GRANTED,
+	COLUMN_TERM,
+	COLUMN_ROLE,
+	COLUMN_RECEIVED,
+	COLUMN_APPLIED,
+	COLUMN_HISTORY,
+	COLUMN_PROMOTER,
+};
+
+static void send_first(kb_control_t *control);
+
+static kb_str_t column(json_t *row, size_t index)
+{
+	json_t *value = json_array_get(row, index);
+
+	return (kb_str_t){ json_string_value(value),
+			   json_string_length(value) };
+}
+
+kb_result_t kb_control_parse_row(json_t *row, kb_report_t *report, int *granted)
+{
+	kb_str_t role = column(row, COLUMN_ROLE);
+	kb_str_t history = column(row, COLUMN_HISTORY);
+
+	memset(report, 0, sizeof(*report));
+	*granted = kb_str_equal(column(row, COLUMN_GRANTED), KB_STR("t"));
+	if (kb_str_equal(role, KB_STR("primary")))
+		report->role = KB_ROLE_PRIMARY;
+	else if (!kb_str_equal(role, KB_STR("replica")))
+		return KB_ERR_PROTOCOL;
+	if (kb_str_to_u64(column(row, COLUMN_TERM), &report->term) ||
+	    kb_str_to_u64(column(row, COLUMN_RECEIVED), &report->received) ||
+	    kb_str_to_u64(column(row, COLUMN_APPLIED), &report->applied) ||
+	    kb_history_parse(&report->history, history.data, history.len) ||
+	    kb_name_set(&report->promoter, column(row, COLUMN_PROMOTER)))
+		return KB_ERR_PROTOCOL;
+	return KB_OK;
+}
+
+static void end_first(kb_control_t *control, kb_result_t result,
+		      const kb_report_t *report)
+{
+	kb_order_t order = control->orders[0];
+
+	control->order_count--;
+	memmove(&control->orders[0], &control->orders[1],
+		sizeof(control->orders[0]) * control->order_count);
+	control->busy = 0;
+	control->events->ended(control, &order, result, report);
+}
+
+static void connect_target(kb_control_t *control);
+
+/* Drops the connection and ends the orders there are now. */
+static void disconnect(kb_control_t *control, kb_result_t result)
+{
+	size_t count = control->order_count;
+
+	if (control->conn)
+		control->conn->ops->close(control->conn);
+	control->conn = NULL;
+	control->connected = 0;
+	if (control->timer)
+		event_del(control->timer);
+	for (; count && control->order_count; count--)
+		end_first(control, control->busy ? result : KB_ERR_UNREACHABLE,
+			  NULL);
+}
+
+static void start_timer(kb_control_t *control)
+{
+	struct timeval timeout = {
+		.tv_sec = ANSWER_TIMEOUT_MS / 1000,
+		.tv_usec = ANSWER_TIMEOUT_MS % 1000 * 1000,
+	};
+
+	event_add(control->timer, &timeout);
+}
+
+/* Fails from the loop, as the owner may be in the midst of a decision. */
+static void fail_soon(kb_control_t *control)
+{
+	event_active(control->timer, EV_TIMEOUT, 0);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	kb_control_t *control = arg;
+
+	(void)fd;
+	(void)what;
+	kb_log(KB_EVENT_TARGET_CONNECTION_LOST, "target=%s:%u cause=silence",
+	       control->address.address.data, control->address.port);
+	disconnect(control, KB_ERR_TIMEOUT);
+}
+
+static void on_open(kb_conn_t *conn, kb_result_t result)
+{
+	kb_control_t *control = conn->owner;
+
+	if (result) {
+		disconnect(control, KB_ERR_UNREACHABLE);
+		return;
+	}
+	event_del(control->timer);
+	control->connected = 1;
+	send_first(control);
+}
+
+static void on_answer(kb_conn_t *conn, size_t index, const kb_answer_t *answer)
+{
+	kb_control_t *control = conn->owner;
+	int granted = 0;
+
+	(void)index;
+	control->answer_result = KB_ERR_PROTOCOL;
+	if (answer->result)
+		return;
+	control->answer_result = kb_control_parse_row(
+		json_array_get(answer->rows, 0), &control->report, &granted);
+	if (!control->answer_result && !granted)
+		control->answer_result = KB_ERR_CONFLICT;
+}
+
+static void on_batch_end(kb_conn_t *conn, int in_transaction)
+{
+	kb_control_t *control = conn->owner;
+	kb_result_t result = control->answer_result;
+	int reported = result == KB_OK || result == KB_ERR_CONFLICT;
+
+	(void)in_transaction;
+	event_del(control->timer);
+	end_first(control, result, reported ? &control->report : NULL);
+	if (control->connected && !control->busy)
+		send_first(control);
+}
+
+static void on_lost(kb_conn_t *conn)
+{
+	kb_control_t *control = conn->owner;
+
+	kb_log(KB_EVENT_TARGET_CONNECTION_LOST, "target=%s:%u cause=closed",
+	       control->address.address.data, control->address.port);
+	disconnect(control, KB_ERR_CLOSED);
+}
+
+static const kb_conn_events_t conn_events = {
+	.on_open = on_open,
+	.on_answer = on_answer,
+	.on_batch_end = on_batch_end,
+	.on_lost = on_lost,
+};
+
+static kb_statement_t order_statement(const kb_order_t *order,
+				      kb_str_t params[PARAMS_MAX],
+				      char term[NUMBER_BYTES],
+				      char port[NUMBER_BYTES])
+{
+	kb_statement_t statement = { KB_STR(""), 0, params };
+
+	snprintf(term, NUMBER_BYTES, "%" PRIu64, order->term);
+	snprintf(port, NUMBER_BYTES, "%u", order->port);
+	params[0] = kb_str_from(term);
+	params[1] = kb_name_str(&order->promoter);
+	switch (order->kind) {
+	case KB_ORDER_PROBE:
+		statement.sql = KB_STR("SELECT * FROM kumquat.probe()");
+		break;
+	case KB_ORDER_FENCE:
+		statement.sql = KB_STR("SELECT * FROM kumquat.fence($1, $2)");
+		statement.param_count = 2;
+		break;
+	case KB_ORDER_PROMOTE:
+		statement.sql = KB_STR("SELECT * FROM kumquat.promote($1, $2)");
+		statement.param_count = 2;
+		break;
+	case KB_ORDER_FOLLOW:
+		statement.sql =
+			KB_STR("SELECT * FROM kumquat.follow($1, $2, $3)");
+		statement.param_count = 3;
+		params[1] = kb_name_str(&order->address);
+		params[2] = kb_str_from(port);
+		break;
+	}
+	return statement;
+}
+
+static void send_first(kb_control_t *control)
+{
+	kb_str_t params[PARAMS_MAX];
+	char term[NUMBER_BYTES], port[NUMBER_BYTES];
+	kb_statement_t statement;
+
+	if (!control->order_count)
+		return;
+	statement = order_statement(&control->orders[0], params, term, port);
+	control->answer_result = KB_ERR_PROTOCOL;
+	control->busy = 1;
+	start_timer(control);
+	if (control->conn->ops->send(control->conn, &statement, 1))
+		fail_soon(control);
+}
+
+static void connect_target(kb_control_t *control)
+{
+	kb_result_t result = control->connector->ops->open(
+		control->connector, &control->address, &conn_events, control,
+		&control->conn);
+
+	if (result) {
+		control->conn = NULL;
+		fail_soon(control);
+		return;
+	}
+	start_timer(control);
+}
+
+void kb_control_order(kb_control_t *control, const kb_order_t *order)
+{
+	if (control->order_count == KB_CONTROL_ORDERS_MAX)
+		return;
+	control->orders[control->order_count++] = *order;
+	if (!control->conn && control->order_count == 1)
+		connect_target(control);
+	else if (control->connected && !control->busy)
+		send_first(control);
+}
+
+kb_result_t kb_control_init(kb_control_t *control,
+			    const kb_control_events_t *events, void *owner,
+			    kb_connector_t *connector, struct event_base *loop,
+			    const kb_conn_address_t *address)
+{
+	memset(control, 0, sizeof(*control));
+	control->events = events;
+	control->owner = owner;
+	control->connector = connector;
+	control->loop = loop;
+	control->address = *address;
+	control->timer = evtimer_new(loop, on_timer, control);
+	return control->timer ? KB_OK : KB_ERR_NO_MEMORY;
+}
+
+void kb_control_finish(kb_control_t *control)
+{
+	if (control->conn)
+		control->conn->ops->close(control->conn);
+	if (control->timer)
+		event_free(control->timer);
+	memset(control, 0, sizeof(*control));
+}
--- /dev/null
+++ b/src/group_hint.h
@@ -0,0 +1,59 @@
+#ifndef KB_GROUP_HINT_H
+#define KB_GROUP_HINT_H
+
+#include "gen/kumquat_rpc.h"
+#include "group.h"
+
+KB_BEGIN_DECLS
+
+/* What an entry host last heard of one target. */
+typedef struct kb_target_hint {
+	uint64_t applied;
+	/* Bound of the data's age at `heard_at`, or KB_TIME_NEVER. */
+	kb_time_t age;
+	kb_time_t heard_at;
+	unsigned waiting;
+	/* Requests sent to it from this host without an answer yet. */
+	unsigned outstanding;
+} kb_target_hint_t;
+
+/* What an entry host last heard of one group; the gates know better. */
+typedef struct kb_group_hint {
+	kb_name_t group;
+	uint64_t term;
+	/* Index of the primary, or KB_GROUP_MAX_TARGETS if unknown. */
+	size_t primary;
+	kb_target_hint_t targets[KB_GROUP_MAX_TARGETS];
+} kb_group_hint_t;
+
+/* Initializes a hint that knows nothing. */
+void kb_group_hint_init(kb_group_hint_t *hint, kb_str_t group);
+
+/* Takes over what a gate reported, unless it is of an older term. */
+void kb_group_hint_update(kb_group_hint_t *hint, const kb_group_spec_t *spec,
+			  const kbx_group_view *view, kb_time_t now);
+
+/*
+ * Says that target `index` is not the primary after all, so that the next
+ * one is tried.
+ */
+void kb_group_hint_not_primary(kb_group_hint_t *hint,
+			       const kb_group_spec_t *spec, size_t index);
+
+/* The hints of all groups that this host has routed to. */
+typedef struct kb_hint_table {
+	/* Sorted by group. */
+	kb_group_hint_t **hints;
+	size_t count;
+	size_t capacity;
+} kb_hint_table_t;
+
+void kb_hint_table_init(kb_hint_table_t *table);
+void kb_hint_table_finish(kb_hint_table_t *table);
+
+/* Returns the hint of a group, made if need be, or NULL without memory. */
+kb_group_hint_t *kb_hint_table_get(kb_hint_table_t *table, kb_str_t group);
+
+KB_END_DECLS
+
+#endif
--- a/src/request_record.c
+++ b/src/request_record.c
@@ -11,7 +11,7 @@
 	       "$1")
 #define SQL_SELECT                                                            \
 	KB_STR("SELECT id, body FROM " KB_REQUEST_RECORD_TABLE " WHERE id = " \
-							       "$1")
+	       "$1")
 
 _Static_assert(KB_REQUEST_RECORD_DIGEST_BYTES == crypto_generichash_BYTES,
 	       "the digest is that of crypto_generichash");
--- /dev/null
+++ b/src/router.h
@@ -0,0 +1,65 @@
+#ifndef KB_ROUTER_H
+#define KB_ROUTER_H
+
+#include "call.h"
+#include "group_hint.h"
+#include "hosts.h"
+
+struct event_base;
+
+KB_BEGIN_DECLS
+
+typedef struct kb_router kb_router_t;
+
+/* Receives the answer to a request that ran at a gate. */
+typedef void kb_gate_done_fn_t(void *ctx, const kbx_execute_res *res);
+
+/* What a router needs of its host. */
+typedef struct kb_router_ops {
+	/* Returns the host that is the gate of a target, or NULL. */
+	kb_host_t *(*gate_host)(kb_router_t *router,
+				const kb_target_spec_t *target);
+	/* Executes at this host's own gate; `done` is called once, also
+	 * before the return. `args` lives until then. */
+	void (*execute)(kb_router_t *router, const kbx_execute_args *args,
+			kb_gate_done_fn_t *done, void *ctx);
+	/* A call to `host` failed. */
+	void (*call_failed)(kb_router_t *router, kb_host_t *host);
+} kb_router_ops_t;
+
+/* Counters of a router. */
+typedef struct kb_router_counters {
+	uint64_t local;
+	uint64_t forwarded;
+	uint64_t retries;
+	uint64_t region_bytes;
+	uint64_t replica_reads;
+	uint64_t primary_reads;
+} kb_router_counters_t;
+
+/*
+ * Sends each request of a caller to the gate of a fitting target and tries
+ * another one while the request is known not to have run.
+ */
+struct kb_router {
+	const kb_router_ops_t *ops;
+	struct event_base *loop;
+	kb_clock_t *clock;
+	kb_hosts_t *hosts;
+	const kb_catalog_t *catalog;
+	kb_hint_table_t hints;
+	kb_router_counters_t counters;
+	size_t active;
+};
+
+void kb_router_init(kb_router_t *router, const kb_router_ops_t *ops,
+		    struct event_base *loop, kb_clock_t *clock,
+		    kb_hosts_t *hosts, const kb_catalog_t *catalog);
+void kb_router_finish(kb_router_t *router);
+
+/* Routes a call; its `done` is called once, also before the return. */
+void kb_router_submit(kb_router_t *router, kb_call_t *call);
+
+KB_END_DECLS
+
+#endif
--- a/src/settings.c
+++ b/src/settings.c
@@ -24,6 +24,8 @@
 typedef struct load {
 	kb_settings_t *settings;
 	const char *file;
+	FILE *stream;
+	int line;
 	kb_settings_fault_fn_t *fault;
 	void *ctx;
 	size_t faults;
@@ -53,10 +55,19 @@
 	return 0;
 }
 
+static char *read_line(char *buffer, int size, void *ctx)
+{
+	load_t *load = ctx;
+
+	load->line++;
+	return fgets(buffer, size, load->stream);
+}
+
 static int on_key(void *ctx, const char *section, const char *name,
-		  const char *value, int line)
+		  const char *value)
 {
 	load_t *load = ctx;
+	int line = load->line;
 	char key[KEY_MAX_BYTES];
 	const char *message;
 
@@ -113,21 +124,21 @@
 {
 	load_t load = { .file = path, .fault = fault, .ctx = ctx };
 	kb_result_t result = KB_OK;
-	FILE *file = fopen(path, "r");
 	int line;
 
-	if (!file) {
+	load.stream = fopen(path, "r");
+	if (!load.stream) {
 		report(&load, 0, "", strerror(errno));
 		return KB_ERR_IO;
 	}
 	load.settings = calloc(1, sizeof(*load.settings));
 	if (!load.settings) {
-		fclose(file);
+		fclose(load.stream);
 		return KB_ERR_NO_MEMORY;
 	}
 	set_defaults(load.settings);
-	line = ini_parse_file(file, on_key, &load);
-	fclose(file);
+	line = ini_parse_stream(read_line, &load, on_key, &load);
+	fclose(load.stream);
 	if (line > 0)
 		report(&load, line, "", "is not of the form key = value");
 	if (line < 0)
--- a/src/settings_value.c
+++ b/src/settings_value.c
@@ -178,9 +178,8 @@
 	return NULL;
 }
 
-static const char *set_caller(kb_settings_t *settings,
-			      const value_spec_t *spec, const char *name,
-			      const char *value)
+static const char *set_caller(kb_settings_t *settings, const value_spec_t *spec,
+			      const char *name, const char *value)
 {
 	(void)spec;
 	return set_account(settings->callers, &settings->caller_count,
@@ -198,9 +197,9 @@
 	(void)spec;
 	if (!may_write && !kb_str_equal(role, KB_STR("read")))
 		return "must be read TOKEN or write TOKEN";
-	message = set_account(settings->operators, &settings->operator_count,
-			      KB_SETTINGS_OPERATORS_MAX, name,
-			      next_word(&value));
+	message =
+		set_account(settings->operators, &settings->operator_count,
+			    KB_SETTINGS_OPERATORS_MAX, name, next_word(&value));
 	if (!message)
 		settings->operators[settings->operator_count - 1].may_write =
 			may_write;
@@ -218,7 +217,8 @@
 		return "is one key too many";
 	if (kb_str_to_u64(kb_str_from(name), &id) || id > UINT32_MAX)
 		return "must be named by a number";
-	if (strlen(value) != 64 || strspn(value, "0123456789abcdefABCDEF") != 64)
+	if (strlen(value) != 64 ||
+	    strspn(value, "0123456789abcdefABCDEF") != 64)
 		return "must be 64 hexadecimal digits";
 	key->id = (uint32_t)id;
 	memcpy(key->hex, value, strlen(value) + 1);
@@ -259,7 +259,7 @@
 	{ "limits", "deadline", set_duration, AT(default_deadline),
 	  (uint64_t)KB_NS_PER_MS, 600 * SECOND, "duration" },
 	{ "limits", "region_link", set_size, AT(link_bytes), KIB,
-	  1024 * MIB * KIB, "size" },
+	  1024 * MIB *KIB, "size" },
 	{ "drain", "grace", set_duration, AT(drain_grace), 0, 3600 * SECOND,
 	  "duration" },
 	{ "trace", "sampling", set_percent, AT(trace_sampling), 0, 0,
