--- /dev/null
+++ b/standin/store/calls.h
@@ -0,0 +1,30 @@
+#ifndef STANDIN_CALLS_H
+#define STANDIN_CALLS_H
+
+#include "kv.h"
+
+#include <jansson.h>
+
+/* A call that cannot be answered. */
+typedef struct standin_error {
+	int status;
+	const char *message;
+} standin_error_t;
+
+/*
+ * Each function answers one call of the gateway with a new JSON object, or
+ * returns NULL and sets `*error`. `read_revision` is the revision that reads
+ * without a revision of their own show.
+ */
+json_t *standin_calls_range(standin_kv_t *kv, int64_t read_revision,
+			    const json_t *request, standin_error_t *error);
+json_t *standin_calls_put(standin_kv_t *kv, const json_t *request,
+			  standin_error_t *error);
+json_t *standin_calls_delete(standin_kv_t *kv, const json_t *request,
+			     standin_error_t *error);
+json_t *standin_calls_txn(standin_kv_t *kv, const json_t *request,
+			  standin_error_t *error);
+json_t *standin_calls_compact(standin_kv_t *kv, const json_t *request,
+			      standin_error_t *error);
+
+#endif
--- /dev/null
+++ b/standin/store/codec.h
@@ -0,0 +1,34 @@
+#ifndef STANDIN_CODEC_H
+#define STANDIN_CODEC_H
+
+#include "kv.h"
+
+#include <jansson.h>
+
+/* Bytes decoded from base64; `bytes.data` is owned. */
+typedef struct standin_bytes {
+	kb_str_t bytes;
+	char *data;
+} standin_bytes_t;
+
+/* Decodes the base64 field `name`, empty if it is missing. */
+kb_result_t standin_codec_bytes(standin_bytes_t *bytes, const json_t *object,
+				const char *name);
+void standin_codec_bytes_finish(standin_bytes_t *bytes);
+
+/* Reads a 64-bit number given as text or as a number; 0 if it is missing. */
+int64_t standin_codec_number(const json_t *object, const char *name);
+
+/* Returns a base64 string. */
+json_t *standin_codec_base64(kb_str_t bytes);
+
+/* Returns a 64-bit number as the gateway writes it, in text. */
+json_t *standin_codec_int64(int64_t value);
+
+/* Returns {"revision": "N"}. */
+json_t *standin_codec_header(int64_t revision);
+
+/* Returns a version of a key as a key-value message. */
+json_t *standin_codec_version(const standin_version_t *version);
+
+#endif
--- /dev/null
+++ b/standin/store/lease.h
@@ -0,0 +1,36 @@
+#ifndef STANDIN_LEASE_H
+#define STANDIN_LEASE_H
+
+#include "calls.h"
+
+typedef struct standin_lease {
+	int64_t id;
+	int64_t ttl_s;
+	kb_time_t expires;
+} standin_lease_t;
+
+/* Leases, whose keys are deleted when they lapse. */
+typedef struct standin_leases {
+	standin_kv_t *kv;
+	kb_clock_t *clock;
+	standin_lease_t *leases;
+	size_t count;
+	int64_t next_id;
+} standin_leases_t;
+
+void standin_lease_init(standin_leases_t *leases, standin_kv_t *kv,
+			kb_clock_t *clock);
+void standin_lease_finish(standin_leases_t *leases);
+
+/* Calls of the gateway, as in calls.h. */
+json_t *standin_lease_grant(standin_leases_t *leases, const json_t *request,
+			    standin_error_t *error);
+json_t *standin_lease_keep(standin_leases_t *leases, const json_t *request,
+			   standin_error_t *error);
+json_t *standin_lease_revoke(standin_leases_t *leases, const json_t *request,
+			     standin_error_t *error);
+
+/* Ends the leases that have lapsed; returns how many. */
+size_t standin_lease_expire(standin_leases_t *leases);
+
+#endif
