--- /dev/null
+++ b/src/agent.c
@@ -0,0 +1,330 @@
+#include "agent.h"
+
+#include "log.h"
+
+#include <event2/event.h>
+#include <inttypes.h>
+
+static kb_time_t agent_now(const kb_agent_t *agent)
+{
+	return kb_clock_monotonic(agent->clock);
+}
+
+static void schedule(kb_agent_t *agent, kb_time_t at)
+{
+	kb_time_t delay;
+	struct timeval timeout;
+
+	if (at >= agent->wake)
+		return;
+	agent->wake = at;
+	delay = at - agent_now(agent);
+	if (delay < 0)
+		delay = 0;
+	timeout.tv_sec = delay / KB_NS_PER_S;
+	timeout.tv_usec = delay % KB_NS_PER_S / KB_NS_PER_US;
+	event_add(agent->timer, &timeout);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	kb_agent_t *agent = arg;
+	kb_time_t now = agent_now(agent);
+
+	(void)fd;
+	(void)what;
+	agent->wake = KB_TIME_NEVER;
+	schedule(agent, kb_failover_on_timer(&agent->failover, now));
+	schedule(agent, kb_confirm_on_timer(&agent->confirm, now));
+}
+
+static void order(kb_agent_t *agent, size_t target,
+		  const kb_control_order_t *order)
+{
+	if (target < agent->control_count)
+		kb_control_order(&agent->controls[target], order);
+}
+
+static void send_probe(kb_failover_t *failover, size_t target,
+		       uint64_t probe_id)
+{
+	kb_agent_t *agent = (kb_agent_t *)failover;
+	kb_control_order_t probe = {
+		.kind = KB_CONTROL_PROBE,
+		.id = probe_id,
+	};
+
+	agent->probes++;
+	order(agent, target, &probe);
+}
+
+static void send_fence(kb_failover_t *failover, size_t target, uint64_t term)
+{
+	kb_agent_t *agent = (kb_agent_t *)failover;
+	kb_control_order_t fence = {
+		.kind = KB_CONTROL_FENCE,
+		.term = term,
+		.promoter = agent->promoter,
+	};
+
+	kb_log(KB_EVENT_FENCE_SENT, "group=%s target=%s term=%" PRIu64,
+	       agent->spec.name.data, agent->spec.targets[target].name.data,
+	       term);
+	order(agent, target, &fence);
+}
+
+static void send_promote(kb_failover_t *failover, size_t target, uint64_t term)
+{
+	kb_agent_t *agent = (kb_agent_t *)failover;
+	kb_control_order_t promote = {
+		.kind = KB_CONTROL_PROMOTE,
+		.term = term,
+		.promoter = agent->promoter,
+	};
+
+	kb_log(KB_EVENT_PROMOTE_SENT, "group=%s target=%s term=%" PRIu64,
+	       agent->spec.name.data, agent->spec.targets[target].name.data,
+	       term);
+	order(agent, target, &promote);
+}
+
+static void send_follow(kb_failover_t *failover, size_t target, uint64_t term,
+			size_t primary)
+{
+	kb_agent_t *agent = (kb_agent_t *)failover;
+	const kb_target_spec_t *spec = &agent->spec.targets[primary];
+	kb_control_order_t follow = {
+		.kind = KB_CONTROL_FOLLOW,
+		.term = term,
+		.address = spec->address,
+		.port = spec->port,
+	};
+
+	kb_log(KB_EVENT_FOLLOW_SENT,
+	       "group=%s target=%s primary=%s term=%" PRIu64,
+	       agent->spec.name.data, agent->spec.targets[target].name.data,
+	       spec->name.data, term);
+	order(agent, target, &follow);
+}
+
+static void ask_views(kb_failover_t *failover)
+{
+	kb_agent_t *agent = (kb_agent_t *)failover;
+
+	agent->ops->ask_views(agent);
+}
+
+static void primary_changed(kb_failover_t *failover, uint64_t term,
+			    size_t primary, int promoted)
+{
+	kb_agent_t *agent = (kb_agent_t *)failover;
+
+	kb_log(KB_EVENT_PRIMARY_CHANGED,
+	       "group=%s primary=%s term=%" PRIu64 " promoted_here=%d",
+	       agent->spec.name.data, agent->spec.targets[primary].name.data,
+	       term, promoted);
+	agent->ops->primary_changed(agent, term, primary, promoted);
+}
+
+static const kb_failover_ops_t failover_ops = {
+	.probe = send_probe,
+	.fence = send_fence,
+	.promote = send_promote,
+	.follow = send_follow,
+	.ask_views = ask_views,
+	.primary_changed = primary_changed,
+};
+
+static kb_order_kind_t order_kind(kb_control_kind_t kind)
+{
+	switch (kind) {
+	case KB_CONTROL_FENCE:
+		return KB_ORDER_FENCE;
+	case KB_CONTROL_PROMOTE:
+		return KB_ORDER_PROMOTE;
+	default:
+		return KB_ORDER_FOLLOW;
+	}
+}
+
+static void on_ended(kb_control_t *control, const kb_control_order_t *sent,
+		     kb_result_t result, const kb_report_t *report)
+{
+	kb_agent_t *agent = control->owner;
+	size_t target = (size_t)(control - agent->controls);
+	kb_time_t now = agent_now(agent);
+	int granted = result == KB_OK;
+	kb_order_t ended;
+
+	if (sent->kind == KB_CONTROL_PROBE) {
+		schedule(agent, kb_failover_on_report(&agent->failover, now,
+						      target, sent->id, result,
+						      report));
+	} else {
+		ended.kind = order_kind(sent->kind);
+		ended.target = target;
+		ended.term = sent->term;
+		if (result == KB_ERR_CONFLICT)
+			result = KB_OK;
+		schedule(agent, kb_failover_on_order_result(
+					&agent->failover, now, &ended, result,
+					granted, report));
+	}
+	schedule(agent, kb_confirm_on_timer(&agent->confirm, now));
+}
+
+static const kb_control_events_t control_events = {
+	.ended = on_ended,
+};
+
+static kb_result_t open_controls(kb_agent_t *agent)
+{
+	while (agent->control_count < agent->spec.target_count) {
+		const kb_target_spec_t *target =
+			&agent->spec.targets[agent->control_count];
+		kb_conn_address_t address = {
+			.address = target->address,
+			.port = target->port,
+			.database = agent->spec.database,
+			.answer_limit_bytes = KB_CONTROL_ANSWER_BYTES,
+		};
+		kb_control_t *control = &agent->controls[agent->control_count];
+		kb_result_t result =
+			kb_control_init(control, &control_events, agent,
+					agent->connector, agent->loop,
+					&address);
+
+		if (result)
+			return result;
+		agent->control_count++;
+	}
+	return KB_OK;
+}
+
+static void close_controls(kb_agent_t *agent)
+{
+	while (agent->control_count)
+		kb_control_finish(&agent->controls[--agent->control_count]);
+}
+
+kb_result_t kb_agent_init(kb_agent_t *agent, const kb_agent_setup_t *setup)
+{
+	kb_failover_params_t params;
+	kb_confirm_params_t confirm_params;
+	kb_result_t result;
+
+	memset(agent, 0, sizeof(*agent));
+	agent->ops = setup->ops;
+	agent->owner = setup->owner;
+	agent->clock = setup->clock;
+	agent->loop = setup->loop;
+	agent->connector = setup->connector;
+	agent->spec = *setup->group;
+	agent->promoter = setup->promoter;
+	agent->wake = KB_TIME_NEVER;
+	agent->timer = evtimer_new(setup->loop, on_timer, agent);
+	if (!agent->timer)
+		return KB_ERR_NO_MEMORY;
+	kb_failover_params_init(&params);
+	kb_confirm_params_init(&confirm_params);
+	kb_failover_init(&agent->failover, &failover_ops, &params,
+			 &agent->spec);
+	kb_confirm_init(&agent->confirm, &agent->failover.watch,
+			&confirm_params);
+	result = open_controls(agent);
+	if (result) {
+		kb_agent_finish(agent);
+		return result;
+	}
+	schedule(agent, agent_now(agent));
+	return KB_OK;
+}
+
+void kb_agent_finish(kb_agent_t *agent)
+{
+	close_controls(agent);
+	kb_confirm_finish(&agent->confirm);
+	kb_failover_finish(&agent->failover);
+	event_free(agent->timer);
+}
+
+kb_result_t kb_agent_set_group(kb_agent_t *agent, const kb_group_spec_t *group)
+{
+	close_controls(agent);
+	agent->spec = *group;
+	schedule(agent, kb_failover_set_group(&agent->failover,
+					      agent_now(agent), group));
+	return open_controls(agent);
+}
+
+void kb_agent_set_watchers(kb_agent_t *agent, size_t count, size_t rank)
+{
+	schedule(agent, kb_failover_set_watchers(
+				&agent->failover, agent_now(agent), count,
+				rank));
+}
+
+void kb_agent_on_view(kb_agent_t *agent, size_t watcher, const kb_view_t *view)
+{
+	schedule(agent, kb_failover_on_view(&agent->failover, agent_now(agent),
+					    watcher, view));
+}
+
+void kb_agent_confirm(kb_agent_t *agent, kb_confirm_entry_t *entry)
+{
+	schedule(agent, kb_confirm_add(&agent->confirm, agent_now(agent),
+				       entry));
+}
+
+void kb_agent_unconfirm(kb_agent_t *agent, kb_confirm_entry_t *entry)
+{
+	kb_confirm_remove(&agent->confirm, entry);
+}
+
+size_t kb_agent_primary(const kb_agent_t *agent)
+{
+	return kb_failover_primary(&agent->failover);
+}
+
+kb_time_t kb_agent_age(const kb_agent_t *agent, size_t target, kb_time_t now)
+{
+	kb_time_t confirmed = kb_watch_confirmed_at(&agent->failover.watch);
+
+	if (target != kb_agent_primary(agent) || confirmed == KB_TIME_NEVER)
+		return KB_TIME_NEVER;
+	return now - confirmed;
+}
+
+int kb_agent_includes(const kb_agent_t *agent, size_t target, kb_point_t point)
+{
+	const kb_watch_target_t *known =
+		&agent->failover.watch.targets[target];
+
+	if (!point.position)
+		return 1;
+	return known->has_report &&
+	       kb_history_contains(&known->report.history,
+				   known->report.applied, point);
+}
+
+void kb_agent_fill_view(kb_agent_t *agent, kbx_group_view *view,
+			kbx_target_view items[KB_GROUP_MAX_TARGETS])
+{
+	kb_time_t now = agent_now(agent);
+	size_t primary = kb_agent_primary(agent);
+
+	view->term = kb_failover_term(&agent->failover);
+	view->targets.targets_val = items;
+	view->targets.targets_len = (u_int)agent->spec.target_count;
+	for (size_t i = 0; i < agent->spec.target_count; i++) {
+		kb_time_t age = kb_agent_age(agent, i, now);
+
+		memset(&items[i], 0, sizeof(items[i]));
+		items[i].target = agent->spec.targets[i].name.data;
+		items[i].primary = i == primary;
+		items[i].age_us =
+			age == KB_TIME_NEVER ? -1 : age / KB_NS_PER_US;
+		items[i].applied =
+			agent->failover.watch.targets[i].report.applied;
+	}
+}
--- /dev/null
+++ b/src/caller_api.h
@@ -0,0 +1,52 @@
+#ifndef KB_CALLER_API_H
+#define KB_CALLER_API_H
+
+#include "catalog.h"
+#include "router.h"
+#include "token.h"
+
+struct evhttp;
+struct evbuffer;
+
+KB_BEGIN_DECLS
+
+#define KB_CALLER_API_RESULTS_MAX 512
+
+/* Counters of the caller interface. */
+typedef struct kb_caller_api_counters {
+	uint64_t requests;
+	/* Answers by result code. */
+	uint64_t results[KB_CALLER_API_RESULTS_MAX];
+} kb_caller_api_counters_t;
+
+/* The HTTP interface for callers. */
+typedef struct kb_caller_api {
+	struct evhttp *http;
+	const kb_settings_t *settings;
+	kb_clock_t *clock;
+	kb_router_t *router;
+	const kb_catalog_t *catalog;
+	kb_token_ring_t keys;
+	/* Requests in flight, in all and for each caller. */
+	size_t active;
+	size_t caller_active[KB_SETTINGS_CALLERS_MAX];
+	int draining;
+	kb_caller_api_counters_t counters;
+	/* Appends the metrics of the host to `out`. */
+	void (*metrics)(void *ctx, struct evbuffer *out);
+	void *metrics_ctx;
+} kb_caller_api_t;
+
+/* Listens for callers. Returns KB_ERR_IO if the address is not usable. */
+kb_result_t kb_caller_api_init(kb_caller_api_t *api, struct event_base *loop,
+			       const kb_settings_t *settings, kb_clock_t *clock,
+			       kb_router_t *router,
+			       const kb_catalog_t *catalog);
+void kb_caller_api_finish(kb_caller_api_t *api);
+
+/* Refuses new work; open transactions may go on. */
+void kb_caller_api_drain(kb_caller_api_t *api);
+
+KB_END_DECLS
+
+#endif
--- a/src/control.c
+++ b/src/control.c
@@ -57,7 +57,7 @@
 static void end_first(kb_control_t *control, kb_result_t result,
 		      const kb_report_t *report)
 {
-	kb_order_t order = control->orders[0];
+	kb_control_order_t order = control->orders[0];
 
 	control->order_count--;
 	memmove(&control->orders[0], &control->orders[1],
@@ -168,7 +168,7 @@
 	.on_lost = on_lost,
 };
 
-static kb_statement_t order_statement(const kb_order_t *order,
+static kb_statement_t order_statement(const kb_control_order_t *order,
 				      kb_str_t params[PARAMS_MAX],
 				      char term[NUMBER_BYTES],
 				      char port[NUMBER_BYTES])
@@ -180,18 +180,18 @@
 	params[0] = kb_str_from(term);
 	params[1] = kb_name_str(&order->promoter);
 	switch (order->kind) {
-	case KB_ORDER_PROBE:
+	case KB_CONTROL_PROBE:
 		statement.sql = KB_STR("SELECT * FROM kumquat.probe()");
 		break;
-	case KB_ORDER_FENCE:
+	case KB_CONTROL_FENCE:
 		statement.sql = KB_STR("SELECT * FROM kumquat.fence($1, $2)");
 		statement.param_count = 2;
 		break;
-	case KB_ORDER_PROMOTE:
+	case KB_CONTROL_PROMOTE:
 		statement.sql = KB_STR("SELECT * FROM kumquat.promote($1, $2)");
 		statement.param_count = 2;
 		break;
-	case KB_ORDER_FOLLOW:
+	case KB_CONTROL_FOLLOW:
 		statement.sql =
 			KB_STR("SELECT * FROM kumquat.follow($1, $2, $3)");
 		statement.param_count = 3;
@@ -232,7 +232,7 @@
 	start_timer(control);
 }
 
-void kb_control_order(kb_control_t *control, const kb_order_t *order)
+void kb_control_order(kb_control_t *control, const kb_control_order_t *order)
 {
 	if (control->order_count == KB_CONTROL_ORDERS_MAX)
 		return;
--- a/src/control.h
+++ b/src/control.h
@@ -12,16 +12,19 @@
 /* Orders that may wait for one target. */
 #define KB_CONTROL_ORDERS_MAX 16
 
-typedef enum kb_order_kind {
-	KB_ORDER_PROBE,
-	KB_ORDER_FENCE,
-	KB_ORDER_PROMOTE,
-	KB_ORDER_FOLLOW,
-} kb_order_kind_t;
+/* Bytes of rows that the answer to an order may hold. */
+#define KB_CONTROL_ANSWER_BYTES 65536
+
+typedef enum kb_control_kind {
+	KB_CONTROL_PROBE,
+	KB_CONTROL_FENCE,
+	KB_CONTROL_PROMOTE,
+	KB_CONTROL_FOLLOW,
+} kb_control_kind_t;
 
 /* An order to a target. */
-typedef struct kb_order {
-	kb_order_kind_t kind;
+typedef struct kb_control_message {
+	kb_control_kind_t kind;
 	/* Chosen by the owner and handed back with the answer. */
 	uint64_t id;
 	uint64_t term;
@@ -30,7 +33,7 @@
 	/* Follow: where the primary listens. */
 	kb_name_t address;
 	uint16_t port;
-} kb_order_t;
+} kb_control_order_t;
 
 typedef struct kb_control kb_control_t;
 
@@ -43,7 +46,7 @@
 	 * never sent, KB_ERR_CLOSED or KB_ERR_TIMEOUT if it may have been
 	 * carried out.
 	 */
-	void (*ended)(kb_control_t *control, const kb_order_t *order,
+	void (*ended)(kb_control_t *control, const kb_control_order_t *order,
 		      kb_result_t result, const kb_report_t *report);
 } kb_control_events_t;
 
@@ -57,7 +60,7 @@
 	kb_conn_t *conn;
 	int connected;
 	struct event *timer;
-	kb_order_t orders[KB_CONTROL_ORDERS_MAX];
+	kb_control_order_t orders[KB_CONTROL_ORDERS_MAX];
 	size_t order_count;
 	/* The first order was sent. */
 	int busy;
@@ -78,7 +81,7 @@
  * Queues an order. Its end is reported from the loop. An order beyond the
  * limit is dropped, like one whose answer is lost.
  */
-void kb_control_order(kb_control_t *control, const kb_order_t *order);
+void kb_control_order(kb_control_t *control, const kb_control_order_t *order);
 
 /* Parses the answer row of a control function into `report`. */
 kb_result_t kb_control_parse_row(json_t *row, kb_report_t *report,
--- a/src/group_hint.c
+++ b/src/group_hint.c
@@ -13,12 +13,12 @@
 		hint->targets[i].age = KB_TIME_NEVER;
 }
 
-static void update_target(kb_target_hint_t *target,
-			  const kbx_target_view *view, kb_time_t now)
+static void update_target(kb_target_hint_t *target, const kbx_target_view *view,
+			  kb_time_t now)
 {
 	target->applied = view->applied;
-	target->age = view->age_us < 0 ? KB_TIME_NEVER :
-					 view->age_us * KB_NS_PER_US;
+	target->age =
+		view->age_us < 0 ? KB_TIME_NEVER : view->age_us * KB_NS_PER_US;
 	target->heard_at = now;
 	target->waiting = view->waiting;
 }
@@ -67,8 +67,8 @@
 
 static kb_result_t make_room(kb_hint_table_t *table)
 {
-	size_t capacity = table->capacity ? table->capacity * 2 :
-					    INITIAL_CAPACITY;
+	size_t capacity =
+		table->capacity ? table->capacity * 2 : INITIAL_CAPACITY;
 	kb_group_hint_t **hints;
 
 	if (table->count < table->capacity)
--- a/src/route_plan.c
+++ b/src/route_plan.c
@@ -28,11 +28,10 @@
 	for (size_t i = 0; i < spec->target_count; i++) {
 		size_t at = plan->count;
 
-		if (i == primary ||
-		    spec->targets[i].state == KB_STATE_LEAVING)
+		if (i == primary || spec->targets[i].state == KB_STATE_LEAVING)
 			continue;
-		while (at && is_better(spec, hint, self, i,
-				       plan->targets[at - 1])) {
+		while (at &&
+		       is_better(spec, hint, self, i, plan->targets[at - 1])) {
 			plan->targets[at] = plan->targets[at - 1];
 			at--;
 		}
--- /dev/null
+++ b/src/target_gate.h
@@ -0,0 +1,72 @@
+#ifndef KB_TARGET_GATE_H
+#define KB_TARGET_GATE_H
+
+#include "admission.h"
+#include "agent.h"
+#include "exec.h"
+#include "pool.h"
+#include "router.h"
+#include "transaction.h"
+
+KB_BEGIN_DECLS
+
+/* Counters of a gate. */
+typedef struct kb_target_gate_counters {
+	uint64_t executed;
+	uint64_t refused;
+	uint64_t unknown;
+	uint64_t replayed;
+} kb_target_gate_counters_t;
+
+/*
+ * The gate of one target on this host: holds the target's connections, its
+ * slots and its queue, and executes requests that this and other hosts bring.
+ */
+typedef struct kb_target_gate {
+	kb_admission_t admission;
+	kb_pool_t pool;
+	kb_agent_t *agent;
+	kb_connector_t *connector;
+	struct event_base *loop;
+	kb_clock_t *clock;
+	/* Copy of the target's declaration, and its place in the group. */
+	kb_target_spec_t spec;
+	size_t index;
+	kb_conn_address_t address;
+	kb_transactions_t transactions;
+	struct event *timer;
+	size_t active;
+	kb_target_gate_counters_t counters;
+} kb_target_gate_t;
+
+/* Initializes the gate of target `index` of the group of `agent`. */
+kb_result_t kb_target_gate_init(kb_target_gate_t *gate, kb_agent_t *agent,
+				size_t index, kb_connector_t *connector,
+				struct event_base *loop, kb_clock_t *clock,
+				size_t answer_limit_bytes, uint64_t seed);
+
+/* Closes all connections; requests in flight must have ended. */
+void kb_target_gate_finish(kb_target_gate_t *gate);
+
+/* Adds or changes a traffic class. */
+void kb_target_gate_set_class(kb_target_gate_t *gate,
+			      const kb_traffic_class_t *spec);
+
+/*
+ * Executes a request. `done` is called once, also before the return; `args`
+ * lives until then.
+ */
+void kb_target_gate_execute(kb_target_gate_t *gate,
+			    const kbx_execute_args *args,
+			    kb_gate_done_fn_t *done, void *ctx);
+
+/* Refuses new work; what is in flight goes on until `until`. */
+void kb_target_gate_drain(kb_target_gate_t *gate, kb_time_t until);
+void kb_target_gate_resume(kb_target_gate_t *gate);
+
+/* Returns non-zero if no request and no transaction is left. */
+int kb_target_gate_is_idle(const kb_target_gate_t *gate);
+
+KB_END_DECLS
+
+#endif
