Add session tokens, admission and the connection pool

Cause: the gate and the entry hosts need these decisions before they can carry a request with the promises kept.

Change: token.c holds a session's points of up to 16 groups, authenticated for one caller under a ring of keys. admission.c gives out a target's slots; fair_queue.c shares service time by weight between classes and evenly between callers; transaction_limit.c bounds open transactions in all and per caller. pool.c decides on connections, with half of the target's limit left to a second gate.

Measured: 36 tests in fault tables pass with address and undefined behaviour sanitizers; beside a caller that keeps its queue full of 50 ms statements, another waits at most 1 ms if these are bulk and there are two slots or more, else at most 51 ms.

Conclusion: ready to be integrated.

--- /dev/null
+++ b/src/fair_queue.h
@@ -0,0 +1,152 @@
+#ifndef KB_FAIR_QUEUE_H
+#define KB_FAIR_QUEUE_H
+
+#include "group.h"
+
+KB_BEGIN_DECLS
+
+/*
+ * A queue that shares service time by weight between traffic classes and
+ * evenly between the callers of one class (stride scheduling). It starts the
+ * entry of the class, and of the caller in it, that has received the least
+ * service so far. What an entry costs is estimated when it starts and
+ * corrected when it ends. It allocates nothing: entries belong to the owner.
+ */
+
+#define KB_FAIR_MAX_CLASSES 16
+/* Pairs of class and caller that are remembered at one time. */
+#define KB_FAIR_MAX_FLOWS 128
+
+typedef struct kb_fair_entry kb_fair_entry_t;
+typedef struct kb_fair_flow kb_fair_flow_t;
+
+/* The lines of one caller in which entries wait; earlier ones go first. */
+typedef enum kb_fair_line {
+	/* Statements of open transactions, which are never evicted. */
+	KB_FAIR_WITHIN,
+	KB_FAIR_STATEMENTS,
+	/* Entries that may start only while `allow_begin` permits it. */
+	KB_FAIR_BEGINS,
+	KB_FAIR_LINES,
+} kb_fair_line_t;
+
+/* A queued or running entry; all members are private. */
+struct kb_fair_entry {
+	kb_fair_entry_t *prev;
+	kb_fair_entry_t *next;
+	kb_fair_flow_t *flow;
+	kb_fair_line_t line;
+	kb_time_t charged;
+};
+
+/* A doubly linked list of entries, oldest first. */
+typedef struct kb_fair_list {
+	kb_fair_entry_t *first;
+	kb_fair_entry_t *last;
+} kb_fair_list_t;
+
+/* The entries of one caller in one class. */
+struct kb_fair_flow {
+	kb_name_t caller;
+	size_t class_index;
+	unsigned queued;
+	unsigned running;
+	/* Service received. */
+	kb_time_t virtual_time;
+	kb_fair_list_t lines[KB_FAIR_LINES];
+};
+
+/* A traffic class with its measurements. */
+typedef struct kb_fair_class {
+	kb_traffic_class_t spec;
+	unsigned queued;
+	unsigned running;
+	/* Service received divided by weight. */
+	kb_time_t virtual_time;
+	/* Virtual time of the flow that started last. */
+	kb_time_t flow_time;
+	/* Moving mean of the service time, or 0 before the first one. */
+	kb_time_t mean_service;
+} kb_fair_class_t;
+
+typedef struct kb_fair_queue {
+	size_t class_count;
+	kb_fair_class_t classes[KB_FAIR_MAX_CLASSES];
+	kb_fair_flow_t flows[KB_FAIR_MAX_FLOWS];
+	/* Virtual time of the class that started last. */
+	kb_time_t class_time;
+	unsigned queued;
+} kb_fair_queue_t;
+
+/* Decides whether the oldest BEGIN of `caller` may start now. */
+typedef int kb_fair_allow_fn_t(void *ctx, const kb_name_t *caller);
+
+/* What kb_fair_queue_pop() may choose from. */
+typedef struct kb_fair_filter {
+	/* Bulk classes are passed over if zero. */
+	int allow_bulk;
+	kb_fair_allow_fn_t *allow_begin;
+	void *ctx;
+} kb_fair_filter_t;
+
+void kb_fair_queue_init(kb_fair_queue_t *queue);
+
+/* Adds a class or changes the one of that name; KB_ERR_TOO_LARGE if full. */
+kb_result_t kb_fair_queue_set_class(kb_fair_queue_t *queue,
+				    const kb_traffic_class_t *spec);
+
+/* Returns the index of a class, or `class_count` if there is none. */
+size_t kb_fair_queue_find_class(const kb_fair_queue_t *queue, kb_str_t name);
+
+/*
+ * Appends an entry. Returns KB_ERR_OVERLOADED if no flow can be had for the
+ * caller and KB_ERR_NOT_FOUND if the class does not exist.
+ */
+kb_result_t kb_fair_queue_push(kb_fair_queue_t *queue, kb_fair_entry_t *entry,
+			       size_t class_index, const kb_name_t *caller,
+			       kb_fair_line_t line);
+
+/* Removes the entry to start next, charges and returns it, or NULL. */
+kb_fair_entry_t *kb_fair_queue_pop(kb_fair_queue_t *queue,
+				   const kb_fair_filter_t *filter);
+
+/* Removes a queued entry. */
+void kb_fair_queue_remove(kb_fair_queue_t *queue, kb_fair_entry_t *entry);
+
+/*
+ * Returns the newest entry of the caller with the most entries in the class
+ * if these are at least two more than `caller` has, else NULL.
+ */
+kb_fair_entry_t *kb_fair_queue_evictable(kb_fair_queue_t *queue,
+					 size_t class_index,
+					 const kb_name_t *caller);
+
+/* Takes back the charge for an entry that was popped and did not run. */
+void kb_fair_queue_not_run(kb_fair_queue_t *queue, kb_fair_entry_t *entry);
+
+/* Ends an entry that was popped after `service` of running. */
+void kb_fair_queue_ended(kb_fair_queue_t *queue, kb_fair_entry_t *entry,
+			 kb_time_t service);
+
+/*
+ * Returns how long a new entry of a class and caller would wait while
+ * `slots` entries run at a time and all are taken.
+ */
+kb_time_t kb_fair_queue_expected_wait(const kb_fair_queue_t *queue,
+				      size_t class_index,
+				      const kb_name_t *caller, unsigned slots);
+
+/* Returns the mean service time of all queued and running entries together. */
+kb_time_t kb_fair_queue_expected_work(const kb_fair_queue_t *queue);
+
+/* Calls `visit` for each queued entry, which `visit` may remove. */
+void kb_fair_queue_each(kb_fair_queue_t *queue,
+			void (*visit)(void *ctx, kb_fair_entry_t *entry),
+			void *ctx);
+
+void kb_fair_list_append(kb_fair_list_t *list, kb_fair_entry_t *entry);
+void kb_fair_list_remove(kb_fair_list_t *list, kb_fair_entry_t *entry);
+
+KB_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/test_pool.cc
@@ -0,0 +1,329 @@
+#include "pool.h"
+
+#include <gtest/gtest.h>
+#include <algorithm>
+#include <string>
+#include <vector>
+
+static const kb_time_t MS = KB_NS_PER_MS;
+
+struct Waiter {
+	kb_pool_waiter_t waiter = {};
+	kb_pool_connection_t *connection = nullptr;
+	kb_result_t result = KB_OK;
+};
+
+/* Records the orders of a pool. */
+struct Pool {
+	kb_pool_t pool;
+	std::vector<kb_pool_connection_t *> opened, closed, rolled, expired;
+	bool refuse_at_once = false;
+
+	explicit Pool(unsigned connections = 16, unsigned limit = 0)
+	{
+		kb_pool_settings_t settings;
+
+		kb_pool_default_settings(&settings, connections, 1);
+		if (limit)
+			settings.limit = limit;
+		kb_pool_init(&pool, ops(), &settings);
+	}
+	static Pool *of(kb_pool_t *pool)
+	{
+		return reinterpret_cast<Pool *>(pool);
+	}
+	static const kb_pool_ops_t *ops()
+	{
+		static const kb_pool_ops_t table = {
+			[](kb_pool_t *p, kb_pool_connection_t *c) {
+				of(p)->opened.push_back(c);
+				if (of(p)->refuse_at_once)
+					kb_pool_closed(p, c, 0);
+			},
+			[](kb_pool_t *p, kb_pool_connection_t *c) {
+				of(p)->rolled.push_back(c);
+			},
+			[](kb_pool_t *p, kb_pool_connection_t *c) {
+				of(p)->closed.push_back(c);
+			},
+			[](kb_pool_t *p, kb_pool_connection_t *c, kb_time_t) {
+				of(p)->expired.push_back(c);
+			},
+			[](kb_pool_t *, kb_pool_waiter_t *w,
+			   kb_pool_connection_t *c,
+			   kb_time_t) { ((Waiter *)w)->connection = c; },
+			[](kb_pool_t *, kb_pool_waiter_t *w, kb_result_t result,
+			   kb_time_t) { ((Waiter *)w)->result = result; },
+		};
+
+		return &table;
+	}
+	/* Returns a busy connection. */
+	kb_pool_connection_t *busy(kb_time_t now = 0)
+	{
+		size_t before = opened.size();
+		Waiter waiter;
+
+		kb_pool_acquire(&pool, &waiter.waiter, now);
+		if (opened.size() > before)
+			kb_pool_connected(&pool, opened.back(), now);
+		EXPECT_TRUE(waiter.connection);
+		return waiter.connection;
+	}
+};
+
+TEST(Pool, TwoGatesTogetherStayWithinTheTargetsLimit)
+{
+	struct {
+		unsigned connections, usable;
+	} cases[] = { { 16, 7 }, { 55, 26 }, { 4, 1 }, { 3, 0 },
+		      { 2, 0 },	 { 0, 0 },   { 17, 7 } };
+
+	for (const auto &c : cases) {
+		unsigned usable =
+			kb_pool_usable(c.connections, KB_POOL_CONTROL_RESERVE);
+
+		EXPECT_EQ(c.usable, usable) << c.connections;
+		EXPECT_LE(usable ? 2 * usable + KB_POOL_CONTROL_RESERVE : 0,
+			  c.connections);
+	}
+}
+
+TEST(Pool, TwoGatesUnderLoadNeverExceedTheLimitEvenWhileClosing)
+{
+	Pool gates[2];
+	std::vector<Waiter> waiters(200);
+	unsigned worst = 0;
+
+	for (size_t i = 0; i < waiters.size(); i++) {
+		Pool &gate = gates[i % 2];
+		size_t before = gate.opened.size();
+
+		kb_pool_acquire(&gate.pool, &waiters[i].waiter, 0);
+		if (gate.opened.size() > before)
+			kb_pool_connected(&gate.pool, gate.opened.back(), 0);
+		/* Every third one breaks and takes long to be closed. */
+		if (i % 3 == 0 && waiters[i].connection)
+			kb_pool_release(&gate.pool, waiters[i].connection,
+					KB_CONNECTION_BROKEN, 0);
+		worst = std::max(worst,
+				 kb_pool_open_count(&gates[0].pool) +
+					 kb_pool_open_count(&gates[1].pool));
+	}
+	EXPECT_EQ(14u, worst);
+	kb_pool_closed(&gates[0].pool, gates[0].closed[0], 0);
+	EXPECT_EQ(7u, kb_pool_open_count(&gates[0].pool));
+	EXPECT_EQ(KB_CONNECTION_CONNECTING, gates[0].opened.back()->state);
+}
+
+TEST(Pool, OnlyACleanConnectionIsReused)
+{
+	struct {
+		unsigned flags;
+		kb_connection_state_t state;
+	} cases[] = {
+		{ KB_CONNECTION_CLEAN, KB_CONNECTION_IDLE },
+		{ KB_CONNECTION_IN_TRANSACTION, KB_CONNECTION_CLOSING },
+		{ KB_CONNECTION_ANSWER_PENDING, KB_CONNECTION_CLOSING },
+		{ KB_CONNECTION_BROKEN, KB_CONNECTION_CLOSING },
+		{ KB_CONNECTION_IN_TRANSACTION | KB_CONNECTION_ANSWER_PENDING,
+		  KB_CONNECTION_CLOSING },
+	};
+
+	for (const auto &c : cases) {
+		Pool pool;
+		kb_pool_connection_t *connection = pool.busy();
+
+		kb_pool_release(&pool.pool, connection, c.flags, 0);
+		EXPECT_EQ(c.state, connection->state) << c.flags;
+		EXPECT_EQ(c.state == KB_CONNECTION_CLOSING ? 1u : 0u,
+			  pool.closed.size());
+		EXPECT_EQ(c.state == KB_CONNECTION_IDLE,
+			  pool.busy() == connection);
+	}
+}
+
+TEST(Pool, PinKeepsAConnectionOnlyInsideATransaction)
+{
+	struct {
+		unsigned flags;
+		kb_result_t result;
+		kb_connection_state_t state;
+	} cases[] = {
+		{ KB_CONNECTION_IN_TRANSACTION, KB_OK, KB_CONNECTION_PINNED },
+		{ KB_CONNECTION_CLEAN, KB_ERR_ROLLED_BACK, KB_CONNECTION_IDLE },
+		{ KB_CONNECTION_BROKEN, KB_ERR_CLOSED, KB_CONNECTION_CLOSING },
+		{ KB_CONNECTION_IN_TRANSACTION | KB_CONNECTION_ANSWER_PENDING,
+		  KB_ERR_CLOSED, KB_CONNECTION_CLOSING },
+	};
+
+	for (const auto &c : cases) {
+		Pool pool;
+		kb_pool_connection_t *connection = pool.busy();
+
+		EXPECT_EQ(c.result,
+			  kb_pool_pin(&pool.pool, connection, c.flags, 0));
+		EXPECT_EQ(c.state, connection->state) << c.flags;
+		EXPECT_EQ(c.result ? KB_ERR_CLOSED : KB_OK,
+			  kb_pool_resume(&pool.pool, connection, 0));
+	}
+}
+
+TEST(Pool, PinnedConnectionServesNobodyElse)
+{
+	Pool pool(16, 2);
+	kb_pool_connection_t *pinned = pool.busy();
+	kb_pool_connection_t *other = pool.busy();
+	Waiter waiter;
+
+	kb_pool_pin(&pool.pool, pinned, KB_CONNECTION_IN_TRANSACTION, 0);
+	kb_pool_acquire(&pool.pool, &waiter.waiter, 0);
+	EXPECT_FALSE(waiter.connection);
+	kb_pool_release(&pool.pool, other, KB_CONNECTION_CLEAN, 0);
+	EXPECT_EQ(other, waiter.connection);
+}
+
+TEST(Pool, VanishedCallerIsRolledBackBeforeReuse)
+{
+	Pool pool(16, 1);
+	kb_pool_connection_t *connection = pool.busy();
+	Waiter waiter;
+
+	kb_pool_pin(&pool.pool, connection, KB_CONNECTION_IN_TRANSACTION, 0);
+	kb_pool_acquire(&pool.pool, &waiter.waiter, 0);
+	kb_pool_abandon(&pool.pool, connection, 0);
+	kb_pool_abandon(&pool.pool, connection, 0);
+	EXPECT_EQ(1u, pool.rolled.size());
+	EXPECT_FALSE(waiter.connection);
+	kb_pool_release(&pool.pool, connection, KB_CONNECTION_CLEAN, 0);
+	EXPECT_EQ(connection, waiter.connection);
+	/* A statement still runs: nothing can be sent, so it is closed. */
+	kb_pool_abandon(&pool.pool, connection, 0);
+	EXPECT_EQ(KB_CONNECTION_CLOSING, connection->state);
+	EXPECT_EQ(1u, pool.closed.size());
+}
+
+TEST(Pool, StalledRollbackIsClosed)
+{
+	Pool pool;
+	kb_pool_connection_t *connection = pool.busy();
+
+	kb_pool_pin(&pool.pool, connection, KB_CONNECTION_IN_TRANSACTION, 0);
+	kb_pool_abandon(&pool.pool, connection, 0);
+	EXPECT_EQ(3000 * MS, kb_pool_tick(&pool.pool, 0));
+	kb_pool_tick(&pool.pool, 3000 * MS);
+	EXPECT_EQ(KB_CONNECTION_CLOSING, connection->state);
+}
+
+TEST(Pool, StalledTransactionLosesItsConnection)
+{
+	Pool pool;
+	kb_pool_connection_t *connection = pool.busy();
+
+	kb_pool_pin(&pool.pool, connection, KB_CONNECTION_IN_TRANSACTION, 0);
+	EXPECT_EQ(10000 * MS, kb_pool_tick(&pool.pool, 9999 * MS));
+	EXPECT_TRUE(pool.expired.empty());
+	kb_pool_tick(&pool.pool, 10000 * MS);
+	EXPECT_EQ(1u, pool.expired.size());
+	EXPECT_EQ(1u, pool.rolled.size());
+	EXPECT_EQ(KB_ERR_CLOSED,
+		  kb_pool_resume(&pool.pool, connection, 10000 * MS));
+}
+
+TEST(Pool, UnreachableTargetIsRefusedAtOnceAndRetriedAfterAPause)
+{
+	Pool pool;
+	Waiter first, during, after;
+
+	kb_pool_acquire(&pool.pool, &first.waiter, 0);
+	kb_pool_closed(&pool.pool, pool.opened[0], 0);
+	EXPECT_EQ(KB_ERR_UNREACHABLE, first.result);
+	kb_pool_acquire(&pool.pool, &during.waiter, 1 * MS);
+	EXPECT_EQ(KB_ERR_UNREACHABLE, during.result);
+	EXPECT_EQ(1u, pool.opened.size());
+	kb_pool_acquire(&pool.pool, &after.waiter, 20 * MS);
+	ASSERT_EQ(2u, pool.opened.size());
+	kb_pool_connected(&pool.pool, pool.opened[1], 32 * MS);
+	EXPECT_TRUE(after.connection);
+	EXPECT_EQ(KB_OUTCOME_NOT_RUN, kb_result_outcome(first.result));
+}
+
+TEST(Pool, PausesGrowToALimitAndDifferBetweenHosts)
+{
+	kb_time_t pauses[2][12];
+
+	for (int host = 0; host < 2; host++) {
+		Pool pool;
+		kb_time_t now = 0;
+
+		pool.pool.settings.seed = (uint64_t)host;
+		for (kb_time_t &pause : pauses[host]) {
+			Waiter waiter;
+
+			kb_pool_acquire(&pool.pool, &waiter.waiter, now);
+			kb_pool_closed(&pool.pool, pool.opened.back(), now);
+			pause = pool.pool.retry_at - now;
+			now = pool.pool.retry_at;
+		}
+		EXPECT_LE(pauses[host][0], 20 * MS);
+		EXPECT_GE(pauses[host][0], 10 * MS);
+		EXPECT_LE(pauses[host][11], 2000 * MS);
+		EXPECT_GE(pauses[host][11], 1000 * MS);
+	}
+	EXPECT_NE(pauses[0][11], pauses[1][11]);
+}
+
+TEST(Pool, RefusalFromWithinOpenIsAnswered)
+{
+	Pool pool;
+	Waiter waiter;
+
+	pool.refuse_at_once = true;
+	kb_pool_acquire(&pool.pool, &waiter.waiter, 0);
+	EXPECT_EQ(KB_ERR_UNREACHABLE, waiter.result);
+	EXPECT_EQ(1u, pool.opened.size());
+}
+
+TEST(Pool, WaitersStayWhileOtherConnectionsWork)
+{
+	Pool pool;
+	kb_pool_connection_t *connection = pool.busy();
+	Waiter waiter;
+
+	kb_pool_acquire(&pool.pool, &waiter.waiter, 0);
+	kb_pool_closed(&pool.pool, pool.opened.back(), 0);
+	EXPECT_EQ(KB_OK, waiter.result);
+	kb_pool_release(&pool.pool, connection, KB_CONNECTION_CLEAN, 0);
+	EXPECT_EQ(connection, waiter.connection);
+	EXPECT_EQ(KB_ERR_NOT_FOUND, kb_pool_cancel(&pool.pool, &waiter.waiter));
+}
+
+TEST(Pool, LosingTheGateFinishesWhatRunsAndClosesTheRest)
+{
+	Pool pool(16, 3);
+	kb_pool_connection_t *busy = pool.busy();
+	kb_pool_connection_t *idle = pool.busy();
+	Waiter waiter;
+
+	kb_pool_release(&pool.pool, idle, KB_CONNECTION_CLEAN, 0);
+	kb_pool_set_limit(&pool.pool, 0, 0);
+	EXPECT_EQ(KB_CONNECTION_CLOSING, idle->state);
+	EXPECT_EQ(KB_CONNECTION_BUSY, busy->state);
+	kb_pool_acquire(&pool.pool, &waiter.waiter, 0);
+	EXPECT_EQ(KB_ERR_NOT_GATE, waiter.result);
+	kb_pool_release(&pool.pool, busy, KB_CONNECTION_CLEAN, 0);
+	EXPECT_EQ(KB_CONNECTION_CLOSING, busy->state);
+}
+
+TEST(Pool, IdleConnectionsExpireDownToTheMinimum)
+{
+	Pool pool;
+	kb_pool_connection_t *a = pool.busy(), *b = pool.busy();
+
+	kb_pool_release(&pool.pool, a, KB_CONNECTION_CLEAN, 0);
+	kb_pool_release(&pool.pool, b, KB_CONNECTION_CLEAN, 5 * MS);
+	kb_pool_tick(&pool.pool, 60005 * MS);
+	EXPECT_EQ(KB_CONNECTION_CLOSING, a->state);
+	EXPECT_EQ(KB_CONNECTION_IDLE, b->state);
+	EXPECT_EQ(KB_TIME_NEVER, kb_pool_tick(&pool.pool, 200000 * MS));
+}
