--- a/src/agent.c
+++ b/src/agent.c
@@ -157,18 +157,18 @@
 	kb_order_t ended;
 
 	if (sent->kind == KB_CONTROL_PROBE) {
-		schedule(agent, kb_failover_on_report(&agent->failover, now,
-						      target, sent->id, result,
-						      report));
+		schedule(agent,
+			 kb_failover_on_report(&agent->failover, now, target,
+					       sent->id, result, report));
 	} else {
 		ended.kind = order_kind(sent->kind);
 		ended.target = target;
 		ended.term = sent->term;
 		if (result == KB_ERR_CONFLICT)
 			result = KB_OK;
-		schedule(agent, kb_failover_on_order_result(
-					&agent->failover, now, &ended, result,
-					granted, report));
+		schedule(agent, kb_failover_on_order_result(&agent->failover,
+							    now, &ended, result,
+							    granted, report));
 	}
 	schedule(agent, kb_confirm_on_timer(&agent->confirm, now));
 }
@@ -189,10 +189,9 @@
 			.answer_limit_bytes = KB_CONTROL_ANSWER_BYTES,
 		};
 		kb_control_t *control = &agent->controls[agent->control_count];
-		kb_result_t result =
-			kb_control_init(control, &control_events, agent,
-					agent->connector, agent->loop,
-					&address);
+		kb_result_t result = kb_control_init(control, &control_events,
+						     agent, agent->connector,
+						     agent->loop, &address);
 
 		if (result)
 			return result;
@@ -259,9 +258,9 @@
 
 void kb_agent_set_watchers(kb_agent_t *agent, size_t count, size_t rank)
 {
-	schedule(agent, kb_failover_set_watchers(
-				&agent->failover, agent_now(agent), count,
-				rank));
+	schedule(agent,
+		 kb_failover_set_watchers(&agent->failover, agent_now(agent),
+					  count, rank));
 }
 
 void kb_agent_on_view(kb_agent_t *agent, size_t watcher, const kb_view_t *view)
@@ -272,8 +271,8 @@
 
 void kb_agent_confirm(kb_agent_t *agent, kb_confirm_entry_t *entry)
 {
-	schedule(agent, kb_confirm_add(&agent->confirm, agent_now(agent),
-				       entry));
+	schedule(agent,
+		 kb_confirm_add(&agent->confirm, agent_now(agent), entry));
 }
 
 void kb_agent_unconfirm(kb_agent_t *agent, kb_confirm_entry_t *entry)
@@ -297,8 +296,7 @@
 
 int kb_agent_includes(const kb_agent_t *agent, size_t target, kb_point_t point)
 {
-	const kb_watch_target_t *known =
-		&agent->failover.watch.targets[target];
+	const kb_watch_target_t *known = &agent->failover.watch.targets[target];
 
 	if (!point.position)
 		return 1;
--- a/src/caller_api.c
+++ b/src/caller_api.c
@@ -29,6 +29,7 @@
 	/* First member: `done` of the call refers to it. */
 	kb_call_t call;
 	kb_caller_api_t *api;
+	/* NULL once the caller has closed the connection. */
 	struct evhttp_request *http;
 	size_t caller;
 	kb_session_t session;
@@ -99,9 +100,8 @@
 	json_t *body;
 	char *text;
 
-	snprintf(name, sizeof(name), "%s~%s~%s",
-		 exchange->call.gate_host.data, exchange->call.args.target,
-		 res->transaction);
+	snprintf(name, sizeof(name), "%s~%s~%s", exchange->call.gate_host.data,
+		 exchange->call.args.target, res->transaction);
 	body = json_pack("{s:s}", "transaction", name);
 	text = body ? json_dumps(body, JSON_COMPACT) : NULL;
 	json_decref(body);
@@ -114,6 +114,23 @@
 	free(text);
 }
 
+static void on_closed(struct evhttp_connection *connection, void *arg)
+{
+	exchange_t *exchange = arg;
+
+	(void)connection;
+	exchange->http = NULL;
+}
+
+static void watch_connection(exchange_t *exchange,
+			     void (*closed)(struct evhttp_connection *, void *))
+{
+	if (exchange->http)
+		evhttp_connection_set_closecb(
+			evhttp_request_get_connection(exchange->http), closed,
+			exchange);
+}
+
 static void exchange_free(exchange_t *exchange)
 {
 	exchange->api->active--;
@@ -127,6 +144,11 @@
 	exchange_t *exchange = (exchange_t *)call;
 	kb_caller_api_t *api = exchange->api;
 
+	if (!exchange->http) {
+		exchange_free(exchange);
+		return;
+	}
+	watch_connection(exchange, NULL);
 	if (res->result) {
 		reply_error(api, exchange->http, (kb_result_t)res->result,
 			    res->message);
@@ -158,8 +180,7 @@
 
 	*fault = HEADER_DEADLINE " must be a duration such as 1500ms";
 	if (text && (kb_duration_parse(kb_str_from(text), &deadline) ||
-		     deadline <= 0 ||
-		     deadline > DEADLINE_MAX_S * KB_NS_PER_S))
+		     deadline <= 0 || deadline > DEADLINE_MAX_S * KB_NS_PER_S))
 		return KB_ERR_INVALID;
 	call->arrived = kb_clock_monotonic(api->clock);
 	call->deadline = call->arrived + deadline;
@@ -187,8 +208,8 @@
 	size_t len = evbuffer_get_length(input);
 	kb_str_t body = { (const char *)evbuffer_pullup(input, -1), len };
 
-	return kb_call_parse_body(&exchange->call, body,
-				  exchange->api->catalog, fault);
+	return kb_call_parse_body(&exchange->call, body, exchange->api->catalog,
+				  fault);
 }
 
 /* Chooses a class for what names none: the first of the catalogue. */
@@ -260,6 +281,7 @@
 	include = kb_session_find(&exchange->session, path->group);
 	call->args.include.term = include.term;
 	call->args.include.position = include.position;
+	watch_connection(exchange, on_closed);
 	kb_router_submit(exchange->api->router, call);
 }
 
@@ -268,9 +290,9 @@
 				struct evhttp_request *http)
 {
 	const kb_settings_t *settings = api->settings;
-	size_t caller = kb_account_find(settings->callers,
-					settings->caller_count,
-					header(http, "Authorization"));
+	size_t caller =
+		kb_account_find(settings->callers, settings->caller_count,
+				header(http, "Authorization"));
 	exchange_t *exchange;
 
 	if (caller == settings->caller_count) {
--- /dev/null
+++ b/src/daemon.h
@@ -0,0 +1,33 @@
+#ifndef KB_DAEMON_H
+#define KB_DAEMON_H
+
+#include "caller_api.h"
+#include "group_service.h"
+#include "pq.h"
+#include "rpc_server.h"
+
+KB_BEGIN_DECLS
+
+struct kb_daemon {
+	const kb_settings_t *settings;
+	kb_clock_t *clock;
+	struct event_base *loop;
+	struct event *signals[2];
+	struct event *drain_timer;
+	kb_pq_connector_t connector;
+	kb_hosts_t hosts;
+	kb_catalog_t catalog;
+	kb_group_services_t services;
+	kb_rpc_server_t server;
+	kb_router_t router;
+	kb_caller_api_t callers;
+	/* Which of the parts above were initialized. */
+	int has_hosts, has_server, has_router, has_callers;
+	int stopping;
+	kb_time_t drain_until;
+	kb_result_t result;
+};
+
+KB_END_DECLS
+
+#endif
--- a/src/gate_request.c
+++ b/src/gate_request.c
@@ -66,8 +66,8 @@
 	if (!result) {
 		text = complete_answer(request);
 		if (!text)
-			result = is_read(request) ? KB_ERR_NO_MEMORY :
-						    KB_ERR_UNKNOWN;
+			result = is_read(request) ? KB_ERR_NO_MEMORY
+						  : KB_ERR_UNKNOWN;
 	}
 	if (text) {
 		res.answer.answer_val = text;
@@ -78,12 +78,11 @@
 	}
 	res.result = result;
 	res.message = (char *)detail;
-	res.transaction = request->transaction && !result ?
-				  request->transaction->id :
-				  "";
-	res.age_us = request->age == KB_TIME_NEVER ?
-			     -1 :
-			     request->age / KB_NS_PER_US;
+	res.transaction =
+		request->transaction && !result ? request->transaction->id : "";
+	res.age_us = request->age == KB_TIME_NEVER
+			     ? -1
+			     : request->age / KB_NS_PER_US;
 	kb_agent_fill_view(gate->agent, &res.view, items);
 	items[gate->index].waiting = kb_admission_outstanding(&gate->admission);
 	if (result == KB_ERR_UNKNOWN) {
@@ -128,8 +127,8 @@
 }
 
 void kb_gate_request_on_refused(kb_admission_t *admission,
-				kb_admission_entry_t *entry,
-				kb_result_t result, kb_time_t now)
+				kb_admission_entry_t *entry, kb_result_t result,
+				kb_time_t now)
 {
 	kb_gate_request_t *request = (kb_gate_request_t *)entry;
 
@@ -231,8 +230,8 @@
 	       sizeof(transaction->digest));
 	kb_target_gate_bind(request->connection, NULL);
 	if (kb_pool_pin(&gate->pool, request->connection,
-			in_transaction ? KB_CONNECTION_IN_TRANSACTION :
-					 KB_CONNECTION_CLEAN,
+			in_transaction ? KB_CONNECTION_IN_TRANSACTION
+				       : KB_CONNECTION_CLEAN,
 			now)) {
 		request->exec.result = KB_ERR_ROLLED_BACK;
 		drop_transaction(request);
@@ -243,8 +242,8 @@
 {
 	kb_target_gate_t *gate = request->gate;
 	kb_exec_t *exec = &request->exec;
-	unsigned flags = in_transaction ? KB_CONNECTION_IN_TRANSACTION :
-					  KB_CONNECTION_CLEAN;
+	unsigned flags = in_transaction ? KB_CONNECTION_IN_TRANSACTION
+					: KB_CONNECTION_CLEAN;
 
 	if (exec->result == KB_ERR_UNKNOWN || exec->result == KB_ERR_CLOSED ||
 	    exec->result == KB_ERR_UNREACHABLE)
@@ -312,8 +311,8 @@
 			confirm(request, kb_failover_term(&agent->failover), 0);
 		return KB_OK;
 	}
-	request->age = kb_agent_age(agent, request->gate->index,
-				    request_now(request));
+	request->age =
+		kb_agent_age(agent, request->gate->index, request_now(request));
 	if (request->age == KB_TIME_NEVER || request->age > max_age ||
 	    !kb_agent_includes(agent, request->gate->index, include))
 		return KB_ERR_NOT_FRESH;
@@ -369,8 +368,8 @@
 			&gate->transactions, kb_str_from(args->transaction),
 			kb_str_from(args->caller));
 	if (!transaction)
-		return args->action == KBX_ACTION_BEGIN ? KB_ERR_NO_MEMORY :
-							  KB_ERR_NOT_FOUND;
+		return args->action == KBX_ACTION_BEGIN ? KB_ERR_NO_MEMORY
+							: KB_ERR_NOT_FOUND;
 	if (transaction->busy)
 		return KB_ERR_CONFLICT;
 	transaction->busy = 1;
--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -34,8 +34,8 @@
 void kb_gate_request_on_slot(kb_admission_t *admission,
 			     kb_admission_entry_t *entry, kb_time_t now);
 void kb_gate_request_on_refused(kb_admission_t *admission,
-				kb_admission_entry_t *entry,
-				kb_result_t result, kb_time_t now);
+				kb_admission_entry_t *entry, kb_result_t result,
+				kb_time_t now);
 
 /* A connection is there for the request. */
 void kb_gate_request_on_connection(kb_gate_request_t *request,
--- a/src/gen/kumquat_rpc.h
+++ b/src/gen/kumquat_rpc.h
@@ -101,6 +101,17 @@
 };
 typedef struct kbx_execute_res kbx_execute_res;
 
+struct kbx_view_args {
+	char *group;
+};
+typedef struct kbx_view_args kbx_view_args;
+
+struct kbx_view_res {
+	int health;
+	u_quad_t term;
+};
+typedef struct kbx_view_res kbx_view_res;
+
 #define KUMQUAT_PROGRAM 0x2b4b5142
 #define KUMQUAT_VERSION 1
 
@@ -108,12 +119,18 @@
 #define KUMQUAT_EXECUTE 1
 extern  kbx_execute_res * kumquat_execute_1(kbx_execute_args *, CLIENT *);
 extern  kbx_execute_res * kumquat_execute_1_svc(kbx_execute_args *, struct svc_req *);
+#define KUMQUAT_VIEW 2
+extern  kbx_view_res * kumquat_view_1(kbx_view_args *, CLIENT *);
+extern  kbx_view_res * kumquat_view_1_svc(kbx_view_args *, struct svc_req *);
 extern int kumquat_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define KUMQUAT_EXECUTE 1
 extern  kbx_execute_res * kumquat_execute_1();
 extern  kbx_execute_res * kumquat_execute_1_svc();
+#define KUMQUAT_VIEW 2
+extern  kbx_view_res * kumquat_view_1();
+extern  kbx_view_res * kumquat_view_1_svc();
 extern int kumquat_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -128,6 +145,8 @@
 extern  bool_t xdr_kbx_target_view (XDR *, kbx_target_view*);
 extern  bool_t xdr_kbx_group_view (XDR *, kbx_group_view*);
 extern  bool_t xdr_kbx_execute_res (XDR *, kbx_execute_res*);
+extern  bool_t xdr_kbx_view_args (XDR *, kbx_view_args*);
+extern  bool_t xdr_kbx_view_res (XDR *, kbx_view_res*);
 
 #else /* K&R C */
 extern bool_t xdr_kbx_point ();
@@ -138,6 +157,8 @@
 extern bool_t xdr_kbx_target_view ();
 extern bool_t xdr_kbx_group_view ();
 extern bool_t xdr_kbx_execute_res ();
+extern bool_t xdr_kbx_view_args ();
+extern bool_t xdr_kbx_view_res ();
 
 #endif /* K&R C */
 
--- a/src/gen/kumquat_rpc.x
+++ b/src/gen/kumquat_rpc.x
@@ -80,8 +80,20 @@
 	kbx_group_view view;
 };
 
+struct kbx_view_args {
+	string group<KBX_NAME_MAX>;
+};
+
+/* How a watching host sees the primary of a group. */
+struct kbx_view_res {
+	/* A kb_health_t. */
+	int health;
+	unsigned hyper term;
+};
+
 program KUMQUAT_PROGRAM {
 	version KUMQUAT_VERSION {
 		kbx_execute_res KUMQUAT_EXECUTE(kbx_execute_args) = 1;
+		kbx_view_res KUMQUAT_VIEW(kbx_view_args) = 2;
 	} = 1;
 } = 0x2b4b5142;
--- a/src/gen/kumquat_rpc_xdr.c
+++ b/src/gen/kumquat_rpc_xdr.c
@@ -139,3 +139,25 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_kbx_view_args (XDR *xdrs, kbx_view_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->group, KBX_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kbx_view_res (XDR *xdrs, kbx_view_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->health))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	return TRUE;
+}
--- /dev/null
+++ b/src/group_service.c
@@ -0,0 +1,384 @@
+#include "group_service.h"
+
+#include "log.h"
+#include "rendezvous.h"
+
+#include <stdlib.h>
+
+enum {
+	VIEW_TIMEOUT_MS = 300,
+	/* Time that a gate which moves away has for its work in flight. */
+	GATE_DRAIN_MS = 2000,
+};
+
+/* A question for another watcher's view. */
+typedef struct view_question {
+	kb_group_services_t *services;
+	kb_name_t group;
+	const kb_host_t *host;
+} view_question_t;
+
+static kb_group_services_t *services_of(const kb_agent_t *agent)
+{
+	return agent->owner;
+}
+
+static void on_view(void *ctx, kb_result_t result, void *res)
+{
+	view_question_t *question = ctx;
+	kb_group_service_t *service = kb_group_services_find(
+		question->services, kb_name_str(&question->group));
+	const kbx_view_res *answer = res;
+
+	for (size_t i = 0; !result && service && i < service->watcher_count;
+	     i++) {
+		kb_view_t view = { (kb_health_t)answer->health, answer->term };
+
+		if (service->watchers[i] == question->host)
+			kb_agent_on_view(&service->agent, i, &view);
+	}
+	free(question);
+}
+
+static void ask_view(kb_group_service_t *service, kb_host_t *host)
+{
+	kb_group_services_t *services = services_of(&service->agent);
+	view_question_t *question = malloc(sizeof(*question));
+	kbx_view_args args = { service->spec.name.data };
+	kb_rpc_call_t call = {
+		.procedure = KUMQUAT_VIEW,
+		.encode = (xdrproc_t)xdr_kbx_view_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_kbx_view_res,
+		.res_size = sizeof(kbx_view_res),
+		.timeout = VIEW_TIMEOUT_MS * KB_NS_PER_MS,
+		.done = on_view,
+		.ctx = question,
+	};
+
+	if (!question)
+		return;
+	question->services = services;
+	question->group = service->spec.name;
+	question->host = host;
+	if (kb_rpc_peer_call(&host->peer, &call))
+		free(question);
+}
+
+static void ask_views(kb_agent_t *agent)
+{
+	kb_group_service_t *service = (kb_group_service_t *)agent;
+
+	for (size_t i = 0; i < service->watcher_count; i++)
+		if (!service->watchers[i]->self)
+			ask_view(service, service->watchers[i]);
+}
+
+static void primary_changed(kb_agent_t *agent, uint64_t term, size_t primary,
+			    int promoted)
+{
+	(void)agent;
+	(void)term;
+	(void)primary;
+	(void)promoted;
+}
+
+static const kb_agent_ops_t agent_ops = {
+	.ask_views = ask_views,
+	.primary_changed = primary_changed,
+};
+
+kb_group_service_t *kb_group_services_find(const kb_group_services_t *services,
+					   kb_str_t group)
+{
+	kb_group_service_t *service = services->first;
+
+	while (service && !kb_name_is(&service->spec.name, group))
+		service = service->next;
+	return service;
+}
+
+kb_view_t kb_group_services_view(kb_group_services_t *services, kb_str_t group)
+{
+	kb_group_service_t *service = kb_group_services_find(services, group);
+	kb_view_t unknown = { KB_HEALTH_UNKNOWN, 0 };
+
+	if (!service)
+		return unknown;
+	return kb_failover_view(&service->agent.failover,
+				kb_clock_monotonic(services->clock));
+}
+
+static void add_classes(kb_group_services_t *services, kb_target_gate_t *gate)
+{
+	const kb_catalog_t *catalog = services->catalog;
+
+	for (size_t i = 0; i < catalog->count; i++)
+		if (catalog->resources[i]->kind == KB_KIND_TRAFFIC_CLASS)
+			kb_target_gate_set_class(
+				gate,
+				&catalog->resources[i]->spec.u.traffic_class);
+}
+
+static void open_gate(kb_group_services_t *services,
+		      kb_group_service_t *service, size_t index)
+{
+	kb_target_gate_t *gate = service->gates[index];
+	const kb_target_spec_t *target = &service->spec.targets[index];
+
+	if (gate) {
+		kb_target_gate_resume(gate);
+		add_classes(services, gate);
+		return;
+	}
+	gate = malloc(sizeof(*gate));
+	if (!gate)
+		return;
+	if (kb_target_gate_init(
+		    gate, &service->agent, index, services->connector,
+		    services->loop, services->clock,
+		    services->answer_limit_bytes,
+		    kb_rendezvous_score(kb_name_str(&services->promoter),
+					kb_name_str(&target->name)))) {
+		free(gate);
+		return;
+	}
+	add_classes(services, gate);
+	service->gates[index] = gate;
+	kb_log(KB_EVENT_GATE_OPENED, "group=%s target=%s",
+	       service->spec.name.data, target->name.data);
+}
+
+static void close_gate(kb_group_service_t *service, size_t index)
+{
+	kb_target_gate_t *gate = service->gates[index];
+
+	if (!gate)
+		return;
+	service->gates[index] = NULL;
+	kb_log(KB_EVENT_GATE_CLOSED, "group=%s target=%s",
+	       service->spec.name.data, gate->spec.name.data);
+	kb_target_gate_finish(gate);
+	free(gate);
+}
+
+/* Lets a gate that moved away finish its work before it closes. */
+static void leave_gate(kb_group_services_t *services,
+		       kb_group_service_t *service, size_t index)
+{
+	kb_target_gate_t *gate = service->gates[index];
+
+	if (!gate)
+		return;
+	if (kb_target_gate_is_idle(gate)) {
+		close_gate(service, index);
+		return;
+	}
+	kb_target_gate_drain(gate, kb_clock_monotonic(services->clock) +
+					   GATE_DRAIN_MS * KB_NS_PER_MS);
+}
+
+static int same_target(const kb_target_spec_t *a, const kb_target_spec_t *b)
+{
+	return kb_name_is(&a->name, kb_name_str(&b->name)) &&
+	       kb_name_is(&a->address, kb_name_str(&b->address)) &&
+	       a->port == b->port && a->slots == b->slots &&
+	       a->connections == b->connections;
+}
+
+/* Takes a changed declaration; gates of changed targets are made anew. */
+static void change_group(kb_group_service_t *service,
+			 const kb_group_spec_t *group)
+{
+	for (size_t i = 0; i < KB_GROUP_MAX_TARGETS; i++)
+		if (service->gates[i] &&
+		    (i >= group->target_count ||
+		     !same_target(&service->spec.targets[i],
+				  &group->targets[i])))
+			close_gate(service, i);
+	service->spec = *group;
+	kb_agent_set_group(&service->agent, group);
+}
+
+static kb_group_service_t *add_service(kb_group_services_t *services,
+				       const kb_group_spec_t *group)
+{
+	kb_agent_setup_t setup = {
+		.loop = services->loop,
+		.clock = services->clock,
+		.connector = services->connector,
+		.group = group,
+		.promoter = services->promoter,
+		.ops = &agent_ops,
+		.owner = services,
+	};
+	kb_group_service_t *service = calloc(1, sizeof(*service));
+
+	if (!service)
+		return NULL;
+	service->spec = *group;
+	if (kb_agent_init(&service->agent, &setup)) {
+		free(service);
+		return NULL;
+	}
+	service->next = services->first;
+	services->first = service;
+	return service;
+}
+
+static void remove_service(kb_group_services_t *services,
+			   kb_group_service_t *service)
+{
+	kb_group_service_t **link = &services->first;
+
+	while (*link != service)
+		link = &(*link)->next;
+	*link = service->next;
+	for (size_t i = 0; i < KB_GROUP_MAX_TARGETS; i++)
+		close_gate(service, i);
+	kb_agent_finish(&service->agent);
+	free(service);
+}
+
+static int has_gates(const kb_group_service_t *service)
+{
+	for (size_t i = 0; i < KB_GROUP_MAX_TARGETS; i++)
+		if (service->gates[i])
+			return 1;
+	return 0;
+}
+
+/* Sets the watchers; returns non-zero if this host is one of them. */
+static int set_watchers(kb_group_service_t *service, kb_host_t *const *watchers,
+			size_t count)
+{
+	size_t rank = 0;
+
+	while (rank < count && !watchers[rank]->self)
+		rank++;
+	if (service->watcher_count == count &&
+	    !memcmp(service->watchers, watchers, count * sizeof(*watchers)))
+		return rank < count;
+	memcpy(service->watchers, watchers, count * sizeof(*watchers));
+	service->watcher_count = count;
+	kb_agent_set_watchers(&service->agent, rank < count ? count : 0,
+			      rank < count ? rank : 0);
+	return rank < count;
+}
+
+static int is_wanted(const kb_group_services_t *services,
+		     const kb_group_spec_t *group, kb_host_t *const *watchers,
+		     size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		if (watchers[i]->self)
+			return 1;
+	for (size_t i = 0; i < group->target_count; i++)
+		if (kb_hosts_gate(services->hosts, &group->targets[i]) ==
+		    services->hosts->self)
+			return 1;
+	return 0;
+}
+
+static void update_group(kb_group_services_t *services,
+			 const kb_group_spec_t *group)
+{
+	kb_host_t *watchers[KB_HOSTS_WATCHERS_MAX];
+	size_t count = kb_hosts_watchers(services->hosts, group, watchers);
+	int wanted = is_wanted(services, group, watchers, count);
+	kb_group_service_t *service =
+		kb_group_services_find(services, kb_name_str(&group->name));
+
+	if (!service && wanted)
+		service = add_service(services, group);
+	if (!service)
+		return;
+	if (memcmp(&service->spec, group, sizeof(*group)))
+		change_group(service, group);
+	set_watchers(service, watchers, count);
+	for (size_t i = 0; i < group->target_count; i++) {
+		if (kb_hosts_gate(services->hosts, &group->targets[i]) ==
+		    services->hosts->self)
+			open_gate(services, service, i);
+		else
+			leave_gate(services, service, i);
+	}
+	if (!wanted && !has_gates(service))
+		remove_service(services, service);
+}
+
+void kb_group_services_update(kb_group_services_t *services)
+{
+	const kb_catalog_t *catalog = services->catalog;
+	kb_group_service_t *service = services->first;
+
+	while (service) {
+		kb_group_service_t *next = service->next;
+
+		if (!kb_catalog_group(catalog,
+				      kb_name_str(&service->spec.name)))
+			remove_service(services, service);
+		service = next;
+	}
+	for (size_t i = 0; i < catalog->count; i++)
+		if (catalog->resources[i]->kind == KB_KIND_GROUP)
+			update_group(services,
+				     &catalog->resources[i]->spec.u.group);
+}
+
+void kb_group_services_finish(kb_group_services_t *services)
+{
+	while (services->first)
+		remove_service(services, services->first);
+}
+
+static void refuse(kb_gate_done_fn_t *done, void *ctx, kb_result_t result)
+{
+	kbx_execute_res res;
+
+	memset(&res, 0, sizeof(res));
+	res.result = result;
+	res.message = (char *)kb_strerror(result);
+	res.transaction = "";
+	done(ctx, &res);
+}
+
+void kb_group_services_execute(kb_group_services_t *services,
+			       const kbx_execute_args *args,
+			       kb_gate_done_fn_t *done, void *ctx)
+{
+	kb_group_service_t *service =
+		kb_group_services_find(services, kb_str_from(args->group));
+	size_t index;
+
+	if (!service) {
+		refuse(done, ctx, KB_ERR_NOT_GATE);
+		return;
+	}
+	index = kb_group_find_target(&service->spec, kb_str_from(args->target));
+	if (index == service->spec.target_count || !service->gates[index]) {
+		refuse(done, ctx, KB_ERR_NOT_GATE);
+		return;
+	}
+	kb_target_gate_execute(service->gates[index], args, done, ctx);
+}
+
+void kb_group_services_drain(kb_group_services_t *services, kb_time_t until)
+{
+	for (kb_group_service_t *service = services->first; service;
+	     service = service->next)
+		for (size_t i = 0; i < KB_GROUP_MAX_TARGETS; i++)
+			if (service->gates[i])
+				kb_target_gate_drain(service->gates[i], until);
+}
+
+int kb_group_services_are_idle(const kb_group_services_t *services)
+{
+	for (const kb_group_service_t *service = services->first; service;
+	     service = service->next)
+		for (size_t i = 0; i < KB_GROUP_MAX_TARGETS; i++)
+			if (service->gates[i] &&
+			    !kb_target_gate_is_idle(service->gates[i]))
+				return 0;
+	return 1;
+}
--- a/src/router.c
+++ b/src/router.c
@@ -62,6 +62,8 @@
 		else
 			router->counters.replica_reads++;
 	}
+	if (job->host)
+		call->gate_host = job->host->name;
 	if (job->timer)
 		event_free(job->timer);
 	free(job);
--- a/src/target_gate.c
+++ b/src/target_gate.c
@@ -91,8 +91,8 @@
 		return;
 	}
 	kb_pool_release(&gate->pool, held->slot,
-			in_transaction ? KB_CONNECTION_IN_TRANSACTION :
-					 KB_CONNECTION_CLEAN,
+			in_transaction ? KB_CONNECTION_IN_TRANSACTION
+				       : KB_CONNECTION_CLEAN,
 			gate_now(gate));
 	kb_target_gate_tick(gate);
 }
@@ -132,9 +132,9 @@
 	if (held) {
 		held->gate = gate;
 		held->slot = slot;
-		if (!gate->connector->ops->open(gate->connector,
-						&gate->address, &conn_events,
-						held, &held->conn)) {
+		if (!gate->connector->ops->open(gate->connector, &gate->address,
+						&conn_events, held,
+						&held->conn)) {
 			slot->handle = held;
 			return;
 		}
@@ -226,9 +226,9 @@
 	gate->loop = loop;
 	gate->clock = clock;
 	gate->spec = *spec;
-	gate->address = (kb_conn_address_t){ spec->address, spec->port,
-					     agent->spec.database,
-					     answer_limit_bytes };
+	gate->address =
+		(kb_conn_address_t){ spec->address, spec->port,
+				     agent->spec.database, answer_limit_bytes };
 	gate->timer = evtimer_new(loop, on_timer, gate);
 	if (!gate->timer)
 		return KB_ERR_NO_MEMORY;
--- a/src/transaction.h
+++ b/src/transaction.h
@@ -14,7 +14,7 @@
 typedef struct kb_transaction {
 	char id[KB_TRANSACTION_ID_BYTES];
 	kb_name_t caller;
-	kb_admission_transaction_t admission;
+	kb_limited_transaction_t admission;
 	kb_pool_connection_t *connection;
 	/* A request of it is running or queued. */
 	int busy;
