Add membership between hosts, gate placement and watchers

Cause: hosts have to agree roughly on who runs, and the platform's list of hosts lags behind.

Change: kb_members_t runs SWIM without I/O: random and indirect probes, suspicion, refutation by incarnation, rumours bounded in bytes and in repeats, an exchange of digests that brings a joiner and a healed partition up to date. A later run of a process precedes an earlier one; a timer that comes late means that this process was paused, so that it makes nobody a suspect. kb_gate_map_t places gates by rendezvous hash and follows one change of a host with one score for each target; kb_watchers_t chooses three hosts in different data centres. Messages have an XDR form of at most 1,400 bytes.

With 900 targets on 30 hosts the loss of a host moves exactly the gates that it held.

--- /dev/null
+++ b/src/member.c
@@ -0,0 +1,217 @@
+#include "member_internal.h"
+
+enum {
+	RANDOM_TRIES = 8,
+	/* Rumours are sent this often, and again for each decimal digit of
+	 * the number of hosts. */
+	SENDS_PER_DIGIT = 4,
+	EXIT_ANNOUNCEMENTS = 8,
+};
+
+/* A generator of the splitmix64 kind. */
+static uint64_t next_random(uint64_t *state)
+{
+	uint64_t z = *state += UINT64_C(0x9e3779b97f4a7c15);
+
+	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return z ^ (z >> 31);
+}
+
+uint32_t kb_members_random(kb_members_t *members, uint32_t bound)
+{
+	return (uint32_t)(next_random(&members->random_state) % bound);
+}
+
+kb_result_t kb_members_init(kb_members_t *members, const kb_members_ops_t *ops,
+			    const kb_member_record_t *self, uint64_t seed,
+			    kb_time_t now)
+{
+	kb_result_t result;
+
+	if (!self->name.len || !self->address.len || !self->instance)
+		return KB_ERR_INVALID;
+	memset(members, 0, sizeof(*members));
+	members->ops = ops;
+	members->random_state = seed;
+	kb_member_table_init(&members->table);
+	kb_rumour_queue_init(&members->rumours);
+	result = kb_member_table_add(&members->table, self, &members->self);
+	if (result) {
+		kb_member_table_finish(&members->table);
+		return result;
+	}
+	members->probe.index = KB_MEMBER_NONE;
+	members->sync_with = KB_MEMBER_NONE;
+	members->next_deadline = KB_TIME_NEVER;
+	members->expected_wake = now;
+	members->next_probe = now;
+	members->next_gossip = now;
+	members->next_sync = now;
+	kb_members_spread(members, members->self, now);
+	return KB_OK;
+}
+
+void kb_members_finish(kb_members_t *members)
+{
+	kb_rumour_queue_finish(&members->rumours);
+	kb_member_table_finish(&members->table);
+}
+
+const kb_member_t *kb_members_find(const kb_members_t *members, kb_str_t name)
+{
+	uint32_t index = kb_member_table_find(&members->table, name);
+
+	return index == KB_MEMBER_NONE ? NULL : &members->table.members[index];
+}
+
+void kb_members_begin_message(kb_members_t *members,
+			      kb_member_message_type_t type, uint32_t to)
+{
+	kb_member_message_t *message = &members->message;
+	const kb_member_t *host = &members->table.members[to];
+
+	kb_member_message_init(message);
+	message->type = type;
+	kb_name_set(&message->to, kb_member_name(host));
+	kb_member_to_record(kb_members_self(members), &message->from);
+	/* A host that is suspected has to learn of it to refute it. */
+	if (host->state >= KB_MEMBER_SUSPECT)
+		kb_member_to_record(host,
+				    &message->records[message->record_count++]);
+}
+
+void kb_members_send_with_rumours(kb_members_t *members, uint32_t to)
+{
+	kb_rumour_queue_fill(&members->rumours, &members->table,
+			     &members->message, KB_MEMBER_RUMOUR_MAX_BYTES);
+	members->ops->send(members, &members->table.members[to],
+			   &members->message);
+}
+
+static uint8_t sends_for(uint32_t hosts)
+{
+	uint8_t sends = 2 * SENDS_PER_DIGIT;
+
+	for (uint32_t limit = 10; limit <= hosts && limit < UINT32_MAX / 10;
+	     limit *= 10)
+		sends += SENDS_PER_DIGIT;
+	return sends;
+}
+
+void kb_members_spread(kb_members_t *members, uint32_t index, kb_time_t now)
+{
+	if (members->rumours.count == 0 && members->next_gossip < now)
+		members->next_gossip = now;
+	/* Without memory the periodic exchange of digests carries the claim. */
+	(void)kb_rumour_queue_push(&members->rumours, &members->table, index,
+				   sends_for(members->table.count));
+}
+
+bool kb_members_is_other_live(const kb_members_t *members, uint32_t index)
+{
+	return index != members->self &&
+	       kb_member_is_live(&members->table.members[index]);
+}
+
+uint32_t kb_members_pick(kb_members_t *members, kb_members_test_fn_t *test)
+{
+	uint32_t used = members->table.used;
+	uint32_t start = 0;
+
+	for (int i = 0; i < RANDOM_TRIES; i++) {
+		start = kb_members_random(members, used);
+		if (test(members, start))
+			return start;
+	}
+	for (uint32_t i = 0; i < used; i++) {
+		uint32_t index = (start + i) % used;
+
+		if (test(members, index))
+			return index;
+	}
+	return KB_MEMBER_NONE;
+}
+
+void kb_members_on_call_failed(kb_members_t *members, kb_str_t name,
+			       kb_time_t now)
+{
+	uint32_t index = kb_member_table_find(&members->table, name);
+
+	if (index == KB_MEMBER_NONE || index == members->self ||
+	    index == members->probe.index ||
+	    members->urgent_count == KB_MEMBER_URGENT_MAX ||
+	    members->table.members[index].state == KB_MEMBER_SUSPECT)
+		return;
+	for (size_t i = 0; i < members->urgent_count; i++)
+		if (members->urgent[i] == index)
+			return;
+	members->urgent[members->urgent_count++] = index;
+	if (members->probe.index == KB_MEMBER_NONE)
+		members->next_probe = now;
+}
+
+kb_result_t kb_members_on_hint(kb_members_t *members,
+			       const kb_member_record_t *host, kb_time_t now)
+{
+	uint32_t index =
+		kb_member_table_find(&members->table, kb_name_str(&host->name));
+	kb_member_record_t candidate = *host;
+	kb_result_t result;
+
+	if (!host->name.len || !host->address.len)
+		return KB_ERR_INVALID;
+	if (index != KB_MEMBER_NONE) {
+		if (members->table.members[index].state == KB_MEMBER_DEAD &&
+		    members->urgent_count < KB_MEMBER_URGENT_HINTS_MAX)
+			kb_members_on_call_failed(
+				members, kb_name_str(&host->name), now);
+		return KB_OK;
+	}
+	candidate.instance = 0;
+	candidate.incarnation = 0;
+	if (candidate.state != KB_MEMBER_LEAVING)
+		candidate.state = KB_MEMBER_ALIVE;
+	result = kb_member_table_add(&members->table, &candidate, &index);
+	if (!result)
+		members->ops->changed(members, &members->table.members[index]);
+	return result;
+}
+
+void kb_members_set_leaving(kb_members_t *members, bool leaving, kb_time_t now)
+{
+	kb_member_t *self = &members->table.members[members->self];
+	kb_member_record_t record;
+
+	if (self->leaving == leaving)
+		return;
+	kb_member_to_record(self, &record);
+	record.incarnation++;
+	record.state = leaving ? KB_MEMBER_LEAVING : KB_MEMBER_ALIVE;
+	if (kb_member_table_update(&members->table, members->self, &record))
+		return;
+	members->ops->changed(members, self);
+	kb_members_spread(members, members->self, now);
+	members->next_gossip = now;
+}
+
+void kb_members_announce_exit(kb_members_t *members)
+{
+	for (int i = 0; i < EXIT_ANNOUNCEMENTS; i++) {
+		uint32_t to =
+			kb_members_pick(members, kb_members_is_other_live);
+		kb_member_message_t *message = &members->message;
+
+		if (to == KB_MEMBER_NONE)
+			return;
+		kb_members_begin_message(members, KB_MEMBER_GOSSIP, to);
+		message->record_count = 1;
+		message->records[0] = message->from;
+		message->records[0].state = KB_MEMBER_DEAD;
+		message->records[0].address.len = 0;
+		message->records[0].data_centre.len = 0;
+		message->records[0].region.len = 0;
+		members->ops->send(members, &members->table.members[to],
+				   message);
+	}
+}
--- /dev/null
+++ b/src/member_internal.h
@@ -0,0 +1,35 @@
+#ifndef KB_MEMBER_INTERNAL_H
+#define KB_MEMBER_INTERNAL_H
+
+#include "member.h"
+
+KB_BEGIN_DECLS
+
+/* Returns a number below `bound`, which must not be 0. */
+uint32_t kb_members_random(kb_members_t *members, uint32_t bound);
+
+/* Whether host `index` is thought to run and is not this one. */
+bool kb_members_is_other_live(const kb_members_t *members, uint32_t index);
+
+typedef bool kb_members_test_fn_t(const kb_members_t *members, uint32_t index);
+
+/* Returns a random host that passes `test`, or KB_MEMBER_NONE. */
+uint32_t kb_members_pick(kb_members_t *members, kb_members_test_fn_t *test);
+
+/* Starts `members->message` for host `to`. */
+void kb_members_begin_message(kb_members_t *members,
+			      kb_member_message_type_t type, uint32_t to);
+
+/* Adds rumours to `members->message` and sends it to host `to`. */
+void kb_members_send_with_rumours(kb_members_t *members, uint32_t to);
+
+/* Queues the claim about host `index` as a rumour. */
+void kb_members_spread(kb_members_t *members, uint32_t index, kb_time_t now);
+
+/* Adopts `record` if it precedes what is known of its host. */
+void kb_members_merge(kb_members_t *members, const kb_member_record_t *record,
+		      kb_time_t now);
+
+KB_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/watchers.h
@@ -0,0 +1,44 @@
+#ifndef KB_WATCHERS_H
+#define KB_WATCHERS_H
+
+#include "group.h"
+#include "placement.h"
+
+KB_BEGIN_DECLS
+
+enum {
+	KB_WATCHERS_MAX = 3,
+};
+
+/* The hosts that watch a group's primary, the highest ranked first. */
+typedef struct kb_watchers {
+	size_t count;
+	/* Set if every watcher is in another data centre. */
+	bool spread;
+	kb_placement_t hosts[KB_WATCHERS_MAX];
+} kb_watchers_t;
+
+/*
+ * Chooses the watchers of `group`: eligible hosts by rendezvous score, those
+ * in the data centres of its targets first, then those in their regions. Each
+ * comes from another data centre while there are enough of them, so that the
+ * loss of one leaves two watchers.
+ */
+void kb_watchers_choose(kb_watchers_t *watchers, const kb_member_table_t *table,
+			const kb_group_spec_t *group);
+
+/*
+ * Chooses again if the change of `member` may concern the group. Returns
+ * whether the set of watchers has changed.
+ */
+bool kb_watchers_on_member(kb_watchers_t *watchers,
+			   const kb_member_table_t *table,
+			   const kb_group_spec_t *group,
+			   const kb_member_t *member);
+
+/* Returns the rank of host `index`, 0 for the first, or KB_WATCHERS_MAX. */
+size_t kb_watchers_rank(const kb_watchers_t *watchers, uint32_t index);
+
+KB_END_DECLS
+
+#endif
