--- a/tests/test_docs_tables.cc
+++ b/tests/test_docs_tables.cc
@@ -1,5 +1,6 @@
 #include "kumquatbridge.h"
 #include "log.h"
+#include "settings_value.h"
 
 #include <gtest/gtest.h>
 #include <fstream>
@@ -60,3 +61,26 @@
 	EXPECT_FALSE(expected.empty());
 	EXPECT_EQ(expected, rows_of("docs/RESULT-CODES.md"));
 }
+
+static void add_setting(void *ctx, const char *section, const char *name,
+			const char *form)
+{
+	static_cast<std::set<std::string> *>(ctx)->insert(
+		std::string(section) + " " + name + " " + form);
+}
+
+TEST(DocsTables, SettingsMatchTheKnownKeys)
+{
+	static const std::regex row(
+		"\\| (\\w+) \\| ([\\w*]+) \\| ([a-z ]+) \\|");
+	std::string text = read_file("docs/SETTINGS.md");
+	std::set<std::string> expected, rows;
+
+	kb_settings_value_each(add_setting, &expected);
+	for (std::sregex_iterator i(text.begin(), text.end(), row), end;
+	     i != end; ++i)
+		if ((*i)[1] != "section")
+			rows.insert((*i)[1].str() + " " + (*i)[2].str() + " " +
+				    (*i)[3].str());
+	EXPECT_EQ(expected, rows);
+}
