--- a/src/agent.c
+++ b/src/agent.c
@@ -100,10 +100,6 @@
 		.port = spec->port,
 	};
 
-	kb_log(KB_EVENT_FOLLOW_SENT,
-	       "group=%s target=%s primary=%s term=%" PRIu64,
-	       agent->spec.name.data, agent->spec.targets[target].name.data,
-	       spec->name.data, term);
 	order(agent, target, &follow);
 }
 
@@ -119,10 +115,6 @@
 {
 	kb_agent_t *agent = (kb_agent_t *)failover;
 
-	kb_log(KB_EVENT_PRIMARY_CHANGED,
-	       "group=%s primary=%s term=%" PRIu64 " promoted_here=%d",
-	       agent->spec.name.data, agent->spec.targets[primary].name.data,
-	       term, promoted);
 	agent->ops->primary_changed(agent, term, primary, promoted);
 }
 
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -16,10 +16,8 @@
 
 KB_EVENT(1200, GATE_OPENED, INFO, "host became the gate of a target")
 KB_EVENT(1201, GATE_CLOSED, INFO, "host is no longer the gate of a target")
-KB_EVENT(1203, FENCE_SENT, WARN, "fence order sent to a target")
-KB_EVENT(1204, PROMOTE_SENT, WARN, "promotion order sent to a target")
-KB_EVENT(1205, FOLLOW_SENT, INFO, "follow order sent to a target")
-KB_EVENT(1206, PRIMARY_CHANGED, WARN, "a primary serves in a new term")
+KB_EVENT(1203, FENCE_SENT, INFO, "fence order sent to a target")
+KB_EVENT(1204, PROMOTE_SENT, INFO, "promotion order sent to a target")
 KB_EVENT(1202, OUTCOME_UNKNOWN, WARN, "a write ended with outcome unknown")
 
 KB_EVENT(1400, MEMBER_JOINED, INFO, "host became known or returned")
