--- a/src/log.c
+++ b/src/log.c
@@ -63,7 +63,7 @@
 		       const log4c_logging_event_t *event)
 {
 	(void)appender;
-	return fprintf(stderr, "%s\n", event->evt_rendered_msg);
+	return fprintf(stderr, "%s\n", event->evt_msg);
 }
 
 static const log4c_appender_type_t line_appender = {
