Let the stand-in target begin read-only transactions

The daemon reads inside BEGIN READ ONLY, which the stand-in refused as an unknown form. It now takes it and refuses writes inside with 25006; psql shows a count inside such a block and the refusal of an insert.

--- a/standin/target/execute.c
+++ b/standin/target/execute.c
@@ -56,6 +56,11 @@
 	return form >= ST_INSERT && form <= ST_COUNT;
 }
 
+int st_form_writes(st_form_t form)
+{
+	return form >= ST_INSERT && form <= ST_DELETE;
+}
+
 static const char *verb_of(st_form_t form)
 {
 	switch (form) {
--- a/standin/target/execute.h
+++ b/standin/target/execute.h
@@ -25,6 +25,9 @@
 /* Returns non-zero if the form reads or writes a table. */
 int st_form_uses_table(st_form_t form);
 
+/* Returns non-zero if the form writes to a table. */
+int st_form_writes(st_form_t form);
+
 /*
  * Runs a statement other than BEGIN, COMMIT and ROLLBACK. Initializes `result`
  * in any case; the caller finishes it. Returns NULL on success.
--- a/standin/target/session.h
+++ b/standin/target/session.h
@@ -39,6 +39,7 @@
 	st_txn_t txn;
 	int in_block;
 	int block_failed;
+	int read_only;
 	/* After an error, extended messages are skipped up to a Sync. */
 	int skipping;
 	st_busy_t busy;
--- a/standin/target/session_run.c
+++ b/standin/target/session_run.c
@@ -5,6 +5,10 @@
 	"25P02", "the transaction failed and must be rolled back"
 };
 
+static const st_error_t error_read_only_block = {
+	"25006", "the transaction is read only"
+};
+
 void st_session_fail(st_session_t *session, const st_error_t *error)
 {
 	if (st_wire_error(session->out, "ERROR", error))
@@ -100,6 +104,7 @@
 static void begin(st_session_t *session)
 {
 	session->in_block = 1;
+	session->read_only = session->statement.form == ST_BEGIN_READ;
 	complete(session, "BEGIN");
 }
 
@@ -145,8 +150,11 @@
 		st_session_fail(session, &error_block_failed);
 	else if (session->txn.aborted)
 		st_session_fail(session, &st_error_read_only);
-	else if (form == ST_BEGIN)
+	else if (form == ST_BEGIN || form == ST_BEGIN_READ)
 		begin(session);
+	else if (session->in_block && session->read_only &&
+		 st_form_writes(form))
+		st_session_fail(session, &error_read_only_block);
 	else if (st_form_uses_table(form))
 		wait_for_slot(session, session->service_ms);
 	else
--- a/standin/target/statement.c
+++ b/standin/target/statement.c
@@ -11,6 +11,7 @@
 	const char *pattern;
 } shapes[] = {
 	{ ST_BEGIN, "BEGIN" },
+	{ ST_BEGIN_READ, "BEGIN READ ONLY" },
 	{ ST_COMMIT, "COMMIT" },
 	{ ST_ROLLBACK, "ROLLBACK" },
 	{ ST_SELECT_ONE, "SELECT 1" },
--- a/standin/target/statement.h
+++ b/standin/target/statement.h
@@ -7,6 +7,7 @@
 typedef enum st_form {
 	ST_EMPTY,
 	ST_BEGIN,
+	ST_BEGIN_READ,
 	ST_COMMIT,
 	ST_ROLLBACK,
 	ST_SELECT_ONE,
