--- a/src/log_events.h
+++ b/src/log_events.h
@@ -18,6 +18,17 @@
 KB_EVENT(1201, GATE_CLOSED, INFO, "host is no longer the gate of a target")
 KB_EVENT(1202, OUTCOME_UNKNOWN, WARN, "a write ended with outcome unknown")
 
+KB_EVENT(1600, STORE_CALL_FAILED, WARN, "a call to the store failed")
+KB_EVENT(1601, STORE_WATCH_CUT, WARN, "watch of the store cut")
+KB_EVENT(1602, STORE_WATCH_RUNNING, INFO, "watch of the store runs")
+KB_EVENT(1603, STORE_COMPACTED, INFO, "the store has forgotten changes")
+KB_EVENT(1604, STORE_STALE_READ, WARN, "the store showed an old state")
+
+KB_EVENT(1700, RESOURCE_CHANGED, INFO, "an operator's change was accepted")
+KB_EVENT(1701, RESOURCE_CONFLICT, INFO, "an operator's change met a conflict")
+KB_EVENT(1702, RESOURCE_UNKNOWN, WARN, "outcome of an operator's change unknown")
+KB_EVENT(1703, OPERATOR_REFUSED, WARN, "an operator was refused")
+
 KB_EVENT(1900, RPC_CONNECTION_LOST, WARN, "connection to a host lost")
 KB_EVENT(1901, RPC_VERSION_REFUSED, WARN, "message of an unknown version")
 KB_EVENT(1902, RPC_LATE_REPLY, DEBUG, "reply to a call that has ended")
--- a/standin/store/watch.c
+++ b/standin/store/watch.c
@@ -42,8 +42,13 @@
 
 static void on_close(struct evhttp_connection *connection, void *ctx)
 {
+	standin_watch_t *watch = ctx;
+
 	(void)connection;
-	drop_watch(ctx);
+	/* A request that the connection no longer holds is freed so. */
+	if (!evhttp_request_get_connection(watch->http))
+		evhttp_send_reply_end(watch->http);
+	drop_watch(watch);
 }
 
 static void end_stream(struct evhttp_request *http)
