--- a/src/log_events.h
+++ b/src/log_events.h
@@ -32,6 +32,16 @@
 KB_EVENT(1502, CONFIG_RELAY_STOPPED, INFO, "host no longer watches the store")
 KB_EVENT(1503, CONFIG_STALE, DEBUG, "an older revision was offered and ignored")
 KB_EVENT(1504, CONFIG_MALFORMED, WARN, "configuration message that cannot be decoded")
+KB_EVENT(1600, STORE_CALL_FAILED, WARN, "a call to the store failed")
+KB_EVENT(1601, STORE_WATCH_CUT, WARN, "watch of the store cut")
+KB_EVENT(1602, STORE_WATCH_RUNNING, INFO, "watch of the store runs")
+KB_EVENT(1603, STORE_COMPACTED, INFO, "the store has forgotten changes")
+KB_EVENT(1604, STORE_STALE_READ, WARN, "the store showed an old state")
+
+KB_EVENT(1700, RESOURCE_CHANGED, INFO, "an operator's change was accepted")
+KB_EVENT(1701, RESOURCE_CONFLICT, INFO, "an operator's change met a conflict")
+KB_EVENT(1702, RESOURCE_UNKNOWN, WARN, "outcome of an operator's change unknown")
+KB_EVENT(1703, OPERATOR_REFUSED, WARN, "an operator was refused")
 
 KB_EVENT(1900, RPC_CONNECTION_LOST, WARN, "connection to a host lost")
 KB_EVENT(1901, RPC_VERSION_REFUSED, WARN, "message of an unknown version")
