--- a/src/agent.h
+++ b/src/agent.h
@@ -4,6 +4,7 @@
 #include "confirm.h"
 #include "control.h"
 #include "failover.h"
+#include "freshness.h"
 #include "gen/kumquat_rpc.h"
 
 KB_BEGIN_DECLS
@@ -31,6 +32,14 @@
 	void *owner;
 } kb_agent_setup_t;
 
+#define KB_AGENT_PENDING_MAX 8
+
+/* A report of the primary whose term is not confirmed at its time yet. */
+typedef struct kb_agent_pending {
+	kb_time_t sent;
+	kb_report_t report;
+} kb_agent_pending_t;
+
 /*
  * Watches one group from this host: carries the probes and orders of the
  * failover decisions to the targets, confirms writes, and knows how old the
@@ -40,6 +49,10 @@
 	/* First member: operations of the failover refer to it. */
 	kb_failover_t failover;
 	kb_confirm_t confirm;
+	kb_freshness_t freshness;
+	/* Oldest first. */
+	kb_agent_pending_t pending[KB_AGENT_PENDING_MAX];
+	size_t pending_count;
 	const kb_agent_ops_t *ops;
 	void *owner;
 	kb_clock_t *clock;
@@ -75,8 +88,11 @@
 /* Returns the index of the primary, or KB_NO_TARGET. */
 size_t kb_agent_primary(const kb_agent_t *agent);
 
-/* Returns a bound of the age of a target's data, or KB_TIME_NEVER. */
-kb_time_t kb_agent_age(const kb_agent_t *agent, size_t target, kb_time_t now);
+/*
+ * Returns the latest time whose data a target certainly shows, or
+ * KB_TIME_NEVER if none is known.
+ */
+kb_time_t kb_agent_reached(const kb_agent_t *agent, size_t target);
 
 /* Returns non-zero if a target's data are known to include `point`. */
 int kb_agent_includes(const kb_agent_t *agent, size_t target, kb_point_t point);
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -237,7 +237,8 @@
 		return result;
 	set_up_services(daemon);
 	kb_router_init(&daemon->router, &router_ops, daemon->loop,
-		       daemon->clock, &daemon->hosts, &daemon->catalog);
+		       daemon->clock, &daemon->hosts, &daemon->catalog,
+		       daemon->settings->link_bytes);
 	daemon->has_router = 1;
 	result = start_server(daemon);
 	if (result) {
--- a/src/gate_request.c
+++ b/src/gate_request.c
@@ -177,16 +177,6 @@
 	kb_agent_confirm(request->gate->agent, &request->confirm);
 }
 
-/* Whether the answer of a read at the primary is young enough by itself. */
-static int is_young_enough(kb_gate_request_t *request)
-{
-	kb_time_t max_age = request->args->max_age_us * KB_NS_PER_US;
-
-	request->age = kb_agent_age(request->gate->agent, request->gate->index,
-				    request_now(request));
-	return request->age != KB_TIME_NEVER && request->age <= max_age;
-}
-
 static void end_read(kb_gate_request_t *request)
 {
 	if (request->exec.result) {
@@ -301,21 +291,21 @@
 	kb_agent_t *agent = request->gate->agent;
 	kb_point_t include = { request->args->include.term,
 			       request->args->include.position };
-	kb_time_t max_age = request->args->max_age_us * KB_NS_PER_US;
-
-	if (on_primary(request)) {
-		/* A primary holds all that was confirmed up to its term. */
-		if (include.term > kb_failover_term(&agent->failover))
-			return KB_ERR_NOT_FRESH;
-		if (!is_young_enough(request))
-			confirm(request, kb_failover_term(&agent->failover), 0);
+	kb_time_t reached = kb_agent_reached(agent, request->gate->index);
+	kb_time_t now = request_now(request);
+
+	if (!kb_agent_includes(agent, request->gate->index, include))
+		return KB_ERR_NOT_FRESH;
+	if (reached != KB_TIME_NEVER)
+		request->age = now > reached ? now - reached : 0;
+	if (reached != KB_TIME_NEVER &&
+	    kb_freshness_accepts(reached,
+				 request->args->max_age_us * KB_NS_PER_US,
+				 request->arrived, now))
 		return KB_OK;
-	}
-	request->age =
-		kb_agent_age(agent, request->gate->index, request_now(request));
-	if (request->age == KB_TIME_NEVER || request->age > max_age ||
-	    !kb_agent_includes(agent, request->gate->index, include))
+	if (!on_primary(request))
 		return KB_ERR_NOT_FRESH;
+	confirm(request, kb_failover_term(&agent->failover), 0);
 	return KB_OK;
 }
 
--- a/src/group_hint.c
+++ b/src/group_hint.c
@@ -9,18 +9,21 @@
 	memset(hint, 0, sizeof(*hint));
 	kb_name_set(&hint->group, group);
 	hint->primary = KB_GROUP_MAX_TARGETS;
-	for (size_t i = 0; i < KB_GROUP_MAX_TARGETS; i++)
-		hint->targets[i].age = KB_TIME_NEVER;
+	kb_least_outstanding_init(&hint->load);
 }
 
-static void update_target(kb_target_hint_t *target, const kbx_target_view *view,
-			  kb_time_t now)
+static void update_target(kb_route_hint_t *hint, const kbx_target_view *item,
+			  uint64_t term, kb_time_t now)
 {
-	target->applied = view->applied;
-	target->age =
-		view->age_us < 0 ? KB_TIME_NEVER : view->age_us * KB_NS_PER_US;
-	target->heard_at = now;
-	target->waiting = view->waiting;
+	kb_route_view_t view = {
+		.primary = item->primary,
+		.applied = { term, item->applied },
+		.age = item->age_us < 0 ? KB_TIME_NEVER
+					: item->age_us * KB_NS_PER_US,
+		.waiting = item->waiting,
+	};
+
+	kb_route_hint_update(hint, &view, now);
 }
 
 void kb_group_hint_update(kb_group_hint_t *hint, const kb_group_spec_t *spec,
@@ -38,7 +41,7 @@
 
 		if (index == spec->target_count)
 			continue;
-		update_target(&hint->targets[index], item, now);
+		update_target(&hint->targets[index], item, view->term, now);
 		if (item->primary)
 			hint->primary = index;
 	}
--- a/src/group_hint.h
+++ b/src/group_hint.h
@@ -2,28 +2,20 @@
 #define KB_GROUP_HINT_H
 
 #include "gen/kumquat_rpc.h"
-#include "group.h"
+#include "route_hint.h"
+#include "route_policy.h"
 
 KB_BEGIN_DECLS
 
-/* What an entry host last heard of one target. */
-typedef struct kb_target_hint {
-	uint64_t applied;
-	/* Bound of the data's age at `heard_at`, or KB_TIME_NEVER. */
-	kb_time_t age;
-	kb_time_t heard_at;
-	unsigned waiting;
-	/* Requests sent to it from this host without an answer yet. */
-	unsigned outstanding;
-} kb_target_hint_t;
-
 /* What an entry host last heard of one group; the gates know better. */
 typedef struct kb_group_hint {
 	kb_name_t group;
 	uint64_t term;
 	/* Index of the primary, or KB_GROUP_MAX_TARGETS if unknown. */
 	size_t primary;
-	kb_target_hint_t targets[KB_GROUP_MAX_TARGETS];
+	kb_route_hint_t targets[KB_GROUP_MAX_TARGETS];
+	/* Requests sent from this host without an answer yet. */
+	kb_least_outstanding_t load;
 } kb_group_hint_t;
 
 /* Initializes a hint that knows nothing. */
--- a/src/route_plan.c
+++ b/src/route_plan.c
@@ -1,43 +1,46 @@
 #include "route_plan.h"
 
-/* Preference of a target; lower is better. */
-static int distance(const kb_target_spec_t *target, const kb_host_t *self)
+/* Size of an answer that is expected of a read. */
+#define EXPECTED_ANSWER_BYTES 2048
+#define EXPECTED_BULK_ANSWER_BYTES (256 * 1024)
+
+static kb_route_place_t place_of(const kb_target_spec_t *target,
+				 const kb_host_t *self)
 {
 	if (kb_name_is(&target->data_centre, kb_name_str(&self->data_centre)))
-		return 0;
+		return KB_ROUTE_SAME_DATA_CENTRE;
 	if (kb_name_is(&target->region, kb_name_str(&self->region)))
-		return 1;
-	return 2;
-}
-
-static int is_better(const kb_group_spec_t *spec, const kb_group_hint_t *hint,
-		     const kb_host_t *self, size_t a, size_t b)
-{
-	int da = distance(&spec->targets[a], self);
-	int db = distance(&spec->targets[b], self);
-
-	if (da != db)
-		return da < db;
-	return hint->targets[a].outstanding < hint->targets[b].outstanding;
+		return KB_ROUTE_SAME_REGION;
+	return KB_ROUTE_OTHER_REGION;
 }
 
-static void plan_replicas(kb_route_plan_t *plan, const kb_group_spec_t *spec,
-			  const kb_group_hint_t *hint, const kb_host_t *self,
-			  size_t primary)
+static void plan_read(kb_route_plan_t *plan, const kb_call_t *call,
+		      const kb_group_spec_t *spec, const kb_group_hint_t *hint,
+		      const kb_host_t *self, kb_time_t now)
 {
-	for (size_t i = 0; i < spec->target_count; i++) {
-		size_t at = plan->count;
+	kb_route_candidate_t candidates[KB_GROUP_MAX_TARGETS];
+	kb_route_settings_t settings;
+	kb_route_need_t need = {
+		.max_age = call->read_kind.max_age,
+		.point = { call->args.include.term,
+			   call->args.include.position },
+		.bulk = call->bulk,
+		.answer_bytes = call->bulk ? EXPECTED_BULK_ANSWER_BYTES
+					   : EXPECTED_ANSWER_BYTES,
+		.deadline = call->deadline,
+	};
 
-		if (i == primary || spec->targets[i].state == KB_STATE_LEAVING)
-			continue;
-		while (at &&
-		       is_better(spec, hint, self, i, plan->targets[at - 1])) {
-			plan->targets[at] = plan->targets[at - 1];
-			at--;
-		}
-		plan->targets[at] = i;
-		plan->count++;
-	}
+	for (size_t i = 0; i < spec->target_count; i++)
+		candidates[i] = (kb_route_candidate_t){
+			.target = i,
+			.hint = &hint->targets[i],
+			.place = place_of(&spec->targets[i], self),
+			.slots = spec->targets[i].slots,
+			.leaving = spec->targets[i].state == KB_STATE_LEAVING,
+		};
+	kb_route_default_settings(&settings);
+	kb_route_init(&plan->route, &settings, &hint->load.policy, &need,
+		      candidates, spec->target_count, now);
 }
 
 void kb_route_plan_make(kb_route_plan_t *plan, const kb_call_t *call,
@@ -45,27 +48,30 @@
 			const kb_group_hint_t *hint, const kb_host_t *self,
 			kb_time_t now)
 {
-	size_t primary = hint->primary < spec->target_count ? hint->primary : 0;
-
-	(void)now;
 	memset(plan, 0, sizeof(*plan));
-	if (call->args.action == KBX_ACTION_READ && call->read_kind.max_age)
-		plan_replicas(plan, spec, hint, self, primary);
-	plan->targets[plan->count++] = primary;
+	plan->made = 1;
+	plan->is_read = call->args.action == KBX_ACTION_READ;
+	plan->primary = hint->primary < spec->target_count ? hint->primary : 0;
+	if (plan->is_read)
+		plan_read(plan, call, spec, hint, self, now);
 }
 
-size_t kb_route_plan_target(const kb_route_plan_t *plan)
+kb_result_t kb_route_plan_target(kb_route_plan_t *plan, kb_time_t now,
+				 size_t *target)
 {
-	return plan->targets[plan->next];
+	if (plan->is_read)
+		return kb_route_next(&plan->route, now, target);
+	*target = plan->primary;
+	return KB_OK;
 }
 
-int kb_route_plan_next(kb_route_plan_t *plan)
+int kb_route_plan_failed(kb_route_plan_t *plan, kb_result_t result)
 {
-	plan->next++;
-	return plan->next < plan->count;
-}
-
-int kb_route_plan_is_spent(const kb_route_plan_t *plan)
-{
-	return plan->next >= plan->count;
+	/* A read may be repeated wherever its first attempt ended. */
+	if (kb_result_outcome(result) == KB_OUTCOME_UNKNOWN)
+		result = KB_ERR_UNREACHABLE;
+	if (plan->is_read && kb_route_failed(&plan->route, result))
+		return 1;
+	plan->made = 0;
+	return 0;
 }
--- a/src/route_plan.h
+++ b/src/route_plan.h
@@ -4,14 +4,16 @@
 #include "call.h"
 #include "group_hint.h"
 #include "hosts.h"
+#include "route.h"
 
 KB_BEGIN_DECLS
 
-/* The targets to try for one call, best first. */
+/* The targets to try for one call: one for a write, several for a read. */
 typedef struct kb_route_plan {
-	size_t targets[KB_GROUP_MAX_TARGETS];
-	size_t count;
-	size_t next;
+	int made;
+	int is_read;
+	size_t primary;
+	kb_route_t route;
 } kb_route_plan_t;
 
 /* Fills in the plan of `call` as seen from host `self`. */
@@ -20,14 +22,18 @@
 			const kb_group_hint_t *hint, const kb_host_t *self,
 			kb_time_t now);
 
-/* Returns the target to try now. */
-size_t kb_route_plan_target(const kb_route_plan_t *plan);
-
-/* Moves on; returns zero if there is no other target. */
-int kb_route_plan_next(kb_route_plan_t *plan);
-
-/* Returns non-zero if a plan has to be made. */
-int kb_route_plan_is_spent(const kb_route_plan_t *plan);
+/*
+ * Sets `*target` to the target to try now, or returns what to refuse the call
+ * with.
+ */
+kb_result_t kb_route_plan_target(kb_route_plan_t *plan, kb_time_t now,
+				 size_t *target);
+
+/*
+ * Takes the result of the last attempt. Returns non-zero if another target is
+ * to be tried at once; otherwise the plan has to be made anew.
+ */
+int kb_route_plan_failed(kb_route_plan_t *plan, kb_result_t result);
 
 KB_END_DECLS
 
--- a/src/router.c
+++ b/src/router.c
@@ -6,11 +6,22 @@
 #include <stdlib.h>
 
 enum {
-	RETRY_DELAY_MS = 20,
+	RETRY_DELAY_MIN_MS = 20,
+	RETRY_DELAY_MAX_MS = 160,
+	RETRY_BURST = 200,
+	/* Least pause before the link between regions is asked again. */
+	LINK_WAIT_MIN_MS = 5,
+	REQUEST_OVERHEAD_BYTES = 256,
 	/* Time beyond the deadline that a forwarded call may take. */
 	FORWARD_MARGIN_MS = 500,
 };
 
+/* Retries for each successful request, beyond the burst. */
+#define RETRY_SHARE 0.2
+/* Parts of a second of the link's rate in its burst and its reserve. */
+#define LINK_BURST_PART 4
+#define LINK_RESERVE_PART 8
+
 /* One call on its way. */
 typedef struct job {
 	kb_router_t *router;
@@ -22,14 +33,22 @@
 	kb_host_t *host;
 	/* An earlier attempt may have run. */
 	int maybe_ran;
+	unsigned delay_ms;
 } job_t;
 
 static void job_try(job_t *job);
 
 void kb_router_init(kb_router_t *router, const kb_router_ops_t *ops,
 		    struct event_base *loop, kb_clock_t *clock,
-		    kb_hosts_t *hosts, const kb_catalog_t *catalog)
+		    kb_hosts_t *hosts, const kb_catalog_t *catalog,
+		    uint64_t link_bytes_per_s)
 {
+	kb_link_budget_settings_t link = {
+		.bytes_per_s = link_bytes_per_s,
+		.burst_bytes = link_bytes_per_s / LINK_BURST_PART,
+		.reserve_bytes = link_bytes_per_s / LINK_RESERVE_PART,
+	};
+
 	memset(router, 0, sizeof(*router));
 	router->ops = ops;
 	router->loop = loop;
@@ -37,6 +56,8 @@
 	router->hosts = hosts;
 	router->catalog = catalog;
 	kb_hint_table_init(&router->hints);
+	kb_retry_budget_init(&router->budget, RETRY_SHARE, RETRY_BURST);
+	kb_link_budget_init(&router->link, &link, kb_clock_monotonic(clock));
 }
 
 void kb_router_finish(kb_router_t *router)
@@ -128,17 +149,63 @@
 	job_try(arg);
 }
 
-static int retry_later(job_t *job)
+static int try_after(job_t *job, kb_time_t wait)
 {
-	struct timeval delay = { 0, RETRY_DELAY_MS * 1000 };
+	struct timeval delay = {
+		.tv_sec = wait / KB_NS_PER_S,
+		.tv_usec = wait % KB_NS_PER_S / KB_NS_PER_US,
+	};
 
-	if (time_left(job) < RETRY_DELAY_MS * KB_NS_PER_MS)
+	if (time_left(job) <= wait)
 		return 0;
 	if (!job->timer)
 		job->timer = evtimer_new(job->router->loop, on_retry, job);
 	return job->timer && !evtimer_add(job->timer, &delay);
 }
 
+/* Waits for a change of state cost the fleet little and need no budget. */
+static int needs_budget(kb_result_t result)
+{
+	return result != KB_ERR_NO_PRIMARY && result != KB_ERR_NOT_FRESH &&
+	       result != KB_ERR_NOT_GATE && result != KB_ERR_DRAINING &&
+	       result != KB_ERR_UNREACHABLE;
+}
+
+static int retry_later(job_t *job, kb_result_t result)
+{
+	unsigned delay = job->delay_ms ? job->delay_ms : RETRY_DELAY_MIN_MS;
+
+	if (needs_budget(result) &&
+	    !kb_retry_budget_spend(&job->router->budget, result))
+		return 0;
+	job->delay_ms = delay < RETRY_DELAY_MAX_MS ? delay * 2 : delay;
+	return try_after(job, delay * KB_NS_PER_MS);
+}
+
+static void count_outstanding(job_t *job, int started)
+{
+	kb_route_policy_t *policy = &job->hint->load.policy;
+
+	if (started)
+		policy->ops->started(policy, job->target, 0);
+	else
+		policy->ops->ended(policy, job->target, 0, 0);
+}
+
+/* Charges an exchange with another region. */
+static void charge_link(job_t *job, const kbx_execute_res *res)
+{
+	kb_router_t *router = job->router;
+	uint64_t bytes = REQUEST_OVERHEAD_BYTES + res->answer.answer_len;
+
+	if (kb_name_is(&job->host->region,
+		       kb_name_str(&router->hosts->self->region)))
+		return;
+	router->counters.region_bytes += bytes;
+	kb_link_budget_charge(&router->link, bytes,
+			      kb_clock_monotonic(router->clock));
+}
+
 static void take_result(job_t *job, const kbx_execute_res *res)
 {
 	kb_router_t *router = job->router;
@@ -155,16 +222,18 @@
 	if (result && kb_result_outcome(result) == KB_OUTCOME_UNKNOWN &&
 	    job->call->args.action != KBX_ACTION_READ)
 		job->maybe_ran = 1;
+	if (!result)
+		kb_retry_budget_succeeded(&router->budget);
 	if (!result || !spec || !may_retry(job, result)) {
 		job_end(job, res);
 		return;
 	}
 	router->counters.retries++;
-	if (kb_route_plan_next(&job->plan)) {
+	if (kb_route_plan_failed(&job->plan, result)) {
 		job_try(job);
 		return;
 	}
-	if (!retry_later(job))
+	if (!retry_later(job, result))
 		job_end(job, res);
 }
 
@@ -172,7 +241,7 @@
 {
 	job_t *job = ctx;
 
-	job->hint->targets[job->target].outstanding--;
+	count_outstanding(job, 0);
 	take_result(job, res);
 }
 
@@ -181,8 +250,9 @@
 	job_t *job = ctx;
 	kbx_execute_res failed;
 
-	job->hint->targets[job->target].outstanding--;
+	count_outstanding(job, 0);
 	if (!result) {
+		charge_link(job, res);
 		take_result(job, res);
 		return;
 	}
@@ -213,11 +283,11 @@
 	kb_result_t result;
 
 	job->router->counters.forwarded++;
-	job->hint->targets[job->target].outstanding++;
+	count_outstanding(job, 1);
 	result = kb_rpc_peer_call(&job->host->peer, &call);
 	if (!result)
 		return;
-	job->hint->targets[job->target].outstanding--;
+	count_outstanding(job, 0);
 	memset(&failed, 0, sizeof(failed));
 	failed.result = result;
 	failed.message = (char *)kb_strerror(result);
@@ -231,7 +301,7 @@
 	job->call->args.deadline_us = time_left(job) / KB_NS_PER_US;
 	if (host->self) {
 		job->router->counters.local++;
-		job->hint->targets[job->target].outstanding++;
+		count_outstanding(job, 1);
 		job->router->ops->execute(job->router, &job->call->args,
 					  on_local, job);
 		return;
@@ -239,13 +309,76 @@
 	forward(job);
 }
 
+/* Sends a call of a transaction to the gate that holds it. */
+static void try_transaction(job_t *job, const kb_group_spec_t *spec)
+{
+	kb_call_t *call = job->call;
+	kb_host_t *host = kb_hosts_find(job->router->hosts,
+					kb_name_str(&call->gate_host));
+
+	job->target =
+		kb_group_find_target(spec, kb_str_from(call->args.target));
+	if (job->target == spec->target_count || !host)
+		job_fail(job, KB_ERR_NOT_FOUND,
+			 "the transaction does not exist");
+	else
+		send_to(job, host);
+}
+
+/* Holds the call back while the link between regions has no room for it. */
+static int wait_for_link(job_t *job, const kb_host_t *host)
+{
+	kb_router_t *router = job->router;
+	kb_time_t wait;
+
+	if (kb_name_is(&host->region,
+		       kb_name_str(&router->hosts->self->region)))
+		return 0;
+	wait = kb_link_budget_wait(&router->link, job->call->bulk,
+				   kb_clock_monotonic(router->clock));
+	if (!wait)
+		return 0;
+	if (wait < LINK_WAIT_MIN_MS * KB_NS_PER_MS)
+		wait = LINK_WAIT_MIN_MS * KB_NS_PER_MS;
+	router->counters.region_waits++;
+	if (wait == KB_TIME_NEVER || !try_after(job, wait))
+		job_fail(job, KB_ERR_OVERLOADED,
+			 "the link between regions has no room");
+	return 1;
+}
+
+static void try_target(job_t *job, const kb_group_spec_t *spec)
+{
+	kb_router_t *router = job->router;
+	kb_call_t *call = job->call;
+	const kb_target_spec_t *target = &spec->targets[job->target];
+	kb_host_t *host = router->ops->gate_host(router, target);
+	kbx_execute_res res;
+
+	if (kb_call_set(&call->args.target, kb_name_str(&target->name))) {
+		job_fail(job, KB_ERR_NO_MEMORY, "out of memory");
+		return;
+	}
+	if (host) {
+		if (!wait_for_link(job, host))
+			send_to(job, host);
+		return;
+	}
+	memset(&res, 0, sizeof(res));
+	res.result = KB_ERR_UNREACHABLE;
+	res.message = "the target has no gate";
+	res.transaction = "";
+	take_result(job, &res);
+}
+
 static void job_try(job_t *job)
 {
 	kb_router_t *router = job->router;
 	kb_call_t *call = job->call;
+	kb_time_t now = kb_clock_monotonic(router->clock);
 	const kb_group_spec_t *spec = kb_catalog_group(
 		router->catalog, kb_str_from(call->args.group));
-	kb_host_t *host;
+	kb_result_t result;
 
 	if (!spec) {
 		job_fail(job, KB_ERR_NOT_FOUND, "the group does not exist");
@@ -256,40 +389,17 @@
 		return;
 	}
 	if (ends_transaction(call)) {
-		job->target = kb_group_find_target(
-			spec, kb_str_from(call->args.target));
-		host = kb_hosts_find(router->hosts,
-				     kb_name_str(&call->gate_host));
-		if (job->target == spec->target_count || !host) {
-			job_fail(job, KB_ERR_NOT_FOUND,
-				 "the transaction does not exist");
-			return;
-		}
-		send_to(job, host);
+		try_transaction(job, spec);
 		return;
 	}
-	if (kb_route_plan_is_spent(&job->plan))
+	if (!job->plan.made)
 		kb_route_plan_make(&job->plan, call, spec, job->hint,
-				   router->hosts->self,
-				   kb_clock_monotonic(router->clock));
-	job->target = kb_route_plan_target(&job->plan);
-	host = router->ops->gate_host(router, &spec->targets[job->target]);
-	if (kb_call_set(&call->args.target,
-			kb_name_str(&spec->targets[job->target].name))) {
-		job_fail(job, KB_ERR_NO_MEMORY, "out of memory");
-		return;
-	}
-	if (!host) {
-		kbx_execute_res res;
-
-		memset(&res, 0, sizeof(res));
-		res.result = KB_ERR_UNREACHABLE;
-		res.message = "the target has no gate";
-		res.transaction = "";
-		take_result(job, &res);
-		return;
-	}
-	send_to(job, host);
+				   router->hosts->self, now);
+	result = kb_route_plan_target(&job->plan, now, &job->target);
+	if (result)
+		job_fail(job, result, kb_strerror(result));
+	else
+		try_target(job, spec);
 }
 
 void kb_router_submit(kb_router_t *router, kb_call_t *call)
--- a/src/router.h
+++ b/src/router.h
@@ -4,6 +4,8 @@
 #include "call.h"
 #include "group_hint.h"
 #include "hosts.h"
+#include "link_budget.h"
+#include "retry_budget.h"
 
 struct event_base;
 
@@ -32,7 +34,9 @@
 	uint64_t local;
 	uint64_t forwarded;
 	uint64_t retries;
+	/* Bytes of requests and answers to and from other regions. */
 	uint64_t region_bytes;
+	uint64_t region_waits;
 	uint64_t replica_reads;
 	uint64_t primary_reads;
 } kb_router_counters_t;
@@ -48,13 +52,16 @@
 	kb_hosts_t *hosts;
 	const kb_catalog_t *catalog;
 	kb_hint_table_t hints;
+	kb_retry_budget_t budget;
+	kb_link_budget_t link;
 	kb_router_counters_t counters;
 	size_t active;
 };
 
 void kb_router_init(kb_router_t *router, const kb_router_ops_t *ops,
 		    struct event_base *loop, kb_clock_t *clock,
-		    kb_hosts_t *hosts, const kb_catalog_t *catalog);
+		    kb_hosts_t *hosts, const kb_catalog_t *catalog,
+		    uint64_t link_bytes_per_s);
 void kb_router_finish(kb_router_t *router);
 
 /* Routes a call; its `done` is called once, also before the return. */
