--- /dev/null
+++ b/src/fleet.h
@@ -0,0 +1,52 @@
+#ifndef KB_FLEET_H
+#define KB_FLEET_H
+
+#include "datagram.h"
+#include "hosts.h"
+#include "member.h"
+
+KB_BEGIN_DECLS
+
+typedef struct kb_fleet kb_fleet_t;
+
+/* What a fleet tells its host. */
+typedef struct kb_fleet_ops {
+	/* A host has joined, left, or changed its place or state. */
+	void (*changed)(kb_fleet_t *fleet, const kb_member_t *member);
+	/* A later process bears this host's name: stop serving. */
+	void (*superseded)(kb_fleet_t *fleet);
+} kb_fleet_ops_t;
+
+/* The membership protocol over datagrams, and the hosts that it finds. */
+struct kb_fleet {
+	/* First member: operations of the protocol refer to it. */
+	kb_members_t members;
+	const kb_fleet_ops_t *ops;
+	kb_datagram_t datagram;
+	kb_hosts_t *hosts;
+	kb_clock_t *clock;
+	struct event *timer;
+	kb_time_t wake;
+};
+
+/* Joins the fleet through the peers of `settings`. */
+kb_result_t kb_fleet_init(kb_fleet_t *fleet, const kb_fleet_ops_t *ops,
+			  struct event_base *loop, kb_clock_t *clock,
+			  const kb_settings_t *settings, kb_hosts_t *hosts);
+void kb_fleet_finish(kb_fleet_t *fleet);
+
+/* A call to a host failed. */
+void kb_fleet_call_failed(kb_fleet_t *fleet, kb_str_t host);
+
+/* Tells the others that this host is leaving, or stays. */
+void kb_fleet_set_leaving(kb_fleet_t *fleet, int leaving);
+
+/* Tells the others that this process is about to exit. */
+void kb_fleet_announce_exit(kb_fleet_t *fleet);
+
+/* Fills in where a member is. */
+void kb_fleet_place(const kb_member_t *member, kb_host_place_t *place);
+
+KB_END_DECLS
+
+#endif
--- a/src/gen/kumquat_rpc.h
+++ b/src/gen/kumquat_rpc.h
@@ -111,6 +111,15 @@
 	u_quad_t term;
 };
 typedef struct kbx_view_res kbx_view_res;
+#define KBX_MESSAGE_MAX 2097152
+
+struct kbx_message {
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+};
+typedef struct kbx_message kbx_message;
 
 #define KUMQUAT_PROGRAM 0x2b4b5142
 #define KUMQUAT_VERSION 1
@@ -122,6 +131,12 @@
 #define KUMQUAT_VIEW 2
 extern  kbx_view_res * kumquat_view_1(kbx_view_args *, CLIENT *);
 extern  kbx_view_res * kumquat_view_1_svc(kbx_view_args *, struct svc_req *);
+#define KUMQUAT_MEMBER 3
+extern  void * kumquat_member_1(kbx_message *, CLIENT *);
+extern  void * kumquat_member_1_svc(kbx_message *, struct svc_req *);
+#define KUMQUAT_SPREAD 4
+extern  void * kumquat_spread_1(kbx_message *, CLIENT *);
+extern  void * kumquat_spread_1_svc(kbx_message *, struct svc_req *);
 extern int kumquat_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -131,6 +146,12 @@
 #define KUMQUAT_VIEW 2
 extern  kbx_view_res * kumquat_view_1();
 extern  kbx_view_res * kumquat_view_1_svc();
+#define KUMQUAT_MEMBER 3
+extern  void * kumquat_member_1();
+extern  void * kumquat_member_1_svc();
+#define KUMQUAT_SPREAD 4
+extern  void * kumquat_spread_1();
+extern  void * kumquat_spread_1_svc();
 extern int kumquat_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -147,6 +168,7 @@
 extern  bool_t xdr_kbx_execute_res (XDR *, kbx_execute_res*);
 extern  bool_t xdr_kbx_view_args (XDR *, kbx_view_args*);
 extern  bool_t xdr_kbx_view_res (XDR *, kbx_view_res*);
+extern  bool_t xdr_kbx_message (XDR *, kbx_message*);
 
 #else /* K&R C */
 extern bool_t xdr_kbx_point ();
@@ -159,6 +181,7 @@
 extern bool_t xdr_kbx_execute_res ();
 extern bool_t xdr_kbx_view_args ();
 extern bool_t xdr_kbx_view_res ();
+extern bool_t xdr_kbx_message ();
 
 #endif /* K&R C */
 
--- a/src/gen/kumquat_rpc.x
+++ b/src/gen/kumquat_rpc.x
@@ -91,9 +91,19 @@
 	unsigned hyper term;
 };
 
+const KBX_MESSAGE_MAX = 2097152;
+
+/* An encoded message of membership or configuration. */
+struct kbx_message {
+	opaque data<KBX_MESSAGE_MAX>;
+};
+
 program KUMQUAT_PROGRAM {
 	version KUMQUAT_VERSION {
 		kbx_execute_res KUMQUAT_EXECUTE(kbx_execute_args) = 1;
 		kbx_view_res KUMQUAT_VIEW(kbx_view_args) = 2;
+		/* Sent as a datagram; has no reply. */
+		void KUMQUAT_MEMBER(kbx_message) = 3;
+		void KUMQUAT_SPREAD(kbx_message) = 4;
 	} = 1;
 } = 0x2b4b5142;
--- a/src/gen/kumquat_rpc_xdr.c
+++ b/src/gen/kumquat_rpc_xdr.c
@@ -161,3 +161,13 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_kbx_message (XDR *xdrs, kbx_message *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, KBX_MESSAGE_MAX))
+		 return FALSE;
+	return TRUE;
+}
