--- a/src/gen/kumquat_member.h
+++ b/src/gen/kumquat_member.h
@@ -67,9 +67,9 @@
 };
 typedef struct kbx_member_message kbx_member_message;
 #define KBX_SPREAD_PROTOCOL 1
-#define KBX_SPREAD_CHANGES_MAX 1024
+#define KBX_SPREAD_CHANGES_MAX 4096
 #define KBX_SPREAD_VALUE_MAX 1048576
-#define KBX_SPREAD_HOSTS_MAX 64
+#define KBX_SPREAD_HOSTS_MAX 32
 
 struct kbx_spread_change {
 	struct {
@@ -108,6 +108,7 @@
 	u_quad_t revision;
 	u_quad_t after;
 	u_quad_t digest;
+	u_quad_t floor;
 	bool_t whole;
 	bool_t more;
 	u_int hosts;
--- a/src/gen/kumquat_member.x
+++ b/src/gen/kumquat_member.x
@@ -29,9 +29,9 @@
 };
 
 const KBX_SPREAD_PROTOCOL = 1;
-const KBX_SPREAD_CHANGES_MAX = 1024;
+const KBX_SPREAD_CHANGES_MAX = 4096;
 const KBX_SPREAD_VALUE_MAX = 1048576;
-const KBX_SPREAD_HOSTS_MAX = 64;
+const KBX_SPREAD_HOSTS_MAX = 32;
 
 struct kbx_spread_change {
 	opaque kind<KBX_MEMBER_NAME_MAX>;
@@ -53,6 +53,7 @@
 	unsigned hyper revision;
 	unsigned hyper after;
 	unsigned hyper digest;
+	unsigned hyper floor;
 	bool whole;
 	bool more;
 	unsigned int hosts;
--- a/src/gen/kumquat_member_xdr.c
+++ b/src/gen/kumquat_member_xdr.c
@@ -106,6 +106,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->floor))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->whole))
@@ -143,6 +145,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->floor))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->whole))
@@ -181,6 +185,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->floor))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->whole))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->more))
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -22,14 +22,19 @@
 KB_EVENT(1401, MEMBER_LEAVING, INFO, "host takes no new work")
 KB_EVENT(1402, MEMBER_SUSPECTED, DEBUG, "host does not answer probes")
 KB_EVENT(1403, MEMBER_DEAD, WARN, "host is held dead")
-KB_EVENT(1404, MEMBER_SUPERSEDED, ERROR, "a later process elsewhere has this host's name")
-KB_EVENT(1405, MEMBER_MALFORMED, WARN, "membership message that cannot be decoded")
+KB_EVENT(1404, MEMBER_SUPERSEDED, ERROR,
+	 "a later process elsewhere has this host's name")
+KB_EVENT(1405, MEMBER_MALFORMED, WARN,
+	 "membership message that cannot be decoded")
 
-KB_EVENT(1500, CONFIG_IN_FORCE, INFO, "a revision of the configuration is in force")
-KB_EVENT(1501, CONFIG_RELAY_STARTED, INFO, "host watches the store for its data centre")
+KB_EVENT(1500, CONFIG_IN_FORCE, INFO,
+	 "a revision of the configuration is in force")
+KB_EVENT(1501, CONFIG_RELAY_STARTED, INFO,
+	 "host watches the store for its data centre")
 KB_EVENT(1502, CONFIG_RELAY_STOPPED, INFO, "host no longer watches the store")
 KB_EVENT(1503, CONFIG_STALE, DEBUG, "an older revision was offered and ignored")
-KB_EVENT(1504, CONFIG_MALFORMED, WARN, "configuration message that cannot be decoded")
+KB_EVENT(1504, CONFIG_MALFORMED, WARN,
+	 "configuration message that cannot be decoded")
 
 KB_EVENT(1900, RPC_CONNECTION_LOST, WARN, "connection to a host lost")
 KB_EVENT(1901, RPC_VERSION_REFUSED, WARN, "message of an unknown version")
