--- /dev/null
+++ b/bench/common/event_queue.h
@@ -0,0 +1,39 @@
+#ifndef KB_BENCH_EVENT_QUEUE_H
+#define KB_BENCH_EVENT_QUEUE_H
+
+#include "kumquatbridge.h"
+
+/* Events of a simulated time, carried out in order. */
+
+typedef void kb_event_fn_t(void *ctx, void *arg, kb_time_t now);
+
+typedef struct kb_event_item {
+	kb_time_t at;
+	/* Orders events of the same time. */
+	uint64_t number;
+	kb_event_fn_t *run;
+	void *ctx;
+	void *arg;
+} kb_event_item_t;
+
+typedef struct kb_event_queue {
+	kb_event_item_t *heap;
+	size_t count;
+	size_t capacity;
+	uint64_t next_number;
+} kb_event_queue_t;
+
+void kb_event_queue_init(kb_event_queue_t *queue);
+void kb_event_queue_finish(kb_event_queue_t *queue);
+
+/* Calls `run` at `at`; ends the program if memory runs out. */
+void kb_event_queue_add(kb_event_queue_t *queue, kb_time_t at,
+			kb_event_fn_t *run, void *ctx, void *arg);
+
+/* Runs events until `end`; what is later stays queued. */
+void kb_event_queue_run(kb_event_queue_t *queue, kb_time_t end);
+
+/* Allocates zeroed memory or ends the program. */
+void *kb_bench_alloc(size_t count, size_t size);
+
+#endif
--- /dev/null
+++ b/bench/common/read_sim.h
@@ -0,0 +1,148 @@
+#ifndef KB_BENCH_READ_SIM_H
+#define KB_BENCH_READ_SIM_H
+
+#include "event_queue.h"
+#include "freshness.h"
+#include "replica_log.h"
+#include "route.h"
+
+/*
+ * Sessions that read and write three groups through hosts and gates. Hosts
+ * route with kb_route_t and hints, gates verify with kb_freshness_t; time,
+ * network, lag and load are simulated from a seed.
+ */
+
+enum {
+	/* Data centres; the last one is in the other region. */
+	SITES = 3,
+	GROUPS = 3,
+	HOSTS = 8,
+	KINDS = 4,
+};
+
+typedef enum policy {
+	POLICY_FRESHNESS,
+	POLICY_PRIMARY,
+	POLICY_ROUND_ROBIN,
+	POLICIES,
+} policy_t;
+
+/* A kind of read. */
+typedef struct read_kind {
+	/* 0 asks for data as of the request. */
+	kb_time_t max_age_ms;
+	double share;
+	uint64_t bytes;
+	int bulk;
+} read_kind_t;
+
+typedef struct workload {
+	const char *name;
+	kb_time_t site_latency_us;
+	unsigned slots;
+	unsigned sessions;
+	double think_ms;
+	double write_share;
+	/* Factor on writes during a fifth of the time. */
+	double burst;
+	read_kind_t kinds[KINDS];
+} workload_t;
+
+/* A target and its gate, which stand at the same site. */
+typedef struct gate {
+	kb_bench_replica_t replica;
+	kb_freshness_t freshness;
+	kb_report_t reports[SITES];
+	kb_time_t reached[SITES];
+	unsigned busy;
+	struct read *first;
+	struct read **last;
+} gate_t;
+
+typedef struct group {
+	kb_bench_log_t log;
+	size_t primary;
+	gate_t gates[SITES];
+	kb_least_outstanding_t policies[HOSTS];
+	kb_route_hint_t hints[HOSTS][SITES];
+	size_t turn;
+} group_t;
+
+typedef struct session {
+	group_t *group;
+	int away;
+	kb_point_t point;
+} session_t;
+
+typedef struct totals {
+	uint64_t reads;
+	/* Reads that accept some age. */
+	uint64_t aged;
+	uint64_t replica;
+	uint64_t oracle;
+	uint64_t refused;
+	uint64_t too_old;
+	uint64_t missed;
+	uint64_t attempts;
+	uint64_t link_bytes;
+	double latency_ms;
+} totals_t;
+
+typedef struct run {
+	const workload_t *workload;
+	policy_t policy;
+	kb_event_queue_t events;
+	gsl_rng *rng;
+	kb_time_t mean_lag;
+	/* Time before which reads are not counted. */
+	kb_time_t warm;
+	kb_time_t end;
+	group_t groups[GROUPS];
+	session_t *sessions;
+	totals_t totals;
+} run_t;
+
+typedef struct read {
+	session_t *session;
+	const read_kind_t *kind;
+	kb_point_t point;
+	size_t host;
+	kb_time_t arrival;
+	kb_route_t route;
+	size_t target;
+	kb_result_t result;
+	/* Set after the warm-up. */
+	int counted;
+	/* Set if a replica was fresh enough when the read arrived. */
+	int oracle;
+	struct read *next;
+} read_t;
+
+typedef struct probe {
+	group_t *group;
+	size_t gate;
+	size_t target;
+	kb_time_t sent;
+	kb_report_t report;
+} probe_t;
+
+/* Sites of the hosts. */
+extern const unsigned read_sim_host_sites[HOSTS];
+
+/*
+ * Simulates `workload` under `policy` with replicas that lag by `mean_lag` and
+ * fills in `totals`.
+ */
+void read_sim_run(totals_t *totals, const workload_t *workload, policy_t policy,
+		  kb_time_t mean_lag, unsigned long seed);
+
+/* Sends a read to the next target, or refuses it and frees it. */
+void read_sim_send(run_t *run, read_t *read, kb_time_t now);
+
+/* Starts the probes of a group's gates. */
+void read_sim_probe(run_t *run, group_t *group, kb_time_t now);
+
+/* Returns how long a message takes between two sites. */
+kb_time_t read_sim_latency(run_t *run, size_t from, size_t to);
+
+#endif
--- /dev/null
+++ b/bench/common/read_sim_sessions.c
@@ -0,0 +1,235 @@
+#include "read_sim.h"
+
+#include <gsl/gsl_randist.h>
+#include <stdlib.h>
+
+enum {
+	RUN_S = 60,
+	READ_DEADLINE_MS = 2000,
+	TOKEN_DELAY_MS = 8,
+	BURST_PERIOD_S = 10,
+	BURST_S = 2,
+	/* Share of the sessions that are in the other region, in percent. */
+	AWAY_PERCENT = 30,
+	FIRST_AWAY_HOST = 6,
+};
+
+static const read_kind_t *choose_kind(run_t *run)
+{
+	double left = gsl_rng_uniform(run->rng);
+	size_t i = 0;
+
+	while (i + 1 < KINDS && left >= run->workload->kinds[i].share)
+		left -= run->workload->kinds[i++].share;
+	return &run->workload->kinds[i];
+}
+
+static size_t choose_host(run_t *run, const session_t *session)
+{
+	if (!session->away)
+		return gsl_rng_uniform_int(run->rng, FIRST_AWAY_HOST);
+	return FIRST_AWAY_HOST +
+	       gsl_rng_uniform_int(run->rng, HOSTS - FIRST_AWAY_HOST);
+}
+
+/* Looks at the true state of every replica. */
+static int oracle_serves(read_t *read, kb_time_t now)
+{
+	group_t *group = read->session->group;
+
+	for (size_t i = 0; i < SITES; i++) {
+		kb_bench_replica_t *replica = &group->gates[i].replica;
+
+		if (i == group->primary)
+			continue;
+		if (kb_bench_replica_age(replica, now) <=
+			    read->kind->max_age_ms * KB_NS_PER_MS &&
+		    replica->applied >= read->point.position)
+			return 1;
+	}
+	return 0;
+}
+
+static void count(run_t *run, read_t *read, kb_time_t now)
+{
+	read->counted = now >= run->warm;
+	if (!read->counted)
+		return;
+	run->totals.reads++;
+	/* Data as of the request is the primary's to give. */
+	if (!read->kind->max_age_ms)
+		return;
+	run->totals.aged++;
+	run->totals.oracle += !!oracle_serves(read, now);
+}
+
+static void begin_read(run_t *run, session_t *session, kb_time_t now)
+{
+	group_t *group = session->group;
+	read_t *read = kb_bench_alloc(1, sizeof(*read));
+	kb_route_candidate_t candidates[SITES];
+	kb_route_settings_t settings;
+	kb_route_need_t need = { 0 };
+	size_t site;
+
+	read->session = session;
+	read->point = session->point;
+	read->kind = choose_kind(run);
+	read->host = choose_host(run, session);
+	read->arrival = now;
+	count(run, read, now);
+	need.max_age = read->kind->max_age_ms * KB_NS_PER_MS;
+	need.point = read->point;
+	need.bulk = read->kind->bulk;
+	need.answer_bytes = read->kind->bytes;
+	need.deadline = now + READ_DEADLINE_MS * KB_NS_PER_MS;
+	site = read_sim_host_sites[read->host];
+	for (size_t i = 0; i < SITES; i++) {
+		kb_route_place_t place = KB_ROUTE_SAME_REGION;
+
+		if (site == i)
+			place = KB_ROUTE_SAME_DATA_CENTRE;
+		else if (site == SITES - 1 || i == SITES - 1)
+			place = KB_ROUTE_OTHER_REGION;
+		candidates[i] = (kb_route_candidate_t){
+			.target = i,
+			.hint = &group->hints[read->host][i],
+			.place = place,
+			.slots = run->workload->slots,
+		};
+	}
+	kb_route_default_settings(&settings);
+	kb_route_init(&read->route, &settings,
+		      &group->policies[read->host].policy, &need, candidates,
+		      SITES, now);
+	read_sim_send(run, read, now);
+}
+
+typedef struct write {
+	session_t *session;
+	kb_point_t point;
+} write_t;
+
+static void write_confirmed(void *ctx, void *arg, kb_time_t now)
+{
+	write_t *write = arg;
+
+	(void)ctx;
+	(void)now;
+	if (kb_point_compare(write->session->point, write->point) < 0)
+		write->session->point = write->point;
+	free(write);
+}
+
+static void write_committed(void *ctx, void *arg, kb_time_t now)
+{
+	run_t *run = ctx;
+	write_t *write = arg;
+
+	write->point.term = 1;
+	write->point.position =
+		kb_bench_log_commit(&write->session->group->log, now);
+	kb_event_queue_add(&run->events, now + TOKEN_DELAY_MS * KB_NS_PER_MS,
+			   write_confirmed, run, write);
+}
+
+static void begin_write(run_t *run, session_t *session, kb_time_t now)
+{
+	write_t *write = kb_bench_alloc(1, sizeof(*write));
+	size_t site = session->away ? SITES - 1 : 0;
+
+	write->session = session;
+	kb_event_queue_add(
+		&run->events,
+		now + read_sim_latency(run, site, session->group->primary),
+		write_committed, run, write);
+}
+
+static double write_share(const run_t *run, kb_time_t now)
+{
+	double share = run->workload->write_share;
+
+	if (now % (BURST_PERIOD_S * KB_NS_PER_S) < BURST_S * KB_NS_PER_S)
+		share *= run->workload->burst;
+	return share;
+}
+
+static void session_acts(void *ctx, void *arg, kb_time_t now)
+{
+	run_t *run = ctx;
+	session_t *session = arg;
+	double pause = gsl_ran_exponential(
+		run->rng, run->workload->think_ms * (double)KB_NS_PER_MS);
+
+	if (now >= run->end)
+		return;
+	if (gsl_rng_uniform(run->rng) < write_share(run, now))
+		begin_write(run, session, now);
+	else
+		begin_read(run, session, now);
+	kb_event_queue_add(&run->events, now + (kb_time_t)pause, session_acts,
+			   run, session);
+}
+
+static void init_group(run_t *run, size_t index)
+{
+	group_t *group = &run->groups[index];
+
+	kb_bench_log_init(&group->log);
+	group->primary = index % SITES;
+	for (size_t i = 0; i < HOSTS; i++)
+		kb_least_outstanding_init(&group->policies[i]);
+	for (size_t i = 0; i < SITES; i++) {
+		gate_t *gate = &group->gates[i];
+
+		kb_bench_replica_init(&gate->replica, &group->log,
+				      run->mean_lag, run->rng);
+		kb_freshness_init(&gate->freshness);
+		gate->last = &gate->first;
+		for (size_t k = 0; k < SITES; k++)
+			gate->reached[k] = KB_TIME_NEVER;
+	}
+	read_sim_probe(run, group, 0);
+}
+
+static void init_sessions(run_t *run)
+{
+	unsigned per_group = run->workload->sessions;
+
+	run->sessions = kb_bench_alloc((size_t)GROUPS * per_group,
+				       sizeof(*run->sessions));
+	for (unsigned i = 0; i < GROUPS * per_group; i++) {
+		session_t *session = &run->sessions[i];
+
+		session->group = &run->groups[i % GROUPS];
+		session->away = i / GROUPS % 100 < AWAY_PERCENT;
+		kb_event_queue_add(&run->events, i * KB_NS_PER_MS, session_acts,
+				   run, session);
+	}
+}
+
+void read_sim_run(totals_t *totals, const workload_t *workload, policy_t policy,
+		  kb_time_t mean_lag, unsigned long seed)
+{
+	run_t *run = kb_bench_alloc(1, sizeof(*run));
+
+	run->workload = workload;
+	run->policy = policy;
+	run->mean_lag = mean_lag;
+	run->warm = KB_NS_PER_S + 2 * mean_lag;
+	run->end = run->warm + RUN_S * KB_NS_PER_S;
+	run->rng = gsl_rng_alloc(gsl_rng_mt19937);
+	gsl_rng_set(run->rng, seed);
+	kb_event_queue_init(&run->events);
+	for (size_t i = 0; i < GROUPS; i++)
+		init_group(run, i);
+	init_sessions(run);
+	kb_event_queue_run(&run->events, run->end + 10 * KB_NS_PER_S);
+	*totals = run->totals;
+	for (size_t i = 0; i < GROUPS; i++)
+		kb_bench_log_finish(&run->groups[i].log);
+	kb_event_queue_finish(&run->events);
+	gsl_rng_free(run->rng);
+	free(run->sessions);
+	free(run);
+}
