--- a/src/resource.c
+++ b/src/resource.c
@@ -16,6 +16,14 @@
 		 kb_spec_kind_name(kind), KB_STR_ARG(name));
 }
 
+void kb_resource_deleted_key(kb_kind_t kind, kb_str_t name,
+			     char key[KB_RESOURCE_KEY_BYTES])
+{
+	snprintf(key, KB_RESOURCE_KEY_BYTES,
+		 KB_RESOURCE_DELETED_PREFIX "%s/%.*s", kb_spec_kind_name(kind),
+		 KB_STR_ARG(name));
+}
+
 kb_result_t kb_resource_parse_key(kb_str_t key, kb_kind_t *kind,
 				  kb_name_t *name)
 {
@@ -207,17 +215,26 @@
 			 change->by.data, "at", at);
 }
 
-char *kb_resource_format(const kb_resource_t *resource)
+static char *dump(json_t *json)
 {
-	json_t *json =
-		json_pack("{s:o,s:o}", "spec", kb_spec_to_json(&resource->spec),
-			  "change", change_to_json(&resource->change));
 	char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 
 	json_decref(json);
 	return text;
 }
 
+char *kb_resource_format(const kb_resource_t *resource)
+{
+	return dump(json_pack("{s:o,s:o}", "spec",
+			      kb_spec_to_json(&resource->spec), "change",
+			      change_to_json(&resource->change)));
+}
+
+char *kb_resource_format_deleted(const kb_change_record_t *change)
+{
+	return dump(json_pack("{s:o}", "change", change_to_json(change)));
+}
+
 json_t *kb_resource_to_json(const kb_resource_t *resource)
 {
 	return json_pack("{s:s,s:s,s:I,s:o,s:o}", "kind",
--- a/src/resource.h
+++ b/src/resource.h
@@ -8,6 +8,9 @@
 /* Keys of resources in the store begin with this. */
 #define KB_RESOURCE_PREFIX "/kumquat/resources/"
 
+/* Keys that record who deleted a resource begin with this. */
+#define KB_RESOURCE_DELETED_PREFIX "/kumquat/deleted/"
+
 enum {
 	KB_RESOURCE_KEY_BYTES = 128,
 	/* Longest value of a resource in the store. */
@@ -40,7 +43,11 @@
 void kb_resource_key(kb_kind_t kind, kb_str_t name,
 		     char key[KB_RESOURCE_KEY_BYTES]);
 
-/* Parses such a key; returns KB_ERR_INVALID if it is none. */
+/* Writes the key of the record of its deletion, ending in NUL. */
+void kb_resource_deleted_key(kb_kind_t kind, kb_str_t name,
+			     char key[KB_RESOURCE_KEY_BYTES]);
+
+/* Parses the key of a resource; returns KB_ERR_INVALID if it is none. */
 kb_result_t kb_resource_parse_key(kb_str_t key, kb_kind_t *kind,
 				  kb_name_t *name);
 
@@ -68,6 +75,12 @@
  */
 char *kb_resource_format(const kb_resource_t *resource);
 
+/*
+ * Returns the record of its deletion by `change` as text that the caller
+ * frees, or NULL if memory is short.
+ */
+char *kb_resource_format_deleted(const kb_change_record_t *change);
+
 /*
  * Returns the resource without status in the form of the operator interface,
  * or NULL if memory is short.
--- a/src/store.h
+++ b/src/store.h
@@ -16,6 +16,10 @@
 	kb_str_t value;
 	/* Revision of the store at the last change of the key. */
 	int64_t revision;
+	/* Revision of the store at which the key was created. */
+	int64_t created;
+	/* Changes of the key since then, its creation included. */
+	int64_t version;
 	/* Set in a report that the key was deleted; `value` is empty. */
 	int deleted;
 } kb_store_entry_t;
@@ -38,8 +42,16 @@
 /* A write on a condition. */
 typedef struct kb_store_write {
 	kb_str_t key;
-	/* Ignored by a delete. */
+	/* A delete puts it under `record`. */
 	kb_str_t value;
+	/*
+	 * Key that a delete puts in the same transaction, or empty. A put on
+	 * KB_STORE_ABSENT is also conditioned on its revision, which tells
+	 * one absence of `key` from the next.
+	 */
+	kb_str_t record;
+	/* Revision that `record` must have for a put, or KB_STORE_ABSENT. */
+	int64_t record_expected;
 	/* Revision that the key must have, KB_STORE_ABSENT or KB_STORE_ANY. */
 	int64_t expected;
 	/* Lease that the key is bound to, or 0. Ignored by a delete. */
--- a/src/store_json.c
+++ b/src/store_json.c
@@ -83,46 +83,71 @@
 	return dump(keys_json(keys));
 }
 
-/* Returns a transaction that runs `operation` if the revision matches. */
-static char *conditional(const kb_store_write_t *write, json_t *operation)
+static json_t *compare_revision(kb_str_t key, int64_t revision)
+{
+	return json_pack("{s:o,s:s,s:s,s:o}", "key", base64(key), "target",
+			 "MOD", "result", "EQUAL", "mod_revision",
+			 int64_text(revision));
+}
+
+/* Returns the transaction of `operations` with its conditions. */
+static char *conditional(const kb_store_write_t *write, int is_put,
+			 json_t *operations)
 {
 	kb_store_keys_t keys = { write->key, 0 };
 	json_t *compare = json_array();
-
-	if (write->expected != KB_STORE_ANY &&
-	    json_array_append_new(compare,
-				  json_pack("{s:o,s:s,s:s,s:o}", "key",
-					    base64(write->key), "target", "MOD",
-					    "result", "EQUAL", "mod_revision",
-					    int64_text(write->expected)))) {
+	int failed = 0;
+
+	if (write->expected != KB_STORE_ANY)
+		failed |= json_array_append_new(
+			compare, compare_revision(write->key, write->expected));
+	if (is_put && write->expected == KB_STORE_ABSENT && write->record.len)
+		failed |= json_array_append_new(
+			compare, compare_revision(write->record,
+						  write->record_expected));
+	if (failed) {
 		json_decref(compare);
-		json_decref(operation);
+		json_decref(operations);
 		return NULL;
 	}
-	return dump(json_pack("{s:o,s:[o],s:[{s:o}]}", "compare", compare,
-			      "success", operation, "failure", "request_range",
+	return dump(json_pack("{s:o,s:o,s:[{s:o}]}", "compare", compare,
+			      "success", operations, "failure", "request_range",
 			      keys_json(&keys)));
 }
 
-char *kb_store_json_put(const kb_store_write_t *write)
+static json_t *put_json(kb_str_t key, kb_str_t value, int64_t lease)
 {
-	json_t *put = json_pack("{s:o,s:o}", "key", base64(write->key), "value",
-				base64(write->value));
+	json_t *put = json_pack("{s:o,s:o}", "key", base64(key), "value",
+				base64(value));
 
-	if (put && write->lease &&
-	    json_object_set_new(put, "lease", int64_text(write->lease))) {
+	if (put && lease &&
+	    json_object_set_new(put, "lease", int64_text(lease))) {
 		json_decref(put);
 		return NULL;
 	}
-	return conditional(write, json_pack("{s:o}", "request_put", put));
+	return json_pack("{s:o}", "request_put", put);
+}
+
+char *kb_store_json_put(const kb_store_write_t *write)
+{
+	return conditional(write, 1,
+			   json_pack("[o]", put_json(write->key, write->value,
+						     write->lease)));
 }
 
 char *kb_store_json_remove(const kb_store_write_t *write)
 {
 	kb_store_keys_t keys = { write->key, 0 };
+	json_t *operations =
+		json_pack("[{s:o}]", "request_delete_range", keys_json(&keys));
 
-	return conditional(write, json_pack("{s:o}", "request_delete_range",
-					    keys_json(&keys)));
+	if (write->record.len &&
+	    json_array_append_new(operations,
+				  put_json(write->record, write->value, 0))) {
+		json_decref(operations);
+		return NULL;
+	}
+	return conditional(write, 0, operations);
 }
 
 char *kb_store_json_watch(const kb_store_keys_t *keys, int64_t after)
@@ -189,6 +214,8 @@
 	if (result != KB_OK)
 		return result;
 	entry->revision = number_of(kv, "mod_revision");
+	entry->created = number_of(kv, "create_revision");
+	entry->version = number_of(kv, "version");
 	if (!entry->key.len || entry->revision <= 0)
 		return KB_ERR_PROTOCOL;
 	json->count++;
--- a/tests/test_store_etcd.cc
+++ b/tests/test_store_etcd.cc
@@ -126,7 +126,11 @@
 
 	std::string put()
 	{
-		kb_store_write_t write = { KB_STR("/a"), KB_STR("new"), 7, 0 };
+		kb_store_write_t write = {};
+
+		write.key = KB_STR("/a");
+		write.value = KB_STR("new");
+		write.expected = 7;
 
 		log.clear();
 		answers = 0;
--- a/tests/test_store_json.cc
+++ b/tests/test_store_json.cc
@@ -19,8 +19,12 @@
 	kb_store_keys_t all = { KB_STR("/a/"), 1 };
 	kb_store_keys_t high = { KB_STR("a\xff\xff"), 1 };
 	kb_store_keys_t every = { KB_STR(""), 1 };
-	kb_store_write_t write = { KB_STR("/a"), KB_STR("v"), 7, 3 };
-	kb_store_write_t any = { KB_STR("/a"), KB_STR(""), KB_STORE_ANY, 0 };
+	kb_store_write_t create = { KB_STR("/a"), KB_STR(""), {}, 0, 0, 0 };
+	kb_store_write_t write = { KB_STR("/a"), KB_STR("v"), {}, 0, 7, 3 };
+	kb_store_write_t any = { KB_STR("/a"), {}, {}, 0, KB_STORE_ANY, 0 };
+	kb_store_write_t recorded = { KB_STR("/a"),  KB_STR("v"),
+				      KB_STR("/a/"), 0,
+				      KB_STORE_ANY,  0 };
 
 	EXPECT_EQ("{\"key\":\"L2E=\"}", owned(kb_store_json_get(&one)));
 	EXPECT_EQ("{\"key\":\"L2Ev\",\"range_end\":\"L2Ew\"}",
@@ -42,6 +46,21 @@
 		  "{\"key\":\"L2E=\"}}],\"failure\":[{\"request_range\":"
 		  "{\"key\":\"L2E=\"}}]}",
 		  owned(kb_store_json_remove(&any)));
+	EXPECT_EQ("{\"compare\":[],\"success\":[{\"request_delete_range\":"
+		  "{\"key\":\"L2E=\"}},{\"request_put\":{\"key\":\"L2Ev\","
+		  "\"value\":\"dg==\"}}],\"failure\":[{\"request_range\":"
+		  "{\"key\":\"L2E=\"}}]}",
+		  owned(kb_store_json_remove(&recorded)));
+	create.record = KB_STR("/a/");
+	create.record_expected = 4;
+	EXPECT_EQ("{\"compare\":[{\"key\":\"L2E=\",\"target\":\"MOD\","
+		  "\"result\":\"EQUAL\",\"mod_revision\":\"0\"},"
+		  "{\"key\":\"L2Ev\",\"target\":\"MOD\","
+		  "\"result\":\"EQUAL\",\"mod_revision\":\"4\"}],"
+		  "\"success\":[{\"request_put\":{\"key\":\"L2E=\","
+		  "\"value\":\"\"}}],\"failure\":[{\"request_range\":"
+		  "{\"key\":\"L2E=\"}}]}",
+		  owned(kb_store_json_put(&create)));
 	EXPECT_EQ("{\"TTL\":\"2\"}",
 		  owned(kb_store_json_lease_grant(1500 * KB_NS_PER_MS)));
 }
