--- a/src/daemon.c
+++ b/src/daemon.c
@@ -12,6 +12,8 @@
 
 enum {
 	DRAIN_POLL_MS = 20,
+	/* Pause before gates that moved away are looked at again. */
+	UPDATE_POLL_MS = 50,
 	MESSAGE_BYTES = 512,
 };
 
@@ -20,9 +22,19 @@
 	return (kb_daemon_t *)((char *)router - offsetof(kb_daemon_t, router));
 }
 
-static kb_host_t *gate_host(kb_router_t *router, const kb_target_spec_t *target)
+static kb_host_t *gate_host(kb_router_t *router, const kb_group_spec_t *group,
+			    size_t index)
 {
-	return kb_hosts_gate(&from_router(router)->hosts, target);
+	kb_daemon_t *daemon = from_router(router);
+	const kb_group_placement_t *placement = kb_placements_find(
+		&daemon->placements, kb_name_str(&group->name));
+	const kb_member_t *gate;
+
+	if (!placement || index >= placement->spec.target_count)
+		return NULL;
+	gate = kb_placements_gate(&daemon->placements, placement, index);
+	return gate ? kb_hosts_find(&daemon->hosts, kb_member_name(gate))
+		    : NULL;
 }
 
 static void execute(kb_router_t *router, const kbx_execute_args *args,
@@ -34,8 +46,8 @@
 
 static void call_failed(kb_router_t *router, kb_host_t *host)
 {
-	(void)router;
-	(void)host;
+	kb_fleet_call_failed(&from_router(router)->fleet,
+			     kb_name_str(&host->name));
 }
 
 static const kb_router_ops_t router_ops = {
@@ -44,6 +56,62 @@
 	.call_failed = call_failed,
 };
 
+static void update_soon(kb_daemon_t *daemon)
+{
+	struct timeval now = { 0, 0 };
+
+	event_add(daemon->update_timer, &now);
+}
+
+static void on_update(evutil_socket_t fd, short what, void *arg)
+{
+	struct timeval later = { 0, UPDATE_POLL_MS * 1000 };
+	kb_daemon_t *daemon = arg;
+
+	(void)fd;
+	(void)what;
+	if (kb_group_services_update(&daemon->services))
+		event_add(daemon->update_timer, &later);
+}
+
+static void on_fleet_changed(kb_fleet_t *fleet, const kb_member_t *member)
+{
+	kb_daemon_t *daemon =
+		(kb_daemon_t *)((char *)fleet - offsetof(kb_daemon_t, fleet));
+
+	kb_placements_on_member(&daemon->placements, member);
+	update_soon(daemon);
+}
+
+static void on_superseded(kb_fleet_t *fleet)
+{
+	kb_daemon_t *daemon =
+		(kb_daemon_t *)((char *)fleet - offsetof(kb_daemon_t, fleet));
+
+	daemon->result = KB_ERR_CONFLICT;
+	event_base_loopbreak(daemon->loop);
+}
+
+static const kb_fleet_ops_t fleet_ops = {
+	.changed = on_fleet_changed,
+	.superseded = on_superseded,
+};
+
+static void on_resource(void *ctx, kb_kind_t kind, kb_str_t name,
+			const kb_resource_t *resource)
+{
+	kb_daemon_t *daemon = ctx;
+
+	if (kind == KB_KIND_GROUP && resource)
+		kb_placements_put(&daemon->placements, &resource->spec.u.group);
+	else if (kind == KB_KIND_GROUP)
+		kb_placements_remove(&daemon->placements, name);
+	else if (kind == KB_KIND_TRAFFIC_CLASS && resource)
+		kb_group_services_set_class(&daemon->services,
+					    &resource->spec.u.traffic_class);
+	update_soon(daemon);
+}
+
 static void reply_execute(void *ctx, const kbx_execute_res *res)
 {
 	kb_rpc_server_reply(ctx, res);
@@ -114,6 +182,7 @@
 		return;
 	}
 	daemon->result = is_drained(daemon) ? KB_OK : KB_ERR_TIMEOUT;
+	kb_fleet_announce_exit(&daemon->fleet);
 	event_base_loopbreak(daemon->loop);
 }
 
@@ -126,6 +195,7 @@
 			      daemon->settings->drain_grace;
 	kb_log(KB_EVENT_STOP_REQUESTED, "host=%s", daemon->settings->host.data);
 	daemon->hosts.self->leaving = 1;
+	kb_fleet_set_leaving(&daemon->fleet, 1);
 	kb_caller_api_drain(&daemon->callers);
 	kb_group_services_drain(&daemon->services, daemon->drain_until);
 	event_add(daemon->drain_timer, &poll);
@@ -153,31 +223,31 @@
 	daemon->signals[1] =
 		evsignal_new(daemon->loop, SIGINT, on_signal, daemon);
 	daemon->drain_timer = evtimer_new(daemon->loop, on_drain_timer, daemon);
-	if (!daemon->signals[0] || !daemon->signals[1] ||
-	    !daemon->drain_timer || event_add(daemon->signals[0], NULL) ||
+	daemon->update_timer = evtimer_new(daemon->loop, on_update, daemon);
+	if (!daemon->update_timer || !daemon->signals[0] ||
+	    !daemon->signals[1] || !daemon->drain_timer ||
+	    event_add(daemon->signals[0], NULL) ||
 	    event_add(daemon->signals[1], NULL))
 		return KB_ERR_NO_MEMORY;
 	return KB_OK;
 }
 
-static kb_result_t add_peers(kb_daemon_t *daemon)
+static kb_result_t join_fleet(kb_daemon_t *daemon)
 {
-	const kb_settings_t *settings = daemon->settings;
-	kb_result_t result;
+	kb_result_t result =
+		kb_hosts_init(&daemon->hosts, daemon->loop, daemon->settings);
 
-	result = kb_hosts_init(&daemon->hosts, daemon->loop, settings);
 	daemon->has_hosts = 1;
-	for (size_t i = 0; !result && i < settings->peer_count; i++) {
-		const kb_settings_peer_t *peer = &settings->peers[i];
-		kb_host_place_t place = { peer->name, peer->endpoint,
-					  peer->data_centre, peer->region };
-
-		if (kb_name_is(&peer->name, kb_name_str(&settings->host)))
-			continue;
-		if (!kb_hosts_put(&daemon->hosts, &place))
-			result = KB_ERR_NO_MEMORY;
+	if (result)
+		return result;
+	result = kb_fleet_init(&daemon->fleet, &fleet_ops, daemon->loop,
+			       daemon->clock, daemon->settings, &daemon->hosts);
+	if (result) {
+		kb_log(KB_EVENT_LISTEN_FAILED, "key=listen.hosts");
+		return result;
 	}
-	return result;
+	daemon->has_fleet = 1;
+	return KB_OK;
 }
 
 static kb_result_t load_seed(kb_daemon_t *daemon)
@@ -185,7 +255,6 @@
 	char message[MESSAGE_BYTES];
 	kb_result_t result;
 
-	kb_catalog_init(&daemon->catalog);
 	if (!daemon->settings->seed_path[0])
 		return KB_OK;
 	result = kb_catalog_load(&daemon->catalog, daemon->settings->seed_path,
@@ -213,6 +282,7 @@
 	daemon->services.clock = daemon->clock;
 	daemon->services.connector = &daemon->connector.base;
 	daemon->services.hosts = &daemon->hosts;
+	daemon->services.placements = &daemon->placements;
 	daemon->services.catalog = &daemon->catalog;
 	daemon->services.answer_limit_bytes =
 		(size_t)daemon->settings->answer_bytes;
@@ -228,14 +298,19 @@
 		return KB_ERR_NO_MEMORY;
 	if (sodium_init() < 0)
 		return KB_ERR_IO;
-	result = load_seed(daemon);
-	if (!result)
-		result = add_events(daemon);
+	kb_catalog_init(&daemon->catalog);
+	kb_placements_init(&daemon->placements, &daemon->fleet.members);
+	set_up_services(daemon);
+	result = add_events(daemon);
 	if (!result)
-		result = add_peers(daemon);
+		result = join_fleet(daemon);
+	if (result)
+		return result;
+	daemon->catalog.changed = on_resource;
+	daemon->catalog.ctx = daemon;
+	result = load_seed(daemon);
 	if (result)
 		return result;
-	set_up_services(daemon);
 	kb_router_init(&daemon->router, &router_ops, daemon->loop,
 		       daemon->clock, &daemon->hosts, &daemon->catalog,
 		       daemon->settings->link_bytes);
@@ -255,7 +330,7 @@
 	daemon->has_callers = 1;
 	daemon->callers.metrics = kb_daemon_metrics_write;
 	daemon->callers.metrics_ctx = daemon;
-	kb_group_services_update(&daemon->services);
+	update_soon(daemon);
 	return KB_OK;
 }
 
@@ -300,6 +375,9 @@
 	if (!daemon)
 		return;
 	kb_group_services_finish(&daemon->services);
+	kb_placements_finish(&daemon->placements);
+	if (daemon->has_fleet)
+		kb_fleet_finish(&daemon->fleet);
 	if (daemon->has_hosts)
 		kb_hosts_finish(&daemon->hosts);
 	if (daemon->has_callers)
@@ -312,6 +390,7 @@
 	free_event(daemon->signals[0]);
 	free_event(daemon->signals[1]);
 	free_event(daemon->drain_timer);
+	free_event(daemon->update_timer);
 	if (daemon->loop)
 		event_base_free(daemon->loop);
 	free(daemon);
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -2,6 +2,7 @@
 #define KB_DAEMON_H
 
 #include "caller_api.h"
+#include "fleet.h"
 #include "group_service.h"
 #include "pq.h"
 #include "rpc_server.h"
@@ -15,14 +16,17 @@
 	struct event *signals[2];
 	struct event *drain_timer;
 	kb_pq_connector_t connector;
+	kb_fleet_t fleet;
 	kb_hosts_t hosts;
+	kb_placements_t placements;
+	struct event *update_timer;
 	kb_catalog_t catalog;
 	kb_group_services_t services;
 	kb_rpc_server_t server;
 	kb_router_t router;
 	kb_caller_api_t callers;
 	/* Which of the parts above were initialized. */
-	int has_hosts, has_server, has_router, has_callers;
+	int has_hosts, has_fleet, has_server, has_router, has_callers;
 	int stopping;
 	kb_time_t drain_until;
 	kb_result_t result;
--- a/src/group_service.c
+++ b/src/group_service.c
@@ -128,7 +128,6 @@
 
 	if (gate) {
 		kb_target_gate_resume(gate);
-		add_classes(services, gate);
 		return;
 	}
 	gate = malloc(sizeof(*gate));
@@ -248,82 +247,120 @@
 	return 0;
 }
 
-/* Sets the watchers; returns non-zero if this host is one of them. */
-static int set_watchers(kb_group_service_t *service, kb_host_t *const *watchers,
-			size_t count)
+/* Where the duties for a group are, as far as this host is concerned. */
+typedef struct duties {
+	kb_host_t *watchers[KB_WATCHERS_MAX];
+	size_t watcher_count;
+	/* Rank of this host among them, or the count. */
+	size_t rank;
+	int is_gate[KB_GROUP_MAX_TARGETS];
+	int wanted;
+} duties_t;
+
+static void find_duties(const kb_group_services_t *services,
+			const kb_group_placement_t *group, duties_t *duties)
 {
-	size_t rank = 0;
+	const kb_placements_t *placements = services->placements;
+	const kb_member_t *members[KB_WATCHERS_MAX];
+	size_t count = kb_placements_watchers(placements, group, members);
 
-	while (rank < count && !watchers[rank]->self)
-		rank++;
-	if (service->watcher_count == count &&
-	    !memcmp(service->watchers, watchers, count * sizeof(*watchers)))
-		return rank < count;
-	memcpy(service->watchers, watchers, count * sizeof(*watchers));
-	service->watcher_count = count;
-	kb_agent_set_watchers(&service->agent, rank < count ? count : 0,
-			      rank < count ? rank : 0);
-	return rank < count;
-}
+	memset(duties, 0, sizeof(*duties));
+	for (size_t i = 0; i < count; i++) {
+		kb_host_t *host = kb_hosts_find(services->hosts,
+						kb_member_name(members[i]));
 
-static int is_wanted(const kb_group_services_t *services,
-		     const kb_group_spec_t *group, kb_host_t *const *watchers,
-		     size_t count)
-{
-	for (size_t i = 0; i < count; i++)
-		if (watchers[i]->self)
-			return 1;
-	for (size_t i = 0; i < group->target_count; i++)
-		if (kb_hosts_gate(services->hosts, &group->targets[i]) ==
-		    services->hosts->self)
-			return 1;
-	return 0;
+		if (host)
+			duties->watchers[duties->watcher_count++] = host;
+	}
+	while (duties->rank < duties->watcher_count &&
+	       !duties->watchers[duties->rank]->self)
+		duties->rank++;
+	duties->wanted = duties->rank < duties->watcher_count;
+	for (size_t i = 0; i < group->spec.target_count; i++) {
+		const kb_member_t *gate =
+			kb_placements_gate(placements, group, i);
+
+		duties->is_gate[i] = kb_placements_is_self(placements, gate);
+		duties->wanted |= duties->is_gate[i];
+	}
 }
 
-static void update_group(kb_group_services_t *services,
-			 const kb_group_spec_t *group)
+static void set_watchers(kb_group_service_t *service, const duties_t *duties)
 {
-	kb_host_t *watchers[KB_HOSTS_WATCHERS_MAX];
-	size_t count = kb_hosts_watchers(services->hosts, group, watchers);
-	int wanted = is_wanted(services, group, watchers, count);
-	kb_group_service_t *service =
-		kb_group_services_find(services, kb_name_str(&group->name));
+	size_t count = duties->watcher_count;
+	int watches = duties->rank < count;
 
-	if (!service && wanted)
-		service = add_service(services, group);
-	if (!service)
+	if (service->watcher_count == count &&
+	    !memcmp(service->watchers, duties->watchers,
+		    count * sizeof(duties->watchers[0])))
 		return;
-	if (memcmp(&service->spec, group, sizeof(*group)))
-		change_group(service, group);
-	set_watchers(service, watchers, count);
-	for (size_t i = 0; i < group->target_count; i++) {
-		if (kb_hosts_gate(services->hosts, &group->targets[i]) ==
-		    services->hosts->self)
+	memcpy(service->watchers, duties->watchers, sizeof(service->watchers));
+	service->watcher_count = count;
+	kb_agent_set_watchers(&service->agent, watches ? count : 0,
+			      watches ? duties->rank : 0);
+}
+
+static void update_gates(kb_group_services_t *services,
+			 kb_group_service_t *service, const duties_t *duties)
+{
+	for (size_t i = 0; i < service->spec.target_count; i++) {
+		if (duties->is_gate[i])
 			open_gate(services, service, i);
 		else
 			leave_gate(services, service, i);
 	}
-	if (!wanted && !has_gates(service))
+}
+
+/* Returns non-zero if a gate that moved away still has work. */
+static int update_group(kb_group_services_t *services,
+			const kb_group_placement_t *group)
+{
+	kb_group_service_t *service = kb_group_services_find(
+		services, kb_name_str(&group->spec.name));
+	duties_t duties;
+
+	find_duties(services, group, &duties);
+	if (!service && duties.wanted)
+		service = add_service(services, &group->spec);
+	if (!service)
+		return 0;
+	if (memcmp(&service->spec, &group->spec, sizeof(group->spec)))
+		change_group(service, &group->spec);
+	set_watchers(service, &duties);
+	update_gates(services, service, &duties);
+	if (!duties.wanted && !has_gates(service)) {
 		remove_service(services, service);
+		return 0;
+	}
+	for (size_t i = 0; i < group->spec.target_count; i++)
+		if (service->gates[i] && !duties.is_gate[i])
+			return 1;
+	return 0;
 }
 
-void kb_group_services_update(kb_group_services_t *services)
+int kb_group_services_update(kb_group_services_t *services)
 {
-	const kb_catalog_t *catalog = services->catalog;
+	const kb_placements_t *placements = services->placements;
 	kb_group_service_t *service = services->first;
+	int unfinished = 0;
 
 	while (service) {
 		kb_group_service_t *next = service->next;
 
-		if (!kb_catalog_group(catalog,
-				      kb_name_str(&service->spec.name)))
+		if (!kb_placements_find(placements,
+					kb_name_str(&service->spec.name)))
 			remove_service(services, service);
 		service = next;
 	}
-	for (size_t i = 0; i < catalog->count; i++)
-		if (catalog->resources[i]->kind == KB_KIND_GROUP)
-			update_group(services,
-				     &catalog->resources[i]->spec.u.group);
+	for (size_t i = 0; i < placements->count; i++) {
+		kb_group_placement_t *group = placements->groups[i];
+
+		if (!group->changed)
+			continue;
+		group->changed = update_group(services, group);
+		unfinished |= group->changed;
+	}
+	return unfinished;
 }
 
 void kb_group_services_finish(kb_group_services_t *services)
@@ -363,6 +400,17 @@
 	kb_target_gate_execute(service->gates[index], args, done, ctx);
 }
 
+void kb_group_services_set_class(kb_group_services_t *services,
+				 const kb_traffic_class_t *spec)
+{
+	for (kb_group_service_t *service = services->first; service;
+	     service = service->next)
+		for (size_t i = 0; i < KB_GROUP_MAX_TARGETS; i++)
+			if (service->gates[i])
+				kb_target_gate_set_class(service->gates[i],
+							 spec);
+}
+
 void kb_group_services_drain(kb_group_services_t *services, kb_time_t until)
 {
 	for (kb_group_service_t *service = services->first; service;
--- a/src/group_service.h
+++ b/src/group_service.h
@@ -3,6 +3,7 @@
 
 #include "agent.h"
 #include "hosts.h"
+#include "placements.h"
 #include "target_gate.h"
 
 KB_BEGIN_DECLS
@@ -13,7 +14,7 @@
 	kb_group_spec_t spec;
 	/* Gates on this host by index of the target, or NULL. */
 	kb_target_gate_t *gates[KB_GROUP_MAX_TARGETS];
-	kb_host_t *watchers[KB_HOSTS_WATCHERS_MAX];
+	kb_host_t *watchers[KB_WATCHERS_MAX];
 	size_t watcher_count;
 	struct kb_group_service *next;
 } kb_group_service_t;
@@ -24,6 +25,7 @@
 	kb_clock_t *clock;
 	kb_connector_t *connector;
 	kb_hosts_t *hosts;
+	const kb_placements_t *placements;
 	const kb_catalog_t *catalog;
 	size_t answer_limit_bytes;
 	kb_name_t promoter;
@@ -31,10 +33,11 @@
 } kb_group_services_t;
 
 /*
- * Brings the services in line with the catalogue and the hosts: begins and
- * ends watching, opens and closes gates.
+ * Brings the services in line with the placements: begins and ends watching,
+ * opens and closes gates. Returns non-zero if a gate that moved away still
+ * has work, so that another call is needed later.
  */
-void kb_group_services_update(kb_group_services_t *services);
+int kb_group_services_update(kb_group_services_t *services);
 
 /* Ends all services. */
 void kb_group_services_finish(kb_group_services_t *services);
@@ -51,6 +54,10 @@
 /* Returns the view of a group's primary for another watcher. */
 kb_view_t kb_group_services_view(kb_group_services_t *services, kb_str_t group);
 
+/* Adds or changes a traffic class at all gates. */
+void kb_group_services_set_class(kb_group_services_t *services,
+				 const kb_traffic_class_t *spec);
+
 /* Gives up all gates; work in flight goes on until `until`. */
 void kb_group_services_drain(kb_group_services_t *services, kb_time_t until);
 
--- a/src/hosts.c
+++ b/src/hosts.c
@@ -1,7 +1,5 @@
 #include "hosts.h"
 
-#include "rendezvous.h"
-
 #include <stdlib.h>
 
 enum {
@@ -96,89 +94,3 @@
 	free(hosts->hosts);
 	memset(hosts, 0, sizeof(*hosts));
 }
-
-static int nearness(const kb_host_t *host, const kb_target_spec_t *target)
-{
-	if (kb_name_is(&host->data_centre, kb_name_str(&target->data_centre)))
-		return 2;
-	return kb_name_is(&host->region, kb_name_str(&target->region));
-}
-
-kb_host_t *kb_hosts_gate(const kb_hosts_t *hosts,
-			 const kb_target_spec_t *target)
-{
-	kb_host_t *best = NULL;
-	uint64_t best_score = 0;
-	int best_nearness = 0;
-
-	for (size_t i = 0; i < hosts->count; i++) {
-		kb_host_t *host = hosts->hosts[i];
-		int near = nearness(host, target);
-		uint64_t score;
-
-		if (!host->live || host->leaving)
-			continue;
-		score = kb_rendezvous_score(kb_name_str(&host->name),
-					    kb_name_str(&target->name));
-		if (best && (near < best_nearness ||
-			     (near == best_nearness && score <= best_score)))
-			continue;
-		best = host;
-		best_score = score;
-		best_nearness = near;
-	}
-	return best;
-}
-
-static int is_among(const kb_host_t *host, kb_host_t *const *list, size_t count)
-{
-	for (size_t i = 0; i < count; i++)
-		if (list[i] == host)
-			return 1;
-	return 0;
-}
-
-/* Returns the live host of the highest score that is not in the list yet. */
-static kb_host_t *next_watcher(const kb_hosts_t *hosts, kb_str_t group,
-			       kb_host_t *const *list, size_t count)
-{
-	kb_host_t *best = NULL;
-	uint64_t best_score = 0;
-
-	for (size_t i = 0; i < hosts->count; i++) {
-		kb_host_t *host = hosts->hosts[i];
-		uint64_t score;
-
-		if (!host->live || host->leaving || is_among(host, list, count))
-			continue;
-		score = kb_rendezvous_score(kb_name_str(&host->name), group);
-		if (!best || score > best_score) {
-			best = host;
-			best_score = score;
-		}
-	}
-	return best;
-}
-
-size_t kb_hosts_watchers(const kb_hosts_t *hosts, const kb_group_spec_t *group,
-			 kb_host_t *watchers[KB_HOSTS_WATCHERS_MAX])
-{
-	size_t count = 0;
-
-	for (size_t i = 0;
-	     i < group->target_count && count < KB_HOSTS_WATCHERS_MAX; i++) {
-		kb_host_t *gate = kb_hosts_gate(hosts, &group->targets[i]);
-
-		if (gate && !is_among(gate, watchers, count))
-			watchers[count++] = gate;
-	}
-	while (count < KB_HOSTS_WATCHERS_MAX) {
-		kb_host_t *next = next_watcher(hosts, kb_name_str(&group->name),
-					       watchers, count);
-
-		if (!next)
-			break;
-		watchers[count++] = next;
-	}
-	return count;
-}
--- a/src/hosts.h
+++ b/src/hosts.h
@@ -48,23 +48,6 @@
 /* Returns a host, or NULL. */
 kb_host_t *kb_hosts_find(const kb_hosts_t *hosts, kb_str_t name);
 
-/*
- * Returns the host that is the gate of `target`: the highest live host, not
- * leaving, by rendezvous score in the target's data centre, else in its
- * region, else anywhere. Returns NULL if there is none.
- */
-kb_host_t *kb_hosts_gate(const kb_hosts_t *hosts,
-			 const kb_target_spec_t *target);
-
-#define KB_HOSTS_WATCHERS_MAX 3
-
-/*
- * Fills in the hosts that watch `group`, in order of rank, and returns their
- * number: the gates of its targets, then other hosts by rendezvous score.
- */
-size_t kb_hosts_watchers(const kb_hosts_t *hosts, const kb_group_spec_t *group,
-			 kb_host_t *watchers[KB_HOSTS_WATCHERS_MAX]);
-
 KB_END_DECLS
 
 #endif
--- a/src/router.c
+++ b/src/router.c
@@ -352,7 +352,7 @@
 	kb_router_t *router = job->router;
 	kb_call_t *call = job->call;
 	const kb_target_spec_t *target = &spec->targets[job->target];
-	kb_host_t *host = router->ops->gate_host(router, target);
+	kb_host_t *host = router->ops->gate_host(router, spec, job->target);
 	kbx_execute_res res;
 
 	if (kb_call_set(&call->args.target, kb_name_str(&target->name))) {
--- a/src/router.h
+++ b/src/router.h
@@ -18,9 +18,9 @@
 
 /* What a router needs of its host. */
 typedef struct kb_router_ops {
-	/* Returns the host that is the gate of a target, or NULL. */
+	/* Returns the host that is the gate of target `index`, or NULL. */
 	kb_host_t *(*gate_host)(kb_router_t *router,
-				const kb_target_spec_t *target);
+				const kb_group_spec_t *group, size_t index);
 	/* Executes at this host's own gate; `done` is called once, also
 	 * before the return. `args` lives until then. */
 	void (*execute)(kb_router_t *router, const kbx_execute_args *args,
