Add failure detection, promotion and the failover of a group

When a primary dies nobody orders a promotion, so the hosts that watch a group have to detect it, agree and promote.

kb_detector_t judges what a watch has seen, kb_ballot_t counts the watchers' views, kb_plan_t and kb_promotion_t carry out one attempt with one choice per term, kb_repoint_t finds targets that do not follow, and kb_failover_t drives them for one group. bench/common holds a fake group (targets' rules, message queue, hosts with the real state machines).

--- /dev/null
+++ b/bench/common/fake_group.h
@@ -0,0 +1,143 @@
+#ifndef FAKE_GROUP_H
+#define FAKE_GROUP_H
+
+#include "confirm.h"
+#include "failover.h"
+#include "fake_queue.h"
+#include "fake_target.h"
+#include "rng.h"
+
+KB_BEGIN_DECLS
+
+#define FAKE_MAX_HOSTS 4
+#define FAKE_MAX_NODES (KB_GROUP_MAX_TARGETS + FAKE_MAX_HOSTS)
+#define FAKE_MAX_SITES 3
+
+/* What a run is made of. Nodes are the targets and then the hosts. */
+typedef struct fake_params {
+	uint64_t seed;
+	size_t target_count;
+	size_t host_count;
+	/* The first hosts watch the group. */
+	size_t watcher_count;
+	size_t site[FAKE_MAX_NODES];
+	/* One-way latency between sites, and most that is added to it. */
+	kb_time_t latency[FAKE_MAX_SITES][FAKE_MAX_SITES];
+	kb_time_t jitter;
+	/* Share of messages that take up to `tail` longer. */
+	unsigned tail_per_mille;
+	kb_time_t tail;
+	unsigned loss_per_mille;
+	/* Interval at which each host writes, and for how long it waits. */
+	kb_time_t write_interval;
+	kb_time_t write_deadline;
+	/* Share of writes that have their term alone confirmed. */
+	unsigned term_only_percent;
+	kb_failover_params_t failover;
+	kb_confirm_params_t confirm;
+} fake_params_t;
+
+/* A write that waits for its acknowledgement. */
+typedef struct fake_write {
+	kb_confirm_entry_t entry;
+	struct fake_group *group;
+	uint64_t id;
+	/* A newer primary had been promoted when it committed. */
+	int late;
+} fake_write_t;
+
+/* A write that was acknowledged. */
+typedef struct fake_ack {
+	kb_time_t time;
+	kb_point_t point;
+	uint64_t write;
+	int durable;
+	int late;
+} fake_ack_t;
+
+/* A host with the state machines under test. */
+typedef struct fake_host {
+	kb_failover_t failover;
+	kb_confirm_t confirm;
+	struct fake_group *group;
+	size_t index;
+	int up;
+	/* Messages of an earlier start of the host are dropped. */
+	uint64_t generation;
+	kb_time_t wake;
+} fake_host_t;
+
+/* A database group, the hosts before it, and the messages between them. */
+typedef struct fake_group {
+	fake_params_t params;
+	kb_group_spec_t spec;
+	kb_rng_t rng;
+	kb_time_t now;
+	fake_queue_t queue;
+	fake_target_t targets[KB_GROUP_MAX_TARGETS];
+	/* Entries are on their way to the target, sent at that time. */
+	kb_time_t pushed_at[KB_GROUP_MAX_TARGETS];
+	fake_host_t hosts[FAKE_MAX_HOSTS];
+	kb_time_t paused_until[FAKE_MAX_NODES];
+	/* cut[a][b]: messages from a to b are lost. */
+	unsigned char cut[FAKE_MAX_NODES][FAKE_MAX_NODES];
+	uint64_t writes;
+	fake_ack_t *acks;
+	size_t ack_count, ack_capacity;
+	/* Promotions that took effect, by the newest term. */
+	uint64_t promoted_term;
+	size_t promotions;
+	/* Messages sent. */
+	uint64_t messages;
+	/* First broken promise, or NULL. */
+	const char *violation;
+} fake_group_t;
+
+/* Sets one site, no loss, 1 ms latency and default parameters. */
+void fake_params_init(fake_params_t *params);
+
+/* Sets up the group with target 0 as primary of term 1. */
+void fake_group_init(fake_group_t *group, const fake_params_t *params);
+
+/* Frees the group. */
+void fake_group_finish(fake_group_t *group);
+
+/* Delivers messages until `end`. */
+void fake_group_run(fake_group_t *group, kb_time_t end);
+
+/* Returns the node number of a host. */
+size_t fake_group_host_node(const fake_group_t *group, size_t host);
+
+/* Returns the target that is primary of the newest term, or FAKE_NOBODY. */
+size_t fake_group_primary(const fake_group_t *group);
+
+/* Stops a target; `refuses` tells how probes of it end. */
+void fake_group_crash_target(fake_group_t *group, size_t target, int refuses);
+/* Starts it again with its log, term and role. */
+void fake_group_restart_target(fake_group_t *group, size_t target);
+
+/* Stops a host, which forgets everything, and starts it again. */
+void fake_group_crash_host(fake_group_t *group, size_t host);
+void fake_group_restart_host(fake_group_t *group, size_t host);
+
+/* Delays what a node receives and does until `until`. */
+void fake_group_pause(fake_group_t *group, size_t node, kb_time_t until);
+
+/* Cuts or restores both directions between two nodes. */
+void fake_group_cut(fake_group_t *group, size_t a, size_t b, int cut);
+/* Cuts or restores a node from all others. */
+void fake_group_isolate(fake_group_t *group, size_t node, int cut);
+/* Restores every connection. */
+void fake_group_heal(fake_group_t *group);
+
+/* Declares the state of a target to every host. */
+void fake_group_set_state(fake_group_t *group, size_t target, kb_state_t state);
+
+/* Returns the time of the first acknowledgement after `time`, or never. */
+kb_time_t fake_group_next_ack(const fake_group_t *group, kb_time_t time);
+/* Returns the time of the last acknowledgement up to `time`, or 0. */
+kb_time_t fake_group_last_ack(const fake_group_t *group, kb_time_t time);
+
+KB_END_DECLS
+
+#endif
--- /dev/null
+++ b/bench/common/fake_host.c
@@ -0,0 +1,235 @@
+#include "fake_message.h"
+
+#include <stdlib.h>
+
+enum { FAKE_PERCENT = 100 };
+
+static fake_host_t *host_of(kb_failover_t *failover)
+{
+	return (fake_host_t *)failover;
+}
+
+/* Sends a message that belongs to the present start of `host`. */
+static void send_from(fake_host_t *host, fake_message_t *message, size_t to)
+{
+	message->from = fake_group_host_node(host->group, host->index);
+	message->to = to;
+	message->generation = host->generation;
+	fake_send(host->group, message);
+}
+
+static void send_probe(kb_failover_t *failover, size_t target, uint64_t id)
+{
+	fake_message_t message = { .kind = FAKE_PROBE, .id = id };
+
+	send_from(host_of(failover), &message, target);
+}
+
+static void send_order(fake_host_t *host, kb_order_kind_t kind, size_t target,
+		       uint64_t term, size_t primary)
+{
+	fake_message_t message = { .kind = FAKE_ORDER,
+				   .order = { kind, target, term },
+				   .target = primary };
+
+	/* A promoter's id is one of its start. */
+	message.id = (host->index + 1) | host->generation << 8;
+	send_from(host, &message, target);
+}
+
+static void fence(kb_failover_t *failover, size_t target, uint64_t term)
+{
+	send_order(host_of(failover), KB_ORDER_FENCE, target, term, 0);
+}
+
+static void promote(kb_failover_t *failover, size_t target, uint64_t term)
+{
+	send_order(host_of(failover), KB_ORDER_PROMOTE, target, term, 0);
+}
+
+static void follow(kb_failover_t *failover, size_t target, uint64_t term,
+		   size_t primary)
+{
+	send_order(host_of(failover), KB_ORDER_FOLLOW, target, term, primary);
+}
+
+static void ask_views(kb_failover_t *failover)
+{
+	fake_host_t *host = host_of(failover);
+
+	for (size_t i = 0; i < host->group->params.watcher_count; i++) {
+		fake_message_t message = { .kind = FAKE_ASK };
+
+		if (i != host->index)
+			send_from(host, &message,
+				  fake_group_host_node(host->group, i));
+	}
+}
+
+static void primary_changed(kb_failover_t *failover, uint64_t term,
+			    size_t primary, int promoted)
+{
+	(void)failover;
+	(void)term;
+	(void)primary;
+	(void)promoted;
+}
+
+static const kb_failover_ops_t failover_ops = {
+	send_probe, fence, promote, follow, ask_views, primary_changed,
+};
+
+static void set_wake(fake_host_t *host, kb_time_t wake)
+{
+	kb_time_t now = host->group->now;
+
+	if (wake == host->wake || wake == KB_TIME_NEVER)
+		return;
+	host->wake = wake;
+	fake_send_self(host->group, FAKE_WAKE,
+		       fake_group_host_node(host->group, host->index),
+		       wake > now ? wake - now : 0);
+}
+
+/* Runs both state machines and arms the timer. */
+static void drive(fake_host_t *host, kb_time_t wake)
+{
+	kb_time_t confirm =
+		kb_confirm_on_timer(&host->confirm, host->group->now);
+
+	set_wake(host, confirm < wake ? confirm : wake);
+}
+
+void fake_host_start(fake_group_t *group, size_t index)
+{
+	fake_host_t *host = &group->hosts[index];
+
+	host->group = group;
+	host->index = index;
+	host->up = 1;
+	host->generation++;
+	host->wake = KB_TIME_NEVER;
+	kb_failover_init(&host->failover, &failover_ops,
+			 &group->params.failover, &group->spec);
+	kb_confirm_init(&host->confirm, &host->failover.watch,
+			&group->params.confirm);
+	if (index < group->params.watcher_count)
+		kb_failover_set_watchers(&host->failover, group->now,
+					 group->params.watcher_count, index);
+	drive(host, kb_failover_on_timer(&host->failover, group->now));
+	if (host->generation == 1)
+		fake_send_self(group, FAKE_SUBMIT,
+			       fake_group_host_node(group, index),
+			       (kb_time_t)kb_rng_below(
+				       &group->rng,
+				       (uint64_t)group->params.write_interval));
+}
+
+static void on_done(kb_confirm_entry_t *entry, kb_result_t result)
+{
+	fake_write_t *write = (fake_write_t *)entry;
+	fake_ack_t ack = { write->group->now,
+			   { entry->term, entry->position },
+			   write->id,
+			   entry->position != 0,
+			   write->late };
+
+	if (result == KB_OK)
+		fake_note_ack(write->group, &ack);
+	free(write);
+}
+
+static const kb_confirm_entry_ops_t write_ops = { on_done };
+
+static void on_written(fake_host_t *host, const fake_message_t *message)
+{
+	fake_group_t *group = host->group;
+	fake_write_t *write;
+	kb_time_t wake;
+
+	if (!message->point.position)
+		return;
+	write = calloc(1, sizeof(*write));
+	if (!write)
+		abort();
+	write->group = group;
+	write->id = message->id;
+	write->late = message->granted;
+	write->entry.ops = &write_ops;
+	write->entry.target = message->from;
+	write->entry.term = message->point.term;
+	write->entry.deadline = group->now + group->params.write_deadline;
+	if (kb_rng_below(&group->rng, FAKE_PERCENT) >=
+	    group->params.term_only_percent)
+		write->entry.position = message->point.position;
+	wake = kb_confirm_add(&host->confirm, group->now, &write->entry);
+	set_wake(host, wake < host->wake ? wake : host->wake);
+}
+
+static void submit(fake_host_t *host)
+{
+	fake_group_t *group = host->group;
+	size_t primary = kb_failover_primary(&host->failover);
+	fake_message_t message = { .kind = FAKE_WRITE };
+
+	if (primary == KB_NO_TARGET || !host->up)
+		return;
+	message.id = ++group->writes;
+	send_from(host, &message, primary);
+}
+
+static void on_ask(fake_host_t *host, const fake_message_t *ask)
+{
+	fake_message_t reply = { .kind = FAKE_VIEW,
+				 .from = ask->to,
+				 .to = ask->from,
+				 .generation = ask->generation };
+
+	reply.view = kb_failover_view(&host->failover, host->group->now);
+	fake_send(host->group, &reply);
+}
+
+void fake_host_receive(fake_group_t *group, fake_message_t *message)
+{
+	fake_host_t *host =
+		&group->hosts[message->to - group->params.target_count];
+	kb_failover_t *failover = &host->failover;
+	kb_time_t now = group->now;
+
+	if (message->kind == FAKE_SUBMIT) {
+		submit(host);
+		fake_send_self(group, FAKE_SUBMIT, message->to,
+			       group->params.write_interval);
+		return;
+	}
+	if (!host->up)
+		return;
+	if (message->kind == FAKE_ASK) {
+		on_ask(host, message);
+		return;
+	}
+	if (message->kind == FAKE_WAKE) {
+		if (now < host->wake)
+			return;
+		host->wake = KB_TIME_NEVER;
+		drive(host, kb_failover_on_timer(failover, now));
+		return;
+	}
+	if (message->generation != host->generation)
+		return;
+	if (message->kind == FAKE_REPORT)
+		drive(host, kb_failover_on_report(failover, now, message->from,
+						  message->id, message->result,
+						  &message->report));
+	else if (message->kind == FAKE_ORDER_RESULT)
+		drive(host, kb_failover_on_order_result(
+				    failover, now, &message->order, KB_OK,
+				    message->granted, &message->report));
+	else if (message->kind == FAKE_VIEW)
+		drive(host, kb_failover_on_view(
+				    failover, now,
+				    message->from - group->params.target_count,
+				    &message->view));
+	else if (message->kind == FAKE_WRITTEN)
+		on_written(host, message);
+}
--- /dev/null
+++ b/bench/common/fake_message.h
@@ -0,0 +1,73 @@
+#ifndef FAKE_MESSAGE_H
+#define FAKE_MESSAGE_H
+
+#include "fake_group.h"
+
+KB_BEGIN_DECLS
+
+enum { FAKE_PUSH_ENTRIES = 16 };
+
+typedef enum fake_kind {
+	/* To targets. */
+	FAKE_PROBE,
+	FAKE_ORDER,
+	FAKE_WRITE,
+	FAKE_PUSH,
+	FAKE_PUSHED,
+	/* To hosts. */
+	FAKE_REPORT,
+	FAKE_ORDER_RESULT,
+	FAKE_WRITTEN,
+	FAKE_ASK,
+	FAKE_VIEW,
+	/* Timers, which a host or target sends to itself. */
+	FAKE_WAKE,
+	FAKE_SUBMIT,
+	FAKE_REPLICATE,
+} fake_kind_t;
+
+/* A message between two nodes. */
+typedef struct fake_message {
+	fake_kind_t kind;
+	size_t from, to;
+	/* Start of the host that it belongs to. */
+	uint64_t generation;
+	/* Probe id, write id or term of a push. */
+	uint64_t id;
+	/* Primary to follow, or entries to keep before a push. */
+	size_t target;
+	kb_order_t order;
+	kb_result_t result;
+	/* An order was granted; a write committed on a replaced primary. */
+	int granted;
+	kb_point_t point;
+	kb_view_t view;
+	kb_report_t report;
+	size_t entry_count;
+	fake_entry_t entries[FAKE_PUSH_ENTRIES];
+} fake_message_t;
+
+/* Sends a message over the network between two nodes. */
+void fake_send(fake_group_t *group, fake_message_t *message);
+
+/* Delivers a message to the node itself after `delay`. */
+void fake_send_self(fake_group_t *group, fake_kind_t kind, size_t node,
+		    kb_time_t delay);
+
+/* Handle a message that has arrived. */
+void fake_target_receive(fake_group_t *group, fake_message_t *message);
+void fake_host_receive(fake_group_t *group, fake_message_t *message);
+
+/* Sends the entries that the followers of `target` lack. */
+void fake_target_push(fake_group_t *group, size_t target);
+
+/* Starts a host with fresh state machines. */
+void fake_host_start(fake_group_t *group, size_t index);
+
+/* Records what a promotion or an acknowledgement does, and checks it. */
+void fake_note_promotion(fake_group_t *group, size_t target);
+void fake_note_ack(fake_group_t *group, const fake_ack_t *ack);
+
+KB_END_DECLS
+
+#endif
--- /dev/null
+++ b/bench/common/fake_target_node.c
@@ -0,0 +1,180 @@
+#include "fake_message.h"
+
+enum { FAKE_REPLICATE_INTERVAL_MS = 20 };
+
+/* Sends up to FAKE_PUSH_ENTRIES entries to one follower. */
+static void push_to(fake_group_t *group, size_t primary, size_t follower)
+{
+	const fake_target_t *from = &group->targets[primary];
+	const fake_target_t *to = &group->targets[follower];
+	fake_message_t push = { .kind = FAKE_PUSH,
+				.from = primary,
+				.to = follower,
+				.id = from->term };
+	size_t keep = fake_target_common(from, to);
+
+	if (keep == from->count)
+		return;
+	push.target = keep;
+	while (keep < from->count && push.entry_count < FAKE_PUSH_ENTRIES)
+		push.entries[push.entry_count++] = from->log[keep++];
+	group->pushed_at[follower] = group->now;
+	fake_send(group, &push);
+}
+
+void fake_target_push(fake_group_t *group, size_t target)
+{
+	kb_time_t lost = FAKE_REPLICATE_INTERVAL_MS * KB_NS_PER_MS;
+
+	if (group->targets[target].role != KB_ROLE_PRIMARY)
+		return;
+	for (size_t i = 0; i < group->params.target_count; i++) {
+		const fake_target_t *to = &group->targets[i];
+
+		if (i == target || !to->up || to->following != target ||
+		    to->term != group->targets[target].term)
+			continue;
+		if (group->pushed_at[i] != KB_TIME_NEVER &&
+		    group->now - group->pushed_at[i] < lost)
+			continue;
+		push_to(group, target, i);
+	}
+}
+
+static void on_push(fake_group_t *group, const fake_message_t *push)
+{
+	fake_target_t *target = &group->targets[push->to];
+	fake_message_t reply = { .kind = FAKE_PUSHED,
+				 .from = push->to,
+				 .to = push->from };
+	size_t keep = push->target, known = 0;
+
+	if (target->term != push->id || target->following != push->from ||
+	    keep > target->count)
+		return;
+	/* Only an entry that differs is a reason to drop what follows it. */
+	while (known < push->entry_count && keep < target->count &&
+	       target->log[keep].term == push->entries[known].term &&
+	       target->log[keep].write == push->entries[known].write) {
+		keep++;
+		known++;
+	}
+	if (known < push->entry_count)
+		fake_target_replace(target, keep, &push->entries[known],
+				    push->entry_count - known);
+	fake_send(group, &reply);
+}
+
+static int obey(fake_group_t *group, const fake_message_t *message)
+{
+	fake_target_t *target = &group->targets[message->to];
+	uint64_t term = message->order.term;
+	size_t role_before = target->role;
+	int granted = 0;
+
+	switch (message->order.kind) {
+	case KB_ORDER_FENCE:
+		return fake_target_fence(target, term, message->id);
+	case KB_ORDER_PROMOTE:
+		granted = fake_target_promote(target, term, message->id);
+		if (granted && role_before != KB_ROLE_PRIMARY)
+			fake_note_promotion(group, message->to);
+		return granted;
+	case KB_ORDER_FOLLOW:
+		granted = fake_target_follow(target, term, message->target);
+		if (granted)
+			group->pushed_at[message->to] = KB_TIME_NEVER;
+		return granted;
+	}
+	return 0;
+}
+
+static void on_order(fake_group_t *group, const fake_message_t *message)
+{
+	fake_message_t reply = { .kind = FAKE_ORDER_RESULT,
+				 .from = message->to,
+				 .to = message->from,
+				 .generation = message->generation,
+				 .order = message->order };
+
+	reply.granted = obey(group, message);
+	fake_target_report(&group->targets[message->to], &reply.report);
+	fake_send(group, &reply);
+}
+
+static void on_probe(fake_group_t *group, const fake_message_t *message)
+{
+	fake_message_t reply = { .kind = FAKE_REPORT,
+				 .from = message->to,
+				 .to = message->from,
+				 .generation = message->generation,
+				 .id = message->id };
+
+	fake_target_report(&group->targets[message->to], &reply.report);
+	fake_send(group, &reply);
+}
+
+static void on_write(fake_group_t *group, const fake_message_t *message)
+{
+	fake_target_t *target = &group->targets[message->to];
+	fake_message_t reply = { .kind = FAKE_WRITTEN,
+				 .from = message->to,
+				 .to = message->from,
+				 .generation = message->generation,
+				 .id = message->id };
+
+	reply.point.position = fake_target_commit(target, message->id);
+	reply.point.term = target->term;
+	reply.granted = target->term < group->promoted_term;
+	fake_send(group, &reply);
+	fake_target_push(group, message->to);
+}
+
+static void on_down(fake_group_t *group, const fake_message_t *message)
+{
+	fake_message_t reply = { .kind = FAKE_REPORT,
+				 .from = message->to,
+				 .to = message->from,
+				 .generation = message->generation,
+				 .id = message->id,
+				 .result = KB_ERR_UNREACHABLE };
+
+	if (message->kind == FAKE_PROBE && group->targets[message->to].refuses)
+		fake_send(group, &reply);
+	if (message->kind == FAKE_REPLICATE)
+		fake_send_self(group, FAKE_REPLICATE, message->to,
+			       FAKE_REPLICATE_INTERVAL_MS * KB_NS_PER_MS);
+}
+
+void fake_target_receive(fake_group_t *group, fake_message_t *message)
+{
+	if (!group->targets[message->to].up) {
+		on_down(group, message);
+		return;
+	}
+	switch (message->kind) {
+	case FAKE_PROBE:
+		on_probe(group, message);
+		break;
+	case FAKE_ORDER:
+		on_order(group, message);
+		break;
+	case FAKE_WRITE:
+		on_write(group, message);
+		break;
+	case FAKE_PUSH:
+		on_push(group, message);
+		break;
+	case FAKE_PUSHED:
+		group->pushed_at[message->from] = KB_TIME_NEVER;
+		fake_target_push(group, message->to);
+		break;
+	case FAKE_REPLICATE:
+		fake_target_push(group, message->to);
+		fake_send_self(group, FAKE_REPLICATE, message->to,
+			       FAKE_REPLICATE_INTERVAL_MS * KB_NS_PER_MS);
+		break;
+	default:
+		break;
+	}
+}
--- a/src/detector.h
+++ b/src/detector.h
@@ -14,7 +14,7 @@
 	KB_DETECTOR_REFUSED_MS = 150,
 	KB_DETECTOR_REFUSED_COUNT = 3,
 	KB_DETECTOR_PROGRESS_MS = 200,
-	KB_DETECTOR_REPLICATION_MS = 2500,
+	KB_DETECTOR_REPLICATION_MS = 2000,
 	KB_DETECTOR_TERM_AHEAD_MS = 2000,
 };
 
@@ -66,7 +66,7 @@
 	kb_time_t refused;
 	/* A replica's log that moved so lately shows a living primary. */
 	kb_time_t progress;
-	/* How long replicas may be behind without progress. */
+	/* How long too few replicas may receive the log. */
 	kb_time_t replication;
 	/* How long a target may be in a newer term than the primary. */
 	kb_time_t term_ahead;
@@ -77,8 +77,12 @@
 	kb_detector_params_t params;
 	kb_health_t health;
 	kb_cause_t cause;
+	/* Term of the primary that the times below concern. */
+	uint64_t term;
 	/* When a target ahead in term was first seen, or never. */
 	kb_time_t ahead_since;
+	/* Since when too few replicas receive the log, or never. */
+	kb_time_t short_since;
 } kb_detector_t;
 
 /* Sets the defaults. */
--- a/src/failover.h
+++ b/src/failover.h
@@ -1,6 +1,7 @@
 #ifndef KB_FAILOVER_H
 #define KB_FAILOVER_H
 
+#include "ballot.h"
 #include "detector.h"
 #include "promotion.h"
 #include "repoint.h"
@@ -8,25 +9,13 @@
 
 KB_BEGIN_DECLS
 
-#define KB_FAILOVER_MAX_WATCHERS 3
-
 enum {
-	KB_FAILOVER_VIEW_INTERVAL_MS = 50,
-	KB_FAILOVER_VIEW_AGE_MS = 300,
 	KB_FAILOVER_RANK_DELAY_MS = 250,
 	KB_FAILOVER_TAKEOVER_MS = 600,
-	KB_FAILOVER_LONE_WAIT_MS = 2500,
 	KB_FAILOVER_SWITCH_INTERVAL_MS = 5000,
 	KB_FAILOVER_SWITCH_LAG_ENTRIES = 64,
 };
 
-/* What a watching host tells the others of a group's primary. */
-typedef struct kb_view {
-	kb_health_t health;
-	/* Newest term in which it has seen a primary. */
-	uint64_t term;
-} kb_view_t;
-
 typedef struct kb_failover kb_failover_t;
 
 /* Orders of a watching host. They must not call back. */
@@ -57,28 +46,17 @@
 	kb_watch_params_t watch;
 	kb_detector_params_t detector;
 	kb_promotion_params_t promotion;
-	/* Interval at which views are asked for, and how long one counts. */
-	kb_time_t view_interval;
-	kb_time_t view_age;
+	kb_ballot_params_t ballot;
 	/* Delay per rank before a promotion. */
 	kb_time_t rank_delay;
 	/* Time for which another host's attempt is left alone. */
 	kb_time_t takeover;
-	/* Time after which a host to which no other watcher answers acts. */
-	kb_time_t lone_wait;
 	/* Least time between two planned changes of primary. */
 	kb_time_t switch_interval;
 	/* Entries that a successor may be behind in a planned change. */
 	uint64_t switch_lag;
 } kb_failover_params_t;
 
-/* What is known of another watcher. */
-typedef struct kb_failover_peer {
-	kb_view_t view;
-	/* When its view came, or never. */
-	kb_time_t at;
-} kb_failover_peer_t;
-
 /*
  * The part of one host that watches a database group: detects that no primary
  * serves, agrees with the other watchers, promotes a target, and keeps the
@@ -93,18 +71,17 @@
 	kb_detector_t detector;
 	kb_promotion_t promotion;
 	kb_repoint_t repoint;
-	/* Watchers in order of rank; this host is `rank`. */
-	size_t watcher_count;
-	size_t rank;
-	kb_failover_peer_t peers[KB_FAILOVER_MAX_WATCHERS];
-	kb_time_t asked_at;
-	/* Since when the primary counts as dead, or never. */
-	kb_time_t dead_since;
+	kb_ballot_t ballot;
 	/* Since when a promotion has been agreed, or never. */
 	kb_time_t agreed_since;
-	/* Highest term seen or used, and when it last grew. */
+	/* Terms of this host's newest attempt and newest promotion. */
+	uint64_t own_term;
+	uint64_t promoted_term;
+	/* Highest term seen or used, and when a target showed it. */
 	uint64_t highest_term;
 	kb_time_t term_grew_at;
+	/* Leaves the next attempt to the host that thwarted its last one. */
+	int yields;
 	/* When the last planned change began, or never. */
 	kb_time_t switched_at;
 	/* Attempts that this host started. */
@@ -129,8 +106,9 @@
 void kb_failover_finish(kb_failover_t *failover);
 
 /*
- * Each event below returns when to call kb_failover_on_timer(): the earliest
- * of what was returned last counts.
+ * Does what is due and returns when to call it next. Every event below does
+ * so too; the time that the newest call returned replaces the earlier ones.
+ * After kb_confirm_add() on the watch call it as well.
  */
 kb_time_t kb_failover_on_timer(kb_failover_t *failover, kb_time_t now);
 
@@ -158,7 +136,7 @@
 
 /*
  * Takes the live watchers by membership: their number, at most
- * KB_FAILOVER_MAX_WATCHERS, and this host's place among them. With 0
+ * KB_BALLOT_MAX_WATCHERS, and this host's place among them. With 0
  * watchers the host observes the group and orders nothing.
  */
 kb_time_t kb_failover_set_watchers(kb_failover_t *failover, kb_time_t now,
--- a/src/promotion.h
+++ b/src/promotion.h
@@ -2,7 +2,7 @@
 #define KB_PROMOTION_H
 
 #include "defect.h"
-#include "watch.h"
+#include "plan.h"
 
 KB_BEGIN_DECLS
 
@@ -76,19 +76,6 @@
 	kb_time_t ordered_at;
 } kb_promotion_target_t;
 
-/* What an attempt is to do. */
-typedef struct kb_promotion_plan {
-	/* Higher than any term that the promoter has seen or used. */
-	uint64_t term;
-	size_t target_count;
-	/* Bit i: target i is worth waiting for. */
-	unsigned reachable;
-	/* Bit i: target i is chosen only if the rest is no majority. */
-	unsigned avoided;
-	/* Chosen among equals, or KB_NO_TARGET. */
-	size_t preferred;
-} kb_promotion_plan_t;
-
 /*
  * One attempt to make a target the primary of a new term. It names one target
  * per term: an unanswered promotion is repeated, and any other choice needs
@@ -97,10 +84,14 @@
 struct kb_promotion {
 	const kb_promotion_ops_t *ops;
 	kb_promotion_params_t params;
-	kb_promotion_plan_t plan;
+	kb_plan_t plan;
 	kb_promotion_state_t state;
+	/* It failed because another promoter is at work. */
+	int is_superseded;
 	kb_promotion_target_t targets[KB_GROUP_MAX_TARGETS];
 	size_t chosen;
+	/* Bit i: target i was ordered in this term; KB_DEFECT_SECOND_CHOICE. */
+	unsigned tried;
 	/* When the state was entered. */
 	kb_time_t since;
 };
@@ -117,7 +108,7 @@
 
 /* Starts an attempt in place of any earlier one. */
 void kb_promotion_start(kb_promotion_t *promotion, kb_time_t now,
-			const kb_promotion_plan_t *plan);
+			const kb_plan_t *plan);
 
 /* Gives the attempt up; an order that is under way may still take effect. */
 void kb_promotion_cancel(kb_promotion_t *promotion);
