--- a/src/control.c
+++ b/src/control.c
@@ -208,7 +208,7 @@
 	char term[NUMBER_BYTES], port[NUMBER_BYTES];
 	kb_statement_t statement;
 
-	if (!control->order_count)
+	if (!control->order_count || !control->conn)
 		return;
 	statement = order_statement(&control->orders[0], params, term, port);
 	control->answer_result = KB_ERR_PROTOCOL;
--- a/src/group.h
+++ b/src/group.h
@@ -40,6 +40,10 @@
 /* Returns the index of target `name`, or `target_count` if there is none. */
 size_t kb_group_find_target(const kb_group_spec_t *group, kb_str_t name);
 
+/* Returns non-zero if both declare the same. */
+int kb_target_spec_equal(const kb_target_spec_t *a, const kb_target_spec_t *b);
+int kb_group_spec_equal(const kb_group_spec_t *a, const kb_group_spec_t *b);
+
 /* Returns how many targets are a majority of the group. */
 static inline size_t kb_group_majority(const kb_group_spec_t *group)
 {
--- a/src/group_service.c
+++ b/src/group_service.c
@@ -177,24 +177,27 @@
 					   GATE_DRAIN_MS * KB_NS_PER_MS);
 }
 
-static int same_target(const kb_target_spec_t *a, const kb_target_spec_t *b)
+static int same_place(const kb_target_spec_t *a, const kb_target_spec_t *b)
 {
 	return kb_name_is(&a->name, kb_name_str(&b->name)) &&
 	       kb_name_is(&a->address, kb_name_str(&b->address)) &&
-	       a->port == b->port && a->slots == b->slots &&
-	       a->connections == b->connections;
+	       a->port == b->port;
 }
 
-/* Takes a changed declaration; gates of changed targets are made anew. */
+/* Takes a changed declaration; gates of targets that moved are made anew. */
 static void change_group(kb_group_service_t *service,
 			 const kb_group_spec_t *group)
 {
-	for (size_t i = 0; i < KB_GROUP_MAX_TARGETS; i++)
-		if (service->gates[i] &&
-		    (i >= group->target_count ||
-		     !same_target(&service->spec.targets[i],
-				  &group->targets[i])))
+	for (size_t i = 0; i < KB_GROUP_MAX_TARGETS; i++) {
+		if (!service->gates[i])
+			continue;
+		if (i < group->target_count &&
+		    same_place(&service->spec.targets[i], &group->targets[i]))
+			kb_target_gate_set_spec(service->gates[i],
+						&group->targets[i]);
+		else
 			close_gate(service, i);
+	}
 	service->spec = *group;
 	kb_agent_set_group(&service->agent, group);
 }
@@ -324,7 +327,7 @@
 		service = add_service(services, &group->spec);
 	if (!service)
 		return 0;
-	if (memcmp(&service->spec, &group->spec, sizeof(group->spec)))
+	if (!kb_group_spec_equal(&service->spec, &group->spec))
 		change_group(service, &group->spec);
 	set_watchers(service, &duties);
 	update_gates(services, service, &duties);
--- a/src/rpc_server.c
+++ b/src/rpc_server.c
@@ -33,6 +33,16 @@
 	kb_rpc_request_t *prev;
 };
 
+static void session_unlink(kb_rpc_session_t *session)
+{
+	kb_rpc_session_t **link = session->prev ? &session->prev->next
+						: &session->server->sessions;
+
+	*link = session->next;
+	if (session->next)
+		session->next->prev = session->prev;
+}
+
 static void session_close(kb_rpc_session_t *session)
 {
 	kb_rpc_request_t *request = session->requests;
@@ -45,12 +55,7 @@
 		request->prev = NULL;
 		request = next;
 	}
-	if (session->prev)
-		session->prev->next = session->next;
-	else
-		session->server->sessions = session->next;
-	if (session->next)
-		session->next->prev = session->prev;
+	session_unlink(session);
 	bufferevent_free(session->stream);
 	free(session);
 }
@@ -256,7 +261,10 @@
 {
 	if (server->listener)
 		evconnlistener_free(server->listener);
-	while (server->sessions)
-		session_close(server->sessions);
+	for (kb_rpc_session_t *session = server->sessions, *next; session;
+	     session = next) {
+		next = session->next;
+		session_close(session);
+	}
 	memset(server, 0, sizeof(*server));
 }
--- a/src/target_gate.c
+++ b/src/target_gate.c
@@ -264,6 +264,20 @@
 	event_free(gate->timer);
 }
 
+void kb_target_gate_set_spec(kb_target_gate_t *gate,
+			     const kb_target_spec_t *spec)
+{
+	kb_admission_limits_t limits;
+	kb_pool_settings_t pool;
+
+	kb_pool_default_settings(&pool, spec->connections, 0);
+	limits = kb_admission_default_limits(spec->slots, pool.limit);
+	gate->spec = *spec;
+	kb_admission_set_limits(&gate->admission, &limits, gate_now(gate));
+	kb_pool_set_limit(&gate->pool, pool.limit, gate_now(gate));
+	kb_target_gate_tick(gate);
+}
+
 void kb_target_gate_set_class(kb_target_gate_t *gate,
 			      const kb_traffic_class_t *spec)
 {
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -48,6 +48,13 @@
 /* Closes all connections; requests in flight must have ended. */
 void kb_target_gate_finish(kb_target_gate_t *gate);
 
+/*
+ * Takes a changed declaration of the same target at the same address; what
+ * runs goes on.
+ */
+void kb_target_gate_set_spec(kb_target_gate_t *gate,
+			     const kb_target_spec_t *spec);
+
 /* Adds or changes a traffic class. */
 void kb_target_gate_set_class(kb_target_gate_t *gate,
 			      const kb_traffic_class_t *spec);
