--- a/bench/common/fake_group.c
+++ b/bench/common/fake_group.c
@@ -5,7 +5,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-enum { FAKE_PER_MILLE = 1000 };
+enum {
+	FAKE_PER_MILLE = 1000,
+	FAKE_SAME_SITE_US = 200,
+	FAKE_KHOMAS_US = 1000,
+	FAKE_RIGA_US = 500,
+	FAKE_REGIONS_US = 8000,
+	FAKE_JITTER_US = 500,
+};
 
 void fake_params_init(fake_params_t *params)
 {
@@ -22,6 +29,30 @@
 	kb_confirm_params_init(&params->confirm);
 }
 
+void fake_params_deploy(fake_params_t *params, fake_deployment_t deployment)
+{
+	kb_time_t near =
+		deployment == FAKE_KHOMAS ? FAKE_KHOMAS_US : FAKE_RIGA_US;
+
+	for (size_t i = 0; i < FAKE_MAX_SITES; i++) {
+		for (size_t j = 0; j < FAKE_MAX_SITES; j++) {
+			kb_time_t us = near;
+
+			if (i == j)
+				us = FAKE_SAME_SITE_US;
+			else if (i == FAKE_MAX_SITES - 1 ||
+				 j == FAKE_MAX_SITES - 1)
+				us = FAKE_REGIONS_US;
+			params->latency[i][j] = us * KB_NS_PER_US;
+		}
+	}
+	for (size_t i = 0; i < params->target_count; i++)
+		params->site[i] = i % FAKE_MAX_SITES;
+	for (size_t i = 0; i < params->host_count; i++)
+		params->site[params->target_count + i] = i % FAKE_MAX_SITES;
+	params->jitter = FAKE_JITTER_US * KB_NS_PER_US;
+}
+
 static void init_spec(fake_group_t *group)
 {
 	kb_group_spec_t *spec = &group->spec;
--- a/bench/common/fake_group.h
+++ b/bench/common/fake_group.h
@@ -81,6 +81,8 @@
 	kb_time_t paused_until[FAKE_MAX_NODES];
 	/* cut[a][b]: messages from a to b are lost. */
 	unsigned char cut[FAKE_MAX_NODES][FAKE_MAX_NODES];
+	/* Answers to orders of each kind that are still to be lost. */
+	unsigned lost_answers[KB_ORDER_FOLLOW + 1];
 	uint64_t writes;
 	fake_ack_t *acks;
 	size_t ack_count, ack_capacity;
@@ -93,6 +95,15 @@
 	const char *violation;
 } fake_group_t;
 
+/* Latencies of a deployment: two data centres near each other, one far. */
+typedef enum fake_deployment {
+	FAKE_KHOMAS,
+	FAKE_RIGA,
+} fake_deployment_t;
+
+/* Places targets and hosts over three sites with a deployment's latencies. */
+void fake_params_deploy(fake_params_t *params, fake_deployment_t deployment);
+
 /* Sets one site, no loss, 1 ms latency and default parameters. */
 void fake_params_init(fake_params_t *params);
 
--- a/bench/common/fake_host.c
+++ b/bench/common/fake_host.c
@@ -109,6 +109,7 @@
 	host->up = 1;
 	host->generation++;
 	host->wake = KB_TIME_NEVER;
+	group->params.failover.seed = kb_rng_next(&group->rng);
 	kb_failover_init(&host->failover, &failover_ops,
 			 &group->params.failover, &group->spec);
 	kb_confirm_init(&host->confirm, &host->failover.watch,
--- a/bench/common/fake_target_node.c
+++ b/bench/common/fake_target_node.c
@@ -99,7 +99,10 @@
 
 	reply.granted = obey(group, message);
 	fake_target_report(&group->targets[message->to], &reply.report);
-	fake_send(group, &reply);
+	if (group->lost_answers[message->order.kind])
+		group->lost_answers[message->order.kind]--;
+	else
+		fake_send(group, &reply);
 }
 
 static void on_probe(fake_group_t *group, const fake_message_t *message)
--- /dev/null
+++ b/src/backoff.c
@@ -0,0 +1,27 @@
+#include "backoff.h"
+
+/* Failures after which the spread of the wait grows no more. */
+enum { KB_BACKOFF_MAX_FAILURES = 4 };
+
+void kb_backoff_init(kb_backoff_t *backoff, kb_time_t base, uint64_t seed)
+{
+	backoff->base = base;
+	kb_rng_init(&backoff->rng, seed);
+	kb_backoff_reset(backoff);
+}
+
+void kb_backoff_fail(kb_backoff_t *backoff, kb_time_t now)
+{
+	uint64_t spread = backoff->failures * (uint64_t)backoff->base / 2;
+
+	backoff->until = now + backoff->base +
+			 (kb_time_t)kb_rng_below(&backoff->rng, spread);
+	if (backoff->failures < KB_BACKOFF_MAX_FAILURES)
+		backoff->failures++;
+}
+
+void kb_backoff_reset(kb_backoff_t *backoff)
+{
+	backoff->failures = 0;
+	backoff->until = 0;
+}
--- a/src/failover.c
+++ b/src/failover.c
@@ -13,6 +13,7 @@
 	params->rank_delay = KB_FAILOVER_RANK_DELAY_MS * KB_NS_PER_MS;
 	params->takeover = KB_FAILOVER_TAKEOVER_MS * KB_NS_PER_MS;
 	params->switch_interval = KB_FAILOVER_SWITCH_INTERVAL_MS * KB_NS_PER_MS;
+	params->seed = 0;
 	params->switch_lag = KB_FAILOVER_SWITCH_LAG_ENTRIES;
 }
 
@@ -57,6 +58,7 @@
 			  &params->promotion);
 	kb_repoint_init(&failover->repoint);
 	kb_ballot_init(&failover->ballot, &params->ballot);
+	kb_backoff_init(&failover->backoff, params->takeover, params->seed);
 	failover->agreed_since = KB_TIME_NEVER;
 	failover->term_grew_at = KB_TIME_NEVER;
 	failover->switched_at = KB_TIME_NEVER;
@@ -157,7 +159,6 @@
 		     failover->highest_term + 1);
 	failover->highest_term = plan.term;
 	failover->own_term = plan.term;
-	failover->yields = 0;
 	failover->attempts++;
 	if (cause == KB_CAUSE_LEAVING)
 		failover->switched_at = now;
@@ -171,8 +172,10 @@
 {
 	kb_time_t start = failover->agreed_since;
 
+	if (failover->backoff.until > start)
+		start = failover->backoff.until;
 	if (failover->highest_term > failover->watch.term &&
-	    (failover->yields || failover->highest_term > failover->own_term) &&
+	    failover->highest_term > failover->own_term &&
 	    failover->term_grew_at + failover->params.takeover > start)
 		start = failover->term_grew_at + failover->params.takeover;
 	return start + rank_delay(failover);
@@ -202,11 +205,14 @@
 	return KB_TIME_NEVER;
 }
 
-/* Follows up the end of an attempt. */
+/* Follows up the end of an attempt, if it has ended. */
 static void end_promotion(kb_failover_t *failover, kb_time_t now)
 {
 	kb_promotion_t *promotion = &failover->promotion;
 
+	if (promotion->state != KB_PROMOTION_DONE &&
+	    promotion->state != KB_PROMOTION_FAILED)
+		return;
 	failover->agreed_since = KB_TIME_NEVER;
 	if (promotion->state == KB_PROMOTION_DONE) {
 		failover->promoted_term = promotion->plan.term;
@@ -220,10 +226,8 @@
 		       "group=%s term=%" PRIu64 " fenced=%zu",
 		       group_name(failover), promotion->plan.term,
 		       kb_promotion_fenced(promotion));
-		if (promotion->is_superseded) {
-			failover->yields = 1;
-			failover->term_grew_at = now;
-		}
+		if (promotion->is_superseded)
+			kb_backoff_fail(&failover->backoff, now);
 	}
 	kb_promotion_cancel(promotion);
 }
@@ -240,9 +244,7 @@
 	    !kb_promotion_fenced(promotion))
 		kb_promotion_cancel(promotion);
 	wake = kb_promotion_on_timer(promotion, now);
-	if (promotion->state == KB_PROMOTION_DONE ||
-	    promotion->state == KB_PROMOTION_FAILED)
-		end_promotion(failover, now);
+	end_promotion(failover, now);
 	return wake;
 }
 
@@ -281,9 +283,9 @@
 {
 	kb_health_t before = failover->detector.health;
 	kb_time_t wake;
-	int active;
 
 	note_highest_term(failover, now);
+	end_promotion(failover, now);
 	wake = kb_detector_update(&failover->detector, now, &failover->watch);
 	log_health(failover, before);
 	if (kb_ballot_update(&failover->ballot, now, failover->detector.health,
@@ -291,8 +293,9 @@
 		failover->ops->ask_views(failover);
 	earliest(&wake,
 		 kb_ballot_next(&failover->ballot, failover->detector.health));
-	active = kb_promotion_is_active(&failover->promotion);
-	if (!active)
+	if (failover->detector.health == KB_HEALTH_OK)
+		kb_backoff_reset(&failover->backoff);
+	if (!kb_promotion_is_active(&failover->promotion))
 		earliest(&wake, consider_promotion(failover, now));
 	earliest(&wake, drive_promotion(failover, now));
 	tell_primary(failover);
@@ -379,12 +382,8 @@
 
 kb_view_t kb_failover_view(kb_failover_t *failover, kb_time_t now)
 {
-	kb_view_t view;
-
 	kb_detector_update(&failover->detector, now, &failover->watch);
-	view.health = failover->detector.health;
-	view.term = failover->watch.term;
-	return view;
+	return (kb_view_t){ failover->detector.health, failover->watch.term };
 }
 
 size_t kb_failover_primary(const kb_failover_t *failover)
--- a/src/failover.h
+++ b/src/failover.h
@@ -1,6 +1,7 @@
 #ifndef KB_FAILOVER_H
 #define KB_FAILOVER_H
 
+#include "backoff.h"
 #include "ballot.h"
 #include "detector.h"
 #include "promotion.h"
@@ -55,6 +56,8 @@
 	kb_time_t switch_interval;
 	/* Entries that a successor may be behind in a planned change. */
 	uint64_t switch_lag;
+	/* Seed of the waits; differs between hosts. */
+	uint64_t seed;
 } kb_failover_params_t;
 
 /*
@@ -80,8 +83,8 @@
 	/* Highest term seen or used, and when a target showed it. */
 	uint64_t highest_term;
 	kb_time_t term_grew_at;
-	/* Leaves the next attempt to the host that thwarted its last one. */
-	int yields;
+	/* Leaves the next attempt to a host that thwarted the last one. */
+	kb_backoff_t backoff;
 	/* When the last planned change began, or never. */
 	kb_time_t switched_at;
 	/* Attempts that this host started. */
