Add kumquatload, which drives a fleet and checks its promises

Nothing outside the daemon told whether its promises hold. The tool offers both deployments' mixes with open-loop, seeded arrivals. Its sessions hop between hosts, read what they wrote and retry with keys. It keeps the history of every write, reads all of it back with current reads and exits with 1 if anything is lost, doubled, stale or wrongly said not to have run, and with 2 if the run could not be checked. Reservations are contests of three rivals for one part. A quarter of the writes that were answered "not run" are left at that, so that the answer itself can be checked.

--- /dev/null
+++ b/load/report.h
@@ -0,0 +1,32 @@
+#ifndef KL_REPORT_H
+#define KL_REPORT_H
+
+#include "history.h"
+#include "options.h"
+#include "stats.h"
+
+/* Everything that a run has found. */
+typedef struct kl_report {
+	const kl_options_t *options;
+	const kl_stats_t *stats;
+	const kl_history_t *history;
+	/* Writes and parts that were read back, and that could not be. */
+	uint64_t checked;
+	uint64_t unchecked;
+	/* A resource of the load tool ran out. */
+	int failed;
+} kl_report_t;
+
+/* Exit status of the program. */
+enum { KL_EXIT_HELD = 0, KL_EXIT_BROKEN = 1, KL_EXIT_INCOMPLETE = 2 };
+
+/* Returns the exit status that the run has earned. */
+int kl_report_status(const kl_report_t *report);
+
+/* Prints the report to standard output. */
+void kl_report_print(const kl_report_t *report);
+
+/* Writes the report as JSON. Returns KB_OK, KB_ERR_IO or KB_ERR_NO_MEMORY. */
+kb_result_t kl_report_write(const kl_report_t *report, const char *path);
+
+#endif
--- /dev/null
+++ b/load/retry.c
@@ -0,0 +1,38 @@
+#include "retry.h"
+
+enum {
+	RETRY_WINDOW_MS = 15000,
+	FIRST_DELAY_MS = 20,
+	LONGEST_DELAY_MS = 500,
+	US_PER_MS = 1000,
+	/* Codes below are faults of the request. */
+	FIRST_RETRYABLE_CODE = 200,
+};
+
+/* Part of writes that are not sent again after an answer "not run". */
+#define LEAVE_PART 0.25
+
+int kl_retry_wanted(const kl_attempt_t *attempt, kl_arrivals_t *random)
+{
+	if (attempt->elapsed > RETRY_WINDOW_MS * KB_NS_PER_MS)
+		return 0;
+	if (attempt->outcome == KB_OUTCOME_UNKNOWN)
+		return attempt->repeatable;
+	if (attempt->code < FIRST_RETRYABLE_CODE)
+		return 0;
+	return !attempt->writes || !kl_arrivals_chance(random, LEAVE_PART);
+}
+
+struct timeval kl_retry_delay(unsigned attempts, kl_arrivals_t *random)
+{
+	unsigned ms = FIRST_DELAY_MS;
+	struct timeval delay = { 0, 0 };
+
+	while (attempts-- > 1 && ms < LONGEST_DELAY_MS)
+		ms *= 2;
+	if (ms > LONGEST_DELAY_MS)
+		ms = LONGEST_DELAY_MS;
+	ms = ms / 2 + (unsigned)kl_arrivals_below(random, ms);
+	delay.tv_usec = (suseconds_t)ms * US_PER_MS;
+	return delay;
+}
