--- /dev/null
+++ b/examples/fleet.sh
@@ -0,0 +1,232 @@
+#!/bin/sh
+# Brings up a fleet of three hosts, a database group of three stand-in targets
+# and a stand-in for the platform's store on loopback, runs a load with faults
+# on the way, prints the report and stops what it started. The exit status is
+# that of kumquatload.
+set -eu
+
+usage()
+{
+	cat <<END
+usage: $0 [option...]
+  --build DIR        build directory (build)
+  --workload NAME    kalahari or sledza (sledza)
+  --seconds N        length of the load (60)
+  --rate N           arrivals a second (100)
+  --sessions N       sessions of the load tool (64)
+  --seed N           seed of the load tool (1)
+  --json FILE        write the report as JSON, too
+  --port-prefix N    ports are N100 to N799 (8)
+  --receive-lag MS   lag of the replicas (20)
+  --statement-time MS  service time of a statement (1)
+  --logs DIR         keep settings and logs in DIR
+  --kill-primary     kill the primary after a third of the time
+  --faults LIST      faults as NAME@SECOND,... in order of time, of
+                     kill-primary, stall-primary, partition-primary (both
+                     end after 8 s), kill-host (back after 3 s) and
+                     restart-hosts (planned stop and start, one by one)
+END
+	exit 2
+}
+
+build=build workload=sledza seconds=60 rate=100 sessions=64 seed=1 json=
+prefix=8 receive_lag=20 statement_time=1 logs= faults= kill_primary=
+while [ $# -gt 0 ]
+do
+	case $1 in
+	--kill-primary) kill_primary=1; shift; continue ;;
+	esac
+	[ $# -ge 2 ] || usage
+	case $1 in
+	--build) build=$2 ;;
+	--workload) workload=$2 ;;
+	--seconds) seconds=$2 ;;
+	--rate) rate=$2 ;;
+	--sessions) sessions=$2 ;;
+	--seed) seed=$2 ;;
+	--json) json=$2 ;;
+	--port-prefix) prefix=$2 ;;
+	--receive-lag) receive_lag=$2 ;;
+	--statement-time) statement_time=$2 ;;
+	--logs) logs=$2 ;;
+	--faults) faults=$2 ;;
+	*) usage ;;
+	esac
+	shift 2
+done
+[ -z "$kill_primary" ] || faults="kill-primary@$((seconds / 3))${faults:+,$faults}"
+
+case $workload in
+kalahari) group=race-1 slots=2 connections=16 ;;
+sledza) group=repairs-1 slots=5 connections=55 ;;
+*) usage ;;
+esac
+
+examples=$(cd "$(dirname "$0")" && pwd)
+build=$(cd "$build" && pwd)
+run=${logs:-$(mktemp -d)}
+mkdir -p "$run"
+
+pids=
+cleanup()
+{
+	trap - EXIT INT TERM
+	for pid in $pids
+	do
+		kill -9 "$pid" 2>/dev/null || true
+	done
+	wait 2>/dev/null || true
+	[ -n "$logs" ] || rm -rf "$run"
+}
+trap cleanup EXIT
+trap 'exit 1' INT TERM
+
+# Starts a program with its output in a file and remembers its process.
+start()
+{
+	name=$1
+	shift
+	"$@" >>"$run/$name.log" 2>&1 &
+	eval "pid_$name=$!"
+	pids="$pids $!"
+}
+
+pid_of()
+{
+	eval "echo \$pid_$1"
+}
+
+start_host()
+{
+	(cd "$run" && exec "$build/kumquatbridged" --config "$1.ini") \
+		>>"$run/$1.log" 2>&1 &
+	eval "pid_$1=$!"
+	pids="$pids $!"
+}
+
+wait_for()
+{
+	tries=0
+	until curl -sf -m 1 -o /dev/null "$1"
+	do
+		tries=$((tries + 1))
+		if [ $tries -gt 100 ]
+		then
+			echo "no answer from $1" >&2
+			tail -n 5 "$run"/*.log >&2
+			exit 2
+		fi
+		sleep 0.1
+	done
+}
+
+state_of()
+{
+	curl -s -m 2 "http://127.0.0.1:${prefix}60$1/state" || true
+}
+
+set_fault()
+{
+	curl -s -m 2 -o /dev/null -d "$2" "http://127.0.0.1:${prefix}60$1/fault"
+}
+
+# Prints the number of the target that is primary in the highest term.
+primary()
+{
+	for number in 1 2 3
+	do
+		state_of $number |
+			sed -n "s/.*\"term\":\([0-9]*\).*\"primary\".*/\1 $number/p"
+	done | sort -rn | sed -n '1s/.* //p'
+}
+
+inject()
+{
+	number=$(primary)
+	case $1 in
+	kill-primary)
+		kill -9 "$(pid_of target$number)"
+		;;
+	stall-primary)
+		set_fault "$number" '{"stallMs":8000}'
+		;;
+	partition-primary)
+		set_fault "$number" '{"partition":true}'
+		(sleep 8; set_fault "$number" '{"partition":false}') &
+		pids="$pids $!"
+		;;
+	kill-host)
+		kill -9 "$(pid_of h2)"
+		sleep 3
+		start_host h2
+		;;
+	restart-hosts)
+		for host in h1 h2 h3
+		do
+			kill -TERM "$(pid_of $host)"
+			wait "$(pid_of $host)" || echo "$host: status $?"
+			start_host $host
+			wait_for "http://127.0.0.1:${prefix}10${host#h}/healthz"
+			sleep 1
+		done
+		;;
+	*)
+		echo "there is no fault $1" >&2
+		exit 2
+		;;
+	esac
+	echo "fault: $1 (primary was target $number)"
+}
+
+for file in h1.ini h2.ini h3.ini resources.json
+do
+	sed -e "s/127\.0\.0\.1:8\([0-9][0-9][0-9]\)/127.0.0.1:$prefix\1/g" \
+		-e "s/\"port\": 8\([0-9][0-9][0-9]\)/\"port\": $prefix\1/g" \
+		"$examples/$workload/$file" >"$run/$file"
+done
+
+start store "$build/standin_store" --port "${prefix}701"
+for number in 1 2 3
+do
+	role="--follow 127.0.0.1:${prefix}401"
+	[ $number = 1 ] && role="--primary-term 1"
+	start target$number "$build/standin_target" --name target$number \
+		--port "${prefix}40$number" --control-port "${prefix}60$number" \
+		--slots $slots --connections $connections --connect-delay 12 \
+		--statement-time "$statement_time" \
+		--receive-lag "$receive_lag" $role
+done
+for number in 1 2 3
+do
+	wait_for "http://127.0.0.1:${prefix}60$number/state"
+done
+for host in h1 h2 h3
+do
+	start_host $host
+done
+for number in 1 2 3
+do
+	wait_for "http://127.0.0.1:${prefix}10$number/healthz"
+done
+
+"$build/kumquatload" --workload "$workload" --group "$group" \
+	--hosts "127.0.0.1:${prefix}101,127.0.0.1:${prefix}102,127.0.0.1:${prefix}103" \
+	--token example-caller-token --rate "$rate" --seconds "$seconds" \
+	--sessions "$sessions" --seed "$seed" ${json:+--json "$json"} &
+load=$!
+pids="$pids $load"
+started=$(date +%s)
+
+IFS=,
+for fault in $faults
+do
+	unset IFS
+	left=$((started + ${fault#*@} - $(date +%s)))
+	[ $left -le 0 ] || sleep $left
+	inject "${fault%@*}"
+done
+unset IFS
+
+status=0
+wait $load || status=$?
+exit $status
--- a/standin/target/options.c
+++ b/standin/target/options.c
@@ -29,7 +29,7 @@
 static const struct argp_option option_table[] = {
 	{ "address", OPT_ADDRESS, "ADDRESS", 0, "listen here (127.0.0.1)", 0 },
 	{ "port", OPT_PORT, "PORT", 0,
-	  "port of the wire protocol; replicas use the one 1000 above", 0 },
+	  "port of the wire protocol; replicas use the one 100 above", 0 },
 	{ "control-port", OPT_CONTROL_PORT, "PORT", 0,
 	  "port for faults and state over HTTP", 0 },
 	{ "name", OPT_NAME, "NAME", 0, "name in messages", 0 },
--- a/standin/target/options.h
+++ b/standin/target/options.h
@@ -25,7 +25,7 @@
 } st_options_t;
 
 /* Replicas connect to the wire port plus this. */
-enum { ST_REPLICATION_OFFSET = 1000 };
+enum { ST_REPLICATION_OFFSET = 100 };
 
 /* Parses the command line; exits with a message if it is wrong. */
 void st_options_parse(st_options_t *options, int argc, char **argv);
