Add the operator interface

Operators need one HTTP interface to declare resources, see where they are in force and learn what became of a change.

Serve list, get, put, delete, watch and status with bearer tokens of two roles, dry runs, field names in faults and problem details. Changes run through the change state machine; the resources in force come from a small view vtable. A watch resumes from a revision, or begins anew if deletions since then have been forgotten, and is cut if its client does not read.

--- /dev/null
+++ b/src/config_view.h
@@ -0,0 +1,91 @@
+#ifndef KB_CONFIG_VIEW_H
+#define KB_CONFIG_VIEW_H
+
+#include "resource.h"
+
+KB_BEGIN_DECLS
+
+#define KB_CONFIG_MAX_MISSING 16
+
+/* Where one revision of a resource is in force. */
+typedef struct kb_config_status {
+	/* Hosts known to apply this revision or a later one. */
+	size_t in_force;
+	/* Hosts that take part in the service. */
+	size_t hosts;
+	/* Names of some hosts that are not known to apply it. */
+	size_t missing_count;
+	kb_name_t missing[KB_CONFIG_MAX_MISSING];
+} kb_config_status_t;
+
+/* One accepted change. */
+typedef struct kb_config_change {
+	kb_kind_t kind;
+	kb_str_t name;
+	int64_t revision;
+	/* NULL if the resource was deleted. */
+	const kb_resource_t *resource;
+} kb_config_change_t;
+
+typedef struct kb_config_view kb_config_view_t;
+typedef struct kb_config_listener kb_config_listener_t;
+
+/* What a listener is told; it must not unregister from within. */
+typedef struct kb_config_listener_ops {
+	/* A change came into force on this host. */
+	void (*changed)(kb_config_listener_t *listener,
+			const kb_config_change_t *change);
+	/* The status of a resource in force on this host has changed. */
+	void (*status)(kb_config_listener_t *listener,
+		       const kb_resource_t *resource);
+} kb_config_listener_ops_t;
+
+/* A listener, owned by whoever registers it. */
+struct kb_config_listener {
+	const kb_config_listener_ops_t *ops;
+	kb_config_listener_t *next;
+};
+
+/* Reads the resources in force on this host. */
+typedef struct kb_config_view_ops {
+	/* Returns a resource, or NULL. It lives until the next event. */
+	const kb_resource_t *(*find)(kb_config_view_t *view, kb_kind_t kind,
+				     kb_str_t name);
+	/* Calls `fn` for each resource of `kind` in the order of names. */
+	void (*each)(kb_config_view_t *view, kb_kind_t kind,
+		     void (*fn)(void *ctx, const kb_resource_t *resource),
+		     void *ctx);
+	/* Returns the newest revision in force on this host. */
+	int64_t (*revision)(kb_config_view_t *view);
+	/* Tells where `revision` of a resource is in force. */
+	void (*status)(kb_config_view_t *view, kb_kind_t kind, kb_str_t name,
+		       int64_t revision, kb_config_status_t *status);
+	/*
+	 * Calls `fn` for each change after revision `after` in the order of
+	 * revisions; earlier changes of one resource may be left out. Returns
+	 * KB_ERR_NOT_FOUND, without a call, if deletions since then have been
+	 * forgotten. A revision that is not yet in force has no changes.
+	 */
+	kb_result_t (*since)(kb_config_view_t *view, int64_t after,
+			     void (*fn)(void *ctx,
+					const kb_config_change_t *change),
+			     void *ctx);
+	/* Registers and unregisters a listener. */
+	void (*listen)(kb_config_view_t *view, kb_config_listener_t *listener);
+	void (*unlisten)(kb_config_view_t *view,
+			 kb_config_listener_t *listener);
+	/*
+	 * Returns a new JSON object with hosts, groups and their primaries as
+	 * this host sees them, or NULL if memory is short.
+	 */
+	json_t *(*report)(kb_config_view_t *view);
+} kb_config_view_ops_t;
+
+/* The first member of an implementation. */
+struct kb_config_view {
+	const kb_config_view_ops_t *ops;
+};
+
+KB_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/http_reply.h
@@ -0,0 +1,19 @@
+#ifndef KB_HTTP_REPLY_H
+#define KB_HTTP_REPLY_H
+
+#include "problem.h"
+
+#include <event2/http.h>
+
+KB_BEGIN_DECLS
+
+/* Answers with `body` and releases it; NULL answers that memory is short. */
+void kb_http_reply_json(struct evhttp_request *http, int status, json_t *body);
+
+/* Answers with problem details. */
+void kb_http_reply_problem(struct evhttp_request *http,
+			   const kb_problem_t *problem);
+
+KB_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/test_operator_request.cc
@@ -0,0 +1,67 @@
+#include "operator_auth.h"
+#include "operator_request.h"
+
+#include <gtest/gtest.h>
+#include <string>
+
+TEST(OperatorRequest, DamagedPathsAndQueriesAreRefused)
+{
+	std::string path = "/v1/resources/host/h1";
+	const char *queries[] = { "dryRun",	   "dryRun=", "dryRun=1",
+				  "=true",	   "after=1", "dryRun=true&x=1",
+				  "dryRun%00=true" };
+	kb_operator_request_t request;
+	kb_fault_t fault;
+
+	for (size_t i = 0; i < path.size(); i++) {
+		for (char c : { '/', '%', '\x01', '\xff', '?' }) {
+			std::string damaged = path;
+			kb_operator_input_t input = {};
+
+			damaged[i] = c;
+			if (damaged == path)
+				continue;
+			input.method = EVHTTP_REQ_GET;
+			input.path = damaged.c_str();
+			EXPECT_EQ(KB_ERR_NOT_FOUND,
+				  kb_operator_request_parse(&request, &input,
+							    &fault))
+				<< damaged;
+		}
+	}
+	for (const char *query : queries) {
+		kb_operator_input_t input = {};
+
+		input.method = EVHTTP_REQ_PUT;
+		input.path = path.c_str();
+		input.query = query;
+		EXPECT_EQ(KB_ERR_INVALID,
+			  kb_operator_request_parse(&request, &input, &fault))
+			<< query;
+	}
+}
+
+TEST(OperatorAuth, RefusesWeakTokensAndForeignSchemes)
+{
+	kb_operator_auth_t auth;
+
+	kb_operator_auth_init(&auth);
+	EXPECT_EQ(KB_ERR_INVALID,
+		  kb_operator_auth_add(&auth, KB_STR("a"), KB_OPERATOR_READ,
+				       KB_STR("short")));
+	EXPECT_EQ(KB_ERR_INVALID,
+		  kb_operator_auth_add(&auth, KB_STR("a b"), KB_OPERATOR_READ,
+				       KB_STR("0123456789abcdef")));
+	EXPECT_EQ(KB_OK,
+		  kb_operator_auth_add(&auth, KB_STR("a"), KB_OPERATOR_READ,
+				       KB_STR("0123456789abcdef")));
+	for (const char *header :
+	     { "", "Bearer ", "Bearer", "Basic 0123456789abcdef",
+	       "Bearer 0123456789abcde", "Bearer 0123456789abcdef0",
+	       "Bearer  0123456789abcdef" })
+		EXPECT_EQ(nullptr, kb_operator_auth_check(&auth, header))
+			<< header;
+	EXPECT_EQ(nullptr, kb_operator_auth_check(&auth, nullptr));
+	EXPECT_NE(nullptr,
+		  kb_operator_auth_check(&auth, "bearer 0123456789abcdef"));
+}
