--- /dev/null
+++ b/ctl/watch.c
@@ -0,0 +1,117 @@
+#include "commands.h"
+#include "show.h"
+
+#include <event2/buffer.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define RETRY_DELAY KB_NS_PER_S
+
+enum { CLIENT_ERRORS = 400 };
+
+/* A watch that is resumed after each cut. */
+typedef struct ctl_watch {
+	const ctl_options_t *options;
+	struct evbuffer *input;
+	json_int_t after;
+	int status;
+} ctl_watch_t;
+
+static int is_text(const json_t *object, const char *name, const char *wanted)
+{
+	const char *text = json_string_value(json_object_get(object, name));
+
+	return text && !strcmp(text, wanted);
+}
+
+/* Returns non-zero if the event is one that the command line asks for. */
+static int is_wanted(const ctl_options_t *options, const json_t *event)
+{
+	const json_t *resource = json_object_get(event, "resource");
+	const json_t *subject = resource ? resource : event;
+
+	if (is_text(event, "type", "bookmark") ||
+	    is_text(event, "type", "reset"))
+		return 0;
+	if (options->count > 1 &&
+	    !is_text(subject, "kind", options->arguments[1]))
+		return 0;
+	return options->count < CTL_MAX_ARGUMENTS ||
+	       is_text(subject, "name", options->arguments[2]);
+}
+
+static void show_line(ctl_watch_t *watch, const char *line)
+{
+	json_t *event = json_loads(line, 0, NULL);
+	json_int_t revision =
+		json_integer_value(json_object_get(event, "revision"));
+
+	/* During the present state after a reset, nothing is complete yet. */
+	if (is_text(event, "type", "bookmark") ||
+	    (watch->after && revision > watch->after))
+		watch->after = revision;
+	if (is_text(event, "type", "reset"))
+		watch->after = 0;
+	if (event && is_wanted(watch->options, event)) {
+		if (watch->options->output == CTL_JSON) {
+			puts(line);
+			fflush(stdout);
+		} else {
+			ctl_show_event(event);
+		}
+	}
+	json_decref(event);
+}
+
+static void on_part(void *ctx, int status, kb_str_t data)
+{
+	ctl_watch_t *watch = ctx;
+	char *line;
+
+	watch->status = status;
+	if (status != HTTP_OK ||
+	    evbuffer_add(watch->input, data.data, data.len))
+		return;
+	while ((line = evbuffer_readln(watch->input, NULL, EVBUFFER_EOL_LF))) {
+		show_line(watch, line);
+		free(line);
+	}
+}
+
+static void watch_once(ctl_session_t *session, ctl_watch_t *watch,
+		       kb_http_answer_t *answer)
+{
+	char path[CTL_PATH_BYTES];
+
+	snprintf(path, sizeof(path), "/v1/watch?after=%" JSON_INTEGER_FORMAT,
+		 watch->after);
+	watch->status = 0;
+	evbuffer_drain(watch->input, evbuffer_get_length(watch->input));
+	ctl_session_stream(session, path, on_part, watch, answer);
+}
+
+ctl_exit_t ctl_watch(ctl_session_t *session)
+{
+	ctl_watch_t watch = {
+		.options = session->options,
+		.input = evbuffer_new(),
+		.after = (json_int_t)session->options->revision,
+	};
+	kb_http_answer_t answer;
+
+	if (!watch.input)
+		return CTL_REFUSED;
+	for (;;) {
+		watch_once(session, &watch, &answer);
+		if (answer.status >= CLIENT_ERRORS &&
+		    answer.status < HTTP_INTERNAL)
+			break;
+		fprintf(stderr, "the stream was cut; resuming after %lld\n",
+			(long long)watch.after);
+		ctl_session_sleep(session, RETRY_DELAY);
+	}
+	fprintf(stderr, "refused with HTTP status %d\n", answer.status);
+	evbuffer_free(watch.input);
+	return CTL_REFUSED;
+}
--- a/src/operator_submission.c
+++ b/src/operator_submission.c
@@ -123,7 +123,7 @@
 	else if (outcome->result != KB_OK)
 		return;
 	kb_log(event,
-	       "kind=%s name=%s by=%s change=%s deleted=%d revision=%" PRId64,
+	       "resource=%s/%s by=%s change=%s deleted=%d revision=%" PRId64,
 	       kb_spec_kind_name(resource->kind), resource->name.data,
 	       resource->change.by.data, resource->change.id.data,
 	       submission->remove, outcome->revision);
