--- a/standin/store/gateway.c
+++ b/standin/store/gateway.c
@@ -201,11 +201,13 @@
 }
 
 /* A call that waits for the delay to pass. */
-typedef struct standin_pending {
+struct standin_pending {
 	standin_gateway_t *gateway;
+	standin_pending_t *next;
+	struct event *timer;
 	struct evhttp_request *http;
 	const standin_route_t *route;
-} standin_pending_t;
+};
 
 static void execute(standin_gateway_t *gateway, struct evhttp_request *http,
 		    const standin_route_t *route)
@@ -242,17 +244,31 @@
 	standin_watch_notify(&gateway->watches);
 }
 
+static void free_pending(standin_pending_t *pending)
+{
+	standin_pending_t **link = &pending->gateway->pending;
+
+	while (*link != pending)
+		link = &(*link)->next;
+	*link = pending->next;
+	event_free(pending->timer);
+	free(pending);
+}
+
 static void on_delay_over(evutil_socket_t fd, short what, void *ctx)
 {
 	standin_pending_t *pending = ctx;
+	standin_gateway_t *gateway = pending->gateway;
+	struct evhttp_request *http = pending->http;
+	const standin_route_t *route = pending->route;
 
 	(void)fd;
 	(void)what;
-	if (pending->gateway->faults.down)
-		cut_off(pending->http);
+	free_pending(pending);
+	if (gateway->faults.down)
+		cut_off(http);
 	else
-		execute(pending->gateway, pending->http, pending->route);
-	free(pending);
+		execute(gateway, http, route);
 }
 
 static void delay(standin_gateway_t *gateway, struct evhttp_request *http,
@@ -267,12 +283,21 @@
 		cut_off(http);
 		return;
 	}
-	*pending = (standin_pending_t){ gateway, http, route };
-	if (event_base_once(gateway->base, -1, EV_TIMEOUT, on_delay_over,
-			    pending, &wait)) {
+	*pending = (standin_pending_t){
+		.gateway = gateway,
+		.next = gateway->pending,
+		.timer =
+			event_new(gateway->base, -1, 0, on_delay_over, pending),
+		.http = http,
+		.route = route,
+	};
+	if (!pending->timer) {
 		free(pending);
 		cut_off(http);
+		return;
 	}
+	gateway->pending = pending;
+	event_add(pending->timer, &wait);
 }
 
 static void on_request(struct evhttp_request *http, void *ctx)
@@ -342,6 +367,8 @@
 
 void standin_gateway_finish(standin_gateway_t *gateway)
 {
+	while (gateway->pending)
+		free_pending(gateway->pending);
 	standin_watch_finish(&gateway->watches);
 	if (gateway->lease_timer)
 		event_free(gateway->lease_timer);
--- a/standin/store/gateway.h
+++ b/standin/store/gateway.h
@@ -21,6 +21,8 @@
 	int64_t stale_revision;
 } standin_faults_t;
 
+typedef struct standin_pending standin_pending_t;
+
 /* The HTTP interface of the stand-in. */
 typedef struct standin_gateway {
 	struct event_base *base;
@@ -32,6 +34,8 @@
 	standin_watches_t watches;
 	standin_hosts_t hosts;
 	standin_faults_t faults;
+	/* Calls that wait for the delay to pass. */
+	standin_pending_t *pending;
 	/* Calls by the index of their path. */
 	uint64_t counts[STANDIN_GATEWAY_MAX_PATHS];
 } standin_gateway_t;
