--- a/src/failover.c
+++ b/src/failover.c
@@ -58,7 +58,8 @@
 			  &params->promotion);
 	kb_repoint_init(&failover->repoint);
 	kb_ballot_init(&failover->ballot, &params->ballot);
-	kb_rival_backoff_init(&failover->backoff, params->takeover, params->seed);
+	kb_rival_backoff_init(&failover->backoff, params->takeover,
+			      params->seed);
 	failover->agreed_since = KB_TIME_NEVER;
 	failover->term_grew_at = KB_TIME_NEVER;
 	failover->switched_at = KB_TIME_NEVER;
--- a/src/rival_backoff.c
+++ b/src/rival_backoff.c
@@ -3,7 +3,8 @@
 /* Failures after which the spread of the wait grows no more. */
 enum { KB_BACKOFF_MAX_FAILURES = 4 };
 
-void kb_rival_backoff_init(kb_rival_backoff_t *backoff, kb_time_t base, uint64_t seed)
+void kb_rival_backoff_init(kb_rival_backoff_t *backoff, kb_time_t base,
+			   uint64_t seed)
 {
 	backoff->base = base;
 	kb_rng_init(&backoff->rng, seed);
--- a/src/rival_backoff.h
+++ b/src/rival_backoff.h
@@ -20,7 +20,8 @@
 } kb_rival_backoff_t;
 
 /* Initializes `backoff`; hosts that may meet have different seeds. */
-void kb_rival_backoff_init(kb_rival_backoff_t *backoff, kb_time_t base, uint64_t seed);
+void kb_rival_backoff_init(kb_rival_backoff_t *backoff, kb_time_t base,
+			   uint64_t seed);
 
 /* Starts a wait. */
 void kb_rival_backoff_fail(kb_rival_backoff_t *backoff, kb_time_t now);
