--- a/src/config_view.h
+++ b/src/config_view.h
@@ -19,13 +19,13 @@
 } kb_config_status_t;
 
 /* One accepted change. */
-typedef struct kb_config_change {
+typedef struct kb_config_event {
 	kb_kind_t kind;
 	kb_str_t name;
 	int64_t revision;
 	/* NULL if the resource was deleted. */
 	const kb_resource_t *resource;
-} kb_config_change_t;
+} kb_config_event_t;
 
 typedef struct kb_config_view kb_config_view_t;
 typedef struct kb_config_listener kb_config_listener_t;
@@ -34,7 +34,7 @@
 typedef struct kb_config_listener_ops {
 	/* A change came into force on this host. */
 	void (*changed)(kb_config_listener_t *listener,
-			const kb_config_change_t *change);
+			const kb_config_event_t *change);
 	/* The status of a resource in force on this host has changed. */
 	void (*status)(kb_config_listener_t *listener,
 		       const kb_resource_t *resource);
@@ -68,7 +68,7 @@
 	 */
 	kb_result_t (*since)(kb_config_view_t *view, int64_t after,
 			     void (*fn)(void *ctx,
-					const kb_config_change_t *change),
+					const kb_config_event_t *change),
 			     void *ctx);
 	/* Registers and unregisters a listener. */
 	void (*listen)(kb_config_view_t *view, kb_config_listener_t *listener);
--- a/src/operator_json.c
+++ b/src/operator_json.c
@@ -66,7 +66,7 @@
 }
 
 json_t *kb_operator_json_change(kb_config_view_t *view,
-				const kb_config_change_t *change)
+				const kb_config_event_t *change)
 {
 	if (change->resource)
 		return json_pack(
--- a/src/operator_json.h
+++ b/src/operator_json.h
@@ -20,7 +20,7 @@
 
 /* Lines of a watch, without their line ends. */
 json_t *kb_operator_json_change(kb_config_view_t *view,
-				const kb_config_change_t *change);
+				const kb_config_event_t *change);
 json_t *kb_operator_json_status_change(kb_config_view_t *view,
 				       const kb_resource_t *resource);
 /* `type` is "reset" or "bookmark". */
--- a/src/operator_watch.c
+++ b/src/operator_watch.c
@@ -75,7 +75,7 @@
 	json_decref(line);
 }
 
-static void send_change(void *ctx, const kb_config_change_t *change)
+static void send_change(void *ctx, const kb_config_event_t *change)
 {
 	kb_operator_stream_t *stream = ctx;
 
@@ -86,7 +86,7 @@
 }
 
 static void on_changed(kb_config_listener_t *listener,
-		       const kb_config_change_t *change)
+		       const kb_config_event_t *change)
 {
 	kb_operator_watch_t *watch = (kb_operator_watch_t *)listener;
 
@@ -175,7 +175,7 @@
 static void send_resource(void *ctx, const kb_resource_t *resource)
 {
 	kb_operator_stream_t *stream = ctx;
-	kb_config_change_t change = {
+	kb_config_event_t change = {
 		resource->kind,
 		kb_name_str(&resource->name),
 		resource->revision,
--- a/tests/fake_config.h
+++ b/tests/fake_config.h
@@ -190,7 +190,7 @@
 	{
 		kb_resource_t resource;
 		kb_fault_t fault;
-		kb_config_change_t change;
+		kb_config_event_t change;
 
 		ASSERT_EQ(KB_OK,
 			  kb_resource_parse(
@@ -207,7 +207,7 @@
 
 	void remove(kb_kind_t kind, const std::string &name, int64_t at)
 	{
-		kb_config_change_t change = {
+		kb_config_event_t change = {
 			kind, { name.data(), name.size() }, at, nullptr
 		};
 
@@ -261,13 +261,13 @@
 	}
 
 	static kb_result_t since(kb_config_view_t *view, int64_t after,
-				 void (*fn)(void *, const kb_config_change_t *),
+				 void (*fn)(void *, const kb_config_event_t *),
 				 void *ctx)
 	{
 		if (after < self(view)->remembered)
 			return KB_ERR_NOT_FOUND;
 		for (const auto &r : self(view)->resources) {
-			kb_config_change_t change = {
+			kb_config_event_t change = {
 				r.second.kind, kb_name_str(&r.second.name),
 				r.second.revision, &r.second
 			};
