--- a/standin/store/gateway.c
+++ b/standin/store/gateway.c
@@ -367,8 +367,13 @@
 
 void standin_gateway_finish(standin_gateway_t *gateway)
 {
-	while (gateway->pending)
-		free_pending(gateway->pending);
+	standin_pending_t *pending;
+
+	while ((pending = gateway->pending)) {
+		gateway->pending = pending->next;
+		event_free(pending->timer);
+		free(pending);
+	}
 	standin_watch_finish(&gateway->watches);
 	if (gateway->lease_timer)
 		event_free(gateway->lease_timer);
