Report a watch whose new stream stays silent

A stream that ended by silence was opened anew without a report, also if the new stream had delivered nothing: a store that accepts connections and never answers looked like a running watch.

Take silence for normal only on a stream that has delivered a message.

The new test fails with the old condition (waits 20 s for the state) and passes with the new one; 6 processes of 25 repetitions of the store and operator tests side by side passed.

--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -21,8 +21,10 @@
 	int64_t after;
 	/* The range has to be read before changes can be reported. */
 	int needs_snapshot;
-	/* The stream has begun and its state has been reported. */
+	/* KB_OK is the state that was reported last. */
 	int running;
+	/* The present stream has delivered a message. */
+	int has_begun;
 	unsigned attempt;
 	kb_http_call_t *call;
 	struct event *timer;
@@ -143,6 +145,7 @@
 static void report_running(kb_store_watch_t *watch)
 {
 	watch->attempt = 0;
+	watch->has_begun = 1;
 	if (watch->running)
 		return;
 	watch->running = 1;
@@ -221,7 +224,7 @@
 
 	watch->call = NULL;
 	enter(watch);
-	if (reason == KB_ERR_TIMEOUT && watch->running) {
+	if (reason == KB_ERR_TIMEOUT && watch->has_begun) {
 		/* Silence is normal; a new stream shows that all is well. */
 		start(watch);
 	} else {
@@ -244,6 +247,7 @@
 	};
 	char *body;
 
+	watch->has_begun = 0;
 	if (watch->needs_snapshot) {
 		body = kb_store_json_get(&watch->keys);
 	} else {
--- a/tests/test_store_etcd.cc
+++ b/tests/test_store_etcd.cc
@@ -196,6 +196,16 @@
 	EXPECT_EQ("outcome-unknown\n", put());
 }
 
+TEST_F(StoreEtcd, SilenceOfANewStreamCutsTheWatch)
+{
+	settings.call_timeout = 20 * KB_NS_PER_MS;
+	settings.watch_idle_timeout = KB_NS_PER_MS;
+	server.script = { { Step::STREAM, 0, { created() } }, hang };
+	server.script.resize(3, { Step::STREAM, 0, { created() } });
+	watch(5);
+	EXPECT_EQ("state ok\nstate timeout\nstate ok\n", wait(3));
+}
+
 TEST_F(StoreEtcd, RefusedConnectionMeansNotWritten)
 {
 	struct sockaddr_in address = {};
