--- a/tests/fake_config.h
+++ b/tests/fake_config.h
@@ -27,8 +27,8 @@
 	kb_result_t write_result = KB_OK;
 	/* Writes take effect, whatever their result. */
 	bool applies = true;
-	/* Calls are not answered at all. */
-	bool is_silent = false;
+	/* Calls wait until release(). */
+	bool is_held = false;
 	/* Told of each change that takes effect. */
 	std::function<void(const std::string &key)> changed;
 
@@ -36,6 +36,14 @@
 	{
 	}
 
+	void release()
+	{
+		is_held = false;
+		for (auto &run : held)
+			later(std::move(run));
+		held.clear();
+	}
+
 	void set(const std::string &key, const std::string &value)
 	{
 		StoredKey &k = keys[key];
@@ -49,6 +57,7 @@
 
       private:
 	struct event_base *base;
+	std::vector<std::function<void()>> held;
 	static const kb_store_ops_t ops;
 
 	static FakeStore *self(kb_store_t *store)
@@ -66,8 +75,10 @@
 			delete run;
 		};
 
-		if (is_silent)
+		if (is_held) {
+			held.push_back(std::move(run));
 			return;
+		}
 		event_base_once(base, -1, EV_TIMEOUT, call,
 				new std::function<void()>(std::move(run)),
 				&now);
