--- /dev/null
+++ b/src/configuration.c
@@ -0,0 +1,322 @@
+#include "configuration.h"
+
+#include "gen/kumquat_rpc.h"
+#include "log.h"
+
+#include <event2/event.h>
+#include <stdlib.h>
+
+enum {
+	SPREAD_TIMEOUT_MS = 1000,
+};
+
+static kb_time_t now_of(const kb_configuration_t *configuration)
+{
+	return kb_clock_monotonic(configuration->clock);
+}
+
+static void schedule(kb_configuration_t *configuration, kb_time_t at)
+{
+	struct timeval timeout;
+	kb_time_t delay;
+
+	if (at >= configuration->wake)
+		return;
+	configuration->wake = at;
+	delay = at - now_of(configuration);
+	if (delay < 0)
+		delay = 0;
+	timeout.tv_sec = delay / KB_NS_PER_S;
+	timeout.tv_usec = delay % KB_NS_PER_S / KB_NS_PER_US;
+	event_add(configuration->timer, &timeout);
+}
+
+/* Lets the spreading act on what has just come. */
+static void run_soon(kb_configuration_t *configuration)
+{
+	schedule(configuration, now_of(configuration));
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	kb_configuration_t *configuration = arg;
+
+	(void)fd;
+	(void)what;
+	configuration->wake = KB_TIME_NEVER;
+	schedule(configuration, kb_spread_on_timer(&configuration->spread,
+						   now_of(configuration)));
+}
+
+static void on_sent(void *ctx, kb_result_t result, void *res)
+{
+	(void)ctx;
+	(void)result;
+	(void)res;
+}
+
+static void send_message(kb_spread_t *spread, const kb_member_t *to,
+			 const kb_spread_message_t *message)
+{
+	kb_configuration_t *configuration = (kb_configuration_t *)spread;
+	kb_host_t *host =
+		kb_hosts_find(configuration->hosts, kb_member_name(to));
+	kbx_message body;
+	kb_rpc_call_t call = {
+		.procedure = KUMQUAT_SPREAD,
+		.encode = (xdrproc_t)xdr_kbx_message,
+		.args = &body,
+		.decode = kb_rpc_frame_xdr_empty,
+		.res_size = 1,
+		.timeout = SPREAD_TIMEOUT_MS * KB_NS_PER_MS,
+		.done = on_sent,
+		.ctx = configuration,
+	};
+	char *bytes;
+	size_t len;
+
+	if (!host || host->self || kb_spread_wire_encode(message, &bytes, &len))
+		return;
+	body.data.data_val = bytes;
+	body.data.data_len = (u_int)len;
+	kb_rpc_peer_call(&host->peer, &call);
+	free(bytes);
+}
+
+/* The store's entry as a change; the strings stay with the entry. */
+static kb_result_t to_change(const kb_store_entry_t *entry, kb_name_t *name,
+			     kb_config_change_t *change)
+{
+	kb_kind_t kind;
+
+	if (kb_resource_parse_key(entry->key, &kind, name)) {
+		kb_log(KB_EVENT_CONFIG_MALFORMED, "key=%.*s",
+		       KB_STR_ARG(entry->key));
+		return KB_ERR_INVALID;
+	}
+	change->kind = kb_str_from(kb_spec_kind_name(kind));
+	change->name = kb_name_str(name);
+	change->revision = (uint64_t)entry->revision;
+	change->deleted = entry->deleted;
+	change->value = entry->value;
+	return KB_OK;
+}
+
+static void start_watch(kb_configuration_t *configuration, uint64_t after);
+
+static void on_snapshot(void *ctx, const kb_store_range_t *range)
+{
+	kb_configuration_t *configuration = ctx;
+	kb_spread_t *spread = &configuration->spread;
+	uint64_t revision = (uint64_t)range->revision;
+
+	if (!kb_spread_on_load_begin(spread, revision)) {
+		start_watch(configuration, kb_spread_revision(spread));
+		return;
+	}
+	for (size_t i = 0; i < range->count; i++) {
+		kb_config_change_t change;
+		kb_name_t name;
+
+		if (!to_change(&range->entries[i], &name, &change))
+			kb_spread_on_load(spread, &change, 1);
+	}
+	kb_spread_on_load_end(spread, revision, now_of(configuration));
+	run_soon(configuration);
+}
+
+static void on_store_changed(void *ctx, const kb_store_entry_t *entry)
+{
+	kb_configuration_t *configuration = ctx;
+	kb_config_change_t change;
+	kb_name_t name;
+	size_t count = !to_change(entry, &name, &change);
+
+	kb_spread_on_store_changes(&configuration->spread, &change, count,
+				   (uint64_t)entry->revision,
+				   now_of(configuration));
+	run_soon(configuration);
+}
+
+static void on_watch_state(void *ctx, kb_result_t result)
+{
+	(void)ctx;
+	(void)result;
+}
+
+static const kb_store_watch_ops_t watch_ops = {
+	.snapshot = on_snapshot,
+	.changed = on_store_changed,
+	.state = on_watch_state,
+};
+
+static void start_watch(kb_configuration_t *configuration, uint64_t after)
+{
+	kb_store_keys_t keys = { KB_STR(KB_RESOURCE_PREFIX), 1 };
+	kb_store_t *store = &configuration->etcd.store;
+
+	store->ops->cancel(store, configuration);
+	store->ops->watch(store, &keys, (int64_t)after, &watch_ops,
+			  configuration);
+}
+
+static void watch(kb_spread_t *spread, uint64_t after)
+{
+	kb_configuration_t *configuration = (kb_configuration_t *)spread;
+
+	kb_log(KB_EVENT_CONFIG_RELAY_STARTED, "after=%llu",
+	       (unsigned long long)after);
+	if (configuration->has_store)
+		start_watch(configuration, after);
+}
+
+static void unwatch(kb_spread_t *spread)
+{
+	kb_configuration_t *configuration = (kb_configuration_t *)spread;
+	kb_store_t *store = &configuration->etcd.store;
+
+	kb_log(KB_EVENT_CONFIG_RELAY_STOPPED, "%s", "");
+	if (configuration->has_store)
+		store->ops->cancel(store, configuration);
+}
+
+static void put_resource(kb_configuration_t *configuration,
+			 const kb_config_entry_t *entry, kb_kind_t kind)
+{
+	char key[KB_RESOURCE_KEY_BYTES];
+	kb_str_t value = { entry->value, entry->value_len };
+	kb_config_event_t event = {
+		.kind = kind,
+		.name = kb_config_entry_name(entry),
+		.revision = (int64_t)entry->revision,
+	};
+	kb_resource_t resource;
+	kb_fault_t fault;
+
+	kb_resource_key(kind, event.name, key);
+	if (kb_resource_parse(&resource, kb_str_from(key), value,
+			      event.revision, &fault)) {
+		kb_log(KB_EVENT_CONFIG_MALFORMED, "key=%s path=%s", key,
+		       fault.path);
+		return;
+	}
+	if (kb_catalog_put(configuration->catalog, &resource))
+		return;
+	event.resource =
+		kb_catalog_find(configuration->catalog, kind, event.name);
+	kb_config_listeners_changed(&configuration->listeners, &event);
+}
+
+static void in_force(kb_spread_t *spread, const kb_config_entry_t *entry)
+{
+	kb_configuration_t *configuration = (kb_configuration_t *)spread;
+	kb_config_event_t event = {
+		.name = kb_config_entry_name(entry),
+		.revision = (int64_t)entry->revision,
+	};
+
+	if (kb_spec_kind_parse(kb_config_entry_kind(entry), &event.kind))
+		return;
+	if (!entry->deleted) {
+		put_resource(configuration, entry, event.kind);
+		return;
+	}
+	kb_catalog_remove(configuration->catalog, event.kind, event.name);
+	kb_config_listeners_changed(&configuration->listeners, &event);
+}
+
+static const kb_spread_ops_t spread_ops = {
+	.send = send_message,
+	.watch = watch,
+	.unwatch = unwatch,
+	.in_force = in_force,
+};
+
+static kb_result_t open_store(kb_configuration_t *configuration,
+			      const kb_configuration_setup_t *setup)
+{
+	kb_store_etcd_settings_t settings;
+	kb_result_t result;
+
+	if (!setup->store.port)
+		return KB_OK;
+	kb_store_etcd_defaults(&settings);
+	settings.address = setup->store.address;
+	settings.port = setup->store.port;
+	settings.call_timeout = setup->store_deadline;
+	settings.seed = setup->seed;
+	result = kb_store_etcd_init(&configuration->etcd, setup->loop,
+				    setup->clock, &settings);
+	configuration->has_store = !result;
+	return result;
+}
+
+kb_result_t kb_configuration_init(kb_configuration_t *configuration,
+				  const kb_configuration_setup_t *setup)
+{
+	kb_result_t result;
+
+	memset(configuration, 0, sizeof(*configuration));
+	configuration->clock = setup->clock;
+	configuration->catalog = setup->catalog;
+	configuration->fleet = setup->fleet;
+	configuration->hosts = setup->hosts;
+	configuration->wake = KB_TIME_NEVER;
+	kb_config_listeners_init(&configuration->listeners);
+	configuration->timer =
+		evtimer_new(setup->loop, on_timer, configuration);
+	if (!configuration->timer)
+		return KB_ERR_NO_MEMORY;
+	result = open_store(configuration, setup);
+	if (result) {
+		event_free(configuration->timer);
+		return result;
+	}
+	kb_spread_init(&configuration->spread, &spread_ops,
+		       &setup->fleet->members, setup->seed,
+		       now_of(configuration));
+	run_soon(configuration);
+	return KB_OK;
+}
+
+void kb_configuration_finish(kb_configuration_t *configuration)
+{
+	if (configuration->has_store)
+		kb_store_etcd_finish(&configuration->etcd);
+	event_free(configuration->timer);
+	kb_spread_finish(&configuration->spread);
+}
+
+void kb_configuration_on_message(kb_configuration_t *configuration,
+				 const char *data, size_t len)
+{
+	kb_spread_message_t message;
+	kb_result_t result = kb_spread_wire_decode(&message, data, len);
+
+	if (result) {
+		kb_log(KB_EVENT_CONFIG_MALFORMED, "result=%s",
+		       kb_result_name(result));
+		return;
+	}
+	kb_spread_on_message(&configuration->spread, &message,
+			     now_of(configuration));
+	kb_spread_message_finish(&message);
+	run_soon(configuration);
+}
+
+void kb_configuration_on_member(kb_configuration_t *configuration,
+				const kb_member_t *member)
+{
+	kb_spread_on_member(&configuration->spread, member,
+			    now_of(configuration));
+	run_soon(configuration);
+}
+
+kb_result_t kb_configuration_watch_status(kb_configuration_t *configuration)
+{
+	kb_result_t result = kb_spread_watch_status(
+		&configuration->spread, true, now_of(configuration));
+
+	run_soon(configuration);
+	return result;
+}
--- /dev/null
+++ b/src/configuration.h
@@ -0,0 +1,60 @@
+#ifndef KB_CONFIGURATION_H
+#define KB_CONFIGURATION_H
+
+#include "catalog.h"
+#include "config_listeners.h"
+#include "fleet.h"
+#include "spread.h"
+#include "store_etcd.h"
+
+KB_BEGIN_DECLS
+
+/* What a configuration is made from; all but the values is borrowed. */
+typedef struct kb_configuration_setup {
+	struct event_base *loop;
+	kb_clock_t *clock;
+	kb_catalog_t *catalog;
+	kb_fleet_t *fleet;
+	kb_hosts_t *hosts;
+	/* Port 0 if there is no store. */
+	kb_endpoint_t store;
+	kb_time_t store_deadline;
+	uint64_t seed;
+} kb_configuration_setup_t;
+
+/*
+ * Brings the operators' resources into the catalogue: relays watch the store,
+ * the other hosts learn from them and from each other.
+ */
+typedef struct kb_configuration {
+	/* First member: operations of the spreading refer to it. */
+	kb_spread_t spread;
+	kb_config_listeners_t listeners;
+	kb_store_etcd_t etcd;
+	int has_store;
+	kb_clock_t *clock;
+	kb_catalog_t *catalog;
+	kb_fleet_t *fleet;
+	kb_hosts_t *hosts;
+	struct event *timer;
+	kb_time_t wake;
+} kb_configuration_t;
+
+kb_result_t kb_configuration_init(kb_configuration_t *configuration,
+				  const kb_configuration_setup_t *setup);
+void kb_configuration_finish(kb_configuration_t *configuration);
+
+/* Takes an encoded message of another host. */
+void kb_configuration_on_message(kb_configuration_t *configuration,
+				 const char *data, size_t len);
+
+/* What is known of a host has changed. */
+void kb_configuration_on_member(kb_configuration_t *configuration,
+				const kb_member_t *member);
+
+/* Collects where each revision is in force, for an operator interface. */
+kb_result_t kb_configuration_watch_status(kb_configuration_t *configuration);
+
+KB_END_DECLS
+
+#endif
