Bound what membership sends and measure it beside the spreading

Change: dead hosts are probed no more often than live ones; a byte budget covers rumours and digests; a claim heard from others counts as sent; rumours about a known instance leave out the place; a host that has just started does not pass on what it learns. bench_propagation measures the time to be in force everywhere and the cost of an idle host, a change and a restart, with two plain ways of reading the store as baselines; bench_membership measures how soon all hosts know of a loss, a departure and a healed region.

--- /dev/null
+++ b/bench/common/propagation_fleet.h
@@ -0,0 +1,136 @@
+#ifndef PROPAGATION_FLEET_H
+#define PROPAGATION_FLEET_H
+
+#include "propagation_queue.h"
+#include "spread.h"
+
+enum {
+	PROPAGATION_CHANGES_MAX = 64,
+	/* IP and UDP headers of a membership message. */
+	PROPAGATION_DATAGRAM_BYTES = 28,
+	/* TCP/IP headers, the acknowledgement and the header of an ONC RPC
+	 * call around a configuration message. */
+	PROPAGATION_CALL_BYTES = 124,
+};
+
+/* How large a fleet is and what its network does. */
+typedef struct propagation_shape {
+	uint32_t hosts;
+	uint32_t data_centres;
+	uint32_t regions;
+	double loss;
+	size_t value_bytes;
+	uint64_t seed;
+} propagation_shape_t;
+
+/* What a host sent since the counts were cleared. */
+typedef struct propagation_traffic {
+	uint64_t member_bytes;
+	uint64_t spread_bytes;
+	uint64_t messages;
+	uint64_t received_bytes;
+} propagation_traffic_t;
+
+typedef struct propagation_fleet propagation_fleet_t;
+
+/* The membership of a host; ops cast back to it. */
+typedef struct propagation_peers {
+	kb_members_t members;
+	struct propagation_host *host;
+} propagation_peers_t;
+
+typedef struct propagation_host {
+	kb_spread_t spread;
+	propagation_peers_t peers;
+	propagation_fleet_t *fleet;
+	uint32_t index;
+	uint32_t run;
+	int running;
+	int watching;
+	uint64_t watch_after;
+	uint64_t revision_seen;
+	/* Times of the timers that count. */
+	kb_time_t member_timer;
+	kb_time_t spread_timer;
+	propagation_traffic_t traffic;
+} propagation_host_t;
+
+/* A change that the store has accepted. */
+typedef struct propagation_change {
+	kb_time_t accepted_at;
+	kb_time_t in_force_at;
+	uint32_t in_force;
+} propagation_change_t;
+
+/* Hosts with the real state machines, a lossy network and a store. */
+struct propagation_fleet {
+	propagation_shape_t shape;
+	propagation_queue_t queue;
+	propagation_host_t *hosts;
+	kb_time_t now;
+	uint64_t random_state;
+	/* The change with revision N stands at index N - 1. */
+	propagation_change_t changes[PROPAGATION_CHANGES_MAX];
+	uint64_t change_count;
+	char *value;
+	uint64_t store_calls;
+	/* Set while region 1 and the others do not reach each other. */
+	int cut_region;
+};
+
+/* Starts all hosts, which know each other and have revision 1. */
+void propagation_fleet_init(propagation_fleet_t *fleet,
+			    const propagation_shape_t *shape);
+
+void propagation_fleet_finish(propagation_fleet_t *fleet);
+
+/* Lets `ms` milliseconds pass. */
+void propagation_fleet_run(propagation_fleet_t *fleet, int64_t ms);
+
+/* Has the store accept a change of one resource. */
+void propagation_fleet_change(propagation_fleet_t *fleet);
+
+/* Has a host leave, exit and start again with nothing but the host list. */
+void propagation_fleet_leave(propagation_fleet_t *fleet, uint32_t host);
+void propagation_fleet_restart(propagation_fleet_t *fleet, uint32_t host);
+
+/* Ends a host without a word. */
+void propagation_fleet_kill(propagation_fleet_t *fleet, uint32_t host);
+
+void propagation_fleet_clear_traffic(propagation_fleet_t *fleet);
+
+/* Returns the watches that wait at the store. */
+uint32_t propagation_fleet_watches(const propagation_fleet_t *fleet);
+
+/* Returns the resource as the change with revision `revision` left it. */
+kb_config_change_t propagation_fleet_change_of(const propagation_fleet_t *fleet,
+					       uint64_t revision);
+
+extern const kb_members_ops_t propagation_member_ops;
+extern const kb_spread_ops_t propagation_spread_ops;
+
+/* Has the timers of a host that starts expire at `at`. */
+void propagation_host_set_timers(propagation_host_t *host, kb_time_t at);
+
+/* Schedules an answer of the watch. The store stands beside host 0. */
+void propagation_host_serve_watch(propagation_host_t *host);
+
+/* Carries out an event at `host`. */
+void propagation_host_handle(propagation_host_t *host,
+			     const propagation_event_t *event);
+
+/* Returns the random extra delay of a message. */
+kb_time_t propagation_fleet_jitter(propagation_fleet_t *fleet);
+
+/* Returns a number below 1. */
+double propagation_fleet_random(propagation_fleet_t *fleet);
+
+/* Whether the network carries messages between two hosts. */
+int propagation_fleet_connects(const propagation_fleet_t *fleet, uint32_t a,
+			       uint32_t b);
+
+/* Returns the one-way time between two hosts. */
+kb_time_t propagation_fleet_latency(const propagation_fleet_t *fleet,
+				    uint32_t a, uint32_t b);
+
+#endif
--- /dev/null
+++ b/bench/common/propagation_host.c
@@ -0,0 +1,247 @@
+#include "propagation_fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+enum {
+	/* Time of the store to answer. */
+	STORE_LATENCY_US = 2000,
+	/* Time to the repeat of a lost segment on the store's connection. */
+	STORE_RETRANSMIT_US = 200000,
+};
+
+static void push(propagation_fleet_t *fleet, propagation_host_t *host,
+		 propagation_kind_t kind, kb_time_t time)
+{
+	propagation_event_t event = { .time = time,
+				      .kind = kind,
+				      .host = host->index,
+				      .run = host->run };
+
+	propagation_queue_push(&fleet->queue, event);
+}
+
+static uint32_t index_of(const kb_member_t *member)
+{
+	kb_str_t digits = kb_member_name(member);
+	uint64_t index = 0;
+
+	digits.data += strlen("entry-");
+	digits.len -= strlen("entry-");
+	kb_str_to_u64(digits, &index);
+	return (uint32_t)index;
+}
+
+/* Puts a message on its way; takes `bytes`. */
+static void post(propagation_host_t *from, const kb_member_t *to,
+		 propagation_kind_t kind, char *bytes, size_t len)
+{
+	propagation_fleet_t *fleet = from->fleet;
+	uint32_t index = index_of(to);
+	kb_time_t latency =
+		propagation_fleet_latency(fleet, from->index, index);
+	propagation_event_t event = {
+		.kind = kind, .host = index, .bytes = bytes, .len = len
+	};
+
+	from->traffic.messages++;
+	if (propagation_fleet_random(fleet) < fleet->shape.loss ||
+	    !propagation_fleet_connects(fleet, from->index, index)) {
+		free(bytes);
+		return;
+	}
+	event.time = fleet->now + latency + propagation_fleet_jitter(fleet);
+	propagation_queue_push(&fleet->queue, event);
+}
+
+static void send_member(kb_members_t *members, const kb_member_t *to,
+			const kb_member_message_t *message)
+{
+	propagation_host_t *host = ((propagation_peers_t *)members)->host;
+	char *bytes = malloc(KB_MEMBER_MESSAGE_MAX_BYTES);
+	size_t len;
+
+	if (!bytes ||
+	    kb_member_wire_encode(message, bytes, KB_MEMBER_MESSAGE_MAX_BYTES,
+				  &len)) {
+		fprintf(stderr, "cannot encode a membership message\n");
+		exit(1);
+	}
+	host->traffic.member_bytes += len + PROPAGATION_DATAGRAM_BYTES;
+	post(host, to, PROPAGATION_MEMBER_MESSAGE, bytes, len);
+}
+
+static void on_member_changed(kb_members_t *members, const kb_member_t *member)
+{
+	propagation_host_t *host = ((propagation_peers_t *)members)->host;
+
+	kb_spread_on_member(&host->spread, member, host->fleet->now);
+}
+
+static void on_superseded(kb_members_t *members)
+{
+	(void)members;
+}
+
+static void send_spread(kb_spread_t *spread, const kb_member_t *to,
+			const kb_spread_message_t *message)
+{
+	propagation_host_t *host = (propagation_host_t *)spread;
+	char *bytes;
+	size_t len;
+
+	if (kb_spread_wire_encode(message, &bytes, &len)) {
+		fprintf(stderr, "cannot encode a configuration message\n");
+		exit(1);
+	}
+	host->traffic.spread_bytes += len + PROPAGATION_CALL_BYTES;
+	post(host, to, PROPAGATION_SPREAD_MESSAGE, bytes, len);
+}
+
+/* Schedules the next answer of the watch. The store stands beside host 0. */
+void propagation_host_serve_watch(propagation_host_t *host)
+{
+	propagation_fleet_t *fleet = host->fleet;
+	kb_time_t delay = STORE_LATENCY_US * KB_NS_PER_US +
+			  propagation_fleet_jitter(fleet) +
+			  propagation_fleet_latency(fleet, 0, host->index);
+
+	while (propagation_fleet_random(fleet) < fleet->shape.loss)
+		delay += STORE_RETRANSMIT_US * KB_NS_PER_US;
+	push(fleet, host, PROPAGATION_WATCH, fleet->now + delay);
+}
+
+static void watch(kb_spread_t *spread, uint64_t after)
+{
+	propagation_host_t *host = (propagation_host_t *)spread;
+
+	host->watching = 1;
+	host->watch_after = after;
+	host->fleet->store_calls++;
+	if (after < host->fleet->change_count)
+		propagation_host_serve_watch(host);
+}
+
+static void unwatch(kb_spread_t *spread)
+{
+	((propagation_host_t *)spread)->watching = 0;
+}
+
+static void in_force(kb_spread_t *spread, const kb_config_entry_t *entry)
+{
+	(void)spread;
+	(void)entry;
+}
+
+const kb_members_ops_t propagation_member_ops = { send_member,
+						  on_member_changed,
+						  on_superseded };
+const kb_spread_ops_t propagation_spread_ops = { send_spread, watch, unwatch,
+						 in_force };
+
+/* Notes which changes have come into force at `host`. */
+static void note_revision(propagation_fleet_t *fleet, propagation_host_t *host)
+{
+	uint64_t revision = kb_spread_revision(&host->spread);
+
+	for (; host->revision_seen < revision; host->revision_seen++) {
+		propagation_change_t *change =
+			&fleet->changes[host->revision_seen];
+
+		change->in_force++;
+		if (change->in_force == fleet->shape.hosts)
+			change->in_force_at = fleet->now;
+	}
+}
+
+/* Has the watch deliver the newest revision of the one resource. */
+static void deliver_watch(propagation_fleet_t *fleet, propagation_host_t *host)
+{
+	kb_config_change_t change =
+		propagation_fleet_change_of(fleet, fleet->change_count);
+
+	if (!host->watching || host->watch_after >= fleet->change_count)
+		return;
+	host->watch_after = fleet->change_count;
+	if (kb_spread_on_store_changes(&host->spread, &change, 1,
+				       fleet->change_count, fleet->now))
+		exit(1);
+}
+
+static void receive_member(propagation_fleet_t *fleet, propagation_host_t *host,
+			   const propagation_event_t *event)
+{
+	kb_member_message_t message;
+
+	host->traffic.received_bytes += event->len + PROPAGATION_DATAGRAM_BYTES;
+	if (kb_member_wire_decode(&message, event->bytes, event->len))
+		exit(1);
+	kb_members_on_message(&host->peers.members, &message, fleet->now);
+}
+
+static void receive_spread(propagation_fleet_t *fleet, propagation_host_t *host,
+			   const propagation_event_t *event)
+{
+	kb_spread_message_t message;
+
+	host->traffic.received_bytes += event->len + PROPAGATION_CALL_BYTES;
+	if (kb_spread_wire_decode(&message, event->bytes, event->len))
+		exit(1);
+	kb_spread_on_message(&host->spread, &message, fleet->now);
+	kb_spread_message_finish(&message);
+}
+
+/* Arms the timers anew where an event has brought them forward. */
+static void arm_timers(propagation_host_t *host)
+{
+	kb_time_t member_wake = kb_members_next_wake(&host->peers.members);
+	kb_time_t spread_wake = kb_spread_next_wake(&host->spread);
+
+	if (member_wake != host->member_timer) {
+		host->member_timer = member_wake;
+		push(host->fleet, host, PROPAGATION_MEMBER_TIMER, member_wake);
+	}
+	if (spread_wake != host->spread_timer) {
+		host->spread_timer = spread_wake;
+		push(host->fleet, host, PROPAGATION_SPREAD_TIMER, spread_wake);
+	}
+}
+
+void propagation_host_set_timers(propagation_host_t *host, kb_time_t at)
+{
+	host->member_timer = at;
+	host->spread_timer = at;
+	push(host->fleet, host, PROPAGATION_MEMBER_TIMER, at);
+	push(host->fleet, host, PROPAGATION_SPREAD_TIMER, at);
+}
+
+void propagation_host_handle(propagation_host_t *host,
+			     const propagation_event_t *event)
+{
+	propagation_fleet_t *fleet = host->fleet;
+
+	/* Messages go to an address, whichever run listens there. */
+	if (!host->running || (!event->bytes && event->run != host->run))
+		return;
+	switch (event->kind) {
+	case PROPAGATION_MEMBER_TIMER:
+		if (event->time == host->member_timer)
+			kb_members_on_timer(&host->peers.members, fleet->now);
+		break;
+	case PROPAGATION_SPREAD_TIMER:
+		if (event->time == host->spread_timer)
+			kb_spread_on_timer(&host->spread, fleet->now);
+		break;
+	case PROPAGATION_MEMBER_MESSAGE:
+		receive_member(fleet, host, event);
+		break;
+	case PROPAGATION_SPREAD_MESSAGE:
+		receive_spread(fleet, host, event);
+		break;
+	case PROPAGATION_WATCH:
+		deliver_watch(fleet, host);
+		break;
+	}
+	note_revision(fleet, host);
+	arm_timers(host);
+}
--- a/src/member.c
+++ b/src/member.c
@@ -5,6 +5,10 @@
 	/* Rumours are sent this often, and again for each decimal digit of
 	 * the number of hosts. */
 	SENDS_PER_DIGIT = 4,
+	/* While so many rumours wait, each is sent this often only; the
+	 * exchange of digests tells those who missed it. */
+	LONG_QUEUE = 100,
+	LONG_QUEUE_SENDS = 8,
 	EXIT_ANNOUNCEMENTS = 8,
 };
 
@@ -44,6 +48,8 @@
 	members->probe.index = KB_MEMBER_NONE;
 	members->sync_with = KB_MEMBER_NONE;
 	members->next_deadline = KB_TIME_NEVER;
+	members->budget_bytes = KB_MEMBER_BUDGET_BYTES_PER_S;
+	members->budget_at = now;
 	members->expected_wake = now;
 	members->next_probe = now;
 	members->next_gossip = now;
@@ -76,23 +82,51 @@
 	kb_name_set(&message->to, kb_member_name(host));
 	kb_member_to_record(kb_members_self(members), &message->from);
 	/* A host that is suspected has to learn of it to refute it. */
-	if (host->state >= KB_MEMBER_SUSPECT)
-		kb_member_to_record(host,
-				    &message->records[message->record_count++]);
+	if (host->state >= KB_MEMBER_SUSPECT) {
+		message->record_count = 1;
+		kb_member_to_record(host, &message->records[0]);
+		kb_member_drop_place(&message->records[0]);
+	}
 }
 
-void kb_members_send_with_rumours(kb_members_t *members, uint32_t to)
+void kb_members_refill(kb_members_t *members, kb_time_t now)
+{
+	kb_time_t passed = now - members->budget_at;
+
+	members->budget_at = now;
+	if (passed > KB_NS_PER_S)
+		passed = KB_NS_PER_S;
+	members->budget_bytes +=
+		passed * KB_MEMBER_BUDGET_BYTES_PER_S / KB_NS_PER_S;
+	if (members->budget_bytes > KB_MEMBER_BUDGET_BYTES_PER_S)
+		members->budget_bytes = KB_MEMBER_BUDGET_BYTES_PER_S;
+}
+
+void kb_members_send(kb_members_t *members, uint32_t to)
 {
-	kb_rumour_queue_fill(&members->rumours, &members->table,
-			     &members->message, KB_MEMBER_RUMOUR_MAX_BYTES);
+	members->budget_bytes -=
+		(int64_t)kb_member_wire_size(&members->message);
 	members->ops->send(members, &members->table.members[to],
 			   &members->message);
 }
 
-static uint8_t sends_for(uint32_t hosts)
+void kb_members_send_with_rumours(kb_members_t *members, uint32_t to)
+{
+	if (members->budget_bytes >= KB_MEMBER_RUMOUR_MAX_BYTES)
+		kb_rumour_queue_fill(&members->rumours, &members->table,
+				     &members->message,
+				     KB_MEMBER_RUMOUR_MAX_BYTES);
+	kb_members_send(members, to);
+}
+
+static uint8_t sends_for(const kb_members_t *members)
 {
+	uint32_t hosts = members->table.count;
 	uint8_t sends = 2 * SENDS_PER_DIGIT;
 
+	if (members->rumours.count >= LONG_QUEUE)
+		return LONG_QUEUE_SENDS;
+
 	for (uint32_t limit = 10; limit <= hosts && limit < UINT32_MAX / 10;
 	     limit *= 10)
 		sends += SENDS_PER_DIGIT;
@@ -101,11 +135,13 @@
 
 void kb_members_spread(kb_members_t *members, uint32_t index, kb_time_t now)
 {
+	if (members->learning && index != members->self)
+		return;
 	if (members->rumours.count == 0 && members->next_gossip < now)
 		members->next_gossip = now;
 	/* Without memory the periodic exchange of digests carries the claim. */
 	(void)kb_rumour_queue_push(&members->rumours, &members->table, index,
-				   sends_for(members->table.count));
+				   sends_for(members));
 }
 
 bool kb_members_is_other_live(const kb_members_t *members, uint32_t index)
@@ -208,10 +244,7 @@
 		message->record_count = 1;
 		message->records[0] = message->from;
 		message->records[0].state = KB_MEMBER_DEAD;
-		message->records[0].address.len = 0;
-		message->records[0].data_centre.len = 0;
-		message->records[0].region.len = 0;
-		members->ops->send(members, &members->table.members[to],
-				   message);
+		kb_member_drop_place(&message->records[0]);
+		kb_members_send(members, to);
 	}
 }
--- a/src/member.h
+++ b/src/member.h
@@ -14,6 +14,9 @@
 	KB_MEMBER_GOSSIP_FANOUT = 3,
 	/* Bytes of records in a probe, ACK or gossip message. */
 	KB_MEMBER_RUMOUR_MAX_BYTES = 512,
+	/* Rate at which rumours and digests stop being sent; probes and ACKs
+	 * always are. It bounds what an outage or a restart costs. */
+	KB_MEMBER_BUDGET_BYTES_PER_S = 8000,
 	KB_MEMBER_SYNC_PERIOD_MS = 5000,
 	/* Time to the next exchange while the last one was incomplete. */
 	KB_MEMBER_SYNC_MORE_PERIOD_MS = 250,
@@ -21,8 +24,8 @@
 	/* A suspect has this time, times the binary logarithm of the number
 	 * of hosts, to refute the claim. */
 	KB_MEMBER_SUSPICION_STEP_MS = 500,
-	/* Every such probe goes to a host that is held dead. */
-	KB_MEMBER_DEAD_PROBE_INTERVAL = 5,
+	/* At most one in so many probes goes to a host that is held dead. */
+	KB_MEMBER_DEAD_PROBE_SHARE = 4,
 	KB_MEMBER_DEAD_RETENTION_S = 6 * 60 * 60,
 	/* A timer that is this late means that this process was paused. */
 	KB_MEMBER_PAUSE_LIMIT_MS = 300,
@@ -75,18 +78,22 @@
 	uint32_t self;
 	uint64_t random_state;
 	uint64_t sequence;
-	uint64_t probe_count;
 	kb_member_probe_t probe;
 	uint32_t urgent[KB_MEMBER_URGENT_MAX];
 	size_t urgent_count;
 	kb_member_relayed_t relayed[KB_MEMBER_RELAYED_MAX];
 	size_t relayed_next;
+	/* Bytes that may be sent now, and the time of the last refill. */
+	int64_t budget_bytes;
+	kb_time_t budget_at;
 	kb_time_t next_probe;
 	kb_time_t next_gossip;
 	kb_time_t next_sync;
 	/* Host to exchange digests with next, or KB_MEMBER_NONE. */
 	uint32_t sync_with;
 	bool synced;
+	/* Set while this host takes what all others know already. */
+	bool learning;
 	bool superseded;
 	/* Earliest deadline of a suspect or dead host. */
 	kb_time_t next_deadline;
@@ -127,6 +134,10 @@
 /* Sends what is due. Returns the time of the next call. */
 kb_time_t kb_members_on_timer(kb_members_t *members, kb_time_t now);
 
+/* Returns the time of the next call of the timer, which another event may
+ * have brought forward. */
+kb_time_t kb_members_next_wake(const kb_members_t *members);
+
 /* Tells all hosts that this host is leaving, or that it stays after all. */
 void kb_members_set_leaving(kb_members_t *members, bool leaving, kb_time_t now);
 
--- a/src/member_internal.h
+++ b/src/member_internal.h
@@ -20,6 +20,12 @@
 void kb_members_begin_message(kb_members_t *members,
 			      kb_member_message_type_t type, uint32_t to);
 
+/* Refills the byte budget; to be called first at every event. */
+void kb_members_refill(kb_members_t *members, kb_time_t now);
+
+/* Sends `members->message` to host `to` at the expense of the budget. */
+void kb_members_send(kb_members_t *members, uint32_t to);
+
 /* Adds rumours to `members->message` and sends it to host `to`. */
 void kb_members_send_with_rumours(kb_members_t *members, uint32_t to);
 
--- a/src/member_message.c
+++ b/src/member_message.c
@@ -82,6 +82,7 @@
 	uint32_t index = kb_member_table_find(&members->table,
 					      kb_name_str(&record->name));
 	kb_member_t *member;
+	int order;
 
 	if (index == members->self) {
 		refute(members, record, now);
@@ -92,7 +93,13 @@
 		return;
 	}
 	member = &members->table.members[index];
-	if (kb_member_compare_claims(member, record) >= 0 ||
+	order = kb_member_compare_claims(member, record);
+	if (order == 0)
+		kb_rumour_queue_heard(&members->rumours, &members->table,
+				      index);
+	/* Without its place the instance is of no use; a digest brings it. */
+	if (order >= 0 ||
+	    (!record->address.len && record->instance != member->instance) ||
 	    kb_member_table_update(&members->table, index, record))
 		return;
 	if (member->state >= KB_MEMBER_SUSPECT)
@@ -209,6 +216,8 @@
 		kb_member_record_t record;
 		size_t bytes;
 
+		if (members->budget_bytes < KB_MEMBER_MESSAGE_MAX_BYTES)
+			return;
 		kb_members_begin_message(members, KB_MEMBER_SYNC_REPLY, from);
 		bytes = kb_member_wire_size(reply);
 		for (; i < table->used; i++) {
@@ -223,7 +232,7 @@
 				break;
 		}
 		reply->more = i < table->used;
-		members->ops->send(members, &table->members[from], reply);
+		kb_members_send(members, from);
 		if (!reply->more)
 			return;
 	}
@@ -252,8 +261,11 @@
 	from = merge_sender(members, &message->from, now);
 	if (from == KB_MEMBER_NONE)
 		return;
+	members->learning =
+		!members->synced && message->type == KB_MEMBER_SYNC_REPLY;
 	for (size_t i = 0; i < message->record_count; i++)
 		kb_members_merge(members, &message->records[i], now);
+	members->learning = false;
 	switch (message->type) {
 	case KB_MEMBER_PROBE:
 		acknowledge(members, from, message->sequence);
--- a/src/member_record.h
+++ b/src/member_record.h
@@ -22,8 +22,9 @@
 };
 
 /*
- * A claim about one host, as it travels between hosts. A claim of the states
- * suspect or dead leaves `address`, `data_centre` and `region` empty.
+ * A claim about one host, as it travels between hosts. A rumour about an
+ * instance that is known already leaves `address`, `data_centre` and `region`
+ * empty.
  */
 typedef struct kb_member_record {
 	kb_name_t name;
--- a/src/member_table.c
+++ b/src/member_table.c
@@ -141,7 +141,8 @@
 	bool own_claim = record->state == KB_MEMBER_ALIVE ||
 			 record->state == KB_MEMBER_LEAVING;
 
-	if (own_claim || record->instance != member->instance)
+	member->fresh = record->instance != member->instance;
+	if (own_claim || member->fresh)
 		member->leaving = record->state == KB_MEMBER_LEAVING;
 	member->instance = record->instance;
 	member->incarnation = record->incarnation;
@@ -256,16 +257,18 @@
 	record->state = (kb_member_state_t)member->state;
 	record->port = member->port;
 	kb_name_set(&record->name, kb_member_name(member));
-	record->address.len = 0;
-	record->data_centre.len = 0;
-	record->region.len = 0;
-	if (member->state >= KB_MEMBER_SUSPECT)
-		return;
 	kb_name_set(&record->address, kb_member_address(member));
 	kb_name_set(&record->data_centre, kb_member_data_centre(member));
 	kb_name_set(&record->region, kb_member_region(member));
 }
 
+void kb_member_drop_place(kb_member_record_t *record)
+{
+	record->address.len = 0;
+	record->data_centre.len = 0;
+	record->region.len = 0;
+}
+
 int kb_member_compare_claims(const kb_member_t *member,
 			     const kb_member_record_t *record)
 {
--- a/src/member_table.h
+++ b/src/member_table.h
@@ -24,6 +24,9 @@
 	/* Times that a rumour of this host is still to be sent. */
 	uint8_t sends_left;
 	bool queued;
+	/* Set if the instance is new, so that rumours have to tell its place.
+	 */
+	bool fresh;
 	/* Time at which a suspect is held dead, or a dead host forgotten. */
 	kb_time_t deadline;
 } kb_member_t;
@@ -81,6 +84,9 @@
 /* Fills `record` with the claim that this host holds about `member`. */
 void kb_member_to_record(const kb_member_t *member, kb_member_record_t *record);
 
+/* Empties the place fields of `record`. */
+void kb_member_drop_place(kb_member_record_t *record);
+
 /*
  * Compares claims about the same host by instance, incarnation and state.
  * Returns a value below, equal to or above 0.
--- a/src/member_timer.c
+++ b/src/member_timer.c
@@ -12,6 +12,17 @@
 	return member->text && member->state == KB_MEMBER_DEAD;
 }
 
+/* A dead host is probed as often as a live one, unless most are dead. */
+static bool probes_dead_host(kb_members_t *members)
+{
+	uint32_t hosts = members->table.count;
+	uint32_t dead = members->table.state_count[KB_MEMBER_DEAD];
+	uint32_t most = (hosts + KB_MEMBER_DEAD_PROBE_SHARE - 1) /
+			KB_MEMBER_DEAD_PROBE_SHARE;
+
+	return kb_members_random(members, hosts) < (dead < most ? dead : most);
+}
+
 static uint32_t pick_probe_target(kb_members_t *members)
 {
 	while (members->urgent_count) {
@@ -21,8 +32,7 @@
 		    members->table.members[index].text)
 			return index;
 	}
-	if (members->probe_count++ % KB_MEMBER_DEAD_PROBE_INTERVAL == 0 &&
-	    members->table.state_count[KB_MEMBER_DEAD])
+	if (probes_dead_host(members))
 		return kb_members_pick(members, is_dead);
 	return kb_members_pick(members, kb_members_is_other_live);
 }
@@ -84,7 +94,8 @@
 		uint32_t to =
 			kb_members_pick(members, kb_members_is_other_live);
 
-		if (to == KB_MEMBER_NONE || !members->rumours.count)
+		if (to == KB_MEMBER_NONE || !members->rumours.count ||
+		    members->budget_bytes < KB_MEMBER_RUMOUR_MAX_BYTES)
 			return;
 		kb_members_begin_message(members, KB_MEMBER_GOSSIP, to);
 		kb_members_send_with_rumours(members, to);
@@ -101,14 +112,14 @@
 	members->next_sync =
 		now + ms(members->synced ? KB_MEMBER_SYNC_PERIOD_MS
 					 : KB_MEMBER_SYNC_MORE_PERIOD_MS);
-	if (to == KB_MEMBER_NONE)
+	if (to == KB_MEMBER_NONE ||
+	    members->budget_bytes < KB_MEMBER_MESSAGE_MAX_BYTES)
 		return;
 	kb_members_begin_message(members, KB_MEMBER_SYNC, to);
 	memcpy(members->message.buckets, members->table.buckets,
 	       sizeof(members->message.buckets));
 	members->message.bucket_count = KB_MEMBER_BUCKET_COUNT;
-	members->ops->send(members, &members->table.members[to],
-			   &members->message);
+	kb_members_send(members, to);
 }
 
 static void forget(kb_members_t *members, uint32_t index)
@@ -168,11 +179,24 @@
 	       !members->probe.indirect;
 }
 
+kb_time_t kb_members_next_wake(const kb_members_t *members)
+{
+	kb_time_t wake = earlier(members->next_probe, members->next_sync);
+
+	wake = earlier(wake, members->next_deadline);
+	if (needs_indirect(members))
+		wake = earlier(wake, members->probe.started_at +
+					     ms(KB_MEMBER_ACK_TIMEOUT_MS));
+	if (members->rumours.count)
+		wake = earlier(wake, members->next_gossip);
+	return wake;
+}
+
 kb_time_t kb_members_on_timer(kb_members_t *members, kb_time_t now)
 {
 	kb_time_t late = now - members->expected_wake;
-	kb_time_t wake;
 
+	kb_members_refill(members, now);
 	if (late > ms(KB_MEMBER_PAUSE_LIMIT_MS))
 		on_pause(members, late);
 	if (now >= members->next_deadline)
@@ -187,13 +211,6 @@
 		gossip(members, now);
 	if (now >= members->next_sync)
 		sync(members, now);
-	wake = earlier(members->next_probe, members->next_sync);
-	wake = earlier(wake, members->next_deadline);
-	if (needs_indirect(members))
-		wake = earlier(wake, members->probe.started_at +
-					     ms(KB_MEMBER_ACK_TIMEOUT_MS));
-	if (members->rumours.count)
-		wake = earlier(wake, members->next_gossip);
-	members->expected_wake = wake;
-	return wake;
+	members->expected_wake = kb_members_next_wake(members);
+	return members->expected_wake;
 }
--- a/src/rumour_queue.c
+++ b/src/rumour_queue.c
@@ -61,6 +61,15 @@
 	}
 }
 
+void kb_rumour_queue_heard(kb_rumour_queue_t *queue, kb_member_table_t *table,
+			   uint32_t index)
+{
+	kb_member_t *member = &table->members[index];
+
+	if (member->queued && !--member->sends_left)
+		kb_rumour_queue_drop(queue, table, index);
+}
+
 static uint8_t most_sends_left(const kb_rumour_queue_t *queue,
 			       const kb_member_table_t *table)
 {
@@ -104,6 +113,8 @@
 			continue;
 		}
 		kb_member_to_record(member, record);
+		if (!member->fresh)
+			kb_member_drop_place(record);
 		size = kb_member_wire_record_size(record);
 		if (bytes + size > max_bytes)
 			break;
--- a/src/rumour_queue.h
+++ b/src/rumour_queue.h
@@ -31,6 +31,10 @@
 void kb_rumour_queue_drop(kb_rumour_queue_t *queue, kb_member_table_t *table,
 			  uint32_t index);
 
+/* Counts a claim about host `index` that others sent as one sent here. */
+void kb_rumour_queue_heard(kb_rumour_queue_t *queue, kb_member_table_t *table,
+			   uint32_t index);
+
 /*
  * Appends claims to `message` while they fit into `max_bytes` in all, those
  * sent the least first, and takes out those that have been sent enough.
--- a/src/spread.c
+++ b/src/spread.c
@@ -211,10 +211,16 @@
 	return a < b ? a : b;
 }
 
-kb_time_t kb_spread_on_timer(kb_spread_t *spread, kb_time_t now)
+kb_time_t kb_spread_next_wake(const kb_spread_t *spread)
 {
-	kb_time_t wake;
+	kb_time_t wake = earlier(spread->next_digest, spread->next_report);
+
+	wake = earlier(wake, spread->next_status);
+	return earlier(wake, spread->pull.deadline);
+}
 
+kb_time_t kb_spread_on_timer(kb_spread_t *spread, kb_time_t now)
+{
 	follow_role(spread, now);
 	if (now >= spread->pull.deadline)
 		kb_spread_on_pull_timeout(spread, now);
@@ -228,10 +234,7 @@
 		spread->next_status = now + ms(KB_SPREAD_STATUS_PERIOD_MS);
 		kb_spread_request_status(spread, now);
 	}
-	wake = earlier(spread->next_digest, spread->next_report);
-	wake = earlier(wake, spread->next_status);
-	wake = earlier(wake, spread->pull.deadline);
-	return wake;
+	return kb_spread_next_wake(spread);
 }
 
 void kb_spread_on_advance(kb_spread_t *spread, uint64_t before, bool pass_on,
--- a/src/spread.h
+++ b/src/spread.h
@@ -152,6 +152,10 @@
 /* Sends what is due. Returns the time of the next call. */
 kb_time_t kb_spread_on_timer(kb_spread_t *spread, kb_time_t now);
 
+/* Returns the time of the next call of the timer, which another event may
+ * have brought forward. */
+kb_time_t kb_spread_next_wake(const kb_spread_t *spread);
+
 /* What is known of `member` has changed. */
 void kb_spread_on_member(kb_spread_t *spread, const kb_member_t *member,
 			 kb_time_t now);
