Raise the share of reads that replicas serve to the goal

Lost reads were counted by reason: most had been kept from the replica by an old hint, the next most were refused by the gate for an old report.

Change: read_check.c lets a gate probe its target for a read and lets the read wait up to 25 ms for what is nearly there. freshness.c keeps 512 samples, hints carry the age as of the last probe, and route.c tries a near replica if its hint is old.

--- a/src/freshness.h
+++ b/src/freshness.h
@@ -12,7 +12,7 @@
  * since then. Only the host's own monotonic clock is used.
  */
 
-#define KB_FRESHNESS_MAX_SAMPLES 128
+#define KB_FRESHNESS_MAX_SAMPLES 512
 
 /* The log of the confirmed primary at or after a time. */
 typedef struct kb_freshness_sample {
--- /dev/null
+++ b/src/read_check.c
@@ -0,0 +1,58 @@
+#include "read_check.h"
+
+#define WAIT (KB_READ_CHECK_WAIT_MS * KB_NS_PER_MS)
+
+static int is_served(const kb_read_check_t *check, const kb_read_state_t *state,
+		     kb_time_t now)
+{
+	return kb_freshness_includes(state->report, check->point) &&
+	       kb_freshness_accepts(state->reached, check->max_age,
+				    check->arrival, now);
+}
+
+/* Returns how much too old the data is now, as far as is known. */
+static kb_time_t excess(const kb_read_check_t *check,
+			const kb_read_state_t *state, kb_time_t now)
+{
+	if (state->reached == KB_TIME_NEVER)
+		return KB_TIME_NEVER;
+	return now - state->reached - check->max_age;
+}
+
+/* Returns non-zero if a new report may show that the read can be served. */
+static int refresh_may_help(const kb_read_check_t *check,
+			    const kb_read_state_t *state)
+{
+	if (state->reported_at >= check->arrival)
+		return 0;
+	return excess(check, state, state->reported_at) <= WAIT;
+}
+
+/* Returns non-zero if what is missing is likely to come within the wait. */
+static int is_close(const kb_read_check_t *check, const kb_read_state_t *state,
+		    kb_time_t now)
+{
+	if (excess(check, state, now) > WAIT)
+		return 0;
+	return kb_freshness_includes(state->report, check->point) ||
+	       now - state->reached <= WAIT;
+}
+
+kb_read_verdict_t kb_read_check(kb_read_check_t *check,
+				const kb_read_state_t *state, kb_time_t now)
+{
+	kb_time_t end = check->arrival + WAIT;
+
+	if (end > check->deadline)
+		end = check->deadline;
+	if (is_served(check, state, now))
+		return KB_READ_SERVE;
+	if (now >= end)
+		return KB_READ_REFUSE;
+	if (refresh_may_help(check, state))
+		return KB_READ_REFRESH;
+	if (!is_close(check, state, now))
+		return KB_READ_REFUSE;
+	check->wait_until = end;
+	return KB_READ_WAIT;
+}
--- a/src/route.c
+++ b/src/route.c
@@ -1,11 +1,18 @@
 #include "route.h"
 
+#include "read_check.h"
+
 enum {
 	SAME_DATA_CENTRE_ROUND_TRIP_US = 200,
 	SAME_REGION_ROUND_TRIP_US = 2000,
 	OTHER_REGION_ROUND_TRIP_US = 16000,
 	LINK_BYTE_COST_NS = 1000,
 	BULK_LINK_BYTE_COST_NS = 10000,
+	/*
+	 * How much an age may have fallen for each time since it was seen. An
+	 * attempt in the same region is cheap enough to find out.
+	 */
+	NEAR_AGE_FALL = 2,
 };
 
 /* How promising a candidate is; lower values are tried first. */
@@ -33,11 +40,38 @@
 		},
 		.link_byte_cost = LINK_BYTE_COST_NS,
 		.bulk_link_byte_cost = BULK_LINK_BYTE_COST_NS,
+		.gate_wait = KB_READ_CHECK_WAIT_MS * KB_NS_PER_MS,
 	};
 }
 
+/* Returns how much older than accepted a hint may be to be worth a try. */
+static kb_time_t tolerance(const kb_route_candidate_t *candidate,
+			   const kb_route_settings_t *settings, kb_time_t now)
+{
+	if (candidate->place == KB_ROUTE_OTHER_REGION)
+		return settings->gate_wait;
+	return settings->gate_wait +
+	       NEAR_AGE_FALL * (now - candidate->hint->seen_at);
+}
+
+static int is_fresh(const kb_route_candidate_t *candidate,
+		    const kb_route_hint_t *primary,
+		    const kb_route_settings_t *settings,
+		    const kb_route_need_t *need, kb_time_t now)
+{
+	const kb_route_hint_t *hint = candidate->hint;
+
+	if (hint->view.age == KB_TIME_NEVER)
+		return 0;
+	return hint->view.age - need->max_age <=
+		       tolerance(candidate, settings, now) &&
+	       kb_route_hint_expects(hint, primary, need->point,
+				     now + settings->gate_wait);
+}
+
 static rank_t rank_of(const kb_route_candidate_t *candidate,
 		      const kb_route_hint_t *primary,
+		      const kb_route_settings_t *settings,
 		      const kb_route_need_t *need, kb_time_t now)
 {
 	const kb_route_hint_t *hint = candidate->hint;
@@ -51,8 +85,7 @@
 		return primary ? RANK_EXCLUDED : RANK_UNKNOWN;
 	if (kb_route_hint_is_stale(hint, now))
 		return RANK_UNKNOWN;
-	if (hint->view.age <= need->max_age &&
-	    kb_route_hint_expects(hint, primary, need->point, now))
+	if (is_fresh(candidate, primary, settings, need, now))
 		return RANK_FRESH;
 	return RANK_NOT_FRESH;
 }
@@ -133,7 +166,8 @@
 	for (size_t i = 0; i < count && kept < KB_GROUP_MAX_TARGETS; i++) {
 		ranked_t item = { .target = candidates[i].target };
 
-		item.rank = rank_of(&candidates[i], primary, need, now);
+		item.rank =
+			rank_of(&candidates[i], primary, settings, need, now);
 		if (item.rank == RANK_EXCLUDED)
 			continue;
 		item.cost = cost_of(&candidates[i], settings, policy, need);
--- a/src/route.h
+++ b/src/route.h
@@ -32,6 +32,8 @@
 	kb_time_t link_byte_cost;
 	/* The same for bulk classes. */
 	kb_time_t bulk_link_byte_cost;
+	/* How long gates let a read wait for its target to catch up. */
+	kb_time_t gate_wait;
 } kb_route_settings_t;
 
 /* Fills in the defaults. */
--- a/src/route_hint.h
+++ b/src/route_hint.h
@@ -15,7 +15,10 @@
 	int primary;
 	/* Newest point that reads on it see. */
 	kb_point_t applied;
-	/* Upper bound of the age of its data, or KB_TIME_NEVER. */
+	/*
+	 * Upper bound of the age of its data when it was last probed, which
+	 * a new probe is likely to give again, or KB_TIME_NEVER.
+	 */
 	kb_time_t age;
 	/* Statements that run or wait at its gate. */
 	unsigned waiting;
