--- a/src/caller_api.c
+++ b/src/caller_api.c
@@ -433,7 +433,7 @@
 	kb_token_ring_finish(&api->keys);
 }
 
-void kb_caller_api_drain(kb_caller_api_t *api)
+void kb_caller_api_set_draining(kb_caller_api_t *api, int draining)
 {
-	api->draining = 1;
+	api->draining = draining;
 }
--- a/src/caller_api.h
+++ b/src/caller_api.h
@@ -44,8 +44,8 @@
 			       const kb_catalog_t *catalog);
 void kb_caller_api_finish(kb_caller_api_t *api);
 
-/* Refuses new work; open transactions may go on. */
-void kb_caller_api_drain(kb_caller_api_t *api);
+/* Whether new work is refused; open transactions go on. */
+void kb_caller_api_set_draining(kb_caller_api_t *api, int draining);
 
 KB_END_DECLS
 
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -1,4 +1,4 @@
-#include "daemon.h"
+#include "daemon_parts.h"
 
 #include "daemon_metrics.h"
 #include "log.h"
@@ -11,9 +11,6 @@
 #include <stdlib.h>
 
 enum {
-	DRAIN_POLL_MS = 20,
-	/* Pause before gates that moved away are looked at again. */
-	UPDATE_POLL_MS = 50,
 	MESSAGE_BYTES = 512,
 };
 
@@ -56,174 +53,16 @@
 	.call_failed = call_failed,
 };
 
-static void update_soon(kb_daemon_t *daemon)
-{
-	struct timeval now = { 0, 0 };
-
-	event_add(daemon->update_timer, &now);
-}
-
-static void on_update(evutil_socket_t fd, short what, void *arg)
-{
-	struct timeval later = { 0, UPDATE_POLL_MS * 1000 };
-	kb_daemon_t *daemon = arg;
-
-	(void)fd;
-	(void)what;
-	if (kb_group_services_update(&daemon->services))
-		event_add(daemon->update_timer, &later);
-}
-
-static void on_fleet_changed(kb_fleet_t *fleet, const kb_member_t *member)
-{
-	kb_daemon_t *daemon =
-		(kb_daemon_t *)((char *)fleet - offsetof(kb_daemon_t, fleet));
-
-	kb_placements_on_member(&daemon->placements, member);
-	update_soon(daemon);
-}
-
-static void on_superseded(kb_fleet_t *fleet)
-{
-	kb_daemon_t *daemon =
-		(kb_daemon_t *)((char *)fleet - offsetof(kb_daemon_t, fleet));
-
-	daemon->result = KB_ERR_CONFLICT;
-	event_base_loopbreak(daemon->loop);
-}
-
-static const kb_fleet_ops_t fleet_ops = {
-	.changed = on_fleet_changed,
-	.superseded = on_superseded,
-};
-
-static void on_resource(void *ctx, kb_kind_t kind, kb_str_t name,
-			const kb_resource_t *resource)
-{
-	kb_daemon_t *daemon = ctx;
-
-	if (kind == KB_KIND_GROUP && resource)
-		kb_placements_put(&daemon->placements, &resource->spec.u.group);
-	else if (kind == KB_KIND_GROUP)
-		kb_placements_remove(&daemon->placements, name);
-	else if (kind == KB_KIND_TRAFFIC_CLASS && resource)
-		kb_group_services_set_class(&daemon->services,
-					    &resource->spec.u.traffic_class);
-	update_soon(daemon);
-}
-
-static void reply_execute(void *ctx, const kbx_execute_res *res)
-{
-	kb_rpc_server_reply(ctx, res);
-}
-
-static void serve_execute(void *ctx, kb_rpc_request_t *request, void *args)
-{
-	kb_daemon_t *daemon = ctx;
-
-	kb_group_services_execute(&daemon->services, args, reply_execute,
-				  request);
-}
-
-static void serve_view(void *ctx, kb_rpc_request_t *request, void *args)
-{
-	kb_daemon_t *daemon = ctx;
-	const kbx_view_args *question = args;
-	kb_view_t view = kb_group_services_view(&daemon->services,
-						kb_str_from(question->group));
-	kbx_view_res res = { (int)view.health, view.term };
-
-	kb_rpc_server_reply(request, &res);
-}
-
-static kb_result_t start_server(kb_daemon_t *daemon)
-{
-	const kb_rpc_procedure_t procedures[] = {
-		{ KUMQUAT_EXECUTE, (xdrproc_t)xdr_kbx_execute_args,
-		  sizeof(kbx_execute_args), (xdrproc_t)xdr_kbx_execute_res,
-		  serve_execute, daemon },
-		{ KUMQUAT_VIEW, (xdrproc_t)xdr_kbx_view_args,
-		  sizeof(kbx_view_args), (xdrproc_t)xdr_kbx_view_res,
-		  serve_view, daemon },
-	};
-	struct sockaddr_storage address;
-	kb_result_t result;
-	socklen_t len;
-
-	result = kb_endpoint_resolve(&daemon->settings->listen_hosts, &address,
-				     &len);
-	if (!result)
-		result = kb_rpc_server_init(&daemon->server, daemon->loop,
-					    (struct sockaddr *)&address, len);
-	if (result)
-		return result;
-	daemon->has_server = 1;
-	for (size_t i = 0; i < sizeof(procedures) / sizeof(procedures[0]); i++)
-		kb_rpc_server_add(&daemon->server, &procedures[i]);
-	return KB_OK;
-}
-
-static int is_drained(const kb_daemon_t *daemon)
-{
-	return !daemon->callers.active &&
-	       kb_group_services_are_idle(&daemon->services);
-}
-
-static void on_drain_timer(evutil_socket_t fd, short what, void *arg)
-{
-	kb_daemon_t *daemon = arg;
-	struct timeval poll = { 0, DRAIN_POLL_MS * 1000 };
-	int expired = kb_clock_monotonic(daemon->clock) >= daemon->drain_until;
-
-	(void)fd;
-	(void)what;
-	if (!is_drained(daemon) && !expired) {
-		event_add(daemon->drain_timer, &poll);
-		return;
-	}
-	daemon->result = is_drained(daemon) ? KB_OK : KB_ERR_TIMEOUT;
-	kb_fleet_announce_exit(&daemon->fleet);
-	event_base_loopbreak(daemon->loop);
-}
-
-static void begin_stop(kb_daemon_t *daemon)
-{
-	struct timeval poll = { 0, DRAIN_POLL_MS * 1000 };
-
-	daemon->stopping = 1;
-	daemon->drain_until = kb_clock_monotonic(daemon->clock) +
-			      daemon->settings->drain_grace;
-	kb_log(KB_EVENT_STOP_REQUESTED, "host=%s", daemon->settings->host.data);
-	daemon->hosts.self->leaving = 1;
-	kb_fleet_set_leaving(&daemon->fleet, 1);
-	kb_caller_api_drain(&daemon->callers);
-	kb_group_services_drain(&daemon->services, daemon->drain_until);
-	event_add(daemon->drain_timer, &poll);
-}
-
-static void on_signal(evutil_socket_t signal_number, short what, void *arg)
-{
-	kb_daemon_t *daemon = arg;
-
-	(void)signal_number;
-	(void)what;
-	if (!daemon->stopping) {
-		begin_stop(daemon);
-		return;
-	}
-	kb_log(KB_EVENT_STOP_FORCED, "host=%s", daemon->settings->host.data);
-	daemon->result = KB_ERR_TIMEOUT;
-	event_base_loopbreak(daemon->loop);
-}
-
 static kb_result_t add_events(kb_daemon_t *daemon)
 {
-	daemon->signals[0] =
-		evsignal_new(daemon->loop, SIGTERM, on_signal, daemon);
+	daemon->signals[0] = evsignal_new(daemon->loop, SIGTERM,
+					  kb_daemon_on_signal, daemon);
 	daemon->signals[1] =
-		evsignal_new(daemon->loop, SIGINT, on_signal, daemon);
-	daemon->drain_timer = evtimer_new(daemon->loop, on_drain_timer, daemon);
-	daemon->update_timer = evtimer_new(daemon->loop, on_update, daemon);
+		evsignal_new(daemon->loop, SIGINT, kb_daemon_on_signal, daemon);
+	daemon->drain_timer =
+		evtimer_new(daemon->loop, kb_daemon_on_drain_timer, daemon);
+	daemon->update_timer =
+		evtimer_new(daemon->loop, kb_daemon_on_update, daemon);
 	if (!daemon->update_timer || !daemon->signals[0] ||
 	    !daemon->signals[1] || !daemon->drain_timer ||
 	    event_add(daemon->signals[0], NULL) ||
@@ -240,8 +79,9 @@
 	daemon->has_hosts = 1;
 	if (result)
 		return result;
-	result = kb_fleet_init(&daemon->fleet, &fleet_ops, daemon->loop,
-			       daemon->clock, daemon->settings, &daemon->hosts);
+	result = kb_fleet_init(&daemon->fleet, &kb_daemon_fleet_ops,
+			       daemon->loop, daemon->clock, daemon->settings,
+			       &daemon->hosts);
 	if (result) {
 		kb_log(KB_EVENT_LISTEN_FAILED, "key=listen.hosts");
 		return result;
@@ -275,6 +115,70 @@
 	kb_name_set(&daemon->services.promoter, kb_str_from(text));
 }
 
+static kb_result_t add_operators(kb_daemon_t *daemon)
+{
+	const kb_settings_t *settings = daemon->settings;
+	kb_result_t result = KB_OK;
+
+	kb_operator_auth_init(&daemon->operators);
+	for (size_t i = 0; !result && i < settings->operator_count; i++) {
+		const kb_settings_account_t *account = &settings->operators[i];
+
+		result = kb_operator_auth_add(
+			&daemon->operators, kb_name_str(&account->name),
+			account->may_write ? KB_OPERATOR_WRITE
+					   : KB_OPERATOR_READ,
+			(kb_str_t){ account->secret, account->secret_len });
+	}
+	return result;
+}
+
+static kb_result_t start_operator_api(kb_daemon_t *daemon)
+{
+	const kb_endpoint_t *listen = &daemon->settings->listen_operators;
+	kb_operator_api_settings_t setup = {
+		.base = daemon->loop,
+		.clock = daemon->clock,
+		.store = &daemon->configuration.etcd.store,
+		.view = &daemon->view.view,
+		.auth = &daemon->operators,
+		.address = kb_name_str(&listen->address),
+		.port = listen->port,
+	};
+	kb_result_t result;
+
+	if (!listen->port)
+		return KB_OK;
+	result = kb_daemon_view_init(&daemon->view, daemon->loop,
+				     &daemon->configuration, &daemon->services,
+				     &daemon->hosts);
+	if (!result)
+		result = add_operators(daemon);
+	if (!result)
+		result = kb_operator_api_init(&daemon->operator_api, &setup);
+	daemon->has_operators = !result;
+	return result;
+}
+
+static kb_result_t start_configuration(kb_daemon_t *daemon)
+{
+	kb_configuration_setup_t setup = {
+		.loop = daemon->loop,
+		.clock = daemon->clock,
+		.catalog = &daemon->catalog,
+		.fleet = &daemon->fleet,
+		.hosts = &daemon->hosts,
+		.store = daemon->settings->store,
+		.store_deadline = daemon->settings->store_deadline,
+	};
+	kb_result_t result;
+
+	randombytes_buf(&setup.seed, sizeof(setup.seed));
+	result = kb_configuration_init(&daemon->configuration, &setup);
+	daemon->has_configuration = !result;
+	return result;
+}
+
 static void set_up_services(kb_daemon_t *daemon)
 {
 	kb_pq_connector_init(&daemon->connector, daemon->loop);
@@ -306,7 +210,7 @@
 		result = join_fleet(daemon);
 	if (result)
 		return result;
-	daemon->catalog.changed = on_resource;
+	daemon->catalog.changed = kb_daemon_on_resource;
 	daemon->catalog.ctx = daemon;
 	result = load_seed(daemon);
 	if (result)
@@ -315,7 +219,7 @@
 		       daemon->clock, &daemon->hosts, &daemon->catalog,
 		       daemon->settings->link_bytes);
 	daemon->has_router = 1;
-	result = start_server(daemon);
+	result = kb_daemon_serve(daemon);
 	if (result) {
 		kb_log(KB_EVENT_LISTEN_FAILED, "key=listen.hosts");
 		return result;
@@ -328,9 +232,17 @@
 		return result;
 	}
 	daemon->has_callers = 1;
+	result = start_configuration(daemon);
+	if (result)
+		return result;
+	result = start_operator_api(daemon);
+	if (result) {
+		kb_log(KB_EVENT_LISTEN_FAILED, "key=listen.operators");
+		return result;
+	}
 	daemon->callers.metrics = kb_daemon_metrics_write;
 	daemon->callers.metrics_ctx = daemon;
-	update_soon(daemon);
+	kb_daemon_update_soon(daemon);
 	return KB_OK;
 }
 
@@ -344,6 +256,7 @@
 		return KB_ERR_NO_MEMORY;
 	daemon->settings = settings;
 	daemon->clock = clock;
+	daemon->started_at = kb_clock_wall(clock);
 	result = set_up(daemon);
 	if (result) {
 		kb_daemon_free(daemon);
@@ -374,6 +287,11 @@
 {
 	if (!daemon)
 		return;
+	if (daemon->has_operators)
+		kb_operator_api_finish(&daemon->operator_api);
+	kb_daemon_view_finish(&daemon->view);
+	if (daemon->has_configuration)
+		kb_configuration_finish(&daemon->configuration);
 	kb_group_services_finish(&daemon->services);
 	kb_placements_finish(&daemon->placements);
 	if (daemon->has_fleet)
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -2,8 +2,11 @@
 #define KB_DAEMON_H
 
 #include "caller_api.h"
+#include "configuration.h"
+#include "daemon_view.h"
 #include "fleet.h"
 #include "group_service.h"
+#include "operator_api.h"
 #include "pq.h"
 #include "rpc_server.h"
 
@@ -25,8 +28,15 @@
 	kb_rpc_server_t server;
 	kb_router_t router;
 	kb_caller_api_t callers;
+	kb_configuration_t configuration;
+	kb_daemon_view_t view;
+	kb_operator_auth_t operators;
+	kb_operator_api_t operator_api;
+	/* Wall-clock time of the process's start. */
+	kb_time_t started_at;
 	/* Which of the parts above were initialized. */
 	int has_hosts, has_fleet, has_server, has_router, has_callers;
+	int has_configuration, has_operators;
 	int stopping;
 	kb_time_t drain_until;
 	kb_result_t result;
--- /dev/null
+++ b/src/daemon_stop.c
@@ -0,0 +1,63 @@
+#include "daemon_parts.h"
+
+#include "log.h"
+
+#include <event2/event.h>
+
+enum {
+	DRAIN_POLL_MS = 20,
+};
+
+static int is_drained(const kb_daemon_t *daemon)
+{
+	return !daemon->callers.active &&
+	       kb_group_services_are_idle(&daemon->services);
+}
+
+void kb_daemon_on_drain_timer(evutil_socket_t fd, short what, void *arg)
+{
+	kb_daemon_t *daemon = arg;
+	struct timeval poll = { 0, DRAIN_POLL_MS * 1000 };
+	int expired = kb_clock_monotonic(daemon->clock) >= daemon->drain_until;
+
+	(void)fd;
+	(void)what;
+	if (!is_drained(daemon) && !expired) {
+		event_add(daemon->drain_timer, &poll);
+		return;
+	}
+	daemon->result = is_drained(daemon) ? KB_OK : KB_ERR_TIMEOUT;
+	kb_fleet_announce_exit(&daemon->fleet);
+	event_base_loopbreak(daemon->loop);
+}
+
+void kb_daemon_begin_stop(kb_daemon_t *daemon, kb_time_t grace)
+{
+	struct timeval poll = { 0, DRAIN_POLL_MS * 1000 };
+
+	if (daemon->stopping)
+		return;
+	daemon->stopping = 1;
+	daemon->drain_until = kb_clock_monotonic(daemon->clock) + grace;
+	kb_log(KB_EVENT_STOP_REQUESTED, "host=%s", daemon->settings->host.data);
+	daemon->hosts.self->leaving = 1;
+	kb_fleet_set_leaving(&daemon->fleet, 1);
+	kb_caller_api_set_draining(&daemon->callers, 1);
+	kb_group_services_drain(&daemon->services, daemon->drain_until);
+	event_add(daemon->drain_timer, &poll);
+}
+
+void kb_daemon_on_signal(evutil_socket_t signal_number, short what, void *arg)
+{
+	kb_daemon_t *daemon = arg;
+
+	(void)signal_number;
+	(void)what;
+	if (!daemon->stopping) {
+		kb_daemon_begin_stop(daemon, daemon->settings->drain_grace);
+		return;
+	}
+	kb_log(KB_EVENT_STOP_FORCED, "host=%s", daemon->settings->host.data);
+	daemon->result = KB_ERR_TIMEOUT;
+	event_base_loopbreak(daemon->loop);
+}
--- a/src/settings.c
+++ b/src/settings.c
@@ -103,6 +103,9 @@
 	if (!settings->store.port && !settings->seed_path[0])
 		report(load, 0, "store.address",
 		       "is missing, and so is configuration.seed");
+	if (settings->listen_operators.port && !settings->store.port)
+		report(load, 0, "store.address",
+		       "is missing, but listen.operators needs it");
 }
 
 static void set_defaults(kb_settings_t *settings)
--- a/src/settings_value.c
+++ b/src/settings_value.c
@@ -9,6 +9,7 @@
 #define ANY_NAME "*"
 
 #define PERCENT 100.0
+#define OPERATOR_TOKEN_MIN_BYTES 16
 
 typedef struct value_spec value_spec_t;
 
