Let a data centre whose hosts are all leaving keep its relays

Cause: relays were chosen among hosts that take new work, so a data centre with nothing but leaving hosts had none and its hosts counted as lacking every later revision. Now hosts that take new work come first and leaving ones after them. The new test fails without the change (in force on 2, unknown 1).

--- a/src/spread.c
+++ b/src/spread.c
@@ -44,7 +44,7 @@
 	for (int i = 0; i < KB_SPREAD_RELAYS; i++)
 		spread->relays[i] = KB_MEMBER_NONE;
 	for (uint32_t i = 0; i < table->used; i++)
-		if (kb_member_is_eligible(&table->members[i]) &&
+		if (kb_member_is_live(&table->members[i]) &&
 		    kb_str_equal(kb_member_data_centre(&table->members[i]),
 				 here))
 			kb_spread_offer_relay(table, spread->relays, i);
@@ -84,11 +84,15 @@
 {
 	const kb_member_t *first = &table->members[a];
 	kb_str_t key = kb_member_data_centre(first);
+	const kb_member_t *second;
 
 	if (b == KB_MEMBER_NONE)
 		return true;
+	second = &table->members[b];
+	if (kb_member_is_eligible(first) != kb_member_is_eligible(second))
+		return kb_member_is_eligible(first);
 	return kb_rendezvous_score(kb_member_name(first), key) >
-	       kb_rendezvous_score(kb_member_name(&table->members[b]), key);
+	       kb_rendezvous_score(kb_member_name(second), key);
 }
 
 void kb_spread_offer_relay(const kb_member_table_t *table,
--- a/src/spread_status.c
+++ b/src/spread_status.c
@@ -153,8 +153,7 @@
 		if (!place)
 			continue;
 		place->live++;
-		if (kb_member_is_eligible(member))
-			kb_spread_offer_relay(table, place->relays, i);
+		kb_spread_offer_relay(table, place->relays, i);
 	}
 }
 
--- a/tests/test_spread.cc
+++ b/tests/test_spread.cc
@@ -118,6 +118,18 @@
 				claim(host.second.get(), name, KB_MEMBER_DEAD);
 	}
 
+	/* The first running host that is not concerned by a claim. */
+	size_t sender(SpreadHost *host, const std::string &name)
+	{
+		std::string from = "h0";
+		size_t n = 0;
+
+		while (from == host->name || from == name ||
+		       !hosts[from]->running)
+			from = "h" + std::to_string(++n);
+		return n;
+	}
+
 	void claim(SpreadHost *host, const std::string &name,
 		   kb_member_state_t state)
 	{
@@ -128,8 +140,7 @@
 		kb_member_message_init(&message);
 		message.type = KB_MEMBER_GOSSIP;
 		kb_name_set(&message.to, kb_str_from(host->name.c_str()));
-		message.from = FakeFleet::record_of(99, 1);
-		message.from.data_centre.len = 0;
+		message.from = FakeFleet::record_of(sender(host, name), 1);
 		message.record_count = 1;
 		kb_member_to_record(member, &message.records[0]);
 		message.records[0].incarnation++;
@@ -334,7 +345,10 @@
 			return;
 		fleet->loop.at(fleet->loop.now + delay, [=] {
 			kb_spread_message_t copy;
-			SpreadHost *host = fleet->hosts[name].get();
+			auto found = fleet->hosts.find(name);
+			SpreadHost *host = found == fleet->hosts.end()
+						   ? nullptr
+						   : found->second.get();
 
 			if (!host || !host->running)
 				return;
@@ -622,6 +636,32 @@
 	EXPECT_EQ(4u, status.unknown);
 }
 
+TEST(Spread, ADataCentreWithOnlyALeavingHostStillReports)
+{
+	SpreadFleet fleet(23, 3);
+	SpreadHost *viewer;
+	kb_spread_status_t status;
+
+	fleet.put("a", "1");
+	fleet.start_all();
+	viewer = fleet.hosts["h0"].get();
+	EXPECT_EQ(KB_OK, kb_spread_watch_status(&viewer->spread, true,
+						fleet.loop.now));
+	fleet.loop.run_for_ms(5000);
+	for (auto &host : fleet.hosts)
+		if (host.first != "h2")
+			fleet.claim(host.second.get(), "h2", KB_MEMBER_LEAVING);
+	kb_members_set_leaving(&fleet.hosts["h2"]->peers.members, true,
+			       fleet.loop.now);
+	fleet.loop.run_for_ms(2000);
+	fleet.put("a", "2");
+	fleet.loop.run_for_ms(6000);
+	kb_spread_get_status(&viewer->spread, 2, fleet.loop.now, &status);
+	EXPECT_EQ(3u, status.hosts);
+	EXPECT_EQ(3u, status.in_force);
+	EXPECT_EQ(0u, status.unknown);
+}
+
 TEST(Spread, ALostResourceIsRepaired)
 {
 	SpreadFleet fleet(23, 9);
