Measure the failover gap against fixed time-outs

There were no figures for the gap or for wrong promotions.

bench_failover drives three hosts over the fake group at both deployments' latencies, for six faults and five policies. It showed one fault: a stall counted as stalled replication once the primary was back. That time is now counted only while the primary answers. Gaps in tests and bench are the longest time without an acknowledgement.

--- /dev/null
+++ b/bench/bench_failover.c
@@ -0,0 +1,306 @@
+#include "fake_group.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/*
+ * Measures the failover gap and wrong promotions by driving the state machines
+ * of three hosts over a fake group. Usage: bench_failover [SEEDS]
+ */
+
+enum {
+	DEFAULT_SEEDS = 1000,
+	SETTLE_MS = 1500,
+	AFTER_MS = 7000,
+	STEP_MS = 100,
+	SECOND_MS = 800,
+	LOSS_PER_MILLE = 10,
+	TAIL_PER_MILLE = 10,
+	TAIL_MS = 200,
+	WRITE_INTERVAL_MS = 15,
+	STALL_SEEDS_DIVISOR = 10,
+	NEVER_REFUSED = 1 << 30,
+	MAX_PHASE_MS = 400,
+	JSON_BYTES = 16384,
+	PERCENT = 100,
+};
+
+static const int stalls_ms[] = { 50,  100, 150, 200,  250, 290,
+				 350, 400, 500, 1000, 2000 };
+enum { STALLS = sizeof(stalls_ms) / sizeof(stalls_ms[0]) };
+
+/* A way to detect and to replace a dead primary. */
+typedef struct policy {
+	const char *name;
+	/* Fixed limit of silence judged by each host alone, or 0. */
+	int fixed_ms;
+	/* Waits between the fences and the promotion. */
+	int hold;
+} policy_t;
+
+static const policy_t policies[] = {
+	{ "adaptive", 0, 1 },	   { "adaptive-no-hold", 0, 0 },
+	{ "fixed-200ms", 200, 1 }, { "fixed-1s", 1000, 1 },
+	{ "fixed-3s", 3000, 1 },
+};
+enum { POLICIES = sizeof(policies) / sizeof(policies[0]) };
+
+static const char *const deployments[] = { "khomas", "riga" };
+enum { DEPLOYMENTS = sizeof(deployments) / sizeof(deployments[0]) };
+
+typedef enum fault {
+	FAULT_SILENT,
+	FAULT_REFUSED,
+	FAULT_CUT_OFF,
+	/* Silent, with one of the hosts at the same time. */
+	FAULT_WITH_HOST,
+	/* Silent, with one of the hosts at any time soon after. */
+	FAULT_THEN_HOST,
+	/* Silent, while messages are lost and late. */
+	FAULT_LOSSY,
+	FAULT_STALL,
+	FAULT_HOST_CUT_OFF,
+	FAULT_HOST_LOST_PRIMARY,
+} fault_t;
+
+/* What one run gave. */
+typedef struct run {
+	kb_time_t gap;
+	size_t promotions;
+	const char *violation;
+} run_t;
+
+static kb_time_t ms(int64_t count)
+{
+	return count * KB_NS_PER_MS;
+}
+
+static void set_policy(fake_params_t *params, const policy_t *policy)
+{
+	kb_detector_params_t *detector = &params->failover.detector;
+
+	if (!policy->hold) {
+		params->failover.promotion.hold = 0;
+		params->confirm.window = 0;
+	}
+	if (!policy->fixed_ms)
+		return;
+	detector->stall = detector->max_silence = ms(policy->fixed_ms);
+	detector->margin = 0;
+	detector->refused_count = NEVER_REFUSED;
+	detector->progress = 0;
+	params->failover.ballot.lone_wait = 0;
+	params->hides_views = 1;
+}
+
+static size_t random_host(fake_group_t *group)
+{
+	return kb_rng_below(&group->rng, group->params.host_count);
+}
+
+static void bring_about(fake_group_t *group, fault_t fault, kb_time_t stall)
+{
+	size_t host = fake_group_host_node(group, random_host(group));
+
+	switch (fault) {
+	case FAULT_SILENT:
+	case FAULT_LOSSY:
+		fake_group_crash_target(group, 0, 0);
+		break;
+	case FAULT_WITH_HOST:
+		fake_group_crash_target(group, 0, 0);
+		fake_group_crash_host(group, random_host(group));
+		break;
+	case FAULT_THEN_HOST:
+		fake_group_crash_target(group, 0, 0);
+		fake_group_run(group,
+			       group->now + (kb_time_t)kb_rng_below(
+						    &group->rng,
+						    (uint64_t)ms(SECOND_MS)));
+		fake_group_crash_host(group, random_host(group));
+		break;
+	case FAULT_REFUSED:
+		fake_group_crash_target(group, 0, 1);
+		break;
+	case FAULT_CUT_OFF:
+		fake_group_isolate(group, 0, 1);
+		break;
+	case FAULT_STALL:
+		fake_group_pause(group, 0, group->now + stall);
+		break;
+	case FAULT_HOST_CUT_OFF:
+		fake_group_isolate(group, host, 1);
+		break;
+	case FAULT_HOST_LOST_PRIMARY:
+		fake_group_cut(group, host, 0, 1);
+		break;
+	}
+}
+
+/* Returns non-zero once a write of a later term has been acknowledged. */
+static int has_resumed(const fake_group_t *group)
+{
+	return group->ack_count &&
+	       group->acks[group->ack_count - 1].point.term > 1;
+}
+
+static run_t run_once(uint64_t seed, int deployment, const policy_t *policy,
+		      fault_t fault, kb_time_t stall)
+{
+	fake_params_t params;
+	fake_group_t group;
+	kb_time_t at, step;
+	run_t run;
+
+	fake_params_init(&params);
+	params.seed = seed;
+	params.write_interval = ms(WRITE_INTERVAL_MS);
+	fake_params_deploy(&params, (fake_deployment_t)deployment);
+	set_policy(&params, policy);
+	if (fault == FAULT_LOSSY) {
+		params.loss_per_mille = LOSS_PER_MILLE;
+		params.tail_per_mille = TAIL_PER_MILLE;
+		params.tail = ms(TAIL_MS);
+	}
+	fake_group_init(&group, &params);
+	at = ms(SETTLE_MS) +
+	     (kb_time_t)kb_rng_below(&group.rng, (uint64_t)ms(MAX_PHASE_MS));
+	fake_group_run(&group, at);
+	bring_about(&group, fault, stall);
+	for (step = 0; step < ms(AFTER_MS); step += ms(STEP_MS)) {
+		fake_group_run(&group, at + step);
+		if (fault < FAULT_STALL && has_resumed(&group))
+			break;
+	}
+	run.gap = fake_group_longest_gap(&group, at - ms(SETTLE_MS) / 2,
+					 group.now);
+	run.promotions = group.promotions;
+	run.violation = group.violation;
+	fake_group_finish(&group);
+	return run;
+}
+
+static int compare_times(const void *a, const void *b)
+{
+	kb_time_t x = *(const kb_time_t *)a, y = *(const kb_time_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* Sorted gaps and what else a series of runs gave. */
+typedef struct series {
+	kb_time_t *gaps;
+	size_t count;
+	size_t promoted;
+	size_t violations;
+} series_t;
+
+static void run_series(series_t *series, size_t seeds, int deployment,
+		       const policy_t *policy, fault_t fault, kb_time_t stall)
+{
+	series->count = seeds;
+	series->promoted = series->violations = 0;
+	for (size_t i = 0; i < seeds; i++) {
+		run_t run = run_once(i + 1, deployment, policy, fault, stall);
+
+		series->gaps[i] = run.gap;
+		series->promoted += run.promotions != 0;
+		series->violations += run.violation != NULL;
+	}
+	qsort(series->gaps, seeds, sizeof(series->gaps[0]), compare_times);
+}
+
+static double gap_at(const series_t *series, unsigned percent)
+{
+	size_t place = (series->count - 1) * percent / PERCENT;
+
+	return (double)series->gaps[place] / KB_NS_PER_MS;
+}
+
+/* Text that grows; what does not fit is cut off. */
+typedef struct text {
+	char data[JSON_BYTES];
+	size_t len;
+} text_t;
+
+#define ADD(text, ...)                                \
+	((text)->len +=                               \
+	 (size_t)snprintf((text)->data + (text)->len, \
+			  sizeof((text)->data) - (text)->len, __VA_ARGS__))
+
+static void measure_gaps(text_t *json, series_t *series, size_t seeds,
+			 int deployment, const policy_t *policy)
+{
+	static const char *const names[] = { "silent",	  "refused",
+					     "cut-off",	  "with-host",
+					     "then-host", "lossy" };
+
+	for (int fault = FAULT_SILENT; fault < FAULT_STALL; fault++) {
+		run_series(series, seeds, deployment, policy, (fault_t)fault,
+			   0);
+		printf("%-7s %-17s primary %-9s gap ms: median %7.1f  "
+		       "p99 %7.1f  worst %7.1f  violations %zu\n",
+		       deployments[deployment], policy->name, names[fault],
+		       gap_at(series, 50), gap_at(series, 99),
+		       gap_at(series, PERCENT), series->violations);
+		ADD(json,
+		    "\"%s\":{\"medianMs\":%.1f,\"p99Ms\":%.1f,"
+		    "\"worstMs\":%.1f,\"violations\":%zu},",
+		    names[fault], gap_at(series, 50), gap_at(series, 99),
+		    gap_at(series, PERCENT), series->violations);
+	}
+}
+
+static void measure_wrong(text_t *json, series_t *series, size_t seeds,
+			  int deployment, const policy_t *policy)
+{
+	printf("%-7s %-17s promotions of %zu, by stall:",
+	       deployments[deployment], policy->name, seeds);
+	ADD(json, "\"stalls\":{");
+	for (size_t i = 0; i < STALLS; i++) {
+		run_series(series, seeds, deployment, policy, FAULT_STALL,
+			   ms(stalls_ms[i]));
+		printf(" %d ms %zu;", stalls_ms[i], series->promoted);
+		ADD(json, "%s\"%d\":%zu", i ? "," : "", stalls_ms[i],
+		    series->promoted);
+	}
+	run_series(series, seeds, deployment, policy, FAULT_HOST_CUT_OFF, 0);
+	printf(" one host cut off %zu;", series->promoted);
+	ADD(json, "},\"hostCutOff\":%zu", series->promoted);
+	run_series(series, seeds, deployment, policy, FAULT_HOST_LOST_PRIMARY,
+		   0);
+	printf(" one host cut from the primary %zu\n", series->promoted);
+	ADD(json, ",\"hostLostPrimary\":%zu}", series->promoted);
+}
+
+int main(int argc, char **argv)
+{
+	size_t seeds = argc > 1 ? strtoul(argv[1], NULL, 10) : DEFAULT_SEEDS;
+	size_t stall_seeds = seeds / STALL_SEEDS_DIVISOR;
+	static text_t json;
+	series_t series = { 0 };
+
+	if (!seeds)
+		return 1;
+	if (!stall_seeds)
+		stall_seeds = 1;
+	series.gaps = calloc(seeds, sizeof(series.gaps[0]));
+	if (!series.gaps)
+		return 1;
+	ADD(&json, "{\"bench\":\"failover\",\"seeds\":%zu,\"stallSeeds\":%zu",
+	    seeds, stall_seeds);
+	for (int d = 0; d < DEPLOYMENTS; d++) {
+		for (size_t p = 0; p < POLICIES; p++) {
+			ADD(&json, ",\"%s/%s\":{", deployments[d],
+			    policies[p].name);
+			measure_gaps(&json, &series, seeds, d, &policies[p]);
+			measure_wrong(&json, &series, stall_seeds, d,
+				      &policies[p]);
+		}
+	}
+	ADD(&json, "}");
+	puts(json.data);
+	free(series.gaps);
+	return 0;
+}
--- a/bench/common/fake_group.c
+++ b/bench/common/fake_group.c
@@ -235,12 +235,21 @@
 	return KB_TIME_NEVER;
 }
 
-kb_time_t fake_group_last_ack(const fake_group_t *group, kb_time_t time)
+kb_time_t fake_group_longest_gap(const fake_group_t *group, kb_time_t from,
+				 kb_time_t to)
 {
-	for (size_t i = group->ack_count; i > 0; i--)
-		if (group->acks[i - 1].time <= time)
-			return group->acks[i - 1].time;
-	return 0;
+	kb_time_t last = from, longest = 0;
+
+	for (size_t i = 0; i < group->ack_count; i++) {
+		kb_time_t time = group->acks[i].time;
+
+		if (time < from || time > to)
+			continue;
+		if (time - last > longest)
+			longest = time - last;
+		last = time;
+	}
+	return to - last > longest ? to - last : longest;
 }
 
 static void violate(fake_group_t *group, const char *what)
--- a/bench/common/fake_group.h
+++ b/bench/common/fake_group.h
@@ -33,6 +33,8 @@
 	kb_time_t write_deadline;
 	/* Share of writes that have their term alone confirmed. */
 	unsigned term_only_percent;
+	/* Hosts do not answer each other's questions for views. */
+	int hides_views;
 	kb_failover_params_t failover;
 	kb_confirm_params_t confirm;
 } fake_params_t;
@@ -146,8 +148,12 @@
 
 /* Returns the time of the first acknowledgement after `time`, or never. */
 kb_time_t fake_group_next_ack(const fake_group_t *group, kb_time_t time);
-/* Returns the time of the last acknowledgement up to `time`, or 0. */
-kb_time_t fake_group_last_ack(const fake_group_t *group, kb_time_t time);
+/*
+ * Returns the longest time without an acknowledgement between `from` and
+ * `to`, which both count as one.
+ */
+kb_time_t fake_group_longest_gap(const fake_group_t *group, kb_time_t from,
+				 kb_time_t to);
 
 KB_END_DECLS
 
--- a/bench/common/fake_host.c
+++ b/bench/common/fake_host.c
@@ -206,7 +206,8 @@
 	if (!host->up)
 		return;
 	if (message->kind == FAKE_ASK) {
-		on_ask(host, message);
+		if (!group->params.hides_views)
+			on_ask(host, message);
 		return;
 	}
 	if (message->kind == FAKE_WAKE) {
--- a/src/detector.c
+++ b/src/detector.c
@@ -161,31 +161,33 @@
 	const kb_detector_params_t *params = &detector->params;
 	const kb_watch_target_t *primary = &watch->targets[watch->primary];
 	size_t majority = kb_group_majority(&watch->group);
-	kb_time_t short_for = held_for(&detector->short_since, now,
-				       census->following + 1 < majority &&
-					       census->reachable > majority);
-	kb_time_t ahead_for =
-		held_for(&detector->ahead_since, now, census->ahead > 0);
 	int silent = is_silent(detector, now, primary);
-
-	if (silent || is_refused(detector, now, primary)) {
-		if (census->progress_at > primary->unanswered_since &&
-		    now - census->progress_at < params->progress)
-			judge(detector, KB_HEALTH_SUSPECT, KB_CAUSE_NONE);
-		else
-			judge(detector, KB_HEALTH_DEAD,
-			      silent ? KB_CAUSE_SILENT : KB_CAUSE_REFUSED);
-	} else if (primary->refused ||
+	int lost = silent || is_refused(detector, now, primary);
+	int late = lost || primary->refused ||
 		   has_passed(now, primary->unanswered_since,
-			      params->suspect + usual_round_trip(primary))) {
+			      params->suspect + usual_round_trip(primary));
+	/* While the primary is late, replicas have nothing to receive. */
+	kb_time_t short_for =
+		held_for(&detector->short_since, now,
+			 !late && census->following + 1 < majority &&
+				 census->reachable > majority);
+	kb_time_t ahead_for = held_for(&detector->ahead_since, now,
+				       !late && census->ahead > 0);
+
+	if (lost && census->progress_at > primary->unanswered_since &&
+	    now - census->progress_at < params->progress)
+		judge(detector, KB_HEALTH_SUSPECT, KB_CAUSE_NONE);
+	else if (lost)
+		judge(detector, KB_HEALTH_DEAD,
+		      silent ? KB_CAUSE_SILENT : KB_CAUSE_REFUSED);
+	else if (late)
 		judge(detector, KB_HEALTH_SUSPECT, KB_CAUSE_NONE);
-	} else if (short_for >= params->replication) {
+	else if (short_for >= params->replication)
 		judge(detector, KB_HEALTH_DEAD, KB_CAUSE_REPLICATION);
-	} else if (ahead_for >= params->term_ahead) {
+	else if (ahead_for >= params->term_ahead)
 		judge(detector, KB_HEALTH_DEAD, KB_CAUSE_TERM_AHEAD);
-	} else {
+	else
 		judge(detector, KB_HEALTH_OK, KB_CAUSE_NONE);
-	}
 }
 
 /* Lowers `*wake` to `since + span` if that lies ahead. */
--- a/tests/test_detector.cc
+++ b/tests/test_detector.cc
@@ -236,6 +236,19 @@
 	}
 }
 
+TEST_F(detector_fixture, StalledPrimaryDoesNotCountAsStalledReplication)
+{
+	kb_time_t now = settle(0), end;
+
+	detector.params.stall = detector.params.max_silence = 9000 * MS;
+	reports[0].received++;
+	now = settle(now);
+	for (end = now + 4000 * MS; now < end; now += 20 * MS)
+		step(now, 6);
+	EXPECT_EQ(KB_HEALTH_SUSPECT, health(now));
+	EXPECT_EQ(KB_HEALTH_OK, step(now + 200 * MS, 7));
+}
+
 TEST_F(detector_fixture, NothingIsSaidBeforeEveryTargetHadItsTime)
 {
 	reports[1] = reports[2] = make_report(2, KB_ROLE_REPLICA, 9, "1:1");
--- a/tests/test_safety_seeds.cc
+++ b/tests/test_safety_seeds.cc
@@ -6,12 +6,14 @@
 
 static const kb_time_t MS = KB_NS_PER_MS;
 
+static const uint64_t USUAL_SEEDS = 10000;
+
 /* Seeds of a run; the environment may ask for more or fewer. */
-static uint64_t seed_count(uint64_t usual)
+static uint64_t seed_count()
 {
 	const char *text = getenv("KB_SEEDS");
 
-	return text ? strtoull(text, nullptr, 10) : usual;
+	return text ? strtoull(text, nullptr, 10) : USUAL_SEEDS;
 }
 
 /* Times a tenth of the usual, and hosts that promote on little evidence. */
@@ -177,7 +179,7 @@
 
 TEST(SafetySeeds, NoAcknowledgedWriteIsLostAndServiceResumes)
 {
-	uint64_t seeds = seed_count(10000);
+	uint64_t seeds = seed_count();
 	size_t acks = 0, promotions = 0;
 
 	for (uint64_t seed = 1; seed <= seeds; seed++) {
@@ -200,7 +202,7 @@
 
 TEST_P(safety_defect, IsFound)
 {
-	uint64_t seeds = seed_count(10000), found = 0;
+	uint64_t seeds = USUAL_SEEDS, found = 0;
 	std::string first;
 
 	for (uint64_t seed = 1; seed <= seeds && found < 3; seed++) {
