--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -17,7 +17,8 @@
   --seed N           seed of the load tool (1)
   --json FILE        write the report as JSON, too
   --port-prefix N    ports are N100 to N799 (8)
-  --receive-lag MS   lag of the replicas (20)
+  --receive-lag MS   lag of the replicas' logs (20)
+  --apply-lag MS     lag of what they show behind their logs (0)
   --statement-time MS  service time of a statement (1)
   --logs DIR         keep settings and logs in DIR
   --kill-primary     kill the primary after a third of the time
@@ -30,7 +31,7 @@
 }
 
 build=build workload=sledza seconds=60 rate=100 sessions=64 seed=1 json=
-prefix=8 receive_lag=20 statement_time=1 logs= faults= kill_primary=
+prefix=8 receive_lag=20 apply_lag=0 statement_time=1 logs= faults= kill_primary=
 while [ $# -gt 0 ]
 do
 	case $1 in
@@ -47,6 +48,7 @@
 	--json) json=$2 ;;
 	--port-prefix) prefix=$2 ;;
 	--receive-lag) receive_lag=$2 ;;
+	--apply-lag) apply_lag=$2 ;;
 	--statement-time) statement_time=$2 ;;
 	--logs) logs=$2 ;;
 	--faults) faults=$2 ;;
@@ -194,7 +196,8 @@
 		--port "${prefix}40$number" --control-port "${prefix}60$number" \
 		--slots $slots --connections $connections --connect-delay 12 \
 		--statement-time "$statement_time" \
-		--receive-lag "$receive_lag" $role
+		--receive-lag "$receive_lag" \
+		--apply-lag "$apply_lag" $role
 done
 for number in 1 2 3
 do
--- a/src/gate_request.c
+++ b/src/gate_request.c
@@ -341,7 +341,10 @@
 				      request->transaction->connection);
 }
 
-/* Attaches the request to its transaction. */
+/*
+ * Attaches the request to its transaction. One that is not open any more may
+ * have been committed by an earlier submission.
+ */
 static kb_result_t attach(kb_gate_request_t *request)
 {
 	kb_target_gate_t *gate = request->gate;
--- a/src/router.c
+++ b/src/router.c
@@ -319,8 +319,11 @@
 	job->target =
 		kb_group_find_target(spec, kb_str_from(call->args.target));
 	if (job->target == spec->target_count || !host)
-		job_fail(job, KB_ERR_NOT_FOUND,
-			 "the transaction does not exist");
+		job_fail(job,
+			 call->args.action == KBX_ACTION_COMMIT
+				 ? KB_ERR_UNKNOWN
+				 : KB_ERR_NOT_FOUND,
+			 "the transaction is not open");
 	else
 		send_to(job, host);
 }
--- a/tests/e2e/30-fleet.sh
+++ b/tests/e2e/30-fleet.sh
@@ -7,6 +7,6 @@
 for workload in kalahari sledza
 do
 	sh examples/fleet.sh --build "$build" --workload $workload \
-		--seconds 20 --rate 60 --port-prefix 17 \
+		--seconds 20 --rate 60 --port-prefix "${KB_PORT_PREFIX:-17}" \
 		--faults kill-primary@5,kill-host@9,restart-hosts@14
 done
