Keep most membership traffic within a region and measure other slopes

Cause: callers pay for traffic between regions by volume, and at 3,600 hosts random peers put six sevenths of it there. Counting claims that are heard made a small fleet miss a departure now and then.

Change: above 64 hosts three of four probes, rumours and digests stay in the region. A rumour is sent at least 12 times.

--- a/bench/bench_membership.c
+++ b/bench/bench_membership.c
@@ -12,6 +12,8 @@
 enum {
 	WARM_UP_MS = 4000,
 	STEP_MS = 100,
+	/* Shortest time over which a rate is taken. */
+	RATE_MIN_MS = 1000,
 	LIMIT_MS = 900000,
 	CUT_MS = 60000,
 	SAMPLES_MAX = 256,
@@ -29,7 +31,7 @@
 } bench_size_t;
 
 static const bench_size_t sizes[] = {
-	{ 9, 3, 2, 40, 10 },
+	{ 9, 3, 2, 200, 20 },
 	{ 100, 6, 3, 20, 5 },
 	{ 1000, 12, 5, 3, 1 },
 	{ 3600, 24, 7, 1, 0 },
@@ -125,7 +127,8 @@
 		const propagation_traffic_t *traffic = &fleet->hosts[i].traffic;
 		double rate = (double)(traffic->member_bytes +
 				       traffic->spread_bytes) *
-			      1e3 / (double)(ms ? ms : STEP_MS);
+			      1e3 /
+			      (double)(ms > RATE_MIN_MS ? ms : RATE_MIN_MS);
 
 		if (rate > series->most_bytes)
 			series->most_bytes = rate;
--- a/bench/bench_propagation.c
+++ b/bench/bench_propagation.c
@@ -15,7 +15,7 @@
 enum {
 	WARM_UP_MS = 3000,
 	IDLE_MS = 10000,
-	CHANGE_PERIOD_MS = 4000,
+	CHANGE_PERIOD_MS = 2500,
 	RESTART_PERIOD_MS = 1000,
 	SETTLE_MS = 8000,
 	VALUE_BYTES = 600,
@@ -41,7 +41,7 @@
 	{ 9, 3, 2, 40, 10, 3 },
 	{ 100, 6, 3, 20, 10, 5 },
 	{ 1000, 12, 5, 4, 6, 5 },
-	{ 3600, 24, 7, 2, 4, 5 },
+	{ 3600, 24, 7, 2, 8, 5 },
 };
 
 /* What a phase cost, over all hosts. */
@@ -51,7 +51,8 @@
 	double bytes;
 	/* Bytes sent by the host that sent the most. */
 	double most_bytes;
-	double spread_bytes;
+	/* Bytes sent to other regions. */
+	double region_bytes;
 } bench_cost_t;
 
 /* Results of one size, summed over the seeds. */
@@ -100,7 +101,7 @@
 			(double)(traffic->member_bytes + traffic->spread_bytes);
 
 		cost->bytes += sent;
-		cost->spread_bytes += (double)traffic->spread_bytes;
+		cost->region_bytes += (double)traffic->region_bytes;
 		if (sent > most)
 			most = sent;
 	}
@@ -290,6 +291,7 @@
 {
 	uint32_t n = size->hosts;
 	double idle_bytes = rate(r->idle.bytes, &r->idle, n);
+	double idle_region = rate(r->idle.region_bytes, &r->idle, n);
 	double idle_cpu = rate(r->idle.cpu_us, &r->idle, n);
 	double change_bytes = extra(r->change.bytes, &r->change, r->idle.bytes,
 				    &r->idle, size, size->changes);
@@ -303,9 +305,10 @@
 		      size, size->restarts);
 	size_t count = r->in_force_count;
 
-	printf("  idle host sends %.0f B/s (the most: %.0f), %.1f us/s of a "
-	       "processor, %.0f kB of memory\n",
-	       idle_bytes, r->idle.most_bytes, idle_cpu, r->memory / 1e3);
+	printf("  idle host sends %.0f B/s (the most: %.0f; to other regions "
+	       "%.0f), %.1f us/s of a processor, %.0f kB of memory\n",
+	       idle_bytes, r->idle.most_bytes, idle_region, idle_cpu,
+	       r->memory / 1e3);
 	printf("  a change costs a host %.0f B and %.1f us (the most while "
 	       "changing: %.0f B/s)\n",
 	       change_bytes, change_cpu, r->change.most_bytes);
@@ -325,6 +328,7 @@
 	       percentile(r->watch_ms, r->baseline_count, 1),
 	       percentile(r->poll_ms, r->baseline_count, 0.5),
 	       percentile(r->poll_ms, r->baseline_count, 1), r->watches, n);
+	printf("\"idle_region_bytes_per_s\": %.1f, ", idle_region);
 	printf("\"idle_bytes_per_s\": %.1f, \"idle_most_bytes_per_s\": %.1f, "
 	       "\"idle_cpu_us_per_s\": %.2f, \"change_bytes\": %.1f, "
 	       "\"change_cpu_us\": %.2f, \"restart_bytes\": %.1f, "
@@ -340,19 +344,25 @@
 {
 	uint32_t largest =
 		argc > 1 ? (uint32_t)strtoul(argv[1], NULL, 10) : UINT32_MAX;
+	/* A second argument sets the number of seeds. */
+	uint64_t seeds = argc > 2 ? strtoull(argv[2], NULL, 10) : 0;
 	bench_result_t *result = malloc(sizeof(*result));
 	int missed = 0;
 
 	if (!result)
 		return 1;
 	for (size_t i = 0; i < sizeof(sizes) / sizeof(*sizes); i++) {
-		if (sizes[i].hosts > largest)
+		bench_size_t size = sizes[i];
+
+		if (size.hosts > largest)
 			break;
+		if (seeds)
+			size.seeds = seeds;
 		memset(result, 0, sizeof(*result));
-		for (uint64_t seed = 1; seed <= sizes[i].seeds; seed++)
-			run_seed(&sizes[i], seed, result);
-		print_text(&sizes[i], result);
-		print_costs(&sizes[i], result);
+		for (uint64_t seed = 1; seed <= size.seeds; seed++)
+			run_seed(&size, seed, result);
+		print_text(&size, result);
+		print_costs(&size, result);
 		missed += result->missed != 0;
 	}
 	free(result);
--- a/bench/common/propagation_fleet.c
+++ b/bench/common/propagation_fleet.c
@@ -38,6 +38,12 @@
 	return data_centre_of(fleet, host) % fleet->shape.regions;
 }
 
+int propagation_fleet_crosses(const propagation_fleet_t *fleet, uint32_t a,
+			      uint32_t b)
+{
+	return region_of(fleet, a) != region_of(fleet, b);
+}
+
 int propagation_fleet_connects(const propagation_fleet_t *fleet, uint32_t a,
 			       uint32_t b)
 {
--- a/bench/common/propagation_fleet.h
+++ b/bench/common/propagation_fleet.h
@@ -29,6 +29,8 @@
 	uint64_t spread_bytes;
 	uint64_t messages;
 	uint64_t received_bytes;
+	/* Bytes sent to other regions. */
+	uint64_t region_bytes;
 } propagation_traffic_t;
 
 typedef struct propagation_fleet propagation_fleet_t;
@@ -125,6 +127,10 @@
 /* Returns a number below 1. */
 double propagation_fleet_random(propagation_fleet_t *fleet);
 
+/* Whether two hosts stand in different regions. */
+int propagation_fleet_crosses(const propagation_fleet_t *fleet, uint32_t a,
+			      uint32_t b);
+
 /* Whether the network carries messages between two hosts. */
 int propagation_fleet_connects(const propagation_fleet_t *fleet, uint32_t a,
 			       uint32_t b);
--- a/bench/common/propagation_host.c
+++ b/bench/common/propagation_host.c
@@ -34,7 +34,8 @@
 
 /* Puts a message on its way; takes `bytes`. */
 static void post(propagation_host_t *from, const kb_member_t *to,
-		 propagation_kind_t kind, char *bytes, size_t len)
+		 propagation_kind_t kind, char *bytes, size_t len,
+		 size_t header)
 {
 	propagation_fleet_t *fleet = from->fleet;
 	uint32_t index = index_of(to);
@@ -45,6 +46,8 @@
 	};
 
 	from->traffic.messages++;
+	if (propagation_fleet_crosses(fleet, from->index, index))
+		from->traffic.region_bytes += len + header;
 	if (propagation_fleet_random(fleet) < fleet->shape.loss ||
 	    !propagation_fleet_connects(fleet, from->index, index)) {
 		free(bytes);
@@ -68,7 +71,8 @@
 		exit(1);
 	}
 	host->traffic.member_bytes += len + PROPAGATION_DATAGRAM_BYTES;
-	post(host, to, PROPAGATION_MEMBER_MESSAGE, bytes, len);
+	post(host, to, PROPAGATION_MEMBER_MESSAGE, bytes, len,
+	     PROPAGATION_DATAGRAM_BYTES);
 }
 
 static void on_member_changed(kb_members_t *members, const kb_member_t *member)
@@ -95,7 +99,8 @@
 		exit(1);
 	}
 	host->traffic.spread_bytes += len + PROPAGATION_CALL_BYTES;
-	post(host, to, PROPAGATION_SPREAD_MESSAGE, bytes, len);
+	post(host, to, PROPAGATION_SPREAD_MESSAGE, bytes, len,
+	     PROPAGATION_CALL_BYTES);
 }
 
 /* Schedules the next answer of the watch. The store stands beside host 0. */
--- a/src/member.c
+++ b/src/member.c
@@ -1,14 +1,18 @@
 #include "member_internal.h"
 
 enum {
-	RANDOM_TRIES = 8,
-	/* Rumours are sent this often, and again for each decimal digit of
-	 * the number of hosts. */
+	RANDOM_TRIES = 16,
+	/* With more hosts, one in so many messages may leave the region. */
+	NEAR_MIN_HOSTS = 64,
+	FAR_INTERVAL = 4,
+	/* A rumour is sent at least so often, and more for each further
+	 * decimal digit of the number of hosts. */
+	MIN_SENDS = 12,
 	SENDS_PER_DIGIT = 4,
 	/* While so many rumours wait, each is sent this often only; the
 	 * exchange of digests tells those who missed it. */
-	LONG_QUEUE = 100,
-	LONG_QUEUE_SENDS = 8,
+	LONG_QUEUE = 256,
+	LONG_QUEUE_SENDS = 10,
 	EXIT_ANNOUNCEMENTS = 8,
 };
 
@@ -122,7 +126,7 @@
 static uint8_t sends_for(const kb_members_t *members)
 {
 	uint32_t hosts = members->table.count;
-	uint8_t sends = 2 * SENDS_PER_DIGIT;
+	uint8_t sends = MIN_SENDS;
 
 	if (members->rumours.count >= LONG_QUEUE)
 		return LONG_QUEUE_SENDS;
@@ -169,6 +173,25 @@
 	return KB_MEMBER_NONE;
 }
 
+static bool is_near(const kb_members_t *members, uint32_t index)
+{
+	return kb_members_is_other_live(members, index) &&
+	       kb_str_equal(kb_member_region(&members->table.members[index]),
+			    kb_member_region(kb_members_self(members)));
+}
+
+uint32_t kb_members_pick_live(kb_members_t *members)
+{
+	uint32_t index = KB_MEMBER_NONE;
+
+	if (kb_members_live_count(members) > NEAR_MIN_HOSTS &&
+	    kb_members_random(members, FAR_INTERVAL))
+		index = kb_members_pick(members, is_near);
+	if (index == KB_MEMBER_NONE)
+		index = kb_members_pick(members, kb_members_is_other_live);
+	return index;
+}
+
 void kb_members_on_call_failed(kb_members_t *members, kb_str_t name,
 			       kb_time_t now)
 {
@@ -234,8 +257,7 @@
 void kb_members_announce_exit(kb_members_t *members)
 {
 	for (int i = 0; i < EXIT_ANNOUNCEMENTS; i++) {
-		uint32_t to =
-			kb_members_pick(members, kb_members_is_other_live);
+		uint32_t to = kb_members_pick_live(members);
 		kb_member_message_t *message = &members->message;
 
 		if (to == KB_MEMBER_NONE)
--- a/src/member.h
+++ b/src/member.h
@@ -18,7 +18,9 @@
 	 * always are. It bounds what an outage or a restart costs. */
 	KB_MEMBER_BUDGET_BYTES_PER_S = 8000,
 	KB_MEMBER_SYNC_PERIOD_MS = 5000,
-	/* Time to the next exchange while the last one was incomplete. */
+	/* Time to the next exchange if the last one brought news, and if it
+	 * was incomplete. */
+	KB_MEMBER_SYNC_NEWS_PERIOD_MS = 1000,
 	KB_MEMBER_SYNC_MORE_PERIOD_MS = 250,
 	KB_MEMBER_SYNC_REPLY_MESSAGES = 2,
 	/* A suspect has this time, times the binary logarithm of the number
--- a/src/member_internal.h
+++ b/src/member_internal.h
@@ -16,6 +16,12 @@
 /* Returns a random host that passes `test`, or KB_MEMBER_NONE. */
 uint32_t kb_members_pick(kb_members_t *members, kb_members_test_fn_t *test);
 
+/*
+ * Returns a random other host that is thought to run, mostly one of this
+ * region, or KB_MEMBER_NONE.
+ */
+uint32_t kb_members_pick_live(kb_members_t *members);
+
 /* Starts `members->message` for host `to`. */
 void kb_members_begin_message(kb_members_t *members,
 			      kb_member_message_type_t type, uint32_t to);
@@ -32,8 +38,9 @@
 /* Queues the claim about host `index` as a rumour. */
 void kb_members_spread(kb_members_t *members, uint32_t index, kb_time_t now);
 
-/* Adopts `record` if it precedes what is known of its host. */
-void kb_members_merge(kb_members_t *members, const kb_member_record_t *record,
+/* Adopts `record` if it precedes what is known of its host; returns whether
+ * it did. */
+bool kb_members_merge(kb_members_t *members, const kb_member_record_t *record,
 		      kb_time_t now);
 
 KB_END_DECLS
--- a/src/member_message.c
+++ b/src/member_message.c
@@ -61,22 +61,23 @@
 	members->next_gossip = now;
 }
 
-static void add(kb_members_t *members, const kb_member_record_t *record,
+static bool add(kb_members_t *members, const kb_member_record_t *record,
 		kb_time_t now)
 {
 	uint32_t index;
 
 	if (record->state >= KB_MEMBER_SUSPECT || !record->address.len ||
 	    !record->instance)
-		return;
+		return false;
 	/* Without memory the host stays unknown until it is heard of again. */
 	if (kb_member_table_add(&members->table, record, &index))
-		return;
+		return false;
 	kb_members_spread(members, index, now);
 	members->ops->changed(members, &members->table.members[index]);
+	return true;
 }
 
-void kb_members_merge(kb_members_t *members, const kb_member_record_t *record,
+bool kb_members_merge(kb_members_t *members, const kb_member_record_t *record,
 		      kb_time_t now)
 {
 	uint32_t index = kb_member_table_find(&members->table,
@@ -86,12 +87,10 @@
 
 	if (index == members->self) {
 		refute(members, record, now);
-		return;
-	}
-	if (index == KB_MEMBER_NONE) {
-		add(members, record, now);
-		return;
+		return false;
 	}
+	if (index == KB_MEMBER_NONE)
+		return add(members, record, now);
 	member = &members->table.members[index];
 	order = kb_member_compare_claims(member, record);
 	if (order == 0)
@@ -101,11 +100,12 @@
 	if (order >= 0 ||
 	    (!record->address.len && record->instance != member->instance) ||
 	    kb_member_table_update(&members->table, index, record))
-		return;
+		return false;
 	if (member->state >= KB_MEMBER_SUSPECT)
 		set_deadline(members, member, now);
 	kb_members_spread(members, index, now);
 	members->ops->changed(members, member);
+	return true;
 }
 
 /* Takes what the sender says of itself; returns its index. */
@@ -239,21 +239,25 @@
 }
 
 static void on_sync_reply(kb_members_t *members,
-			  const kb_member_message_t *message, kb_time_t now)
+			  const kb_member_message_t *message, bool news,
+			  kb_time_t now)
 {
-	kb_time_t soon = now + KB_MEMBER_SYNC_MORE_PERIOD_MS * KB_NS_PER_MS;
+	kb_time_t soon = members->next_sync;
 
-	if (!message->more) {
-		members->synced = true;
-		return;
-	}
+	if (message->more)
+		soon = now + KB_MEMBER_SYNC_MORE_PERIOD_MS * KB_NS_PER_MS;
+	else if (news)
+		soon = now + KB_MEMBER_SYNC_NEWS_PERIOD_MS * KB_NS_PER_MS;
 	if (soon < members->next_sync)
 		members->next_sync = soon;
+	if (!message->more)
+		members->synced = true;
 }
 
 void kb_members_on_message(kb_members_t *members,
 			   const kb_member_message_t *message, kb_time_t now)
 {
+	bool news = false;
 	uint32_t from;
 
 	if (!kb_name_is(&message->to, kb_member_name(kb_members_self(members))))
@@ -264,7 +268,7 @@
 	members->learning =
 		!members->synced && message->type == KB_MEMBER_SYNC_REPLY;
 	for (size_t i = 0; i < message->record_count; i++)
-		kb_members_merge(members, &message->records[i], now);
+		news |= kb_members_merge(members, &message->records[i], now);
 	members->learning = false;
 	switch (message->type) {
 	case KB_MEMBER_PROBE:
@@ -282,7 +286,7 @@
 		on_sync(members, from, message);
 		break;
 	case KB_MEMBER_SYNC_REPLY:
-		on_sync_reply(members, message, now);
+		on_sync_reply(members, message, news, now);
 		break;
 	}
 }
--- a/src/member_timer.c
+++ b/src/member_timer.c
@@ -34,7 +34,7 @@
 	}
 	if (probes_dead_host(members))
 		return kb_members_pick(members, is_dead);
-	return kb_members_pick(members, kb_members_is_other_live);
+	return kb_members_pick_live(members);
 }
 
 static void suspect(kb_members_t *members, uint32_t index, kb_time_t now)
@@ -74,8 +74,7 @@
 
 	probe->indirect = true;
 	for (int i = 0; i < KB_MEMBER_INDIRECT_PROBES; i++) {
-		uint32_t helper =
-			kb_members_pick(members, kb_members_is_other_live);
+		uint32_t helper = kb_members_pick_live(members);
 
 		if (helper == KB_MEMBER_NONE || helper == probe->index)
 			continue;
@@ -91,8 +90,7 @@
 {
 	members->next_gossip = now + ms(KB_MEMBER_GOSSIP_PERIOD_MS);
 	for (int i = 0; i < KB_MEMBER_GOSSIP_FANOUT; i++) {
-		uint32_t to =
-			kb_members_pick(members, kb_members_is_other_live);
+		uint32_t to = kb_members_pick_live(members);
 
 		if (to == KB_MEMBER_NONE || !members->rumours.count ||
 		    members->budget_bytes < KB_MEMBER_RUMOUR_MAX_BYTES)
@@ -108,7 +106,7 @@
 
 	members->sync_with = KB_MEMBER_NONE;
 	if (to == KB_MEMBER_NONE || !kb_members_is_other_live(members, to))
-		to = kb_members_pick(members, kb_members_is_other_live);
+		to = kb_members_pick_live(members);
 	members->next_sync =
 		now + ms(members->synced ? KB_MEMBER_SYNC_PERIOD_MS
 					 : KB_MEMBER_SYNC_MORE_PERIOD_MS);
