--- a/bench/common/read_sim.h
+++ b/bench/common/read_sim.h
@@ -68,7 +68,7 @@
 	kb_bench_log_t log;
 	size_t primary;
 	gate_t gates[SITES];
-	kb_least_outstanding_t policies[HOSTS];
+	kb_least_work_t policies[HOSTS];
 	kb_route_hint_t hints[HOSTS][SITES];
 	size_t turn;
 } group_t;
@@ -100,7 +100,7 @@
 	policy_t policy;
 	/* How far replicas are behind, on average. */
 	kb_time_t mean_lag;
-	/* Time between two probes of each target by each gate. */
+	/* Time between two probes of a replica by each gate. */
 	kb_time_t probe_interval;
 	unsigned long seed;
 } config_t;
@@ -120,6 +120,8 @@
 typedef struct read {
 	session_t *session;
 	const read_kind_t *kind;
+	size_t class_index;
+	kb_time_t service;
 	kb_read_check_t check;
 	size_t host;
 	kb_time_t arrival;
--- a/bench/common/read_sim_sessions.c
+++ b/bench/common/read_sim_sessions.c
@@ -82,6 +82,8 @@
 	read->check.deadline = now + READ_DEADLINE_MS * KB_NS_PER_MS;
 	need.max_age = read->check.max_age;
 	need.point = session->point;
+	read->class_index = (size_t)(read->kind - run->config->workload->kinds);
+	need.class_index = read->class_index;
 	need.bulk = read->kind->bulk;
 	need.answer_bytes = read->kind->bytes;
 	need.deadline = read->check.deadline;
@@ -181,7 +183,7 @@
 	kb_bench_log_init(&group->log);
 	group->primary = index % SITES;
 	for (size_t i = 0; i < HOSTS; i++)
-		kb_least_outstanding_init(&group->policies[i]);
+		kb_least_work_init(&group->policies[i]);
 	for (size_t i = 0; i < SITES; i++) {
 		gate_t *gate = &group->gates[i];
 
--- a/src/read_check.c
+++ b/src/read_check.c
@@ -1,6 +1,12 @@
 #include "read_check.h"
 
 #define WAIT (KB_READ_CHECK_WAIT_MS * KB_NS_PER_MS)
+#define PRIMARY_WAIT (KB_READ_CHECK_PRIMARY_WAIT_MS * KB_NS_PER_MS)
+
+static int is_primary(const kb_read_state_t *state)
+{
+	return state->report->role == KB_ROLE_PRIMARY;
+}
 
 static int is_served(const kb_read_check_t *check, const kb_read_state_t *state,
 		     kb_time_t now)
@@ -25,13 +31,16 @@
 {
 	if (state->reported_at >= check->arrival)
 		return 0;
-	return excess(check, state, state->reported_at) <= WAIT;
+	return is_primary(state) ||
+	       excess(check, state, state->reported_at) <= WAIT;
 }
 
 /* Returns non-zero if what is missing is likely to come within the wait. */
 static int is_close(const kb_read_check_t *check, const kb_read_state_t *state,
 		    kb_time_t now)
 {
+	if (is_primary(state))
+		return 1;
 	if (excess(check, state, now) > WAIT)
 		return 0;
 	return kb_freshness_includes(state->report, check->point) ||
@@ -41,7 +50,8 @@
 kb_read_verdict_t kb_read_check(kb_read_check_t *check,
 				const kb_read_state_t *state, kb_time_t now)
 {
-	kb_time_t end = check->arrival + WAIT;
+	kb_time_t end =
+		check->arrival + (is_primary(state) ? PRIMARY_WAIT : WAIT);
 
 	if (end > check->deadline)
 		end = check->deadline;
--- a/src/read_check.h
+++ b/src/read_check.h
@@ -11,13 +11,19 @@
  * slot, and while the read waits, whenever a probe was answered.
  */
 
-/* Longest time that a read waits for its target to become fresh enough. */
+/* Longest time that a read waits for a replica to become fresh enough. */
 #define KB_READ_CHECK_WAIT_MS 25
 
+/* Longest time that a read waits for the primary to be confirmed. */
+#define KB_READ_CHECK_PRIMARY_WAIT_MS 500
+
 typedef enum kb_read_verdict {
 	/* Run the read now. */
 	KB_READ_SERVE,
-	/* Probe the own target once, then ask again. */
+	/*
+	 * Probe the own target, and if it is the primary the whole group, once
+	 * for all reads; then ask again.
+	 */
 	KB_READ_REFRESH,
 	/* Ask again after each probe answer and at `wait_until`. */
 	KB_READ_WAIT,
--- a/src/route.c
+++ b/src/route.c
@@ -9,10 +9,11 @@
 	LINK_BYTE_COST_NS = 1000,
 	BULK_LINK_BYTE_COST_NS = 10000,
 	/*
-	 * How much an age may have fallen for each time since it was seen. An
+	 * How much an age may have fallen for each time since it was seen; an
 	 * attempt in the same region is cheap enough to find out.
 	 */
 	NEAR_AGE_FALL = 2,
+	FAR_AGE_FALL = 1,
 };
 
 /* How promising a candidate is; lower values are tried first. */
@@ -48,10 +49,11 @@
 static kb_time_t tolerance(const kb_route_candidate_t *candidate,
 			   const kb_route_settings_t *settings, kb_time_t now)
 {
-	if (candidate->place == KB_ROUTE_OTHER_REGION)
-		return settings->gate_wait;
+	kb_time_t since = now - candidate->hint->seen_at;
+	int far = candidate->place == KB_ROUTE_OTHER_REGION;
+
 	return settings->gate_wait +
-	       NEAR_AGE_FALL * (now - candidate->hint->seen_at);
+	       (far ? FAR_AGE_FALL : NEAR_AGE_FALL) * since;
 }
 
 static int is_fresh(const kb_route_candidate_t *candidate,
--- a/src/route_policy.c
+++ b/src/route_policy.c
@@ -5,6 +5,9 @@
 	DEFAULT_SERVICE_US = 2000,
 	/* Weight of a new sample in the mean service time, as a divisor. */
 	SERVICE_MEAN_DIVISOR = 16,
+	/* How fast the mean of a target that gets no statements is forgotten.
+	 */
+	IDLE_MEAN_DIVISOR = 512,
 };
 
 static kb_time_t per_slot(kb_time_t work, const kb_route_load_t *load)
@@ -89,6 +92,21 @@
 	((kb_least_work_t *)policy)->outstanding[target][class_index]++;
 }
 
+/*
+ * A target that was slow gets no statements of a class and so no measurements:
+ * its mean approaches the one just measured, so that it is tried again.
+ */
+static void forget_idle(kb_least_work_t *self, size_t class_index,
+			kb_time_t measured)
+{
+	for (size_t i = 0; i < KB_GROUP_MAX_TARGETS; i++) {
+		kb_time_t *mean = &self->service[i][class_index];
+
+		if (*mean > measured && !self->outstanding[i][class_index])
+			*mean -= (*mean - measured) / IDLE_MEAN_DIVISOR;
+	}
+}
+
 static void least_work_ended(kb_route_policy_t *policy, size_t target,
 			     size_t class_index, kb_time_t service)
 {
@@ -102,6 +120,7 @@
 		*mean += (service - *mean) / SERVICE_MEAN_DIVISOR;
 	else
 		*mean = service;
+	forget_idle(self, class_index, *mean);
 }
 
 void kb_least_work_init(kb_least_work_t *policy)
--- a/src/route_policy.h
+++ b/src/route_policy.h
@@ -49,7 +49,9 @@
 
 /*
  * Prefers the target with the least expected work, counting each statement
- * with the mean service time of its class at that target.
+ * with the mean service time of its class at that target. The default; derived
+ * from the virtual workloads of G. Michailidis, "Optimal Allocation in a
+ * Queuing System with Shared Resources".
  */
 typedef struct kb_least_work {
 	kb_route_policy_t policy;
--- a/tests/test_read_check.cc
+++ b/tests/test_read_check.cc
@@ -87,3 +87,33 @@
 	EXPECT_EQ(1005 * MS, check.wait_until);
 	EXPECT_EQ(KB_READ_REFUSE, kb_read_check(&check, &state, 1005 * MS));
 }
+
+TEST(ReadCheck, PrimaryServesOnceItIsConfirmedAfterTheArrival)
+{
+	struct {
+		const char *name;
+		kb_time_t reported_at, reached, now;
+		kb_read_verdict_t verdict;
+	} cases[] = {
+		{ "confirmed before", 995, 990, 1000, KB_READ_REFRESH },
+		{ "never confirmed", 995, NEVER, 1000, KB_READ_REFRESH },
+		{ "answer of the majority missing", 1001, 990, 1002,
+		  KB_READ_WAIT },
+		{ "never confirmed, probed", 1001, NEVER, 1002, KB_READ_WAIT },
+		{ "confirmed since", 1001, 1001, 1017, KB_READ_SERVE },
+		{ "cut off from the majority", 1490, 990,
+		  1000 + KB_READ_CHECK_PRIMARY_WAIT_MS, KB_READ_REFUSE },
+	};
+
+	for (const auto &c : cases) {
+		kb_report_t report = {};
+		kb_read_state_t state = { &report, c.reported_at * MS,
+					  c.reached == NEVER ? NEVER
+							     : c.reached * MS };
+		kb_read_check_t check = read(0, 0);
+
+		report.role = KB_ROLE_PRIMARY;
+		EXPECT_EQ(c.verdict, kb_read_check(&check, &state, c.now * MS))
+			<< c.name;
+	}
+}
