Take freshness samples once a majority has confirmed them

Cause: whoever feeds kb_freshness_t had to work out when a primary's report is confirmed, which is easy to get wrong with late answers.

Conclusion: a gate feeds one object and asks another.

--- a/bench/common/read_sim.c
+++ b/bench/common/read_sim.c
@@ -47,24 +47,21 @@
 
 static void check_parked(run_t *run, gate_t *gate, kb_time_t now);
 
-/*
- * The gate takes an answer. No target changes its term here, so that each is
- * taken as confirmed.
- */
 static void probe_answered(void *ctx, void *arg, kb_time_t now)
 {
 	probe_t *probe = arg;
 	group_t *group = probe->group;
 	gate_t *gate = &group->gates[probe->gate];
 
-	kb_freshness_probe(&gate->freshness, probe->sent, &probe->report, 1);
+	kb_sampler_answer(&gate->sampler, probe->target, probe->sent,
+			  &probe->report);
 	if (probe->sent > gate->reported_at[probe->target]) {
 		gate->reports[probe->target] = probe->report;
 		gate->reported_at[probe->target] = probe->sent;
 	}
 	for (size_t i = 0; i < SITES; i++)
-		gate->reached[i] = kb_freshness_reached(&gate->freshness,
-							&gate->reports[i]);
+		gate->reached[i] = kb_freshness_reached(
+			&gate->sampler.freshness, &gate->reports[i]);
 	gate->refreshing &= !probe->refresh;
 	free(probe);
 	check_parked(ctx, gate, now);
--- a/bench/common/read_sim_sessions.c
+++ b/bench/common/read_sim_sessions.c
@@ -189,7 +189,7 @@
 
 		kb_bench_replica_init(&gate->replica, &group->log,
 				      run->config->mean_lag, run->rng);
-		kb_freshness_init(&gate->freshness);
+		kb_sampler_init(&gate->sampler, SITES);
 		gate->last = &gate->first;
 		for (size_t k = 0; k < SITES; k++)
 			gate->reached[k] = KB_TIME_NEVER;
