--- a/src/settings_value.c
+++ b/src/settings_value.c
@@ -198,6 +198,9 @@
 	(void)spec;
 	if (!may_write && !kb_str_equal(role, KB_STR("read")))
 		return "must be read TOKEN or write TOKEN";
+	value += strspn(value, " \t");
+	if (strlen(value) < OPERATOR_TOKEN_MIN_BYTES)
+		return "needs a token of 16 to 128 bytes";
 	message =
 		set_account(settings->operators, &settings->operator_count,
 			    KB_SETTINGS_OPERATORS_MAX, name, next_word(&value));
