Feed freshness with all probe answers and route by least expected work

The sampler takes the place of the agent's own list of unconfirmed reports, and hints carry a replica's age at its last report.

--- a/src/agent.c
+++ b/src/agent.c
@@ -139,47 +139,15 @@
 	}
 }
 
-/* Keeps a report of the primary until its term is confirmed. */
-static void keep_report(kb_agent_t *agent, size_t target)
+static void take_report(kb_agent_t *agent, size_t target)
 {
-	const kb_watch_target_t *known = &agent->failover.watch.targets[target];
-	kb_agent_pending_t *last;
+	kb_time_t sent;
+	const kb_report_t *report = kb_agent_report(agent, target, &sent);
 
-	if (target != kb_agent_primary(agent) || !known->has_report)
-		return;
-	last = agent->pending_count ? &agent->pending[agent->pending_count - 1]
-				    : NULL;
-	if (last && last->sent >= known->report_probe.sent)
+	if (!report)
 		return;
-	if (agent->pending_count == KB_AGENT_PENDING_MAX) {
-		memmove(&agent->pending[0], &agent->pending[1],
-			sizeof(agent->pending[0]) * --agent->pending_count);
-	}
-	last = &agent->pending[agent->pending_count++];
-	last->sent = known->report_probe.sent;
-	last->report = known->report;
-}
-
-/* Passes on the reports whose term is confirmed by now. */
-static void use_reports(kb_agent_t *agent)
-{
-	kb_time_t confirmed = kb_watch_confirmed_at(&agent->failover.watch);
-	uint64_t term = kb_failover_term(&agent->failover);
-	size_t used = 0;
-
-	if (confirmed == KB_TIME_NEVER)
-		return;
-	while (used < agent->pending_count &&
-	       agent->pending[used].sent <= confirmed) {
-		kb_agent_pending_t *next = &agent->pending[used++];
-
-		if (next->report.term == term)
-			kb_freshness_probe(&agent->freshness, next->sent,
-					   &next->report, 1);
-	}
-	agent->pending_count -= used;
-	memmove(&agent->pending[0], &agent->pending[used],
-		sizeof(agent->pending[0]) * agent->pending_count);
+	kb_sampler_answer(&agent->sampler, target, sent, report);
+	agent->ops->reported(agent, target);
 }
 
 static void on_ended(kb_control_t *control, const kb_control_order_t *sent,
@@ -195,8 +163,8 @@
 		schedule(agent,
 			 kb_failover_on_report(&agent->failover, now, target,
 					       sent->id, result, report));
-		keep_report(agent, target);
-		use_reports(agent);
+		if (!result)
+			take_report(agent, target);
 	} else {
 		ended.kind = order_kind(sent->kind);
 		ended.target = target;
@@ -265,7 +233,7 @@
 	kb_confirm_params_init(&confirm_params);
 	kb_failover_init(&agent->failover, &failover_ops, &params,
 			 &agent->spec);
-	kb_freshness_init(&agent->freshness);
+	kb_sampler_init(&agent->sampler, agent->spec.target_count);
 	kb_confirm_init(&agent->confirm, &agent->failover.watch,
 			&confirm_params);
 	result = open_controls(agent);
@@ -288,8 +256,8 @@
 kb_result_t kb_agent_set_group(kb_agent_t *agent, const kb_group_spec_t *group)
 {
 	close_controls(agent);
-	agent->pending_count = 0;
 	agent->spec = *group;
+	kb_sampler_init(&agent->sampler, group->target_count);
 	schedule(agent, kb_failover_set_group(&agent->failover,
 					      agent_now(agent), group));
 	return open_controls(agent);
@@ -324,6 +292,23 @@
 	return kb_failover_primary(&agent->failover);
 }
 
+void kb_agent_refresh(kb_agent_t *agent)
+{
+	schedule(agent,
+		 kb_watch_want(&agent->failover.watch, agent_now(agent)));
+}
+
+const kb_report_t *kb_agent_report(const kb_agent_t *agent, size_t target,
+				   kb_time_t *reported_at)
+{
+	const kb_watch_target_t *known = &agent->failover.watch.targets[target];
+
+	if (!known->has_report)
+		return NULL;
+	*reported_at = known->report_probe.sent;
+	return &known->report;
+}
+
 kb_time_t kb_agent_reached(const kb_agent_t *agent, size_t target)
 {
 	const kb_watch_target_t *known = &agent->failover.watch.targets[target];
@@ -332,7 +317,7 @@
 		return kb_watch_confirmed_at(&agent->failover.watch);
 	if (!known->has_report)
 		return KB_TIME_NEVER;
-	return kb_freshness_reached(&agent->freshness, &known->report);
+	return kb_freshness_reached(&agent->sampler.freshness, &known->report);
 }
 
 int kb_agent_includes(const kb_agent_t *agent, size_t target, kb_point_t point)
@@ -348,6 +333,19 @@
 	       kb_freshness_includes(&known->report, point);
 }
 
+/* The age of a replica at its last report, or of the primary now. */
+static kb_time_t view_age(const kb_agent_t *agent, size_t target, kb_time_t now)
+{
+	kb_time_t reached = kb_agent_reached(agent, target);
+	kb_time_t at = now;
+
+	if (reached == KB_TIME_NEVER)
+		return KB_TIME_NEVER;
+	if (target != kb_agent_primary(agent))
+		kb_agent_report(agent, target, &at);
+	return at > reached ? at - reached : 0;
+}
+
 void kb_agent_fill_view(kb_agent_t *agent, kbx_group_view *view,
 			kbx_target_view items[KB_GROUP_MAX_TARGETS])
 {
@@ -358,14 +356,13 @@
 	view->targets.targets_val = items;
 	view->targets.targets_len = (u_int)agent->spec.target_count;
 	for (size_t i = 0; i < agent->spec.target_count; i++) {
-		kb_time_t reached = kb_agent_reached(agent, i);
+		kb_time_t age = view_age(agent, i, now);
 
 		memset(&items[i], 0, sizeof(items[i]));
 		items[i].target = agent->spec.targets[i].name.data;
 		items[i].primary = i == primary;
-		items[i].age_us = reached == KB_TIME_NEVER
-					  ? -1
-					  : (now - reached) / KB_NS_PER_US;
+		items[i].age_us =
+			age == KB_TIME_NEVER ? -1 : age / KB_NS_PER_US;
 		items[i].applied =
 			agent->failover.watch.targets[i].report.applied;
 	}
--- a/src/agent.h
+++ b/src/agent.h
@@ -4,8 +4,8 @@
 #include "confirm.h"
 #include "control.h"
 #include "failover.h"
-#include "freshness.h"
 #include "gen/kumquat_rpc.h"
+#include "sampler.h"
 
 KB_BEGIN_DECLS
 
@@ -18,6 +18,8 @@
 	/* `primary` serves in `term`. */
 	void (*primary_changed)(kb_agent_t *agent, uint64_t term,
 				size_t primary, int promoted);
+	/* A probe of `target` was answered. */
+	void (*reported)(kb_agent_t *agent, size_t target);
 } kb_agent_ops_t;
 
 /* What an agent is made from. */
@@ -32,14 +34,6 @@
 	void *owner;
 } kb_agent_setup_t;
 
-#define KB_AGENT_PENDING_MAX 8
-
-/* A report of the primary whose term is not confirmed at its time yet. */
-typedef struct kb_agent_pending {
-	kb_time_t sent;
-	kb_report_t report;
-} kb_agent_pending_t;
-
 /*
  * Watches one group from this host: carries the probes and orders of the
  * failover decisions to the targets, confirms writes, and knows how old the
@@ -49,10 +43,7 @@
 	/* First member: operations of the failover refer to it. */
 	kb_failover_t failover;
 	kb_confirm_t confirm;
-	kb_freshness_t freshness;
-	/* Oldest first. */
-	kb_agent_pending_t pending[KB_AGENT_PENDING_MAX];
-	size_t pending_count;
+	kb_sampler_t sampler;
 	const kb_agent_ops_t *ops;
 	void *owner;
 	kb_clock_t *clock;
@@ -85,6 +76,9 @@
 void kb_agent_confirm(kb_agent_t *agent, kb_confirm_entry_t *entry);
 void kb_agent_unconfirm(kb_agent_t *agent, kb_confirm_entry_t *entry);
 
+/* Asks for a probe of each target that is sent after this call. */
+void kb_agent_refresh(kb_agent_t *agent);
+
 /* Returns the index of the primary, or KB_NO_TARGET. */
 size_t kb_agent_primary(const kb_agent_t *agent);
 
@@ -94,6 +88,10 @@
  */
 kb_time_t kb_agent_reached(const kb_agent_t *agent, size_t target);
 
+/* Returns the newest report of a target and its probe's time, or NULL. */
+const kb_report_t *kb_agent_report(const kb_agent_t *agent, size_t target,
+				   kb_time_t *reported_at);
+
 /* Returns non-zero if a target's data are known to include `point`. */
 int kb_agent_includes(const kb_agent_t *agent, size_t target, kb_point_t point);
 
--- a/src/call.h
+++ b/src/call.h
@@ -20,6 +20,8 @@
 	/* For a read; otherwise all zero. */
 	kb_read_kind_t read_kind;
 	int bulk;
+	/* Place of its traffic class among all, for the routing policy. */
+	size_t class_index;
 	/* Host and target that hold the transaction, or empty. */
 	kb_name_t gate_host;
 	/* Ends the call, once. `res` lives until the return. */
--- a/src/catalog.c
+++ b/src/catalog.c
@@ -145,6 +145,12 @@
 	return found ? &found->spec.u.traffic_class : NULL;
 }
 
+size_t kb_catalog_class_index(const kb_catalog_t *catalog, kb_str_t name)
+{
+	return lower_bound(catalog, KB_KIND_TRAFFIC_CLASS, name) -
+	       lower_bound(catalog, KB_KIND_TRAFFIC_CLASS, KB_STR(""));
+}
+
 int kb_catalog_host_leaving(const kb_catalog_t *catalog, kb_str_t host)
 {
 	const kb_resource_t *found =
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -45,6 +45,9 @@
 const kb_traffic_class_t *kb_catalog_traffic_class(const kb_catalog_t *catalog,
 						   kb_str_t name);
 
+/* Returns the place of a traffic class among all of them. */
+size_t kb_catalog_class_index(const kb_catalog_t *catalog, kb_str_t name);
+
 /* Returns whether operators declared the host to be leaving. */
 int kb_catalog_host_leaving(const kb_catalog_t *catalog, kb_str_t host);
 
--- a/src/gen/kumquat_rpc.h
+++ b/src/gen/kumquat_rpc.h
@@ -97,6 +97,7 @@
 	char *transaction;
 	bool_t replayed;
 	quad_t age_us;
+	quad_t service_us;
 	kbx_group_view view;
 };
 typedef struct kbx_execute_res kbx_execute_res;
--- a/src/gen/kumquat_rpc.x
+++ b/src/gen/kumquat_rpc.x
@@ -77,6 +77,8 @@
 	/* Set if the answer was stored by an earlier submission. */
 	bool replayed;
 	hyper age_us;
+	/* Time that the statement ran, in microseconds, or -1. */
+	hyper service_us;
 	kbx_group_view view;
 };
 
--- a/src/gen/kumquat_rpc_xdr.c
+++ b/src/gen/kumquat_rpc_xdr.c
@@ -135,6 +135,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->age_us))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->service_us))
+		 return FALSE;
 	 if (!xdr_kbx_group_view (xdrs, &objp->view))
 		 return FALSE;
 	return TRUE;
--- a/src/group_hint.c
+++ b/src/group_hint.c
@@ -9,7 +9,7 @@
 	memset(hint, 0, sizeof(*hint));
 	kb_name_set(&hint->group, group);
 	hint->primary = KB_GROUP_MAX_TARGETS;
-	kb_least_outstanding_init(&hint->load);
+	kb_least_work_init(&hint->load);
 }
 
 static void update_target(kb_route_hint_t *hint, const kbx_target_view *item,
--- a/src/group_hint.h
+++ b/src/group_hint.h
@@ -14,8 +14,8 @@
 	/* Index of the primary, or KB_GROUP_MAX_TARGETS if unknown. */
 	size_t primary;
 	kb_route_hint_t targets[KB_GROUP_MAX_TARGETS];
-	/* Requests sent from this host without an answer yet. */
-	kb_least_outstanding_t load;
+	/* Work sent from this host without an answer yet. */
+	kb_least_work_t load;
 } kb_group_hint_t;
 
 /* Initializes a hint that knows nothing. */
--- a/src/group_service.c
+++ b/src/group_service.c
@@ -83,9 +83,16 @@
 	(void)promoted;
 }
 
+static void reported(kb_agent_t *agent, size_t target)
+{
+	(void)agent;
+	(void)target;
+}
+
 static const kb_agent_ops_t agent_ops = {
 	.ask_views = ask_views,
 	.primary_changed = primary_changed,
+	.reported = reported,
 };
 
 kb_group_service_t *kb_group_services_find(const kb_group_services_t *services,
--- a/src/route_plan.c
+++ b/src/route_plan.c
@@ -24,6 +24,7 @@
 		.max_age = call->read_kind.max_age,
 		.point = { call->args.include.term,
 			   call->args.include.position },
+		.class_index = call->class_index,
 		.bulk = call->bulk,
 		.answer_bytes = call->bulk ? EXPECTED_BULK_ANSWER_BYTES
 					   : EXPECTED_ANSWER_BYTES,
--- a/src/router.c
+++ b/src/router.c
@@ -182,14 +182,22 @@
 	return try_after(job, delay * KB_NS_PER_MS);
 }
 
-static void count_outstanding(job_t *job, int started)
+static void count_started(job_t *job)
 {
 	kb_route_policy_t *policy = &job->hint->load.policy;
 
-	if (started)
-		policy->ops->started(policy, job->target, 0);
-	else
-		policy->ops->ended(policy, job->target, 0, 0);
+	policy->ops->started(policy, job->target, job->call->class_index);
+}
+
+static void count_ended(job_t *job, const kbx_execute_res *res)
+{
+	kb_route_policy_t *policy = &job->hint->load.policy;
+	kb_time_t service = res && !res->result && res->service_us > 0
+				    ? res->service_us * KB_NS_PER_US
+				    : -1;
+
+	policy->ops->ended(policy, job->target, job->call->class_index,
+			   service);
 }
 
 /* Charges an exchange with another region. */
@@ -241,7 +249,7 @@
 {
 	job_t *job = ctx;
 
-	count_outstanding(job, 0);
+	count_ended(job, res);
 	take_result(job, res);
 }
 
@@ -250,7 +258,7 @@
 	job_t *job = ctx;
 	kbx_execute_res failed;
 
-	count_outstanding(job, 0);
+	count_ended(job, result ? NULL : res);
 	if (!result) {
 		charge_link(job, res);
 		take_result(job, res);
@@ -283,11 +291,11 @@
 	kb_result_t result;
 
 	job->router->counters.forwarded++;
-	count_outstanding(job, 1);
+	count_started(job);
 	result = kb_rpc_peer_call(&job->host->peer, &call);
 	if (!result)
 		return;
-	count_outstanding(job, 0);
+	count_ended(job, NULL);
 	memset(&failed, 0, sizeof(failed));
 	failed.result = result;
 	failed.message = (char *)kb_strerror(result);
@@ -301,7 +309,7 @@
 	job->call->args.deadline_us = time_left(job) / KB_NS_PER_US;
 	if (host->self) {
 		job->router->counters.local++;
-		count_outstanding(job, 1);
+		count_started(job);
 		job->router->ops->execute(job->router, &job->call->args,
 					  on_local, job);
 		return;
@@ -419,6 +427,10 @@
 	}
 	job->router = router;
 	job->call = call;
+	call->class_index = kb_catalog_class_index(
+		router->catalog, kb_str_from(call->args.traffic_class));
+	if (call->class_index >= KB_ROUTE_MAX_CLASSES)
+		call->class_index = KB_ROUTE_MAX_CLASSES - 1;
 	router->active++;
 	job_try(job);
 }
