--- /dev/null
+++ b/model/ack_model.py
@@ -0,0 +1,257 @@
+#!/usr/bin/env python3
+"""Exhaustive model of promotion and acknowledgement.
+
+Explores every interleaving of a group of three targets, two promoters and a
+few writes by the rules of src/confirm.c, src/promotion.c and docs/TARGETS.md,
+and checks that
+
+  - a target that becomes primary holds every write that was acknowledged for
+    its position in a lower term,
+  - no write is acknowledged that its primary took after a primary of a higher
+    term had been promoted,
+  - a term has one primary.
+
+Usage: ack_model.py RULE START WRITES [MAX_STATES]
+
+RULE breaks one rule on purpose, or is "none":
+
+  none           the rules as built
+  early-probe    a reply to a probe sent before the commit counts
+  minority       promotion after fencing a single target
+  second-choice  an unanswered promotion is followed by another choice in
+                 the same term
+  bare-position  promotion compares positions and ignores log terms
+  count-only     confirmation compares positions and ignores the log's term
+
+START is "new" (a primary of term 1 with equal logs) or "lagging" (its
+replicas lack the last two entries of its log).  WRITES is how many writes may
+be made from there.  Prints the steps to a violation and exits with 1, or
+exits with 0 after the last state, or with 2 at the limit of states.
+"""
+import sys
+from itertools import combinations
+
+TARGETS = (0, 1, 2)
+MAJORITY = 2
+MAX_TERM = 3
+MARK = -1  # the entry with which a term begins
+NOTHING, FOR_TERM, FOR_POSITION = range(3)  # what a replica has confirmed
+
+# target: (term, promoter that fenced it at that term or None, primary, log)
+#         with log a tuple of (term, write)
+# write:  (target, term, position, the primary confirmed, what a replica has
+#         confirmed, late); late: a primary of a higher term had been promoted
+#         before it.  A write counts as acknowledged as soon as a majority, the
+#         primary and one replica, has confirmed it.
+# promoter: (term, fenced reports (target, last log term, length), chosen)
+# order: a promotion (promoter, term, target); it may arrive at any later time
+#        and again.  Promoter 0 may use the terms 2 and 3, promoter 1 term 3.
+
+
+def put(seq, i, v):
+    return seq[:i] + (v,) + seq[i + 1:]
+
+
+def last_term(log):
+    return log[-1][0] if log else 0
+
+
+def common(a, b):
+    n = 0
+    while n < len(a) and n < len(b) and a[n] == b[n]:
+        n += 1
+    return n
+
+
+class Model:
+    def __init__(self, rule, start, writes):
+        self.rule = rule
+        self.writes = writes
+        short = ((1, MARK),)
+        log = short
+        if start == "lagging":
+            log += ((1, MARK - 1), (1, MARK - 2))
+        targets = ((1, None, True, log), (1, None, False, short),
+                   (1, None, False, short))
+        self.first = (targets, (), ((1, (), ()), (2, (), ())), ())
+
+    def successors(self, state):
+        yield from self.commits(state)
+        yield from self.replication(state)
+        yield from self.confirmations(state)
+        yield from self.promoters(state)
+        yield from self.deliveries(state)
+
+    def commits(self, state):
+        targets, writes, promoters, orders = state
+        if len(writes) == self.writes:
+            return
+        for i in TARGETS:
+            term, fencer, primary, log = targets[i]
+            if not primary:
+                continue
+            late = any(t[2] and t[0] > term for t in targets) or any(
+                e[0] > term for t in targets for e in t[3])
+            # every target was in term 1 when the run began
+            early = self.rule == "early-probe" and term == 1
+            after = put(targets, i, (term, fencer, True,
+                                     log + ((term, len(writes)),)))
+            write = (i, term, len(log) + 1, early,
+                     FOR_TERM if early else NOTHING, late)
+            yield after, writes + (write,), promoters, orders
+
+    def replication(self, state):
+        targets, writes, promoters, orders = state
+        for i in TARGETS:
+            term, _, primary, log = targets[i]
+            if not primary:
+                continue
+            for j in TARGETS:
+                jterm, fencer, jprimary, jlog = targets[j]
+                if j == i or jterm > term or (jterm == term and jprimary):
+                    continue
+                if jterm < term:  # ordered to follow: adopts the term
+                    new = (term, None, False, jlog)
+                else:
+                    n = common(jlog, log)  # drops what the primary lacks
+                    if n == len(log):
+                        continue
+                    new = (jterm, fencer, False, log[:n + 1])
+                yield put(targets, j, new), writes, promoters, orders
+
+    def confirmations(self, state):
+        targets, writes, promoters, orders = state
+        for w, write in enumerate(writes):
+            i, term, position, by_primary, by_replica, late = write
+            for j in TARGETS:
+                jterm, _, jprimary, jlog = targets[j]
+                if jterm != term:
+                    continue
+                held = len(jlog) >= position and (
+                    self.rule == "count-only" or last_term(jlog) == term)
+                kind = FOR_POSITION if held else FOR_TERM
+                if j == i and jprimary and not by_primary:
+                    new = write[:3] + (True, by_replica, late)
+                elif j != i and kind > by_replica:
+                    new = write[:3] + (by_primary, kind, late)
+                else:
+                    continue
+                yield targets, put(writes, w, new), promoters, orders
+
+    def promoters(self, state):
+        promoters = state[2]
+        for k, (term, fenced, chosen) in enumerate(promoters):
+            if term > 1 + k:
+                yield from self.fences(state, k, term, fenced, chosen)
+                yield from self.choose(state, k, term, fenced, chosen)
+            for higher in range(term + 1, MAX_TERM + 1):  # begins anew
+                yield from self.fences(state, k, higher, (), ())
+
+    def fences(self, state, k, term, fenced, chosen):
+        """A fence arrives.  That its answer is lost needs no state of its
+        own, because choices() may leave any answer aside."""
+        targets, writes, promoters, orders = state
+        for j in TARGETS:
+            jterm, fencer, primary, jlog = targets[j]
+            if jterm > term or (jterm == term and fencer != k):
+                continue
+            after = put(targets, j, (term, k, False, jlog))
+            if not chosen and not any(r[0] == j for r in fenced):
+                report = (j, last_term(jlog), len(jlog))
+                new = (term, tuple(sorted(fenced + (report,))), ())
+                yield after, writes, put(promoters, k, new), orders
+            elif primary and jlog.count((term, MARK)) == 1:
+                # a late repeat ends the primary that the promoter made
+                yield after, writes, promoters, orders
+
+    def choose(self, state, k, term, fenced, chosen):
+        targets, writes, promoters, orders = state
+        for j in self.choices(fenced, chosen):
+            left = fenced if self.rule == "second-choice" else ()
+            new = (term, left, tuple(sorted(chosen + (j,))))
+            sent = tuple(sorted(set(orders) | {(k, term, j)}))
+            yield targets, writes, put(promoters, k, new), sent
+
+    def choices(self, fenced, chosen):
+        """Targets that a promoter may choose after these fences."""
+        need = 1 if self.rule == "minority" else MAJORITY
+        if chosen and self.rule != "second-choice":
+            return ()
+        found = set()
+        for size in range(need, len(fenced) + 1):
+            for subset in combinations(fenced, size):
+                rest = [r for r in subset if r[0] not in chosen]
+                best = max(map(self.rank, rest), default=None)
+                found |= {r[0] for r in rest if self.rank(r) == best}
+        return sorted(found)
+
+    def rank(self, report):
+        _, term, length = report
+        return (length,) if self.rule == "bare-position" else (term, length)
+
+    def deliveries(self, state):
+        targets, writes, promoters, orders = state
+        for k, term, j in orders:
+            jterm, fencer, jprimary, jlog = targets[j]
+            if jterm == term and fencer == k and not jprimary:
+                new = (term, k, True, jlog + ((term, MARK),))
+                yield put(targets, j, new), writes, promoters, orders
+
+
+def violation(state):
+    targets, writes = state[0], state[1]
+    for w, (_, term, _, by_primary, by_replica, late) in enumerate(writes):
+        if late and by_primary and by_replica != NOTHING:
+            return f"write {w} of a replaced primary acknowledged"
+        if not by_primary or by_replica != FOR_POSITION:
+            continue
+        for jterm, _, primary, log in targets:
+            if primary and jterm > term and (term, w) not in log:
+                return f"acknowledged write {w} lost in term {jterm}"
+    terms = [t[0] for t in targets if t[2]]
+    if len(terms) != len(set(terms)):
+        return "two primaries in one term"
+    return None
+
+
+def explore(model, max_states):
+    """Returns (fault or None, steps to it, states, whether all were seen)."""
+    seen = {model.first: None}
+    frontier = [model.first]
+    while frontier:
+        following = []
+        for state in frontier:
+            for nxt in model.successors(state):
+                if nxt in seen:
+                    continue
+                seen[nxt] = state
+                fault = violation(nxt)
+                if fault:
+                    steps = [nxt]
+                    while seen[steps[-1]] is not None:
+                        steps.append(seen[steps[-1]])
+                    return fault, steps[::-1], len(seen), False
+                following.append(nxt)
+        frontier = following
+        if len(seen) > max_states:
+            return None, [], len(seen), False
+    return None, [], len(seen), True
+
+
+def main():
+    rule, start, writes = sys.argv[1], sys.argv[2], int(sys.argv[3])
+    limit = int(sys.argv[4]) if len(sys.argv) > 4 else 1_000_000
+    fault, steps, states, complete = explore(Model(rule, start, writes), limit)
+    if fault:
+        for step in steps:
+            print(" ", step)
+        print(f"{rule}, {start}: {fault} after {len(steps) - 1} steps,"
+              f" {states} states")
+        return 1
+    print(f"{rule}, {start}: holds in {states} states"
+          f" ({'all' if complete else 'up to the limit'})")
+    return 0 if complete else 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
