Let hosts learn of a new primary from the store or each other

A host that only follows a group saw a new primary at its next heartbeat and, without a heartbeat, not before a request waited.

kb_failover_on_hint() and a view of a newer term now cause one probe of each target; the news is believed only once a target reports it. A host that is no watcher probes at its usual rate while the primary is gone. The detector logs its own changes.

--- a/src/detector.c
+++ b/src/detector.c
@@ -1,5 +1,9 @@
 #include "detector.h"
 
+#include "log.h"
+
+#include <inttypes.h>
+
 enum { RTT_DEVIATIONS = 4 };
 
 const char *kb_cause_name(kb_cause_t cause)
@@ -222,9 +226,34 @@
 	return wake;
 }
 
+static void log_health(const kb_detector_t *detector, const kb_watch_t *watch)
+{
+	kb_event_t event = KB_EVENT_PRIMARY_SERVES;
+
+	switch (detector->health) {
+	case KB_HEALTH_UNKNOWN:
+		return;
+	case KB_HEALTH_OK:
+		break;
+	case KB_HEALTH_SUSPECT:
+		event = KB_EVENT_PRIMARY_SUSPECTED;
+		break;
+	case KB_HEALTH_DEAD:
+		event = KB_EVENT_PRIMARY_LOST;
+		break;
+	case KB_HEALTH_CUT_OFF:
+		event = KB_EVENT_GROUP_CUT_OFF;
+		break;
+	}
+	kb_log(event, "group=%s term=%" PRIu64 " cause=%s",
+	       watch->group.name.data, watch->term,
+	       kb_cause_name(detector->cause));
+}
+
 kb_time_t kb_detector_update(kb_detector_t *detector, kb_time_t now,
 			     const kb_watch_t *watch)
 {
+	kb_health_t before = detector->health;
 	census_t census;
 
 	if (detector->term != watch->term ||
@@ -244,5 +273,7 @@
 		judge(detector, KB_HEALTH_UNKNOWN, KB_CAUSE_NONE);
 	else
 		judge(detector, KB_HEALTH_DEAD, KB_CAUSE_NO_PRIMARY);
+	if (detector->health != before)
+		log_health(detector, watch);
 	return next_change(detector, now, watch, &census);
 }
--- a/src/failover.c
+++ b/src/failover.c
@@ -111,32 +111,6 @@
 	failover->term_grew_at = now;
 }
 
-static void log_health(const kb_failover_t *failover, kb_health_t before)
-{
-	kb_event_t event = KB_EVENT_PRIMARY_SERVES;
-
-	if (failover->detector.health == before)
-		return;
-	switch (failover->detector.health) {
-	case KB_HEALTH_UNKNOWN:
-		return;
-	case KB_HEALTH_OK:
-		break;
-	case KB_HEALTH_SUSPECT:
-		event = KB_EVENT_PRIMARY_SUSPECTED;
-		break;
-	case KB_HEALTH_DEAD:
-		event = KB_EVENT_PRIMARY_LOST;
-		break;
-	case KB_HEALTH_CUT_OFF:
-		event = KB_EVENT_GROUP_CUT_OFF;
-		break;
-	}
-	kb_log(event, "group=%s term=%" PRIu64 " cause=%s",
-	       group_name(failover), failover->watch.term,
-	       kb_cause_name(failover->detector.cause));
-}
-
 /* Returns non-zero if a planned change of primary may begin. */
 static int is_switch_due(const kb_failover_t *failover, kb_time_t now)
 {
@@ -281,13 +255,11 @@
 
 kb_time_t kb_failover_on_timer(kb_failover_t *failover, kb_time_t now)
 {
-	kb_health_t before = failover->detector.health;
 	kb_time_t wake;
 
 	note_highest_term(failover, now);
 	end_promotion(failover, now);
 	wake = kb_detector_update(&failover->detector, now, &failover->watch);
-	log_health(failover, before);
 	if (kb_ballot_update(&failover->ballot, now, failover->detector.health,
 			     failover->watch.term))
 		failover->ops->ask_views(failover);
@@ -301,9 +273,10 @@
 	tell_primary(failover);
 	repoint_targets(failover, now);
 	failover->watch.urgent =
-		kb_promotion_is_active(&failover->promotion) ||
-		failover->detector.health == KB_HEALTH_SUSPECT ||
-		failover->detector.health == KB_HEALTH_DEAD;
+		failover->ballot.watcher_count &&
+		(failover->detector.health == KB_HEALTH_SUSPECT ||
+		 failover->detector.health == KB_HEALTH_DEAD ||
+		 kb_promotion_is_active(&failover->promotion));
 	earliest(&wake, kb_watch_on_timer(&failover->watch, now));
 	return wake;
 }
@@ -358,6 +331,16 @@
 			      size_t watcher, const kb_view_t *view)
 {
 	kb_ballot_on_view(&failover->ballot, now, watcher, view);
+	if (view->term > failover->watch.term)
+		kb_watch_refresh(&failover->watch, now);
+	return kb_failover_on_timer(failover, now);
+}
+
+kb_time_t kb_failover_on_hint(kb_failover_t *failover, kb_time_t now,
+			      uint64_t term)
+{
+	if (term > failover->watch.term)
+		kb_watch_refresh(&failover->watch, now);
 	return kb_failover_on_timer(failover, now);
 }
 
--- a/src/failover.h
+++ b/src/failover.h
@@ -133,6 +133,13 @@
 kb_time_t kb_failover_on_view(kb_failover_t *failover, kb_time_t now,
 			      size_t watcher, const kb_view_t *view);
 
+/*
+ * Takes the news, from the store or another host, that a primary of `term`
+ * serves; it is believed once a target has reported it.
+ */
+kb_time_t kb_failover_on_hint(kb_failover_t *failover, kb_time_t now,
+			      uint64_t term);
+
 /* Takes a changed group. */
 kb_time_t kb_failover_set_group(kb_failover_t *failover, kb_time_t now,
 				const kb_group_spec_t *group);
--- a/src/watch.c
+++ b/src/watch.c
@@ -91,8 +91,9 @@
 	const kb_watch_params_t *params = &watch->params;
 	const kb_watch_probe_t *newest = &target->probes[0];
 	kb_time_t interval = params->heartbeat;
+	int refreshes = newest->id < watch->refresh;
 
-	if (!interval && !watch->waiting && !watch->urgent)
+	if (!interval && !watch->waiting && !watch->urgent && !refreshes)
 		return KB_TIME_NEVER;
 	if (!target->probe_count)
 		return 0;
@@ -100,6 +101,8 @@
 		return newest->sent + probe_timeout(watch, target);
 	if (!interval)
 		interval = KB_TIME_NEVER;
+	if (refreshes)
+		interval = shorter(params->min_interval, interval);
 	if (watch->urgent || target->refused)
 		interval = shorter(params->urgent_interval, interval);
 	if (watch->waiting && !target->refused)
@@ -295,6 +298,12 @@
 	return kb_watch_on_timer(watch, now);
 }
 
+kb_time_t kb_watch_refresh(kb_watch_t *watch, kb_time_t now)
+{
+	watch->refresh = watch->last_probe_id + 1;
+	return kb_watch_on_timer(watch, now);
+}
+
 void kb_watch_want_nothing(kb_watch_t *watch)
 {
 	watch->waiting = 0;
--- a/src/watch.h
+++ b/src/watch.h
@@ -95,6 +95,8 @@
 	/* Requests wait for answers to probes with an id above `wanted`. */
 	int waiting;
 	uint64_t wanted;
+	/* Targets without a probe above this id are probed soon. */
+	uint64_t refresh;
 	/* Probes are sent at the urgent interval. */
 	int urgent;
 	/* Newest term seen with a primary, and that primary. */
@@ -139,6 +141,9 @@
 /* Asks for a probe of each target that is sent after this call. */
 kb_time_t kb_watch_want(kb_watch_t *watch, kb_time_t now);
 
+/* Asks for one probe of each target soon, as its state may have changed. */
+kb_time_t kb_watch_refresh(kb_watch_t *watch, kb_time_t now);
+
 /* No request waits for answers any more. */
 void kb_watch_want_nothing(kb_watch_t *watch);
 
--- a/tests/test_watch.cc
+++ b/tests/test_watch.cc
@@ -197,6 +197,18 @@
 	EXPECT_EQ(3u, h.sent.size());
 }
 
+TEST_F(watch_fixture, RefreshSendsOneProbeOfEachTarget)
+{
+	params.heartbeat = 0;
+	start();
+	kb_watch_refresh(&h.watch, 5 * MS);
+	EXPECT_EQ(3u, h.sent.size());
+	answer_all(6 * MS, 1);
+	EXPECT_EQ(KB_TIME_NEVER, kb_watch_on_timer(&h.watch, 900 * MS));
+	kb_watch_refresh(&h.watch, 901 * MS);
+	EXPECT_EQ(6u, h.sent.size());
+}
+
 TEST_F(watch_fixture, RefusedProbesAreCountedAndRetriedSooner)
 {
 	kb_watch_on_timer(&h.watch, 0);
