--- a/src/gen/kumquat_rpc.x
+++ b/src/gen/kumquat_rpc.x
@@ -77,11 +77,35 @@
 	/* Set if the answer was stored by an earlier submission. */
 	bool replayed;
 	hyper age_us;
+	/* Time that the statement ran, in microseconds, or -1. */
+	hyper service_us;
 	kbx_group_view view;
 };
 
+struct kbx_view_args {
+	string group<KBX_NAME_MAX>;
+};
+
+/* How a watching host sees the primary of a group. */
+struct kbx_view_res {
+	/* A kb_health_t. */
+	int health;
+	unsigned hyper term;
+};
+
+const KBX_MESSAGE_MAX = 2097152;
+
+/* An encoded message of membership or configuration. */
+struct kbx_message {
+	opaque data<KBX_MESSAGE_MAX>;
+};
+
 program KUMQUAT_PROGRAM {
 	version KUMQUAT_VERSION {
 		kbx_execute_res KUMQUAT_EXECUTE(kbx_execute_args) = 1;
+		kbx_view_res KUMQUAT_VIEW(kbx_view_args) = 2;
+		/* Sent as a datagram; has no reply. */
+		void KUMQUAT_MEMBER(kbx_message) = 3;
+		void KUMQUAT_SPREAD(kbx_message) = 4;
 	} = 1;
 } = 0x2b4b5142;
--- a/src/gen/kumquat_rpc_xdr.c
+++ b/src/gen/kumquat_rpc_xdr.c
@@ -135,7 +135,41 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->age_us))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->service_us))
+		 return FALSE;
 	 if (!xdr_kbx_group_view (xdrs, &objp->view))
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_kbx_view_args (XDR *xdrs, kbx_view_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->group, KBX_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kbx_view_res (XDR *xdrs, kbx_view_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->health))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kbx_message (XDR *xdrs, kbx_message *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, KBX_MESSAGE_MAX))
+		 return FALSE;
+	return TRUE;
+}
--- a/tests/fake_spread.h
+++ b/tests/fake_spread.h
@@ -121,6 +121,18 @@
 				claim(host.second.get(), name, KB_MEMBER_DEAD);
 	}
 
+	/* The first running host that is not concerned by a claim. */
+	size_t sender(SpreadHost *host, const std::string &name)
+	{
+		std::string from = "h0";
+		size_t n = 0;
+
+		while (from == host->name || from == name ||
+		       !hosts[from]->running)
+			from = "h" + std::to_string(++n);
+		return n;
+	}
+
 	void claim(SpreadHost *host, const std::string &name,
 		   kb_member_state_t state)
 	{
@@ -131,8 +143,7 @@
 		kb_member_message_init(&message);
 		message.type = KB_MEMBER_GOSSIP;
 		kb_name_set(&message.to, kb_str_from(host->name.c_str()));
-		message.from = FakeFleet::record_of(99, 1);
-		message.from.data_centre.len = 0;
+		message.from = FakeFleet::record_of(sender(host, name), 1);
 		message.record_count = 1;
 		kb_member_to_record(member, &message.records[0]);
 		message.records[0].incarnation++;
@@ -337,7 +348,10 @@
 			return;
 		fleet->loop.at(fleet->loop.now + delay, [=] {
 			kb_spread_message_t copy;
-			SpreadHost *host = fleet->hosts[name].get();
+			auto found = fleet->hosts.find(name);
+			SpreadHost *host = found == fleet->hosts.end()
+						   ? nullptr
+						   : found->second.get();
 
 			if (!host || !host->running)
 				return;
--- a/tests/test_spread.cc
+++ b/tests/test_spread.cc
@@ -253,6 +253,32 @@
 	EXPECT_EQ(4u, status.unknown);
 }
 
+TEST(Spread, ADataCentreWithOnlyALeavingHostStillReports)
+{
+	SpreadFleet fleet(23, 3);
+	SpreadHost *viewer;
+	kb_spread_status_t status;
+
+	fleet.put("a", "1");
+	fleet.start_all();
+	viewer = fleet.hosts["h0"].get();
+	EXPECT_EQ(KB_OK, kb_spread_watch_status(&viewer->spread, true,
+						fleet.loop.now));
+	fleet.loop.run_for_ms(5000);
+	for (auto &host : fleet.hosts)
+		if (host.first != "h2")
+			fleet.claim(host.second.get(), "h2", KB_MEMBER_LEAVING);
+	kb_members_set_leaving(&fleet.hosts["h2"]->peers.members, true,
+			       fleet.loop.now);
+	fleet.loop.run_for_ms(2000);
+	fleet.put("a", "2");
+	fleet.loop.run_for_ms(6000);
+	kb_spread_get_status(&viewer->spread, 2, fleet.loop.now, &status);
+	EXPECT_EQ(3u, status.hosts);
+	EXPECT_EQ(3u, status.in_force);
+	EXPECT_EQ(0u, status.unknown);
+}
+
 TEST(Spread, ALostResourceIsRepaired)
 {
 	SpreadFleet fleet(23, 9);
