Measure the gap with watchers apart from the host that writes

In the bench every host wrote, so that waiting writes made each of them probe without pause and hid the heartbeat's part of the gap.

Three hosts now watch and a fourth writes and learns of the new primary from the promoter's news. The watch has an interval of its own for replicas, and the bench a policy with 300 ms for the primary and 1 s for replicas, as a large fleet would use.

--- a/bench/bench_failover.c
+++ b/bench/bench_failover.c
@@ -6,7 +6,8 @@
 
 /*
  * Measures the failover gap and wrong promotions by driving the state machines
- * of three hosts over a fake group. Usage: bench_failover [SEEDS]
+ * of three hosts that watch a fake group and one that writes to it. Usage:
+ * bench_failover [SEEDS]
  */
 
 enum {
@@ -14,11 +15,13 @@
 	SETTLE_MS = 1500,
 	AFTER_MS = 7000,
 	STEP_MS = 100,
+	WATCHERS = 3,
+	REPLICA_HEARTBEAT_MS = 1000,
 	SECOND_MS = 800,
 	LOSS_PER_MILLE = 10,
 	TAIL_PER_MILLE = 10,
 	TAIL_MS = 200,
-	WRITE_INTERVAL_MS = 15,
+	WRITE_INTERVAL_MS = 10,
 	STALL_SEEDS_DIVISOR = 10,
 	NEVER_REFUSED = 1 << 30,
 	MAX_PHASE_MS = 400,
@@ -37,12 +40,14 @@
 	int fixed_ms;
 	/* Waits between the fences and the promotion. */
 	int hold;
+	/* Heartbeat if not the default. */
+	int heartbeat_ms;
 } policy_t;
 
 static const policy_t policies[] = {
-	{ "adaptive", 0, 1 },	   { "adaptive-no-hold", 0, 0 },
-	{ "fixed-200ms", 200, 1 }, { "fixed-1s", 1000, 1 },
-	{ "fixed-3s", 3000, 1 },
+	{ "adaptive", 0, 1, 0 },	 { "adaptive-no-hold", 0, 0, 0 },
+	{ "adaptive-300ms", 0, 1, 300 }, { "fixed-200ms", 200, 1, 0 },
+	{ "fixed-1s", 1000, 1, 0 },	 { "fixed-3s", 3000, 1, 0 },
 };
 enum { POLICIES = sizeof(policies) / sizeof(policies[0]) };
 
@@ -84,6 +89,11 @@
 		params->failover.promotion.hold = 0;
 		params->confirm.window = 0;
 	}
+	if (policy->heartbeat_ms) {
+		params->failover.watch.heartbeat = ms(policy->heartbeat_ms);
+		params->failover.watch.replica_heartbeat =
+			ms(REPLICA_HEARTBEAT_MS);
+	}
 	if (!policy->fixed_ms)
 		return;
 	detector->stall = detector->max_silence = ms(policy->fixed_ms);
@@ -96,7 +106,7 @@
 
 static size_t random_host(fake_group_t *group)
 {
-	return kb_rng_below(&group->rng, group->params.host_count);
+	return kb_rng_below(&group->rng, WATCHERS);
 }
 
 static void bring_about(fake_group_t *group, fault_t fault, kb_time_t stall)
@@ -155,6 +165,8 @@
 
 	fake_params_init(&params);
 	params.seed = seed;
+	params.host_count = WATCHERS + 1;
+	params.first_writer = WATCHERS;
 	params.write_interval = ms(WRITE_INTERVAL_MS);
 	fake_params_deploy(&params, (fake_deployment_t)deployment);
 	set_policy(&params, policy);
--- a/bench/common/fake_group.h
+++ b/bench/common/fake_group.h
@@ -20,6 +20,8 @@
 	size_t host_count;
 	/* The first hosts watch the group. */
 	size_t watcher_count;
+	/* Hosts from this one on write. */
+	size_t first_writer;
 	size_t site[FAKE_MAX_NODES];
 	/* One-way latency between sites, and most that is added to it. */
 	kb_time_t latency[FAKE_MAX_SITES][FAKE_MAX_SITES];
--- a/bench/common/fake_host.c
+++ b/bench/common/fake_host.c
@@ -69,10 +69,18 @@
 static void primary_changed(kb_failover_t *failover, uint64_t term,
 			    size_t primary, int promoted)
 {
-	(void)failover;
-	(void)term;
+	fake_host_t *host = host_of(failover);
+
 	(void)primary;
-	(void)promoted;
+	if (!promoted)
+		return;
+	for (size_t i = 0; i < host->group->params.host_count; i++) {
+		fake_message_t message = { .kind = FAKE_HINT, .id = term };
+
+		if (i != host->index)
+			send_from(host, &message,
+				  fake_group_host_node(host->group, i));
+	}
 }
 
 static const kb_failover_ops_t failover_ops = {
@@ -173,7 +181,8 @@
 	size_t primary = kb_failover_primary(&host->failover);
 	fake_message_t message = { .kind = FAKE_WRITE };
 
-	if (primary == KB_NO_TARGET || !host->up)
+	if (primary == KB_NO_TARGET || !host->up ||
+	    host->index < group->params.first_writer)
 		return;
 	message.id = ++group->writes;
 	send_from(host, &message, primary);
@@ -210,6 +219,10 @@
 			on_ask(host, message);
 		return;
 	}
+	if (message->kind == FAKE_HINT) {
+		drive(host, kb_failover_on_hint(failover, now, message->id));
+		return;
+	}
 	if (message->kind == FAKE_WAKE) {
 		if (now < host->wake)
 			return;
--- a/bench/common/fake_message.h
+++ b/bench/common/fake_message.h
@@ -20,6 +20,7 @@
 	FAKE_WRITTEN,
 	FAKE_ASK,
 	FAKE_VIEW,
+	FAKE_HINT,
 	/* Timers, which a host or target sends to itself. */
 	FAKE_WAKE,
 	FAKE_SUBMIT,
--- a/src/watch.c
+++ b/src/watch.c
@@ -10,6 +10,7 @@
 void kb_watch_params_init(kb_watch_params_t *params)
 {
 	params->heartbeat = KB_WATCH_HEARTBEAT_MS * KB_NS_PER_MS;
+	params->replica_heartbeat = params->heartbeat;
 	params->min_interval = KB_WATCH_MIN_INTERVAL_MS * KB_NS_PER_MS;
 	params->poll_interval = KB_WATCH_POLL_INTERVAL_MS * KB_NS_PER_MS;
 	params->urgent_interval = KB_WATCH_URGENT_INTERVAL_MS * KB_NS_PER_MS;
@@ -90,7 +91,10 @@
 {
 	const kb_watch_params_t *params = &watch->params;
 	const kb_watch_probe_t *newest = &target->probes[0];
-	kb_time_t interval = params->heartbeat;
+	int is_replica = watch->primary != KB_NO_TARGET &&
+			 target != &watch->targets[watch->primary];
+	kb_time_t interval =
+		is_replica ? params->replica_heartbeat : params->heartbeat;
 	int refreshes = newest->id < watch->refresh;
 
 	if (!interval && !watch->waiting && !watch->urgent && !refreshes)
