--- a/src/watch.c
+++ b/src/watch.c
@@ -91,7 +91,7 @@
 {
 	const kb_watch_params_t *params = &watch->params;
 	const kb_watch_probe_t *newest = &target->probes[0];
-	int is_replica = watch->primary != KB_NO_TARGET &&
+	int is_replica = params->heartbeat && watch->primary != KB_NO_TARGET &&
 			 target != &watch->targets[watch->primary];
 	kb_time_t interval =
 		is_replica ? params->replica_heartbeat : params->heartbeat;
--- a/src/watch.h
+++ b/src/watch.h
@@ -36,7 +36,10 @@
 typedef struct kb_watch_params {
 	/* Interval when nothing waits; 0 probes only when something does. */
 	kb_time_t heartbeat;
-	/* The same for targets other than the primary, once it is known. */
+	/*
+	 * Interval for targets other than the primary, once it is known;
+	 * without effect if `heartbeat` is 0.
+	 */
 	kb_time_t replica_heartbeat;
 	/* Least time between two probes of a target. */
 	kb_time_t min_interval;
--- a/tests/test_watch.cc
+++ b/tests/test_watch.cc
@@ -197,6 +197,19 @@
 	EXPECT_EQ(3u, h.sent.size());
 }
 
+TEST_F(watch_fixture, ReplicasMayHaveASlowerHeartbeat)
+{
+	params.replica_heartbeat = 400 * MS;
+	start();
+	kb_watch_on_timer(&h.watch, 0);
+	answer_all(MS, 1);
+	for (kb_time_t now = 0; now < 401 * MS; now += 50 * MS) {
+		kb_watch_on_timer(&h.watch, now);
+		answer_all(now + MS, 1);
+	}
+	EXPECT_EQ(5u + 2 + 2, h.sent.size());
+}
+
 TEST_F(watch_fixture, RefreshSendsOneProbeOfEachTarget)
 {
 	params.heartbeat = 0;
