--- a/src/log_events.h
+++ b/src/log_events.h
@@ -60,6 +60,8 @@
 	 "outcome of an operator's change unknown")
 KB_EVENT(1703, OPERATOR_REFUSED, WARN, "an operator was refused")
 
+KB_EVENT(1800, TRACE_FAILED, ERROR, "the trace file cannot be written")
+
 KB_EVENT(1900, RPC_CONNECTION_LOST, WARN, "connection to a host lost")
 KB_EVENT(1901, RPC_VERSION_REFUSED, WARN, "message of an unknown version")
 KB_EVENT(1902, RPC_LATE_REPLY, DEBUG, "reply to a call that has ended")
