Mend transactions, confirmation and age of reads at the gate

Cause, each shown by a test in tests/test_gate.cc: - The pool's order to expire a pinned connection had no implementation: a transaction left open for 10 s called a null pointer and ended the daemon. - A pinned connection that broke stayed with its transaction. Its slot was reused, and the old transaction's statements ran on another one's connection, COMMIT included. - A statement of a transaction without a connection would have run on a fresh one, outside a transaction. - A read whose confirmation failed before its connection came was served. - Closing a gate left the requests that wait for confirmation with a freed gate. - ageMs was 0 for a confirmed read, left out the wait for a connection and the execution, and was rounded down.

Change: the gate ends the transaction whose connection is gone; only BEGIN asks for a connection; the outcome of the confirmation of a read is kept apart; a gate lists what waits for confirmation and ends it as unknown. The age is taken when the answer leaves, is rounded up, and an answer older than its kind accepts is refused as not fresh. The agent's timer rounds its delay up, as it fired up to 1 us early and span until the time had come. Spans for queue, connection, statement and confirmation begin and end here; counters of waits are kept.

Conclusion: statements of different transactions cannot meet on a connection by these ways.

--- a/src/agent.c
+++ b/src/agent.c
@@ -21,6 +21,8 @@
 	delay = at - agent_now(agent);
 	if (delay < 0)
 		delay = 0;
+	/* Rounded up, or the timer would fire before the time has come. */
+	delay += KB_NS_PER_US - 1;
 	timeout.tv_sec = delay / KB_NS_PER_S;
 	timeout.tv_usec = delay % KB_NS_PER_S / KB_NS_PER_US;
 	event_add(agent->timer, &timeout);
--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -18,11 +18,26 @@
 	kb_transaction_t *transaction;
 	kb_pool_connection_t *connection;
 	kb_time_t arrived;
-	/* A term confirmation runs beside the read. */
+	/* It waits for confirmation, a read perhaps beside its execution. */
 	int confirming;
-	/* The read waits for it. */
+	struct kb_gate_request *confirming_next, *confirming_prev;
+	/* When confirmation was asked for, and how it ended for a read. */
+	kb_time_t asked;
+	kb_result_t confirm_result;
+	/* The statement has ended. */
 	int executed;
-	kb_time_t age;
+	/* When the statement was sent, and the term then known. */
+	kb_time_t sent;
+	uint64_t sent_term;
+	/*
+	 * Time whose data a read certainly shows, or KB_TIME_NEVER if none is
+	 * known.
+	 */
+	kb_time_t as_of;
+	/* The trace that it belongs to, and its present hop. */
+	kb_trace_context_t trace;
+	kb_span_t span;
+	kb_span_t confirm_span;
 	kb_gate_done_fn_t *done;
 	void *ctx;
 } kb_gate_request_t;
@@ -45,6 +60,21 @@
 void kb_gate_request_fail(kb_gate_request_t *request, kb_result_t result,
 			  const char *detail);
 
+/* A wait for confirmation has ended. */
+void kb_gate_request_on_confirmed(kb_gate_request_t *request,
+				  kb_result_t result);
+
+static inline int kb_gate_request_is_read(const kb_gate_request_t *request)
+{
+	return request->args->action == KBX_ACTION_READ;
+}
+
+/* Whether the target is the primary as far as this host knows. */
+static inline int kb_gate_request_on_primary(const kb_gate_request_t *request)
+{
+	return kb_agent_primary(request->gate->agent) == request->gate->index;
+}
+
 /* Makes `request` the user of a connection; returns the connection. */
 kb_conn_t *kb_target_gate_bind(kb_pool_connection_t *slot,
 			       kb_gate_request_t *request);
--- a/src/target_gate.c
+++ b/src/target_gate.c
@@ -1,5 +1,6 @@
 #include "target_gate.h"
 
+#include "gate_confirm.h"
 #include "gate_request.h"
 #include "log.h"
 
@@ -97,6 +98,23 @@
 	kb_target_gate_tick(gate);
 }
 
+/* Ends the transaction that held a connection between its statements. */
+static void transaction_lost(kb_target_gate_t *gate, kb_pool_connection_t *slot)
+{
+	kb_transaction_t *transaction =
+		kb_transactions_holder(&gate->transactions, slot);
+
+	if (!transaction)
+		return;
+	transaction->connection = NULL;
+	/* A statement that is queued learns it when it gets its slot. */
+	if (transaction->busy)
+		return;
+	kb_admission_transaction_ended(&gate->admission,
+				       &transaction->admission, gate_now(gate));
+	kb_transactions_remove(&gate->transactions, transaction);
+}
+
 static void on_lost(kb_conn_t *conn)
 {
 	gate_conn_t *held = conn->owner;
@@ -112,6 +130,7 @@
 	conn->ops->close(conn);
 	free(held);
 	slot->handle = NULL;
+	transaction_lost(gate, slot);
 	kb_pool_closed(&gate->pool, slot, gate_now(gate));
 	kb_target_gate_tick(gate);
 }
@@ -170,6 +189,13 @@
 	kb_pool_closed(pool, slot, gate_now(gate));
 }
 
+static void pool_expire(kb_pool_t *pool, kb_pool_connection_t *slot,
+			kb_time_t now)
+{
+	(void)now;
+	transaction_lost(from_pool(pool), slot);
+}
+
 static void pool_grant(kb_pool_t *pool, kb_pool_waiter_t *waiter,
 		       kb_pool_connection_t *slot, kb_time_t now)
 {
@@ -192,6 +218,7 @@
 	.open = pool_open,
 	.rollback = pool_rollback,
 	.close = pool_close,
+	.expire = pool_expire,
 	.grant = pool_grant,
 	.refuse = pool_refuse,
 };
@@ -258,6 +285,7 @@
 		free(held);
 		gate->pool.connections[i].handle = NULL;
 	}
+	kb_gate_confirm_end_all(gate);
 	while (gate->transactions.first)
 		kb_transactions_remove(&gate->transactions,
 				       gate->transactions.first);
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -6,6 +6,7 @@
 #include "exec.h"
 #include "pool.h"
 #include "router.h"
+#include "trace.h"
 #include "transaction.h"
 
 KB_BEGIN_DECLS
@@ -16,6 +17,11 @@
 	uint64_t refused;
 	uint64_t unknown;
 	uint64_t replayed;
+	/* Waits for a slot and for confirmation, and their total time. */
+	uint64_t queue_waits;
+	kb_time_t queue_wait;
+	uint64_t confirm_waits;
+	kb_time_t confirm_wait;
 } kb_target_gate_counters_t;
 
 /*
@@ -36,6 +42,10 @@
 	kb_transactions_t transactions;
 	struct event *timer;
 	size_t active;
+	/* Requests that wait for confirmation. */
+	struct kb_gate_request *confirming;
+	/* May be NULL. */
+	kb_trace_t *trace;
 	kb_target_gate_counters_t counters;
 } kb_target_gate_t;
 
@@ -45,7 +55,10 @@
 				struct event_base *loop, kb_clock_t *clock,
 				size_t answer_limit_bytes, uint64_t seed);
 
-/* Closes all connections; requests in flight must have ended. */
+/*
+ * Closes all connections. Requests in flight end: what may have run as
+ * unknown, the rest as not run.
+ */
 void kb_target_gate_finish(kb_target_gate_t *gate);
 
 /*
--- a/src/transaction.c
+++ b/src/transaction.c
@@ -37,6 +37,16 @@
 	return found;
 }
 
+kb_transaction_t *kb_transactions_holder(const kb_transactions_t *transactions,
+					 const kb_pool_connection_t *connection)
+{
+	kb_transaction_t *found = transactions->first;
+
+	while (found && found->connection != connection)
+		found = found->next;
+	return found;
+}
+
 void kb_transactions_remove(kb_transactions_t *transactions,
 			    kb_transaction_t *transaction)
 {
--- a/src/transaction.h
+++ b/src/transaction.h
@@ -15,6 +15,7 @@
 	char id[KB_TRANSACTION_ID_BYTES];
 	kb_name_t caller;
 	kb_limited_transaction_t admission;
+	/* NULL until it is open, and once it was rolled back. */
 	kb_pool_connection_t *connection;
 	/* A request of it is running or queued. */
 	int busy;
@@ -37,6 +38,11 @@
 kb_transaction_t *kb_transactions_find(const kb_transactions_t *transactions,
 				       kb_str_t id, kb_str_t caller);
 
+/* Returns the transaction that holds `connection`, or NULL. */
+kb_transaction_t *
+kb_transactions_holder(const kb_transactions_t *transactions,
+		       const kb_pool_connection_t *connection);
+
 /* Removes and frees a transaction. */
 void kb_transactions_remove(kb_transactions_t *transactions,
 			    kb_transaction_t *transaction);
