--- a/bench/common/read_sim.h
+++ b/bench/common/read_sim.h
@@ -5,6 +5,7 @@
 #include "read_check.h"
 #include "replica_log.h"
 #include "route.h"
+#include "sampler.h"
 
 /*
  * Sessions that read and write three groups through hosts and gates. Hosts
@@ -51,7 +52,7 @@
 /* A target and its gate, which stand at the same site. */
 typedef struct gate {
 	kb_bench_replica_t replica;
-	kb_freshness_t freshness;
+	kb_sampler_t sampler;
 	kb_report_t reports[SITES];
 	kb_time_t reached[SITES];
 	/* When the probe for each report was sent. */
@@ -68,7 +69,7 @@
 	kb_bench_log_t log;
 	size_t primary;
 	gate_t gates[SITES];
-	kb_least_outstanding_t policies[HOSTS];
+	kb_least_work_t policies[HOSTS];
 	kb_route_hint_t hints[HOSTS][SITES];
 	size_t turn;
 } group_t;
@@ -100,7 +101,7 @@
 	policy_t policy;
 	/* How far replicas are behind, on average. */
 	kb_time_t mean_lag;
-	/* Time between two probes of each target by each gate. */
+	/* Time between two probes of a replica by each gate. */
 	kb_time_t probe_interval;
 	unsigned long seed;
 } config_t;
@@ -120,6 +121,8 @@
 typedef struct read {
 	session_t *session;
 	const read_kind_t *kind;
+	size_t class_index;
+	kb_time_t service;
 	kb_read_check_t check;
 	size_t host;
 	kb_time_t arrival;
