Trace requests, keep one table of bearers, split the caller interface

When a caller closed its connection the HTTP request was never freed. A host that refuses the version of a call gave the caller a result that says unknown, though nothing ran. Calls that waited for a retry leaked at the end of a process. Change: spans for the exchange with the caller and for calls to other hosts; the span goes on in traceparent. account.c serves callers and operators; the length of an operator's token and its name are checked by the settings, with lines in their fault table in place of the test of operator_auth.c, and the token's own length is now what counts. caller_exchange.c carries one request, router_job.c one call, route_retry.c decides on retries. Durations of requests are kept by traffic class.

--- a/src/call.h
+++ b/src/call.h
@@ -4,6 +4,7 @@
 #include "catalog.h"
 #include "gen/kumquat_rpc.h"
 #include "point.h"
+#include "trace.h"
 
 KB_BEGIN_DECLS
 
@@ -20,6 +21,8 @@
 	/* For a read; otherwise all zero. */
 	kb_read_kind_t read_kind;
 	int bulk;
+	/* Span of the exchange with the caller; all zero if not recorded. */
+	kb_trace_context_t trace;
 	/* Place of its traffic class among all, for the routing policy. */
 	size_t class_index;
 	/* Host and target that hold the transaction, or empty. */
--- a/src/caller_api.h
+++ b/src/caller_api.h
@@ -1,11 +1,16 @@
 #ifndef KB_CALLER_API_H
 #define KB_CALLER_API_H
 
+#include "account.h"
 #include "catalog.h"
+#include "class_durations.h"
+#include "problem.h"
 #include "router.h"
 #include "token.h"
+#include "trace.h"
 
 struct evhttp;
+struct evhttp_request;
 struct evbuffer;
 
 KB_BEGIN_DECLS
@@ -15,6 +20,8 @@
 /* Counters of the caller interface. */
 typedef struct kb_caller_api_counters {
 	uint64_t requests;
+	/* Connections closed by the caller before the answer. */
+	uint64_t abandoned;
 	/* Answers by result code. */
 	uint64_t results[KB_CALLER_API_RESULTS_MAX];
 } kb_caller_api_counters_t;
@@ -22,16 +29,22 @@
 /* The HTTP interface for callers. */
 typedef struct kb_caller_api {
 	struct evhttp *http;
+	/* Port that it listens on. */
+	uint16_t port;
 	const kb_settings_t *settings;
 	kb_clock_t *clock;
 	kb_router_t *router;
 	const kb_catalog_t *catalog;
 	kb_token_ring_t keys;
+	kb_accounts_t accounts;
+	/* May be NULL. */
+	kb_trace_t *trace;
 	/* Requests in flight, in all and for each caller. */
 	size_t active;
 	size_t caller_active[KB_SETTINGS_CALLERS_MAX];
 	int draining;
 	kb_caller_api_counters_t counters;
+	kb_class_durations_t durations;
 	/* Appends the metrics of the host to `out`. */
 	void (*metrics)(void *ctx, struct evbuffer *out);
 	void *metrics_ctx;
@@ -47,6 +60,17 @@
 /* Whether new work is refused; open transactions go on. */
 void kb_caller_api_set_draining(kb_caller_api_t *api, int draining);
 
+/* Answers with a problem and counts it. */
+void kb_caller_api_problem(kb_caller_api_t *api, struct evhttp_request *http,
+			   const kb_problem_t *problem);
+
+/* The same with the standard status of `result`. */
+void kb_caller_api_refuse(kb_caller_api_t *api, struct evhttp_request *http,
+			  kb_result_t result, const char *detail);
+
+/* Counts out a request of the account `caller`. */
+void kb_caller_api_leave(kb_caller_api_t *api, size_t caller);
+
 KB_END_DECLS
 
 #endif
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -120,14 +120,13 @@
 	const kb_settings_t *settings = daemon->settings;
 	kb_result_t result = KB_OK;
 
-	kb_operator_auth_init(&daemon->operators);
+	kb_accounts_init(&daemon->operators);
 	for (size_t i = 0; !result && i < settings->operator_count; i++) {
 		const kb_settings_account_t *account = &settings->operators[i];
 
-		result = kb_operator_auth_add(
+		result = kb_accounts_add(
 			&daemon->operators, kb_name_str(&account->name),
-			account->may_write ? KB_OPERATOR_WRITE
-					   : KB_OPERATOR_READ,
+			account->may_write ? KB_ACCOUNT_WRITE : KB_ACCOUNT_READ,
 			(kb_str_t){ account->secret, account->secret_len });
 	}
 	return result;
@@ -141,7 +140,7 @@
 		.clock = daemon->clock,
 		.store = &daemon->configuration.etcd.store,
 		.view = &daemon->view.view,
-		.auth = &daemon->operators,
+		.accounts = &daemon->operators,
 		.address = kb_name_str(&listen->address),
 		.port = listen->port,
 	};
@@ -179,10 +178,27 @@
 	return result;
 }
 
+/* Traces, if the settings name a file; a faulty file ends only the traces. */
+static void open_trace(kb_daemon_t *daemon)
+{
+	const kb_settings_t *settings = daemon->settings;
+
+	daemon->trace.clock = daemon->clock;
+	daemon->trace.sampling = settings->trace_sampling;
+	if (!settings->trace_path[0])
+		return;
+	if (kb_trace_file_init(&daemon->trace_file, daemon->loop,
+			       settings->trace_path, &settings->host))
+		kb_log(KB_EVENT_TRACE_FAILED, "path=%s", settings->trace_path);
+	else
+		daemon->trace.exporter = &daemon->trace_file.base;
+}
+
 static void set_up_services(kb_daemon_t *daemon)
 {
 	kb_pq_connector_init(&daemon->connector, daemon->loop);
 	daemon->services.loop = daemon->loop;
+	daemon->services.trace = &daemon->trace;
 	daemon->services.clock = daemon->clock;
 	daemon->services.connector = &daemon->connector.base;
 	daemon->services.hosts = &daemon->hosts;
@@ -204,6 +220,7 @@
 		return KB_ERR_IO;
 	kb_catalog_init(&daemon->catalog);
 	kb_placements_init(&daemon->placements, &daemon->fleet.members);
+	open_trace(daemon);
 	set_up_services(daemon);
 	result = add_events(daemon);
 	if (!result)
@@ -219,6 +236,7 @@
 		       daemon->clock, &daemon->hosts, &daemon->catalog,
 		       daemon->settings->link_bytes);
 	daemon->has_router = 1;
+	daemon->router.trace = &daemon->trace;
 	result = kb_daemon_serve(daemon);
 	if (result) {
 		kb_log(KB_EVENT_LISTEN_FAILED, "key=listen.hosts");
@@ -240,6 +258,7 @@
 		kb_log(KB_EVENT_LISTEN_FAILED, "key=listen.operators");
 		return result;
 	}
+	daemon->callers.trace = &daemon->trace;
 	daemon->callers.metrics = kb_daemon_metrics_write;
 	daemon->callers.metrics_ctx = daemon;
 	kb_daemon_update_soon(daemon);
@@ -289,6 +308,7 @@
 		return;
 	if (daemon->has_operators)
 		kb_operator_api_finish(&daemon->operator_api);
+	kb_accounts_finish(&daemon->operators);
 	kb_daemon_view_finish(&daemon->view);
 	if (daemon->has_configuration)
 		kb_configuration_finish(&daemon->configuration);
@@ -302,6 +322,7 @@
 		kb_caller_api_finish(&daemon->callers);
 	if (daemon->has_router)
 		kb_router_finish(&daemon->router);
+	kb_trace_file_finish(&daemon->trace_file);
 	if (daemon->has_server)
 		kb_rpc_server_finish(&daemon->server);
 	kb_catalog_finish(&daemon->catalog);
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -9,6 +9,7 @@
 #include "operator_api.h"
 #include "pq.h"
 #include "rpc_server.h"
+#include "trace_file.h"
 
 KB_BEGIN_DECLS
 
@@ -19,6 +20,8 @@
 	struct event *signals[2];
 	struct event *drain_timer;
 	kb_pq_connector_t connector;
+	kb_trace_t trace;
+	kb_trace_file_t trace_file;
 	kb_fleet_t fleet;
 	kb_hosts_t hosts;
 	kb_placements_t placements;
@@ -30,7 +33,7 @@
 	kb_caller_api_t callers;
 	kb_configuration_t configuration;
 	kb_daemon_view_t view;
-	kb_operator_auth_t operators;
+	kb_accounts_t operators;
 	kb_operator_api_t operator_api;
 	/* Wall-clock time of the process's start. */
 	kb_time_t started_at;
--- a/src/group_service.c
+++ b/src/group_service.c
@@ -149,6 +149,7 @@
 		free(gate);
 		return;
 	}
+	gate->trace = services->trace;
 	add_classes(services, gate);
 	service->gates[index] = gate;
 	kb_log(KB_EVENT_GATE_OPENED, "group=%s target=%s",
--- a/src/group_service.h
+++ b/src/group_service.h
@@ -28,6 +28,8 @@
 	const kb_placements_t *placements;
 	const kb_catalog_t *catalog;
 	size_t answer_limit_bytes;
+	/* May be NULL. */
+	kb_trace_t *trace;
 	kb_name_t promoter;
 	kb_group_service_t *first;
 } kb_group_services_t;
--- a/src/http_reply.c
+++ b/src/http_reply.c
@@ -4,19 +4,26 @@
 #include <stdlib.h>
 #include <string.h>
 
-static void reply(struct evhttp_request *http, int status,
-		  const char *media_type, char *text)
+void kb_http_reply_text(struct evhttp_request *http, int status,
+			const char *media_type, kb_str_t text)
 {
 	struct evbuffer *buffer = evbuffer_new();
 
 	evhttp_add_header(evhttp_request_get_output_headers(http),
 			  "Content-Type", media_type);
-	if (buffer && text)
-		evbuffer_add(buffer, text, strlen(text));
-	evhttp_send_reply(http, buffer && text ? status : HTTP_INTERNAL, NULL,
-			  buffer);
+	if (!buffer || evbuffer_add(buffer, text.data, text.len))
+		status = HTTP_INTERNAL;
+	evhttp_send_reply(http, status, NULL, buffer);
 	if (buffer)
 		evbuffer_free(buffer);
+}
+
+/* Sends and frees `text`, which is NULL if memory was short. */
+static void reply(struct evhttp_request *http, int status,
+		  const char *media_type, char *text)
+{
+	kb_http_reply_text(http, text ? status : HTTP_INTERNAL, media_type,
+			   kb_str_from(text));
 	free(text);
 }
 
--- a/src/http_reply.h
+++ b/src/http_reply.h
@@ -7,6 +7,10 @@
 
 KB_BEGIN_DECLS
 
+/* Answers with `text` as it is. */
+void kb_http_reply_text(struct evhttp_request *http, int status,
+			const char *media_type, kb_str_t text);
+
 /* Answers with `body` and releases it; NULL answers that memory is short. */
 void kb_http_reply_json(struct evhttp_request *http, int status, json_t *body);
 
--- a/src/operator_api.c
+++ b/src/operator_api.c
@@ -103,8 +103,7 @@
 
 static void set_change(const kb_operator_api_t *api,
 		       const kb_operator_request_t *request,
-		       const kb_operator_identity_t *identity,
-		       kb_change_record_t *change)
+		       const kb_account_t *identity, kb_change_record_t *change)
 {
 	unsigned char random[CHANGE_ID_BYTES];
 	kb_time_t now = kb_clock_wall(api->settings.clock);
@@ -143,7 +142,7 @@
 
 static void handle_change(kb_operator_api_t *api, struct evhttp_request *http,
 			  kb_operator_request_t *request,
-			  const kb_operator_identity_t *identity)
+			  const kb_account_t *identity)
 {
 	kb_str_t name = kb_name_str(&request->name);
 	const kb_resource_t *current = find(api, request);
@@ -176,8 +175,7 @@
 }
 
 static void handle(kb_operator_api_t *api, struct evhttp_request *http,
-		   kb_operator_request_t *request,
-		   const kb_operator_identity_t *identity)
+		   kb_operator_request_t *request, const kb_account_t *identity)
 {
 	kb_config_view_t *view = api->settings.view;
 	kb_result_t result;
@@ -207,13 +205,13 @@
 }
 
 /* Identifies the operator, or answers and returns NULL. */
-static const kb_operator_identity_t *identify(const kb_operator_api_t *api,
-					      struct evhttp_request *http)
+static const kb_account_t *identify(const kb_operator_api_t *api,
+				    struct evhttp_request *http)
 {
 	struct evkeyvalq *headers = evhttp_request_get_input_headers(http);
-	const kb_operator_identity_t *identity = kb_operator_auth_check(
-		api->settings.auth,
-		evhttp_find_header(headers, "Authorization"));
+	const kb_account_t *identity =
+		kb_accounts_find(api->settings.accounts,
+				 evhttp_find_header(headers, "Authorization"));
 
 	if (identity)
 		return identity;
@@ -246,7 +244,7 @@
 static void on_request(struct evhttp_request *http, void *ctx)
 {
 	kb_operator_api_t *api = ctx;
-	const kb_operator_identity_t *identity = identify(api, http);
+	const kb_account_t *identity = identify(api, http);
 	kb_operator_request_t request;
 	kb_fault_t fault;
 	kb_result_t result;
@@ -261,7 +259,7 @@
 	} else if (result != KB_OK) {
 		refuse_field(http, &fault);
 	} else if (kb_operator_request_writes(&request) &&
-		   identity->role != KB_OPERATOR_WRITE) {
+		   identity->role != KB_ACCOUNT_WRITE) {
 		kb_log(KB_EVENT_OPERATOR_REFUSED, "reason=forbidden by=%s",
 		       identity->name.data);
 		refuse(http, KB_ERR_FORBIDDEN, "the token may only read");
--- a/src/operator_api.h
+++ b/src/operator_api.h
@@ -1,8 +1,8 @@
 #ifndef KB_OPERATOR_API_H
 #define KB_OPERATOR_API_H
 
+#include "account.h"
 #include "config_view.h"
-#include "operator_auth.h"
 #include "operator_watch.h"
 #include "store.h"
 
@@ -17,7 +17,7 @@
 	kb_clock_t *clock;
 	kb_store_t *store;
 	kb_config_view_t *view;
-	const kb_operator_auth_t *auth;
+	const kb_accounts_t *accounts;
 	kb_str_t address;
 	/* 0 chooses a free port. */
 	uint16_t port;
--- a/src/router.c
+++ b/src/router.c
@@ -1,6 +1,7 @@
 #include "router.h"
 
-#include "route_plan.h"
+#include "route_retry.h"
+#include "router_job.h"
 
 #include <event2/event.h>
 #include <stdlib.h>
@@ -22,19 +23,7 @@
 #define LINK_BURST_PART 4
 #define LINK_RESERVE_PART 8
 
-/* One call on its way. */
-typedef struct job {
-	kb_router_t *router;
-	kb_call_t *call;
-	kb_group_hint_t *hint;
-	struct event *timer;
-	kb_route_plan_t plan;
-	size_t target;
-	kb_host_t *host;
-	/* An earlier attempt may have run. */
-	int maybe_ran;
-	unsigned delay_ms;
-} job_t;
+typedef struct kb_router_job job_t;
 
 static void job_try(job_t *job);
 
@@ -62,124 +51,21 @@
 
 void kb_router_finish(kb_router_t *router)
 {
+	while (router->jobs)
+		kb_router_job_fail(router->jobs, KB_ERR_DRAINING,
+				   "the host stops");
 	kb_hint_table_finish(&router->hints);
 }
 
-static void job_end(job_t *job, const kbx_execute_res *res)
-{
-	kb_router_t *router = job->router;
-	kb_call_t *call = job->call;
-	kbx_execute_res out = *res;
-
-	if (job->maybe_ran && out.result &&
-	    kb_result_outcome(out.result) == KB_OUTCOME_NOT_RUN &&
-	    out.result != KB_ERR_KEY_REUSED) {
-		out.result = KB_ERR_UNKNOWN;
-		out.message = "an earlier attempt may have run";
-	}
-	if (!out.result && call->args.action == KBX_ACTION_READ) {
-		if (job->target == job->hint->primary)
-			router->counters.primary_reads++;
-		else
-			router->counters.replica_reads++;
-	}
-	if (job->host)
-		call->gate_host = job->host->name;
-	if (job->timer)
-		event_free(job->timer);
-	free(job);
-	router->active--;
-	call->done(call, &out);
-}
-
-static void job_fail(job_t *job, kb_result_t result, const char *detail)
-{
-	kbx_execute_res res;
-
-	memset(&res, 0, sizeof(res));
-	res.result = result;
-	res.message = (char *)detail;
-	res.transaction = "";
-	job_end(job, &res);
-}
-
-static kb_time_t time_left(const job_t *job)
-{
-	return job->call->deadline - kb_clock_monotonic(job->router->clock);
-}
-
-static int ends_transaction(const kb_call_t *call)
-{
-	return call->args.action == KBX_ACTION_STATEMENT ||
-	       call->args.action == KBX_ACTION_COMMIT ||
-	       call->args.action == KBX_ACTION_ROLLBACK;
-}
-
-/* Whether the call may be sent once more after `result`. */
-static int may_retry(const job_t *job, kb_result_t result)
-{
-	const kb_call_t *call = job->call;
-
-	if (ends_transaction(call))
-		return 0;
-	switch (result) {
-	case KB_ERR_NO_PRIMARY:
-	case KB_ERR_NOT_FRESH:
-	case KB_ERR_NOT_GATE:
-	case KB_ERR_UNREACHABLE:
-	case KB_ERR_DRAINING:
-	case KB_ERR_ROLLED_BACK:
-		return 1;
-	case KB_ERR_OVERLOADED:
-		return call->args.action == KBX_ACTION_READ;
-	case KB_ERR_UNKNOWN:
-	case KB_ERR_CLOSED:
-	case KB_ERR_TIMEOUT:
-		return call->args.action == KBX_ACTION_READ ||
-		       call->args.key[0];
-	default:
-		return 0;
-	}
-}
-
-static void on_retry(evutil_socket_t fd, short what, void *arg)
-{
-	(void)fd;
-	(void)what;
-	job_try(arg);
-}
-
-static int try_after(job_t *job, kb_time_t wait)
-{
-	struct timeval delay = {
-		.tv_sec = wait / KB_NS_PER_S,
-		.tv_usec = wait % KB_NS_PER_S / KB_NS_PER_US,
-	};
-
-	if (time_left(job) <= wait)
-		return 0;
-	if (!job->timer)
-		job->timer = evtimer_new(job->router->loop, on_retry, job);
-	return job->timer && !evtimer_add(job->timer, &delay);
-}
-
-/* Waits for a change of state cost the fleet little and need no budget. */
-static int needs_budget(kb_result_t result)
-{
-	return result != KB_ERR_NO_PRIMARY && result != KB_ERR_NOT_FRESH &&
-	       result != KB_ERR_NOT_GATE && result != KB_ERR_DRAINING &&
-	       result != KB_ERR_UNREACHABLE;
-}
-
 static int retry_later(job_t *job, kb_result_t result)
 {
 	unsigned delay = job->delay_ms ? job->delay_ms : RETRY_DELAY_MIN_MS;
 
-	if (needs_budget(result) &&
+	if (kb_route_retry_needs_budget(result) &&
 	    !kb_retry_budget_spend(&job->router->budget, result))
 		return 0;
 	job->delay_ms = delay < RETRY_DELAY_MAX_MS ? delay * 2 : delay;
-	return try_after(job, delay * KB_NS_PER_MS);
+	return kb_router_job_wait(job, delay * KB_NS_PER_MS);
 }
 
 static void count_started(job_t *job)
@@ -232,8 +118,8 @@
 		job->maybe_ran = 1;
 	if (!result)
 		kb_retry_budget_succeeded(&router->budget);
-	if (!result || !spec || !may_retry(job, result)) {
-		job_end(job, res);
+	if (!result || !spec || !kb_route_retry_allowed(job->call, result)) {
+		kb_router_job_end(job, res);
 		return;
 	}
 	router->counters.retries++;
@@ -242,7 +128,7 @@
 		return;
 	}
 	if (!retry_later(job, result))
-		job_end(job, res);
+		kb_router_job_end(job, res);
 }
 
 static void on_local(void *ctx, const kbx_execute_res *res)
@@ -259,6 +145,8 @@
 	kbx_execute_res failed;
 
 	count_ended(job, result ? NULL : res);
+	kb_trace_end(job->router->trace, &job->span, result,
+		     job->call->args.group, job->host->name.data);
 	if (!result) {
 		charge_link(job, res);
 		take_result(job, res);
@@ -267,14 +155,26 @@
 	job->router->ops->call_failed(job->router, job->host);
 	memset(&failed, 0, sizeof(failed));
 	failed.result = result;
-	if (kb_result_outcome(result) == KB_OUTCOME_UNKNOWN &&
-	    result != KB_ERR_VERSION)
+	if (result == KB_ERR_VERSION)
+		failed.result = KB_ERR_UNREACHABLE;
+	else if (kb_result_outcome(result) == KB_OUTCOME_UNKNOWN)
 		failed.result = KB_ERR_UNKNOWN;
 	failed.message = (char *)kb_strerror(result);
 	failed.transaction = "";
 	take_result(job, &failed);
 }
 
+/* Names the span under which the gate records its own. */
+static void pass_trace(job_t *job, const kb_trace_context_t *context)
+{
+	char text[KB_TRACEPARENT_BYTES + 1];
+
+	if (!context->sampled)
+		return;
+	kb_trace_context_format(context, text);
+	kb_call_set(&job->call->args.traceparent, kb_str_from(text));
+}
+
 static void forward(job_t *job)
 {
 	kb_rpc_call_t call = {
@@ -283,7 +183,8 @@
 		.args = &job->call->args,
 		.decode = (xdrproc_t)xdr_kbx_execute_res,
 		.res_size = sizeof(kbx_execute_res),
-		.timeout = time_left(job) + FORWARD_MARGIN_MS * KB_NS_PER_MS,
+		.timeout = kb_router_job_time_left(job) +
+			   FORWARD_MARGIN_MS * KB_NS_PER_MS,
 		.done = on_forwarded,
 		.ctx = job,
 	};
@@ -292,9 +193,14 @@
 
 	job->router->counters.forwarded++;
 	count_started(job);
+	kb_trace_begin(job->router->trace, &job->span, KB_SPAN_FORWARD,
+		       &job->call->trace);
+	pass_trace(job, &job->span.context);
 	result = kb_rpc_peer_call(&job->host->peer, &call);
 	if (!result)
 		return;
+	kb_trace_end(job->router->trace, &job->span, result,
+		     job->call->args.group, job->host->name.data);
 	count_ended(job, NULL);
 	memset(&failed, 0, sizeof(failed));
 	failed.result = result;
@@ -306,10 +212,12 @@
 static void send_to(job_t *job, kb_host_t *host)
 {
 	job->host = host;
-	job->call->args.deadline_us = time_left(job) / KB_NS_PER_US;
+	job->call->args.deadline_us =
+		kb_router_job_time_left(job) / KB_NS_PER_US;
 	if (host->self) {
 		job->router->counters.local++;
 		count_started(job);
+		pass_trace(job, &job->call->trace);
 		job->router->ops->execute(job->router, &job->call->args,
 					  on_local, job);
 		return;
@@ -327,11 +235,11 @@
 	job->target =
 		kb_group_find_target(spec, kb_str_from(call->args.target));
 	if (job->target == spec->target_count || !host)
-		job_fail(job,
-			 call->args.action == KBX_ACTION_COMMIT
-				 ? KB_ERR_UNKNOWN
-				 : KB_ERR_NOT_FOUND,
-			 "the transaction is not open");
+		kb_router_job_fail(job,
+				   call->args.action == KBX_ACTION_COMMIT
+					   ? KB_ERR_UNKNOWN
+					   : KB_ERR_NOT_FOUND,
+				   "the transaction is not open");
 	else
 		send_to(job, host);
 }
@@ -352,9 +260,9 @@
 	if (wait < LINK_WAIT_MIN_MS * KB_NS_PER_MS)
 		wait = LINK_WAIT_MIN_MS * KB_NS_PER_MS;
 	router->counters.region_waits++;
-	if (wait == KB_TIME_NEVER || !try_after(job, wait))
-		job_fail(job, KB_ERR_OVERLOADED,
-			 "the link between regions has no room");
+	if (wait == KB_TIME_NEVER || !kb_router_job_wait(job, wait))
+		kb_router_job_fail(job, KB_ERR_OVERLOADED,
+				   "the link between regions has no room");
 	return 1;
 }
 
@@ -367,7 +275,7 @@
 	kbx_execute_res res;
 
 	if (kb_call_set(&call->args.target, kb_name_str(&target->name))) {
-		job_fail(job, KB_ERR_NO_MEMORY, "out of memory");
+		kb_router_job_fail(job, KB_ERR_NO_MEMORY, "out of memory");
 		return;
 	}
 	if (host) {
@@ -392,14 +300,16 @@
 	kb_result_t result;
 
 	if (!spec) {
-		job_fail(job, KB_ERR_NOT_FOUND, "the group does not exist");
+		kb_router_job_fail(job, KB_ERR_NOT_FOUND,
+				   "the group does not exist");
 		return;
 	}
-	if (time_left(job) <= 0) {
-		job_fail(job, KB_ERR_DEADLINE, "the deadline has passed");
+	if (kb_router_job_time_left(job) <= 0) {
+		kb_router_job_fail(job, KB_ERR_DEADLINE,
+				   "the deadline has passed");
 		return;
 	}
-	if (ends_transaction(call)) {
+	if (kb_route_retry_in_transaction(call)) {
 		try_transaction(job, spec);
 		return;
 	}
@@ -408,7 +318,7 @@
 				   router->hosts->self, now);
 	result = kb_route_plan_target(&job->plan, now, &job->target);
 	if (result)
-		job_fail(job, result, kb_strerror(result));
+		kb_router_job_fail(job, result, kb_strerror(result));
 	else
 		try_target(job, spec);
 }
@@ -427,10 +337,11 @@
 	}
 	job->router = router;
 	job->call = call;
+	job->resume = job_try;
 	call->class_index = kb_catalog_class_index(
 		router->catalog, kb_str_from(call->args.traffic_class));
 	if (call->class_index >= KB_ROUTE_MAX_CLASSES)
 		call->class_index = KB_ROUTE_MAX_CLASSES - 1;
-	router->active++;
+	kb_router_job_link(job);
 	job_try(job);
 }
--- a/src/router.h
+++ b/src/router.h
@@ -6,6 +6,7 @@
 #include "hosts.h"
 #include "link_budget.h"
 #include "retry_budget.h"
+#include "trace.h"
 
 struct event_base;
 
@@ -56,12 +57,20 @@
 	kb_link_budget_t link;
 	kb_router_counters_t counters;
 	size_t active;
+	/* Calls on their way. */
+	struct kb_router_job *jobs;
+	/* May be NULL. */
+	kb_trace_t *trace;
 };
 
 void kb_router_init(kb_router_t *router, const kb_router_ops_t *ops,
 		    struct event_base *loop, kb_clock_t *clock,
 		    kb_hosts_t *hosts, const kb_catalog_t *catalog,
 		    uint64_t link_bytes_per_s);
+
+/*
+ * Ends the calls that wait to be sent. None may be at a gate or another host.
+ */
 void kb_router_finish(kb_router_t *router);
 
 /* Routes a call; its `done` is called once, also before the return. */
--- a/src/settings_value.c
+++ b/src/settings_value.c
@@ -1,6 +1,7 @@
 #include "settings_value.h"
 
 #include "duration.h"
+#include "fields.h"
 
 #include <stddef.h>
 #include <stdlib.h>
@@ -194,16 +195,18 @@
 	kb_str_t role = next_word(&value);
 	int may_write = kb_str_equal(role, KB_STR("write"));
 	const char *message;
+	kb_str_t token;
 
 	(void)spec;
 	if (!may_write && !kb_str_equal(role, KB_STR("read")))
 		return "must be read TOKEN or write TOKEN";
-	value += strspn(value, " \t");
-	if (strlen(value) < OPERATOR_TOKEN_MIN_BYTES)
+	token = next_word(&value);
+	if (token.len < OPERATOR_TOKEN_MIN_BYTES)
 		return "needs a token of 16 to 128 bytes";
-	message =
-		set_account(settings->operators, &settings->operator_count,
-			    KB_SETTINGS_OPERATORS_MAX, name, next_word(&value));
+	if (!kb_fields_is_name(kb_str_from(name)))
+		return "may have letters, digits, '.', '_' and '-' in its name";
+	message = set_account(settings->operators, &settings->operator_count,
+			      KB_SETTINGS_OPERATORS_MAX, name, token);
 	if (!message)
 		settings->operators[settings->operator_count - 1].may_write =
 			may_write;
--- a/src/trace.c
+++ b/src/trace.c
@@ -119,7 +119,7 @@
 			   const char *traceparent)
 {
 	memset(span, 0, sizeof(*span));
-	if (!trace->exporter)
+	if (!trace || !trace->exporter)
 		return;
 	if (kb_trace_context_parse(&span->context, kb_str_from(traceparent)))
 		randombytes_buf(span->context.trace,
@@ -136,7 +136,7 @@
 		    const kb_trace_context_t *parent)
 {
 	memset(span, 0, sizeof(*span));
-	if (!parent->sampled || !trace->exporter)
+	if (!parent->sampled || !trace || !trace->exporter)
 		return;
 	span->context = *parent;
 	begin(trace, span, kind);
@@ -154,7 +154,7 @@
 	span->result = result;
 	span->group = group;
 	span->peer = peer;
-	if (trace->exporter)
+	if (trace && trace->exporter)
 		trace->exporter->ops->export_span(trace->exporter, span);
 	memset(span, 0, sizeof(*span));
 }
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -70,10 +70,12 @@
 		 FakeConnector *connector, const kb_group_spec_t *group)
 	    : loop(loop), clock(clock), connector(connector)
 	{
-		static const kb_agent_ops_t ops = {
-			[](kb_agent_t *) {},
-			[](kb_agent_t *, uint64_t, size_t, int) {},
+		static kb_agent_ops_t ops = {};
+
+		ops.ask_views = [](kb_agent_t *) {};
+		ops.primary_changed = [](kb_agent_t *, uint64_t, size_t, int) {
 		};
+		ops.reported = [](kb_agent_t *, size_t) {};
 		kb_agent_setup_t setup = {};
 
 		setup.loop = loop;
--- a/tests/operator_fixture.h
+++ b/tests/operator_fixture.h
@@ -26,24 +26,24 @@
 	kb_clock_t clock;
 	FakeStore store{ loop.base };
 	FakeView view;
-	kb_operator_auth_t auth;
+	kb_accounts_t accounts;
 	kb_operator_api_t api;
 	kb_http_client_t client;
 
 	OperatorApi()
 	{
 		kb_operator_api_settings_t settings = {
-			loop.base,  &clock, &store.store,
-			&view.view, &auth,  KB_STR("127.0.0.1"),
+			loop.base,  &clock,    &store.store,
+			&view.view, &accounts, KB_STR("127.0.0.1"),
 			0,
 		};
 
 		kb_clock_init_system(&clock);
-		kb_operator_auth_init(&auth);
-		kb_operator_auth_add(&auth, KB_STR("anna"), KB_OPERATOR_WRITE,
-				     { writer.data(), writer.size() });
-		kb_operator_auth_add(&auth, KB_STR("rita"), KB_OPERATOR_READ,
-				     { reader.data(), reader.size() });
+		kb_accounts_init(&accounts);
+		kb_accounts_add(&accounts, KB_STR("anna"), KB_ACCOUNT_WRITE,
+				{ writer.data(), writer.size() });
+		kb_accounts_add(&accounts, KB_STR("rita"), KB_ACCOUNT_READ,
+				{ reader.data(), reader.size() });
 		EXPECT_EQ(KB_OK, kb_operator_api_init(&api, &settings));
 		EXPECT_EQ(KB_OK,
 			  kb_http_client_init(&client, loop.base,
@@ -63,6 +63,7 @@
 	{
 		kb_http_client_finish(&client);
 		kb_operator_api_finish(&api);
+		kb_accounts_finish(&accounts);
 		/* Lets what is already due run out. */
 		event_base_loop(loop.base, EVLOOP_NONBLOCK);
 	}
--- a/tests/test_operator_request.cc
+++ b/tests/test_operator_request.cc
@@ -1,4 +1,3 @@
-#include "operator_auth.h"
 #include "operator_request.h"
 
 #include <gtest/gtest.h>
@@ -40,28 +39,3 @@
 			<< query;
 	}
 }
-
-TEST(OperatorAuth, RefusesWeakTokensAndForeignSchemes)
-{
-	kb_operator_auth_t auth;
-
-	kb_operator_auth_init(&auth);
-	EXPECT_EQ(KB_ERR_INVALID,
-		  kb_operator_auth_add(&auth, KB_STR("a"), KB_OPERATOR_READ,
-				       KB_STR("short")));
-	EXPECT_EQ(KB_ERR_INVALID,
-		  kb_operator_auth_add(&auth, KB_STR("a b"), KB_OPERATOR_READ,
-				       KB_STR("0123456789abcdef")));
-	EXPECT_EQ(KB_OK,
-		  kb_operator_auth_add(&auth, KB_STR("a"), KB_OPERATOR_READ,
-				       KB_STR("0123456789abcdef")));
-	for (const char *header :
-	     { "", "Bearer ", "Bearer", "Basic 0123456789abcdef",
-	       "Bearer 0123456789abcde", "Bearer 0123456789abcdef0",
-	       "Bearer  0123456789abcdef" })
-		EXPECT_EQ(nullptr, kb_operator_auth_check(&auth, header))
-			<< header;
-	EXPECT_EQ(nullptr, kb_operator_auth_check(&auth, nullptr));
-	EXPECT_NE(nullptr,
-		  kb_operator_auth_check(&auth, "bearer 0123456789abcdef"));
-}
