--- a/src/call.c
+++ b/src/call.c
@@ -118,6 +118,7 @@
 				 const kb_catalog_t *catalog,
 				 const kb_fields_t *fields)
 {
+	const kb_traffic_class_t *traffic_class;
 	const kb_read_kind_t *kind;
 	kb_result_t result;
 	kb_str_t name;
@@ -133,6 +134,9 @@
 	kind = kb_catalog_read_kind(catalog, name);
 	if (!kind)
 		return kb_fields_fail(fields, "read", "is no read kind");
+	traffic_class = kb_catalog_traffic_class(
+		catalog, kb_name_str(&kind->traffic_class));
+	call->bulk = traffic_class && traffic_class->bulk;
 	call->read_kind = *kind;
 	call->args.action = KBX_ACTION_READ;
 	call->args.max_age_us = kind->max_age / KB_NS_PER_US;
--- a/src/caller_api.c
+++ b/src/caller_api.c
@@ -217,17 +217,20 @@
 
 static kb_result_t listen_at(kb_caller_api_t *api, const kb_endpoint_t *listen)
 {
+	union {
+		struct sockaddr any;
+		struct sockaddr_in v4;
+		struct sockaddr_in6 v6;
+	} bound = { 0 };
+	socklen_t len = sizeof(bound);
 	struct evhttp_bound_socket *socket = evhttp_bind_socket_with_handle(
 		api->http, listen->address.data, listen->port);
-	struct sockaddr_storage bound = { 0 };
-	socklen_t len = sizeof(bound);
 
-	if (!socket || getsockname(evhttp_bound_socket_get_fd(socket),
-				   (struct sockaddr *)&bound, &len))
+	if (!socket ||
+	    getsockname(evhttp_bound_socket_get_fd(socket), &bound.any, &len))
 		return KB_ERR_IO;
-	api->port = ntohs(bound.ss_family == AF_INET6
-				  ? ((struct sockaddr_in6 *)&bound)->sin6_port
-				  : ((struct sockaddr_in *)&bound)->sin_port);
+	api->port = ntohs(bound.any.sa_family == AF_INET6 ? bound.v6.sin6_port
+							  : bound.v4.sin_port);
 	return KB_OK;
 }
 
--- a/tests/test_caller_path.cc
+++ b/tests/test_caller_path.cc
@@ -30,9 +30,9 @@
 		SCOPED_TRACE(c.path);
 		kb_caller_path_t parsed;
 
-		ASSERT_EQ(KB_OK, kb_caller_path_parse(
-					 { c.path.data(), c.path.size() },
-					 &parsed));
+		ASSERT_EQ(KB_OK,
+			  kb_caller_path_parse({ c.path.data(), c.path.size() },
+					       &parsed));
 		EXPECT_EQ(c.action, parsed.action);
 		EXPECT_EQ(c.group,
 			  std::string(parsed.group.data, parsed.group.len));
