Wait briefly for a probe at replicas, and leave silent targets

Cause: reads that were sent to a target behind a partition hung until their deadline, and writes there were not retried before it. A gate now refuses new work while its target has not answered a probe for 0.4 s, ends reads that run there so that the router tries elsewhere, and ends writes at a primary that was replaced with an unknown outcome.

--- a/src/agent.c
+++ b/src/agent.c
@@ -294,6 +294,15 @@
 	return kb_failover_primary(&agent->failover);
 }
 
+int kb_agent_is_silent(const kb_agent_t *agent, size_t target)
+{
+	kb_time_t since =
+		agent->failover.watch.targets[target].unanswered_since;
+
+	return since != KB_TIME_NEVER &&
+	       agent_now(agent) - since > KB_AGENT_SILENCE_MS * KB_NS_PER_MS;
+}
+
 void kb_agent_refresh(kb_agent_t *agent)
 {
 	schedule(agent,
--- a/src/agent.h
+++ b/src/agent.h
@@ -9,6 +9,11 @@
 
 KB_BEGIN_DECLS
 
+enum {
+	/* Time without an answer after which a target counts as silent. */
+	KB_AGENT_SILENCE_MS = 400,
+};
+
 typedef struct kb_agent kb_agent_t;
 
 /* What an agent needs of its host. */
@@ -76,6 +81,9 @@
 void kb_agent_confirm(kb_agent_t *agent, kb_confirm_entry_t *entry);
 void kb_agent_unconfirm(kb_agent_t *agent, kb_confirm_entry_t *entry);
 
+/* Whether a target has not answered a probe for longer than a short stall. */
+int kb_agent_is_silent(const kb_agent_t *agent, size_t target);
+
 /* Asks for a probe of each target that is sent after this call. */
 void kb_agent_refresh(kb_agent_t *agent);
 
--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -69,6 +69,8 @@
 	res.transaction =
 		request->transaction && !result ? request->transaction->id : "";
 	age = kb_gate_read_age(request);
+	res.service_us =
+		request->service < 0 ? -1 : request->service / KB_NS_PER_US;
 	res.age_us = age == KB_TIME_NEVER ? -1 : age / KB_NS_PER_US;
 	kb_agent_fill_view(gate->agent, &res.view, items);
 	items[gate->index].waiting = kb_admission_outstanding(&gate->admission);
--- a/src/gate_request.c
+++ b/src/gate_request.c
@@ -3,6 +3,7 @@
 #include "gate_answer.h"
 #include "gate_confirm.h"
 #include "gate_read.h"
+#include "gate_wait.h"
 
 #include <stdlib.h>
 
@@ -180,6 +181,7 @@
 
 	end_span(request, exec->result);
 	request->executed = 1;
+	request->service = request_now(request) - request->began;
 	gate->counters.executed++;
 	gate->counters.replayed += (uint64_t)exec->replayed;
 	if (keeps_transaction(request))
@@ -209,6 +211,7 @@
 	kb_gate_read_sent(request);
 	request->connection = connection;
 	conn = kb_target_gate_bind(connection, request);
+	request->began = request_now(request);
 	kb_exec_start(&request->exec, conn, request->args);
 }
 
@@ -242,7 +245,10 @@
 
 	(void)admission;
 	count_queue_wait(request, KB_OK);
-	if (kb_gate_request_is_read(request))
+	if (!request->transaction &&
+	    kb_agent_is_silent(request->gate->agent, request->gate->index))
+		result = KB_ERR_UNREACHABLE;
+	else if (kb_gate_request_is_read(request))
 		result = kb_gate_read_prepare(request);
 	else if (!request->transaction && !kb_gate_request_on_primary(request))
 		result = KB_ERR_NO_PRIMARY;
@@ -313,6 +319,7 @@
 	request->done = done;
 	request->ctx = ctx;
 	request->as_of = KB_TIME_NEVER;
+	request->service = -1;
 	request->arrived = request_now(request);
 	kb_exec_init(&request->exec, &exec_events, request);
 	request->entry.deadline =
@@ -331,7 +338,6 @@
 		kb_trace_context_parse(&request->trace,
 				       kb_str_from(args->traceparent));
 	begin_span(request, KB_SPAN_QUEUE);
-	kb_admission_submit(&gate->admission, &request->entry,
-			    request->arrived);
+	kb_gate_wait_submit(request);
 	kb_target_gate_tick(gate);
 }
--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -1,6 +1,7 @@
 #ifndef KB_GATE_REQUEST_H
 #define KB_GATE_REQUEST_H
 
+#include "read_check.h"
 #include "target_gate.h"
 
 KB_BEGIN_DECLS
@@ -18,6 +19,12 @@
 	kb_transaction_t *transaction;
 	kb_pool_connection_t *connection;
 	kb_time_t arrived;
+	/* For a read at a replica that waits for a probe. */
+	kb_read_check_t check;
+	struct kb_gate_request *waiting_next;
+	/* When execution began, and how long it took, or -1. */
+	kb_time_t began;
+	kb_time_t service;
 	/* It waits for confirmation, a read perhaps beside its execution. */
 	int confirming;
 	struct kb_gate_request *confirming_next, *confirming_prev;
--- a/src/group_service.c
+++ b/src/group_service.c
@@ -85,8 +85,12 @@
 
 static void reported(kb_agent_t *agent, size_t target)
 {
-	(void)agent;
+	kb_group_service_t *service = (kb_group_service_t *)agent;
+
 	(void)target;
+	for (size_t i = 0; i < KB_GROUP_MAX_TARGETS; i++)
+		if (service->gates[i])
+			kb_target_gate_on_report(service->gates[i]);
 }
 
 static const kb_agent_ops_t agent_ops = {
--- a/src/target_gate.c
+++ b/src/target_gate.c
@@ -2,6 +2,7 @@
 
 #include "gate_confirm.h"
 #include "gate_request.h"
+#include "gate_wait.h"
 #include "log.h"
 
 #include <event2/event.h>
@@ -39,10 +40,13 @@
 	kb_time_t now = gate_now(gate);
 	kb_time_t next = kb_admission_tick(&gate->admission, now);
 	kb_time_t pool_next = kb_pool_tick(&gate->pool, now);
+	kb_time_t wait_next = kb_gate_wait_check(gate);
 	struct timeval timeout;
 
 	if (pool_next < next)
 		next = pool_next;
+	if (wait_next < next)
+		next = wait_next;
 	if (next == KB_TIME_NEVER) {
 		event_del(gate->timer);
 		return;
@@ -285,6 +289,7 @@
 		free(held);
 		gate->pool.connections[i].handle = NULL;
 	}
+	kb_gate_wait_flush(gate, KB_ERR_DRAINING);
 	kb_gate_confirm_end_all(gate);
 	while (gate->transactions.first)
 		kb_transactions_remove(&gate->transactions,
@@ -328,3 +333,25 @@
 	return !gate->active && !gate->transactions.count &&
 	       kb_admission_is_idle(&gate->admission);
 }
+
+/* Whether a request in execution is better ended than waited for. */
+static int is_hopeless(const kb_target_gate_t *gate,
+		       const kb_gate_request_t *request)
+{
+	size_t primary = kb_agent_primary(gate->agent);
+
+	if (kb_gate_request_is_read(request))
+		return kb_agent_is_silent(gate->agent, gate->index);
+	return primary != KB_NO_TARGET && primary != gate->index;
+}
+
+void kb_target_gate_on_report(kb_target_gate_t *gate)
+{
+	for (size_t i = 0; i < KB_POOL_MAX_CONNECTIONS; i++) {
+		gate_conn_t *held = gate->pool.connections[i].handle;
+
+		if (held && held->request && is_hopeless(gate, held->request))
+			kb_exec_on_lost(&held->request->exec);
+	}
+	kb_target_gate_tick(gate);
+}
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -42,6 +42,8 @@
 	kb_transactions_t transactions;
 	struct event *timer;
 	size_t active;
+	/* Reads that wait for a probe. */
+	struct kb_gate_request *waiting;
 	/* Requests that wait for confirmation. */
 	struct kb_gate_request *confirming;
 	/* May be NULL. */
@@ -87,6 +89,14 @@
 /* Returns non-zero if no request and no transaction is left. */
 int kb_target_gate_is_idle(const kb_target_gate_t *gate);
 
+/*
+ * Acts on a new report of a target of the group, or on the lack of one: looks
+ * at waiting reads, ends reads at a target that has gone silent, so that they
+ * are tried elsewhere, and writes at a primary that was replaced, whose
+ * outcome is unknown.
+ */
+void kb_target_gate_on_report(kb_target_gate_t *gate);
+
 KB_END_DECLS
 
 #endif
