--- a/bench/common/fake_host.c
+++ b/bench/common/fake_host.c
@@ -197,6 +197,7 @@
 
 	reply.view = kb_failover_view(&host->failover, host->group->now);
 	fake_send(host->group, &reply);
+	drive(host, kb_failover_on_timer(&host->failover, host->group->now));
 }
 
 void fake_host_receive(fake_group_t *group, fake_message_t *message)
--- a/src/confirm.c
+++ b/src/confirm.c
@@ -38,12 +38,24 @@
 	return wake;
 }
 
+uint64_t kb_confirm_mark(const kb_confirm_t *confirm)
+{
+	return confirm->watch->last_probe_id;
+}
+
 kb_time_t kb_confirm_add(kb_confirm_t *confirm, kb_time_t now,
 			 kb_confirm_entry_t *entry)
+{
+	return kb_confirm_add_since(confirm, now, entry,
+				    kb_confirm_mark(confirm));
+}
+
+kb_time_t kb_confirm_add_since(kb_confirm_t *confirm, kb_time_t now,
+			       kb_confirm_entry_t *entry, uint64_t mark)
 {
 	kb_time_t wake;
 
-	entry->after = confirm->watch->last_probe_id;
+	entry->after = mark;
 	entry->next = NULL;
 	entry->previous = confirm->last;
 	if (confirm->last)
--- a/src/confirm.h
+++ b/src/confirm.h
@@ -84,6 +84,21 @@
 kb_time_t kb_confirm_add(kb_confirm_t *confirm, kb_time_t now,
 			 kb_confirm_entry_t *entry);
 
+/*
+ * Returns a mark of this moment: of the probes sent so far. A current read
+ * takes it when the request arrives.
+ */
+uint64_t kb_confirm_mark(const kb_confirm_t *confirm);
+
+/*
+ * Starts to wait like kb_confirm_add(), but counts the probes sent since
+ * `mark` was taken. For a read that may show other callers' writes only once
+ * they are confirmed: the entry's position is the one that the read has seen.
+ * Call kb_confirm_on_timer() next, as the reports may be there already.
+ */
+kb_time_t kb_confirm_add_since(kb_confirm_t *confirm, kb_time_t now,
+			       kb_confirm_entry_t *entry, uint64_t mark);
+
 /* Stops waiting without a call of `done`. */
 void kb_confirm_remove(kb_confirm_t *confirm, kb_confirm_entry_t *entry);
 
--- a/src/failover.c
+++ b/src/failover.c
@@ -365,6 +365,7 @@
 
 kb_view_t kb_failover_view(kb_failover_t *failover, kb_time_t now)
 {
+	kb_watch_refresh(&failover->watch, now);
 	kb_detector_update(&failover->detector, now, &failover->watch);
 	return (kb_view_t){ failover->detector.health, failover->watch.term };
 }
--- a/src/failover.h
+++ b/src/failover.h
@@ -152,7 +152,11 @@
 kb_time_t kb_failover_set_watchers(kb_failover_t *failover, kb_time_t now,
 				   size_t watcher_count, size_t rank);
 
-/* Returns this host's view, the answer to another watcher's question. */
+/*
+ * Returns this host's view, the answer to another watcher's question. It also
+ * has the targets probed soon, as the other host suspects the primary; call
+ * kb_failover_on_timer() next.
+ */
 kb_view_t kb_failover_view(kb_failover_t *failover, kb_time_t now);
 
 /* Returns the index of the primary or KB_NO_TARGET. */
--- a/tests/test_confirm.cc
+++ b/tests/test_confirm.cc
@@ -240,6 +240,23 @@
 	EXPECT_EQ(KB_OK, w.result);
 }
 
+TEST_F(confirm_fixture, ReadCountsProbesSinceItArrived)
+{
+	waiter w;
+	uint64_t mark;
+
+	settle(MS, 1);
+	mark = kb_confirm_mark(&confirm);
+	kb_watch_want(&watch, 10 * MS);
+	settle(11 * MS, 1);
+	add(12 * MS, &w, 1, 5);
+	kb_confirm_remove(&confirm, &w.entry);
+	kb_confirm_add_since(&confirm, 12 * MS, &w.entry, mark);
+	kb_confirm_on_timer(&confirm, 12 * MS);
+	EXPECT_EQ(1, w.ended);
+	EXPECT_EQ(KB_OK, w.result);
+}
+
 TEST_F(confirm_fixture, FiveTargetsNeedThree)
 {
 	kb_report_t replica = make_report(1, KB_ROLE_REPLICA, 5, "1:1");
