--- a/bench/bench_failover.c
+++ b/bench/bench_failover.c
@@ -100,6 +100,7 @@
 	detector->margin = 0;
 	detector->refused_count = NEVER_REFUSED;
 	detector->progress = 0;
+	detector->replication = KB_TIME_NEVER;
 	params->failover.ballot.lone_wait = 0;
 	params->hides_views = 1;
 }
