Tell requests that got no answer from those never sent

The load tool took a refused connection and a lost one for the same unknown outcome, so that a planned stop that cuts off requests could not be seen.

--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -17,11 +17,12 @@
   --seed N           seed of the load tool (1)
   --json FILE        write the report as JSON, too
   --port-prefix N    ports are N100 to N799 (8)
-  --receive-lag MS   lag of the replicas' logs (20)
-  --apply-lag MS     lag of what they show behind their logs (0)
+  --receive-lag MS   delay before a replica has an entry (20)
+  --apply-lag MS     delay before reads on it see the entry (30)
   --statement-time MS  service time of a statement (1)
   --logs DIR         keep settings and logs in DIR
   --kill-primary     kill the primary after a third of the time
+  --forbid-unanswered   a request without an answer breaks a promise, too
   --faults LIST      faults as NAME@SECOND,... in order of time, of
                      kill-primary, stall-primary, partition-primary (both
                      end after 8 s), kill-host (back after 3 s) and
@@ -31,11 +32,13 @@
 }
 
 build=build workload=sledza seconds=60 rate=100 sessions=64 seed=1 json=
-prefix=8 receive_lag=20 apply_lag=0 statement_time=1 logs= faults= kill_primary=
+prefix=8 receive_lag=20 apply_lag=30 statement_time=1 logs= faults= kill_primary=
+forbid=
 while [ $# -gt 0 ]
 do
 	case $1 in
 	--kill-primary) kill_primary=1; shift; continue ;;
+	--forbid-unanswered) forbid=$1; shift; continue ;;
 	esac
 	[ $# -ge 2 ] || usage
 	case $1 in
@@ -196,8 +199,7 @@
 		--port "${prefix}40$number" --control-port "${prefix}60$number" \
 		--slots $slots --connections $connections --connect-delay 12 \
 		--statement-time "$statement_time" \
-		--receive-lag "$receive_lag" \
-		--apply-lag "$apply_lag" $role
+		--receive-lag "$receive_lag" --apply-lag "$apply_lag" $role
 done
 for number in 1 2 3
 do
@@ -215,7 +217,7 @@
 "$build/kumquatload" --workload "$workload" --group "$group" \
 	--hosts "127.0.0.1:${prefix}101,127.0.0.1:${prefix}102,127.0.0.1:${prefix}103" \
 	--token example-caller-token --rate "$rate" --seconds "$seconds" \
-	--sessions "$sessions" --seed "$seed" ${json:+--json "$json"} &
+	--sessions "$sessions" --seed "$seed" $forbid ${json:+--json "$json"} &
 load=$!
 pids="$pids $load"
 started=$(date +%s)
--- a/load/answer.c
+++ b/load/answer.c
@@ -1,5 +1,7 @@
 #include "answer.h"
 
+#include "str.h"
+
 #include <string.h>
 
 enum { STATUS_OK = 200 };
@@ -52,6 +54,13 @@
 	json_decref(json);
 }
 
+void kl_answer_init_unsent(kl_answer_t *answer)
+{
+	kl_answer_init(answer, 0, KB_STR(""));
+	answer->outcome = KB_OUTCOME_NOT_RUN;
+	answer->code = KB_ERR_UNREACHABLE;
+}
+
 void kl_answer_finish(kl_answer_t *answer)
 {
 	json_decref(answer->json);
--- a/load/answer.h
+++ b/load/answer.h
@@ -28,6 +28,9 @@
  * with kl_answer_finish().
  */
 void kl_answer_init(kl_answer_t *answer, int status, kb_str_t body);
+
+/* Describes a request that was never sent. */
+void kl_answer_init_unsent(kl_answer_t *answer);
 void kl_answer_finish(kl_answer_t *answer);
 
 /* Returns the number of rows. */
--- a/load/client.c
+++ b/load/client.c
@@ -22,6 +22,9 @@
 	struct evhttp_connection *http;
 	kl_reply_fn_t *done;
 	void *ctx;
+	/* The request failed on an established connection. */
+	int broke;
+	int timed_out;
 	struct kl_connection *next_idle;
 	struct kl_connection *next;
 } kl_connection_t;
@@ -106,12 +109,24 @@
 		return;
 	if (http && evhttp_request_get_response_code(http))
 		read_reply(http, &reply);
+	else
+		reply.unsent = !connection->broke;
+	reply.timed_out = connection->timed_out;
 	connection->done = NULL;
 	connection->next_idle = connection->client->idle[connection->host];
 	connection->client->idle[connection->host] = connection;
 	done(connection->ctx, &reply);
 }
 
+/* Called before on_reply() unless the connection could not be made. */
+static void on_error(enum evhttp_request_error error, void *ctx)
+{
+	kl_connection_t *connection = ctx;
+
+	connection->broke = 1;
+	connection->timed_out = error == EVREQ_HTTP_TIMEOUT;
+}
+
 static kb_result_t add_headers(struct evhttp_request *http,
 			       const kl_client_t *client,
 			       const kl_request_t *request)
@@ -151,7 +166,7 @@
 	return failed ? KB_ERR_NO_MEMORY : KB_OK;
 }
 
-/* Ends a request that could not be sent, as if its connection broke. */
+/* Ends a request that could not be sent. */
 static void on_not_sent(evutil_socket_t fd, short what, void *ctx)
 {
 	(void)fd;
@@ -170,6 +185,8 @@
 		return KB_ERR_NO_MEMORY;
 	connection->done = done;
 	connection->ctx = ctx;
+	connection->broke = 0;
+	connection->timed_out = 0;
 	http = evhttp_request_new(on_reply, connection);
 	if (!http || add_headers(http, client, request) ||
 	    add_body(http, request)) {
@@ -177,6 +194,7 @@
 			evhttp_request_free(http);
 		return KB_ERR_NO_MEMORY;
 	}
+	evhttp_request_set_error_cb(http, on_error);
 	if (evhttp_make_request(connection->http, http, EVHTTP_REQ_POST,
 				client->path) &&
 	    event_base_once(client->base, -1, EV_TIMEOUT, on_not_sent,
--- a/load/client.h
+++ b/load/client.h
@@ -22,6 +22,10 @@
 typedef struct kl_reply {
 	/* 0 if no complete answer came. */
 	int status;
+	/* No connection came about, so that nothing was sent. */
+	int unsent;
+	/* The deadline and a grace passed without an answer. */
+	int timed_out;
 	kb_str_t body;
 	/* The new session token, or NULL. */
 	const char *session;
--- a/load/history.c
+++ b/load/history.c
@@ -114,6 +114,18 @@
 	history->parts[part].created = 1;
 }
 
+void kl_history_note(kl_history_t *history, const char *format, ...)
+{
+	va_list args;
+
+	if (history->note_count == KL_NOTES_MAX)
+		return;
+	va_start(args, format);
+	vsnprintf(history->notes[history->note_count++], KL_NOTE_BYTES, format,
+		  args);
+	va_end(args);
+}
+
 __attribute__((format(printf, 3, 4))) static void
 violate(kl_history_t *history, uint64_t *counter, const char *format, ...)
 {
--- a/load/history.h
+++ b/load/history.h
@@ -120,6 +120,10 @@
 void kl_history_final_part(kl_history_t *history, size_t part,
 			   const char *body);
 
+/* Adds a description to the notes while there is room. */
+void kl_history_note(kl_history_t *history, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
 /* Returns the number of all violations. */
 uint64_t kl_violations_total(const kl_violations_t *violations);
 
--- a/load/op.c
+++ b/load/op.c
@@ -152,7 +152,7 @@
 	op->session->token = token;
 }
 
-static void on_answer(kl_op_t *op, const kl_answer_t *answer)
+static void on_answer(kl_op_t *op, const kl_answer_t *answer, int unsent)
 {
 	kl_runner_t *runner = op->runner;
 	kb_time_t now = kb_clock_monotonic(runner->clock);
@@ -164,7 +164,7 @@
 				 .elapsed = now - op->arrived };
 	struct timeval delay;
 
-	if (is_write(op) && op->write != KL_NO_WRITE)
+	if (is_write(op) && op->write != KL_NO_WRITE && !unsent)
 		kl_history_answer(runner->history, op->write, answer->outcome,
 				  answer->affected, now);
 	if (answer->outcome == KB_OUTCOME_DONE) {
@@ -182,16 +182,52 @@
 	evtimer_add(op->retry_timer, &delay);
 }
 
+static void count_unanswered(const kl_op_t *op, int overdue)
+{
+	const kl_runner_t *runner = op->runner;
+	const kl_endpoint_t *host = &runner->options->hosts[op->session->host];
+	kb_time_t now = kb_clock_monotonic(runner->clock);
+
+	if (overdue)
+		runner->stats->overdue++;
+	else
+		runner->stats->cut_off++;
+	if (runner->options->forbid_unanswered)
+		kl_history_note(
+			runner->history,
+			"%s: %s on %s:%u, %lld us after it was sent, "
+			"%lld ms into the run",
+			overdue ? "overdue" : "cut off", op->spec->name,
+			host->address.data, host->port,
+			(long long)((now - op->sent) / KB_NS_PER_US),
+			(long long)((now - runner->started) / KB_NS_PER_MS));
+}
+
+static void count(const kl_op_t *op, const kl_reply_t *reply,
+		  const kl_answer_t *answer)
+{
+	kl_stats_t *stats = op->runner->stats;
+
+	if (reply->unsent)
+		stats->unsent++;
+	else if (!reply->status)
+		count_unanswered(op, reply->timed_out);
+	else if (answer->code >= 0 && answer->code < KL_STATS_CODES_MAX)
+		stats->codes[answer->code]++;
+}
+
 static void on_reply(void *ctx, const kl_reply_t *reply)
 {
 	kl_op_t *op = ctx;
 	kl_answer_t answer;
 
-	kl_answer_init(&answer, reply->status, reply->body);
-	if (answer.code >= 0 && answer.code < KL_STATS_CODES_MAX)
-		op->runner->stats->codes[answer.code]++;
+	if (reply->unsent)
+		kl_answer_init_unsent(&answer);
+	else
+		kl_answer_init(&answer, reply->status, reply->body);
+	count(op, reply, &answer);
 	keep_token(op, reply, answer.code);
-	on_answer(op, &answer);
+	on_answer(op, &answer, reply->unsent);
 	kl_answer_finish(&answer);
 }
 
--- a/load/options.c
+++ b/load/options.c
@@ -20,6 +20,7 @@
 	OPT_VERIFY_SECONDS,
 	OPT_READ_KIND,
 	OPT_JSON,
+	OPT_FORBID_UNANSWERED,
 	OPT_ALLOW_NON_LOOPBACK,
 };
 
@@ -54,6 +55,10 @@
 	{ "read-kind", OPT_READ_KIND, "NAME=AGE", 0,
 	  "age that a read kind accepts, such as browse=2s", 0 },
 	{ "json", OPT_JSON, "FILE", 0, "write the report as JSON, too", 0 },
+	{ "forbid-unanswered", OPT_FORBID_UNANSWERED, NULL, 0,
+	  "count a request without an answer as a broken promise; for runs "
+	  "in which no host dies",
+	  0 },
 	{ "allow-non-loopback", OPT_ALLOW_NON_LOOPBACK, NULL, 0,
 	  "accept hosts that are not on the loopback interface", 0 },
 	{ 0 },
@@ -191,6 +196,9 @@
 	case OPT_JSON:
 		options->json_path = arg;
 		return 0;
+	case OPT_FORBID_UNANSWERED:
+		options->forbid_unanswered = 1;
+		return 0;
 	case OPT_ALLOW_NON_LOOPBACK:
 		options->allow_non_loopback = 1;
 		return 0;
--- a/load/options.h
+++ b/load/options.h
@@ -30,6 +30,8 @@
 	kb_time_t max_ages[KL_OPS_MAX];
 	size_t read_kind_count;
 	const char *json_path;
+	/* A request without an answer breaks a promise, too. */
+	int forbid_unanswered;
 	int allow_non_loopback;
 } kl_options_t;
 
--- a/load/report.c
+++ b/load/report.c
@@ -21,7 +21,9 @@
 
 int kl_report_status(const kl_report_t *report)
 {
-	if (kl_violations_total(&report->history->violations))
+	if (kl_violations_total(&report->history->violations) ||
+	    (report->options->forbid_unanswered &&
+	     (report->stats->cut_off || report->stats->overdue)))
 		return KL_EXIT_BROKEN;
 	if (report->failed || report->unchecked ||
 	    !acknowledged_writes(report->history))
@@ -66,6 +68,9 @@
 
 static void print_codes(const kl_stats_t *stats)
 {
+	printf("attempts without a connection: %" PRIu64 ", cut off: %" PRIu64
+	       ", overdue: %" PRIu64 "\n",
+	       stats->unsent, stats->cut_off, stats->overdue);
 	printf("refused attempts by code:");
 	for (size_t i = 1; i < KL_STATS_CODES_MAX; i++)
 		if (stats->codes[i])
@@ -171,7 +176,7 @@
 	int status = kl_report_status(report);
 	json_t *json = json_pack(
 		"{s:s,s:I,s:f,s:i,s:i,s:o,s:f,s:I,s:I,s:f,s:f,s:o,s:I,s:I,"
-		"s:I,s:I,s:I,s:o,s:i,s:s}",
+		"s:I,s:I,s:I,s:I,s:I,s:I,s:o,s:i,s:s}",
 		"workload", report->options->workload->name, "seed",
 		(json_int_t)report->options->seed, "rate",
 		report->options->rate, "seconds", (int)report->options->seconds,
@@ -182,7 +187,9 @@
 		"failoverGapMs", gap_ms(stats), "failoverGapStartS",
 		gap_start_s(stats), "refusals", codes_json(stats), "retries",
 		(json_int_t)stats->retries, "overrun",
-		(json_int_t)stats->overrun, "acknowledgedWrites",
+		(json_int_t)stats->overrun, "unsent", (json_int_t)stats->unsent,
+		"cutOff", (json_int_t)stats->cut_off, "overdue",
+		(json_int_t)stats->overdue, "acknowledgedWrites",
 		(json_int_t)acknowledged_writes(report->history), "checked",
 		(json_int_t)report->checked, "unchecked",
 		(json_int_t)report->unchecked, "violations",
--- a/load/stats.h
+++ b/load/stats.h
@@ -29,6 +29,12 @@
 	uint64_t retries;
 	/* Arrivals that found no room to wait. */
 	uint64_t overrun;
+	/* Attempts without a connection. */
+	uint64_t unsent;
+	/* Attempts whose connection ended before the answer. */
+	uint64_t cut_off;
+	/* Attempts without an answer well after their deadline. */
+	uint64_t overdue;
 	/* Answers by result code, over all attempts. */
 	uint64_t codes[KL_STATS_CODES_MAX];
 	kb_time_t started;
--- /dev/null
+++ b/tests/e2e/60-deadline.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Cuts a primary off from everybody under load. Every request must be answered
+# when its deadline has passed, also one that a target had taken.
+set -eu
+cd "$(dirname "$0")/../.."
+build=${1:-build}
+sh examples/fleet.sh --build "$build" --workload sledza \
+	--seconds 14 --rate 60 --port-prefix "${KB_PORT_PREFIX:-17}" \
+	--faults partition-primary@3 --forbid-unanswered
