--- a/src/watch.c
+++ b/src/watch.c
@@ -10,6 +10,7 @@
 void kb_watch_params_init(kb_watch_params_t *params)
 {
 	params->heartbeat = KB_WATCH_HEARTBEAT_MS * KB_NS_PER_MS;
+	params->replica_heartbeat = params->heartbeat;
 	params->min_interval = KB_WATCH_MIN_INTERVAL_MS * KB_NS_PER_MS;
 	params->poll_interval = KB_WATCH_POLL_INTERVAL_MS * KB_NS_PER_MS;
 	params->urgent_interval = KB_WATCH_URGENT_INTERVAL_MS * KB_NS_PER_MS;
@@ -90,9 +91,13 @@
 {
 	const kb_watch_params_t *params = &watch->params;
 	const kb_watch_probe_t *newest = &target->probes[0];
-	kb_time_t interval = params->heartbeat;
+	int is_replica = params->heartbeat && watch->primary != KB_NO_TARGET &&
+			 target != &watch->targets[watch->primary];
+	kb_time_t interval =
+		is_replica ? params->replica_heartbeat : params->heartbeat;
+	int refreshes = newest->id < watch->refresh;
 
-	if (!interval && !watch->waiting && !watch->urgent)
+	if (!interval && !watch->waiting && !watch->urgent && !refreshes)
 		return KB_TIME_NEVER;
 	if (!target->probe_count)
 		return 0;
@@ -100,6 +105,8 @@
 		return newest->sent + probe_timeout(watch, target);
 	if (!interval)
 		interval = KB_TIME_NEVER;
+	if (refreshes)
+		interval = shorter(params->min_interval, interval);
 	if (watch->urgent || target->refused)
 		interval = shorter(params->urgent_interval, interval);
 	if (watch->waiting && !target->refused)
@@ -295,6 +302,12 @@
 	return kb_watch_on_timer(watch, now);
 }
 
+kb_time_t kb_watch_refresh(kb_watch_t *watch, kb_time_t now)
+{
+	watch->refresh = watch->last_probe_id + 1;
+	return kb_watch_on_timer(watch, now);
+}
+
 void kb_watch_want_nothing(kb_watch_t *watch)
 {
 	watch->waiting = 0;
