--- a/src/gate_request.c
+++ b/src/gate_request.c
@@ -257,10 +257,20 @@
 		resume(request, now);
 }
 
-/*
- * Attaches the request to its transaction. One that is not open any more may
- * have been committed by an earlier submission.
- */
+static kb_result_t missing_result(kbx_action action)
+{
+	switch (action) {
+	case KBX_ACTION_BEGIN:
+		return KB_ERR_NO_MEMORY;
+	case KBX_ACTION_COMMIT:
+		/* The answer to an earlier COMMIT may have been lost. */
+		return KB_ERR_UNKNOWN;
+	default:
+		return KB_ERR_NOT_FOUND;
+	}
+}
+
+/* Attaches the request to its transaction. */
 static kb_result_t attach(kb_gate_request_t *request)
 {
 	kb_target_gate_t *gate = request->gate;
@@ -277,8 +287,7 @@
 			&gate->transactions, kb_str_from(args->transaction),
 			kb_str_from(args->caller));
 	if (!transaction)
-		return args->action == KBX_ACTION_BEGIN ? KB_ERR_NO_MEMORY
-							: KB_ERR_NOT_FOUND;
+		return missing_result(args->action);
 	if (transaction->busy)
 		return KB_ERR_CONFLICT;
 	transaction->busy = 1;
--- a/src/group_service.c
+++ b/src/group_service.c
@@ -380,6 +380,13 @@
 		remove_service(services, services->first);
 }
 
+/* A COMMIT may have run here before the gate moved and its answer was lost. */
+static kb_result_t not_gate(const kbx_execute_args *args)
+{
+	return args->action == KBX_ACTION_COMMIT ? KB_ERR_UNKNOWN
+						 : KB_ERR_NOT_GATE;
+}
+
 static void refuse(kb_gate_done_fn_t *done, void *ctx, kb_result_t result)
 {
 	kbx_execute_res res;
@@ -400,12 +407,12 @@
 	size_t index;
 
 	if (!service) {
-		refuse(done, ctx, KB_ERR_NOT_GATE);
+		refuse(done, ctx, not_gate(args));
 		return;
 	}
 	index = kb_group_find_target(&service->spec, kb_str_from(args->target));
 	if (index == service->spec.target_count || !service->gates[index]) {
-		refuse(done, ctx, KB_ERR_NOT_GATE);
+		refuse(done, ctx, not_gate(args));
 		return;
 	}
 	kb_target_gate_execute(service->gates[index], args, done, ctx);
