--- a/src/caller_path.c
+++ b/src/caller_path.c
@@ -1,6 +1,9 @@
 #include "caller_path.h"
 
+#include <stdio.h>
+
 #define PARTS_MAX 6
+#define PATH_BYTES 128
 #define PREFIX "/v1/groups/"
 
 /* A path after the group, "*" standing for the name of a transaction. */
@@ -79,3 +82,27 @@
 	}
 	return KB_ERR_NOT_FOUND;
 }
+
+static void name_path(const route_t *route, char path[PATH_BYTES])
+{
+	int len = snprintf(path, PATH_BYTES, PREFIX "{group}");
+
+	for (size_t i = 0; i < sizeof(route->parts) / sizeof(route->parts[0]) &&
+			   route->parts[i];
+	     i++)
+		len += snprintf(path + len, PATH_BYTES - (size_t)len, "/%s",
+				strcmp(route->parts[i], "*") ? route->parts[i]
+							     : "{transaction}");
+}
+
+void kb_caller_path_each(kb_caller_path_fn_t *fn, void *ctx)
+{
+	char path[PATH_BYTES];
+
+	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
+		name_path(&routes[i], path);
+		fn(ctx, path, "post");
+	}
+	fn(ctx, "/healthz", "get");
+	fn(ctx, "/metrics", "get");
+}
--- a/src/caller_path.h
+++ b/src/caller_path.h
@@ -22,6 +22,13 @@
  */
 kb_result_t kb_caller_path_parse(kb_str_t path, kb_caller_path_t *parsed);
 
+/* Receives one path, such as "/v1/groups/{group}/statements", and a method. */
+typedef void kb_caller_path_fn_t(void *ctx, const char *path,
+				 const char *method);
+
+/* Names each path of the caller interface with its method. */
+void kb_caller_path_each(kb_caller_path_fn_t *fn, void *ctx);
+
 KB_END_DECLS
 
 #endif
--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -68,6 +68,8 @@
 	res.message = (char *)detail;
 	res.transaction =
 		request->transaction && !result ? request->transaction->id : "";
+	res.service_us =
+		request->executed ? request->service / KB_NS_PER_US : -1;
 	age = kb_gate_read_age(request);
 	res.age_us = age == KB_TIME_NEVER ? -1 : age / KB_NS_PER_US;
 	kb_agent_fill_view(gate->agent, &res.view, items);
--- a/src/gate_request.c
+++ b/src/gate_request.c
@@ -180,6 +180,7 @@
 
 	end_span(request, exec->result);
 	request->executed = 1;
+	request->service = request_now(request) - request->sent;
 	gate->counters.executed++;
 	gate->counters.replayed += (uint64_t)exec->replayed;
 	if (keeps_transaction(request))
--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -29,6 +29,8 @@
 	/* When the statement was sent, and the term then known. */
 	kb_time_t sent;
 	uint64_t sent_term;
+	/* Time that the statement ran; 0 if it did not. */
+	kb_time_t service;
 	/*
 	 * Time whose data a read certainly shows, or KB_TIME_NEVER if none is
 	 * known.
--- a/src/operator_request.c
+++ b/src/operator_request.c
@@ -7,6 +7,8 @@
 #include <stdio.h>
 
 #define RESOURCES_PATH "/v1/resources/"
+#define WATCH_PATH "/v1/watch"
+#define STATUS_PATH "/v1/status"
 
 static kb_result_t fail(kb_fault_t *fault, const char *path,
 			const char *message)
@@ -41,9 +43,9 @@
 	kb_str_t kind;
 	kb_str_t name;
 
-	if (kb_str_equal(path, KB_STR("/v1/watch")))
+	if (kb_str_equal(path, KB_STR(WATCH_PATH)))
 		return set_verb(request, input->method, KB_OPERATOR_WATCH);
-	if (kb_str_equal(path, KB_STR("/v1/status")))
+	if (kb_str_equal(path, KB_STR(STATUS_PATH)))
 		return set_verb(request, input->method, KB_OPERATOR_STATUS);
 	if (path.len < prefix_len ||
 	    memcmp(path.data, RESOURCES_PATH, prefix_len) != 0)
@@ -168,3 +170,13 @@
 	return request->verb == KB_OPERATOR_PUT ||
 	       request->verb == KB_OPERATOR_DELETE;
 }
+
+void kb_operator_request_each(kb_operator_path_fn_t *fn, void *ctx)
+{
+	fn(ctx, WATCH_PATH, "get");
+	fn(ctx, STATUS_PATH, "get");
+	fn(ctx, RESOURCES_PATH "{kind}", "get");
+	fn(ctx, RESOURCES_PATH "{kind}/{name}", "get");
+	fn(ctx, RESOURCES_PATH "{kind}/{name}", "put");
+	fn(ctx, RESOURCES_PATH "{kind}/{name}", "delete");
+}
--- a/src/operator_request.h
+++ b/src/operator_request.h
@@ -56,6 +56,13 @@
 /* Returns non-zero if the request needs the role write. */
 int kb_operator_request_writes(const kb_operator_request_t *request);
 
+/* Receives one path, such as "/v1/resources/{kind}", and a method. */
+typedef void kb_operator_path_fn_t(void *ctx, const char *path,
+				   const char *method);
+
+/* Names each path of the operator interface with each of its methods. */
+void kb_operator_request_each(kb_operator_path_fn_t *fn, void *ctx);
+
 KB_END_DECLS
 
 #endif
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -17,6 +17,7 @@
 	kb_result_t result = KB_OK;
 	std::string body, transaction, message;
 	kb_time_t age = 0;
+	kb_time_t service = 0;
 
 	GateRequest(kbx_action action, const char *sql)
 	{
@@ -50,6 +51,7 @@
 		request->message = res->message;
 		request->transaction = res->transaction;
 		request->age = res->age_us * KB_NS_PER_US;
+		request->service = res->service_us;
 		request->body.assign(
 			res->answer.answer_val ? res->answer.answer_val : "",
 			res->answer.answer_len);
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -143,6 +143,7 @@
 	settle();
 	EXPECT_EQ(KB_OK, read.result);
 	EXPECT_LE(400 * KB_NS_PER_MS, read.age);
+	EXPECT_EQ(400000, read.service);
 	connector.targets[2].holds = true;
 	submit(late, 1);
 	advance(1100);
@@ -209,6 +210,7 @@
 	submit(write, 1);
 	EXPECT_EQ(1, write.ended);
 	EXPECT_EQ(KB_ERR_NO_PRIMARY, write.result);
+	EXPECT_EQ(-1, write.service);
 	EXPECT_TRUE(connector.targets[2].executed.empty());
 }
 
