--- a/src/gate_request.c
+++ b/src/gate_request.c
@@ -181,7 +181,7 @@
 
 	end_span(request, exec->result);
 	request->executed = 1;
-	request->service = request_now(request) - request->began;
+	request->service = request_now(request) - request->sent;
 	gate->counters.executed++;
 	gate->counters.replayed += (uint64_t)exec->replayed;
 	if (keeps_transaction(request))
@@ -211,7 +211,6 @@
 	kb_gate_read_sent(request);
 	request->connection = connection;
 	conn = kb_target_gate_bind(connection, request);
-	request->began = request_now(request);
 	kb_exec_start(&request->exec, conn, request->args);
 }
 
@@ -263,10 +262,20 @@
 		resume(request, now);
 }
 
-/*
- * Attaches the request to its transaction. One that is not open any more may
- * have been committed by an earlier submission.
- */
+static kb_result_t missing_result(kbx_action action)
+{
+	switch (action) {
+	case KBX_ACTION_BEGIN:
+		return KB_ERR_NO_MEMORY;
+	case KBX_ACTION_COMMIT:
+		/* The answer to an earlier COMMIT may have been lost. */
+		return KB_ERR_UNKNOWN;
+	default:
+		return KB_ERR_NOT_FOUND;
+	}
+}
+
+/* Attaches the request to its transaction. */
 static kb_result_t attach(kb_gate_request_t *request)
 {
 	kb_target_gate_t *gate = request->gate;
@@ -283,8 +292,7 @@
 			&gate->transactions, kb_str_from(args->transaction),
 			kb_str_from(args->caller));
 	if (!transaction)
-		return args->action == KBX_ACTION_BEGIN ? KB_ERR_NO_MEMORY
-							: KB_ERR_NOT_FOUND;
+		return missing_result(args->action);
 	if (transaction->busy)
 		return KB_ERR_CONFLICT;
 	transaction->busy = 1;
@@ -319,7 +327,6 @@
 	request->done = done;
 	request->ctx = ctx;
 	request->as_of = KB_TIME_NEVER;
-	request->service = -1;
 	request->arrived = request_now(request);
 	kb_exec_init(&request->exec, &exec_events, request);
 	request->entry.deadline =
--- a/src/gate_request.h
+++ b/src/gate_request.h
@@ -22,9 +22,6 @@
 	/* For a read at a replica that waits for a probe. */
 	kb_read_check_t check;
 	struct kb_gate_request *waiting_next;
-	/* When execution began, and how long it took, or -1. */
-	kb_time_t began;
-	kb_time_t service;
 	/* It waits for confirmation, a read perhaps beside its execution. */
 	int confirming;
 	struct kb_gate_request *confirming_next, *confirming_prev;
@@ -36,6 +33,8 @@
 	/* When the statement was sent, and the term then known. */
 	kb_time_t sent;
 	uint64_t sent_term;
+	/* Time that the statement ran; 0 if it did not. */
+	kb_time_t service;
 	/*
 	 * Time whose data a read certainly shows, or KB_TIME_NEVER if none is
 	 * known.
