Share the generator and the event queue of the benches

Cause: the random generator stood in four places and the queue of timed events in two.

Change: member.c and spread.c use src/rng.h; the propagation benches use bench/common/event_queue.h.

Unit tests and the benches at 9 hosts pass under the sanitizers.

--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -2,6 +2,7 @@
  * Measures what a host pays for each resource, target, group and data centre
  * that it knows: memory, processor time, and bytes of a full transfer.
  */
+#include "common/event_queue.h"
 #include "gate_map.h"
 #include "spread.h"
 #include "watchers.h"
@@ -39,17 +40,6 @@
 	return (double)(info.uordblks + info.hblkhd);
 }
 
-static void *allocate(size_t count, size_t size)
-{
-	void *memory = calloc(count, size);
-
-	if (!memory) {
-		fprintf(stderr, "out of memory\n");
-		exit(1);
-	}
-	return memory;
-}
-
 static void set_name(kb_name_t *name, const char *prefix, size_t number)
 {
 	char text[KB_NAME_MAX_BYTES];
@@ -169,7 +159,7 @@
 
 static void fill(transfer_host_t *host, size_t resources)
 {
-	char *value = allocate(1, VALUE_BYTES);
+	char *value = kb_bench_alloc(1, VALUE_BYTES);
 
 	for (size_t i = 0; i < resources; i++) {
 		kb_config_change_t change = { .kind = KB_STR("group"),
@@ -200,7 +190,7 @@
 /* A host without configuration takes all of it from another one. */
 static void measure_transfer(void)
 {
-	transfer_host_t *hosts = allocate(2, sizeof(*hosts));
+	transfer_host_t *hosts = kb_bench_alloc(2, sizeof(*hosts));
 	double before;
 	double memory;
 	double cpu;
@@ -317,8 +307,8 @@
 static void measure_gates(kb_member_table_t *table)
 {
 	static const kb_gate_map_ops_t ops = { count_move };
-	kb_target_spec_t *targets = allocate(TARGETS, sizeof(*targets));
-	kb_gate_t *gates = allocate(TARGETS, sizeof(*gates));
+	kb_target_spec_t *targets = kb_bench_alloc(TARGETS, sizeof(*targets));
+	kb_gate_t *gates = kb_bench_alloc(TARGETS, sizeof(*gates));
 	kb_gate_map_t map;
 	double place;
 	double follow;
@@ -352,8 +342,8 @@
 
 static void measure_watchers(kb_member_table_t *table)
 {
-	kb_group_spec_t *groups = allocate(GROUPS, sizeof(*groups));
-	kb_watchers_t *watchers = allocate(GROUPS, sizeof(*watchers));
+	kb_group_spec_t *groups = kb_bench_alloc(GROUPS, sizeof(*groups));
+	kb_watchers_t *watchers = kb_bench_alloc(GROUPS, sizeof(*watchers));
 	double follow;
 
 	for (size_t i = 0; i < GROUPS; i++) {
@@ -386,7 +376,7 @@
 
 int main(void)
 {
-	kb_members_t *members = allocate(1, sizeof(*members));
+	kb_members_t *members = kb_bench_alloc(1, sizeof(*members));
 
 	init_members(members, 0);
 	measure_transfer();
--- a/bench/common/propagation_fleet.c
+++ b/bench/common/propagation_fleet.c
@@ -13,18 +13,9 @@
 	DAEMON_PORT = 7100,
 };
 
-static uint64_t next_random(uint64_t *state)
-{
-	uint64_t z = *state += UINT64_C(0x9e3779b97f4a7c15);
-
-	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-	return z ^ (z >> 31);
-}
-
 double propagation_fleet_random(propagation_fleet_t *fleet)
 {
-	return (double)(next_random(&fleet->random_state) >> 11) /
+	return (double)(kb_rng_next(&fleet->rng) >> 11) /
 	       (double)(UINT64_C(1) << 53);
 }
 
@@ -108,14 +99,7 @@
 {
 	kb_time_t end = fleet->now + ms * KB_NS_PER_MS;
 
-	while (fleet->queue.count && fleet->queue.events[0].time <= end) {
-		propagation_event_t event =
-			propagation_queue_pop(&fleet->queue);
-
-		fleet->now = event.time;
-		propagation_host_handle(&fleet->hosts[event.host], &event);
-		free(event.bytes);
-	}
+	kb_event_queue_run(&fleet->queue, end);
 	fleet->now = end;
 }
 
@@ -144,12 +128,11 @@
 	kb_time_t timer = fleet->now;
 
 	if (kb_members_init(&host->peers.members, &propagation_member_ops,
-			    &self, next_random(&fleet->random_state),
-			    fleet->now))
+			    &self, kb_rng_next(&fleet->rng), fleet->now))
 		exit(1);
 	fill_table(fleet, host, as_hint);
 	kb_spread_init(&host->spread, &propagation_spread_ops,
-		       &host->peers.members, next_random(&fleet->random_state),
+		       &host->peers.members, kb_rng_next(&fleet->rng),
 		       fleet->now);
 	host->running = 1;
 	if (!as_hint)
@@ -163,9 +146,9 @@
 {
 	memset(fleet, 0, sizeof(*fleet));
 	fleet->shape = *shape;
-	fleet->random_state = shape->seed;
+	kb_rng_init(&fleet->rng, shape->seed);
 	fleet->now = KB_NS_PER_S;
-	propagation_queue_init(&fleet->queue);
+	kb_event_queue_init(&fleet->queue);
 	fleet->hosts = calloc(shape->hosts, sizeof(*fleet->hosts));
 	fleet->value = calloc(1, shape->value_bytes);
 	if (!fleet->hosts || !fleet->value)
@@ -197,7 +180,9 @@
 {
 	for (uint32_t i = 0; i < fleet->shape.hosts; i++)
 		finish(&fleet->hosts[i]);
-	propagation_queue_finish(&fleet->queue);
+	for (size_t i = 0; i < fleet->queue.count; i++)
+		free(fleet->queue.heap[i].arg);
+	kb_event_queue_finish(&fleet->queue);
 	free(fleet->hosts);
 	free(fleet->value);
 }
--- a/bench/common/propagation_fleet.h
+++ b/bench/common/propagation_fleet.h
@@ -1,7 +1,8 @@
 #ifndef PROPAGATION_FLEET_H
 #define PROPAGATION_FLEET_H
 
-#include "propagation_queue.h"
+#include "event_queue.h"
+#include "rng.h"
 #include "spread.h"
 
 enum {
@@ -13,6 +14,24 @@
 	PROPAGATION_CALL_BYTES = 124,
 };
 
+/* What happens at a host at a time. */
+typedef enum propagation_kind {
+	PROPAGATION_MEMBER_TIMER,
+	PROPAGATION_SPREAD_TIMER,
+	PROPAGATION_MEMBER_MESSAGE,
+	PROPAGATION_SPREAD_MESSAGE,
+	/* The watch of the store delivers. */
+	PROPAGATION_WATCH,
+} propagation_kind_t;
+
+typedef struct propagation_event {
+	propagation_kind_t kind;
+	/* Run of the host that the event is meant for. */
+	uint32_t run;
+	size_t len;
+	char bytes[];
+} propagation_event_t;
+
 /* How large a fleet is and what its network does. */
 typedef struct propagation_shape {
 	uint32_t hosts;
@@ -67,10 +86,10 @@
 /* Hosts with the real state machines, a lossy network and a store. */
 struct propagation_fleet {
 	propagation_shape_t shape;
-	propagation_queue_t queue;
+	kb_event_queue_t queue;
 	propagation_host_t *hosts;
 	kb_time_t now;
-	uint64_t random_state;
+	kb_rng_t rng;
 	/* The change with revision N stands at index N - 1. */
 	propagation_change_t changes[PROPAGATION_CHANGES_MAX];
 	uint64_t change_count;
@@ -117,10 +136,6 @@
 /* Schedules an answer of the watch. The store stands beside host 0. */
 void propagation_host_serve_watch(propagation_host_t *host);
 
-/* Carries out an event at `host`. */
-void propagation_host_handle(propagation_host_t *host,
-			     const propagation_event_t *event);
-
 /* Returns the random extra delay of a message. */
 kb_time_t propagation_fleet_jitter(propagation_fleet_t *fleet);
 
--- a/bench/common/propagation_host.c
+++ b/bench/common/propagation_host.c
@@ -10,15 +10,20 @@
 	STORE_RETRANSMIT_US = 200000,
 };
 
-static void push(propagation_fleet_t *fleet, propagation_host_t *host,
-		 propagation_kind_t kind, kb_time_t time)
+static void handle(void *ctx, void *arg, kb_time_t now);
+
+/* Schedules an event with room for `len` bytes. */
+static propagation_event_t *push(propagation_host_t *host,
+				 propagation_kind_t kind, kb_time_t time,
+				 size_t len)
 {
-	propagation_event_t event = { .time = time,
-				      .kind = kind,
-				      .host = host->index,
-				      .run = host->run };
+	propagation_event_t *event = kb_bench_alloc(1, sizeof(*event) + len);
 
-	propagation_queue_push(&fleet->queue, event);
+	event->kind = kind;
+	event->run = host->run;
+	event->len = len;
+	kb_event_queue_add(&host->fleet->queue, time, handle, host, event);
+	return event;
 }
 
 static uint32_t index_of(const kb_member_t *member)
@@ -32,41 +37,36 @@
 	return (uint32_t)index;
 }
 
-/* Puts a message on its way; takes `bytes`. */
+/* Puts a message on its way. */
 static void post(propagation_host_t *from, const kb_member_t *to,
-		 propagation_kind_t kind, char *bytes, size_t len,
+		 propagation_kind_t kind, const char *bytes, size_t len,
 		 size_t header)
 {
 	propagation_fleet_t *fleet = from->fleet;
 	uint32_t index = index_of(to);
 	kb_time_t latency =
 		propagation_fleet_latency(fleet, from->index, index);
-	propagation_event_t event = {
-		.kind = kind, .host = index, .bytes = bytes, .len = len
-	};
 
 	from->traffic.messages++;
 	if (propagation_fleet_crosses(fleet, from->index, index))
 		from->traffic.region_bytes += len + header;
 	if (propagation_fleet_random(fleet) < fleet->shape.loss ||
-	    !propagation_fleet_connects(fleet, from->index, index)) {
-		free(bytes);
+	    !propagation_fleet_connects(fleet, from->index, index))
 		return;
-	}
-	event.time = fleet->now + latency + propagation_fleet_jitter(fleet);
-	propagation_queue_push(&fleet->queue, event);
+	latency += propagation_fleet_jitter(fleet);
+	memcpy(push(&fleet->hosts[index], kind, fleet->now + latency, len)
+		       ->bytes,
+	       bytes, len);
 }
 
 static void send_member(kb_members_t *members, const kb_member_t *to,
 			const kb_member_message_t *message)
 {
 	propagation_host_t *host = ((propagation_peers_t *)members)->host;
-	char *bytes = malloc(KB_MEMBER_MESSAGE_MAX_BYTES);
+	char bytes[KB_MEMBER_MESSAGE_MAX_BYTES];
 	size_t len;
 
-	if (!bytes ||
-	    kb_member_wire_encode(message, bytes, KB_MEMBER_MESSAGE_MAX_BYTES,
-				  &len)) {
+	if (kb_member_wire_encode(message, bytes, sizeof(bytes), &len)) {
 		fprintf(stderr, "cannot encode a membership message\n");
 		exit(1);
 	}
@@ -101,6 +101,7 @@
 	host->traffic.spread_bytes += len + PROPAGATION_CALL_BYTES;
 	post(host, to, PROPAGATION_SPREAD_MESSAGE, bytes, len,
 	     PROPAGATION_CALL_BYTES);
+	free(bytes);
 }
 
 /* Schedules the next answer of the watch. The store stands beside host 0. */
@@ -113,7 +114,7 @@
 
 	while (propagation_fleet_random(fleet) < fleet->shape.loss)
 		delay += STORE_RETRANSMIT_US * KB_NS_PER_US;
-	push(fleet, host, PROPAGATION_WATCH, fleet->now + delay);
+	push(host, PROPAGATION_WATCH, fleet->now + delay, 0);
 }
 
 static void watch(kb_spread_t *spread, uint64_t after)
@@ -204,11 +205,11 @@
 
 	if (member_wake != host->member_timer) {
 		host->member_timer = member_wake;
-		push(host->fleet, host, PROPAGATION_MEMBER_TIMER, member_wake);
+		push(host, PROPAGATION_MEMBER_TIMER, member_wake, 0);
 	}
 	if (spread_wake != host->spread_timer) {
 		host->spread_timer = spread_wake;
-		push(host->fleet, host, PROPAGATION_SPREAD_TIMER, spread_wake);
+		push(host, PROPAGATION_SPREAD_TIMER, spread_wake, 0);
 	}
 }
 
@@ -216,25 +217,25 @@
 {
 	host->member_timer = at;
 	host->spread_timer = at;
-	push(host->fleet, host, PROPAGATION_MEMBER_TIMER, at);
-	push(host->fleet, host, PROPAGATION_SPREAD_TIMER, at);
+	push(host, PROPAGATION_MEMBER_TIMER, at, 0);
+	push(host, PROPAGATION_SPREAD_TIMER, at, 0);
 }
 
-void propagation_host_handle(propagation_host_t *host,
-			     const propagation_event_t *event)
+static void carry_out(propagation_host_t *host,
+		      const propagation_event_t *event)
 {
 	propagation_fleet_t *fleet = host->fleet;
 
 	/* Messages go to an address, whichever run listens there. */
-	if (!host->running || (!event->bytes && event->run != host->run))
+	if (!host->running || (!event->len && event->run != host->run))
 		return;
 	switch (event->kind) {
 	case PROPAGATION_MEMBER_TIMER:
-		if (event->time == host->member_timer)
+		if (fleet->now == host->member_timer)
 			kb_members_on_timer(&host->peers.members, fleet->now);
 		break;
 	case PROPAGATION_SPREAD_TIMER:
-		if (event->time == host->spread_timer)
+		if (fleet->now == host->spread_timer)
 			kb_spread_on_timer(&host->spread, fleet->now);
 		break;
 	case PROPAGATION_MEMBER_MESSAGE:
@@ -250,3 +251,12 @@
 	note_revision(fleet, host);
 	arm_timers(host);
 }
+
+static void handle(void *ctx, void *arg, kb_time_t now)
+{
+	propagation_host_t *host = ctx;
+
+	host->fleet->now = now;
+	carry_out(host, arg);
+	free(arg);
+}
--- a/src/member.c
+++ b/src/member.c
@@ -16,19 +16,9 @@
 	EXIT_ANNOUNCEMENTS = 8,
 };
 
-/* A generator of the splitmix64 kind. */
-static uint64_t next_random(uint64_t *state)
-{
-	uint64_t z = *state += UINT64_C(0x9e3779b97f4a7c15);
-
-	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-	return z ^ (z >> 31);
-}
-
 uint32_t kb_members_random(kb_members_t *members, uint32_t bound)
 {
-	return (uint32_t)(next_random(&members->random_state) % bound);
+	return (uint32_t)kb_rng_below(&members->rng, bound);
 }
 
 kb_result_t kb_members_init(kb_members_t *members, const kb_members_ops_t *ops,
@@ -41,7 +31,7 @@
 		return KB_ERR_INVALID;
 	memset(members, 0, sizeof(*members));
 	members->ops = ops;
-	members->random_state = seed;
+	kb_rng_init(&members->rng, seed);
 	kb_member_table_init(&members->table);
 	kb_rumour_queue_init(&members->rumours);
 	result = kb_member_table_add(&members->table, self, &members->self);
--- a/src/member.h
+++ b/src/member.h
@@ -1,6 +1,7 @@
 #ifndef KB_MEMBER_H
 #define KB_MEMBER_H
 
+#include "rng.h"
 #include "rumour_queue.h"
 
 KB_BEGIN_DECLS
@@ -78,7 +79,7 @@
 	kb_rumour_queue_t rumours;
 	/* Index of this host in `table`. */
 	uint32_t self;
-	uint64_t random_state;
+	kb_rng_t rng;
 	uint64_t sequence;
 	kb_member_probe_t probe;
 	uint32_t urgent[KB_MEMBER_URGENT_MAX];
--- a/src/spread.c
+++ b/src/spread.c
@@ -13,21 +13,6 @@
 	return count * KB_NS_PER_MS;
 }
 
-/* A generator of the splitmix64 kind. */
-static uint64_t next_random(uint64_t *state)
-{
-	uint64_t z = *state += UINT64_C(0x9e3779b97f4a7c15);
-
-	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
-	return z ^ (z >> 31);
-}
-
-static uint32_t random_below(kb_spread_t *spread, uint32_t bound)
-{
-	return (uint32_t)(next_random(&spread->random_state) % bound);
-}
-
 static void on_accepted(kb_config_set_t *set, const kb_config_entry_t *entry)
 {
 	kb_spread_t *spread =
@@ -62,7 +47,7 @@
 	memset(spread, 0, sizeof(*spread));
 	spread->ops = ops;
 	spread->members = members;
-	spread->random_state = seed;
+	kb_rng_init(&spread->rng, seed);
 	kb_config_set_init(&spread->set, &set_ops);
 	spread->started_at = now;
 	spread->next_digest = now;
@@ -143,7 +128,7 @@
 	uint32_t start = 0;
 
 	for (int i = 0; i < RANDOM_TRIES; i++) {
-		start = random_below(spread, used);
+		start = (uint32_t)kb_rng_below(&spread->rng, used);
 		if (can_pick(spread, start, nearby))
 			return start;
 	}
--- a/src/spread.h
+++ b/src/spread.h
@@ -119,7 +119,7 @@
 	const kb_spread_ops_t *ops;
 	kb_config_set_t set;
 	const kb_members_t *members;
-	uint64_t random_state;
+	kb_rng_t rng;
 	uint32_t relays[KB_SPREAD_RELAYS];
 	bool is_relay;
 	bool watching;
