--- a/src/configuration.c
+++ b/src/configuration.c
@@ -34,7 +34,7 @@
 /* Lets the spreading act on what has just come. */
 static void run_soon(kb_configuration_t *configuration)
 {
-	schedule(configuration, now_of(configuration));
+	schedule(configuration, kb_spread_next_wake(&configuration->spread));
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -105,7 +105,7 @@
 		return;
 	}
 	kb_members_on_message(&fleet->members, &message, fleet_now(fleet));
-	schedule(fleet, fleet_now(fleet));
+	schedule(fleet, kb_members_next_wake(&fleet->members));
 }
 
 static void add_hints(kb_fleet_t *fleet, const kb_settings_t *settings)
@@ -183,13 +183,13 @@
 void kb_fleet_call_failed(kb_fleet_t *fleet, kb_str_t host)
 {
 	kb_members_on_call_failed(&fleet->members, host, fleet_now(fleet));
-	schedule(fleet, fleet_now(fleet));
+	schedule(fleet, kb_members_next_wake(&fleet->members));
 }
 
 void kb_fleet_set_leaving(kb_fleet_t *fleet, int leaving)
 {
 	kb_members_set_leaving(&fleet->members, leaving, fleet_now(fleet));
-	schedule(fleet, fleet_now(fleet));
+	schedule(fleet, kb_members_next_wake(&fleet->members));
 }
 
 void kb_fleet_announce_exit(kb_fleet_t *fleet)
