Probe distant targets less while nearer ones confirm

While writes wait every target was probed without pause, also the one in the other region, though it is not needed for a majority; traffic between regions is slow and paid for.

A target is probed every 50 ms only, while the primary and prompt replicas at less than half its round trip make a majority. If one of them is late or behind, it is probed as before.

--- a/bench/bench_watch.c
+++ b/bench/bench_watch.c
@@ -14,7 +14,6 @@
 	TARGETS = 3,
 	SIMULATED_S = 2000,
 	WRITING_S = 20,
-	ROUND_TRIP_MS = 2,
 	MAX_WAITING = 4096,
 	STEP_MS = 10,
 	PERCENT = 100,
@@ -23,6 +22,9 @@
 static const unsigned writes_per_s[] = { 10, 100, 1000, 10000 };
 enum { RATES = sizeof(writes_per_s) / sizeof(writes_per_s[0]) };
 
+/* Round trips to two data centres near by and one in another region. */
+static const int round_trips_ms[TARGETS] = { 1, 2, 16 };
+
 /* A failover with the probes that its targets have to answer. */
 typedef struct bench {
 	kb_failover_t failover;
@@ -30,7 +32,8 @@
 	kb_confirm_entry_t entries[MAX_WAITING];
 	uint64_t probe_ids[TARGETS];
 	kb_time_t answer_at[TARGETS];
-	uint64_t probes, confirmed;
+	/* `distant` probes go to the other region. */
+	uint64_t probes, distant, confirmed;
 	uint64_t position;
 } bench_t;
 
@@ -42,6 +45,7 @@
 	bench.probe_ids[target] = probe_id;
 	bench.answer_at[target] = KB_TIME_NEVER;
 	bench.probes++;
+	bench.distant += target == TARGETS - 1;
 }
 
 static void no_order(kb_failover_t *failover, size_t target, uint64_t term)
@@ -113,7 +117,8 @@
 		if (!id)
 			continue;
 		if (bench.answer_at[i] == KB_TIME_NEVER)
-			bench.answer_at[i] = now + ROUND_TRIP_MS * KB_NS_PER_MS;
+			bench.answer_at[i] =
+				now + round_trips_ms[i] * KB_NS_PER_MS;
 		if (bench.answer_at[i] > now)
 			continue;
 		bench.probe_ids[i] = 0;
@@ -185,10 +190,12 @@
 		ns = run(WRITING_S * KB_NS_PER_S, KB_NS_PER_MS,
 			 writes_per_s[i]);
 		printf("%s{\"writesPerS\":%u,\"confirmedPerS\":%.0f,"
-		       "\"probesPerS\":%.1f,\"cpuPercent\":%.3f}",
+		       "\"probesPerS\":%.1f,\"distantProbesPerS\":%.1f,"
+		       "\"cpuPercent\":%.3f}",
 		       i ? "," : "", writes_per_s[i],
 		       (double)bench.confirmed / WRITING_S,
 		       (double)bench.probes / WRITING_S,
+		       (double)bench.distant / WRITING_S,
 		       ns * PERCENT / (WRITING_S * (double)KB_NS_PER_S));
 	}
 	puts("]}");
--- a/src/watch.c
+++ b/src/watch.c
@@ -1,5 +1,7 @@
 #include "watch.h"
 
+#include "locality.h"
+
 enum {
 	/* Weights of RFC 6298. */
 	RTT_SHIFT = 3,
@@ -13,6 +15,7 @@
 	params->replica_heartbeat = params->heartbeat;
 	params->min_interval = KB_WATCH_MIN_INTERVAL_MS * KB_NS_PER_MS;
 	params->poll_interval = KB_WATCH_POLL_INTERVAL_MS * KB_NS_PER_MS;
+	params->distant_interval = KB_WATCH_DISTANT_INTERVAL_MS * KB_NS_PER_MS;
 	params->urgent_interval = KB_WATCH_URGENT_INTERVAL_MS * KB_NS_PER_MS;
 	params->timeout = KB_WATCH_TIMEOUT_MS * KB_NS_PER_MS;
 }
@@ -85,8 +88,19 @@
 	return a && a < b ? a : b;
 }
 
+/* Returns the interval of probes that waiting requests ask for. */
+static kb_time_t waiting_interval(const kb_watch_t *watch, kb_time_t now,
+				  const kb_watch_target_t *target)
+{
+	if (kb_locality_is_spare(watch, now, target))
+		return watch->params.distant_interval;
+	if (target->probes[0].id <= watch->wanted)
+		return watch->params.min_interval;
+	return watch->params.poll_interval;
+}
+
 /* Returns when the next probe of `target` is due. */
-static kb_time_t next_probe(const kb_watch_t *watch,
+static kb_time_t next_probe(const kb_watch_t *watch, kb_time_t now,
 			    const kb_watch_target_t *target)
 {
 	const kb_watch_params_t *params = &watch->params;
@@ -110,10 +124,8 @@
 	if (watch->urgent || target->refused)
 		interval = shorter(params->urgent_interval, interval);
 	if (watch->waiting && !target->refused)
-		interval = shorter(newest->id <= watch->wanted
-					   ? params->min_interval
-					   : params->poll_interval,
-				   interval);
+		interval =
+			shorter(waiting_interval(watch, now, target), interval);
 	return interval == KB_TIME_NEVER ? interval : newest->sent + interval;
 }
 
@@ -139,11 +151,11 @@
 	kb_time_t wake = KB_TIME_NEVER;
 
 	for (size_t i = 0; i < watch->group.target_count; i++) {
-		kb_time_t due = next_probe(watch, &watch->targets[i]);
+		kb_time_t due = next_probe(watch, now, &watch->targets[i]);
 
 		if (due <= now) {
 			send_probe(watch, now, i);
-			due = next_probe(watch, &watch->targets[i]);
+			due = next_probe(watch, now, &watch->targets[i]);
 		}
 		if (due < wake)
 			wake = due;
--- a/src/watch.h
+++ b/src/watch.h
@@ -13,6 +13,7 @@
 	KB_WATCH_HEARTBEAT_MS = 100,
 	KB_WATCH_MIN_INTERVAL_MS = 2,
 	KB_WATCH_POLL_INTERVAL_MS = 8,
+	KB_WATCH_DISTANT_INTERVAL_MS = 50,
 	KB_WATCH_URGENT_INTERVAL_MS = 25,
 	KB_WATCH_TIMEOUT_MS = 150,
 	/* Probes per target whose answer is recognised when it comes late. */
@@ -45,6 +46,11 @@
 	kb_time_t min_interval;
 	/* Interval while a request waits for a replica to catch up. */
 	kb_time_t poll_interval;
+	/*
+	 * Interval of targets that are not needed while requests wait, as
+	 * nearer ones make a majority; it saves bytes between regions.
+	 */
+	kb_time_t distant_interval;
 	/* Interval after a refused probe, or while urgent. */
 	kb_time_t urgent_interval;
 	/* Time beyond the usual round trip until a probe is superseded. */
@@ -143,7 +149,9 @@
 void kb_watch_on_order_report(kb_watch_t *watch, kb_time_t now, size_t target,
 			      const kb_report_t *report);
 
-/* Asks for a probe of each target that is sent after this call. */
+/*
+ * Asks for probes of a majority of the targets that are sent after this call.
+ */
 kb_time_t kb_watch_want(kb_watch_t *watch, kb_time_t now);
 
 /* Asks for one probe of each target soon, as its state may have changed. */
--- a/tests/test_watch.cc
+++ b/tests/test_watch.cc
@@ -210,6 +210,44 @@
 	EXPECT_EQ(5u + 2 + 2, h.sent.size());
 }
 
+TEST_F(watch_fixture, DistantTargetIsSparedWhileNearerOnesArePrompt)
+{
+	struct {
+		const char *what;
+		unsigned answering;
+		bool spared;
+	} cases[] = { { "all answer", 7, true },
+		      { "near replica silent", 5, false },
+		      { "primary silent", 6, true } };
+
+	for (const auto &c : cases) {
+		kb_time_t due[3] = {};
+		size_t distant = 0, seen = 0;
+
+		start();
+		h.sent.clear();
+		for (kb_time_t now = 0; now < 4000 * MS; now += MS) {
+			unsigned answering = now < 2000 * MS ? 7 : c.answering;
+
+			kb_watch_want(&h.watch, now);
+			for (; seen < h.sent.size(); seen++) {
+				size_t target = h.sent[seen].first;
+
+				due[target] = now + (target == 2 ? 16 : 2) * MS;
+				distant += target == 2 && now >= 2000 * MS;
+			}
+			for (size_t i = 0; i < 3; i++)
+				if (due[i] == now && answering >> i & 1)
+					answer(now, i,
+					       make_report(1,
+							   i ? KB_ROLE_REPLICA
+							     : KB_ROLE_PRIMARY,
+							   9, "1:1"));
+		}
+		EXPECT_EQ(c.spared, distant < 60) << c.what << distant;
+	}
+}
+
 TEST_F(watch_fixture, RefreshSendsOneProbeOfEachTarget)
 {
 	params.heartbeat = 0;
