--- a/src/rpc_peer.c
+++ b/src/rpc_peer.c
@@ -169,6 +169,7 @@
 			free(data);
 		}
 		if (result) {
+			peer->counters.malformed++;
 			kb_log(KB_EVENT_RPC_MALFORMED, "peer=%s:%u",
 			       peer->address.data, peer->port);
 			peer_disconnect(peer, KB_ERR_PROTOCOL);
--- a/src/rpc_peer.h
+++ b/src/rpc_peer.h
@@ -33,6 +33,8 @@
 	uint64_t calls;
 	uint64_t late_replies;
 	uint64_t refused;
+	/* Messages that cannot be decoded. */
+	uint64_t malformed;
 	uint64_t lost_connections;
 } kb_rpc_peer_counters_t;
 
