--- a/src/rpc_peer.c
+++ b/src/rpc_peer.c
@@ -15,6 +15,7 @@
 	kb_rpc_peer_t *peer;
 	kb_rpc_call_t call;
 	uint32_t xid;
+	uint64_t generation;
 	struct event *timer;
 	struct kb_rpc_pending *next;
 	struct kb_rpc_pending *prev;
@@ -30,6 +31,8 @@
 		peer->pending = pending->next;
 	if (pending->next)
 		pending->next->prev = pending->prev;
+	else
+		peer->oldest = pending->prev;
 	peer->call_count--;
 }
 
@@ -46,24 +49,17 @@
 
 static void peer_disconnect(kb_rpc_peer_t *peer, kb_result_t result)
 {
-	kb_rpc_pending_t *last;
+	kb_rpc_pending_t *pending;
 
 	if (peer->stream)
 		bufferevent_free(peer->stream);
 	peer->stream = NULL;
 	peer->connected = 0;
-	/* A callback may start calls anew: end only those there are now. */
-	last = peer->pending;
-	if (!last)
-		return;
-	while (last->next)
-		last = last->next;
-	for (size_t count = peer->call_count; count; count--) {
-		kb_rpc_pending_t *pending = last;
-
-		last = pending->prev;
+	peer->generation++;
+	/* A callback may start calls anew or finish the peer. */
+	while ((pending = peer->oldest) &&
+	       pending->generation != peer->generation)
 		pending_end(pending, result, NULL);
-	}
 }
 
 static void on_timeout(evutil_socket_t fd, short what, void *arg)
@@ -279,9 +275,12 @@
 	pending->peer = peer;
 	pending->call = *call;
 	pending->xid = peer->next_xid++;
+	pending->generation = peer->generation;
 	pending->next = peer->pending;
 	if (peer->pending)
 		peer->pending->prev = pending;
+	else
+		peer->oldest = pending;
 	peer->pending = pending;
 	peer->call_count++;
 	peer->counters.calls++;
--- a/src/rpc_peer.h
+++ b/src/rpc_peer.h
@@ -52,7 +52,11 @@
 	uint32_t next_xid;
 	size_t call_limit;
 	size_t call_count;
+	/* Calls that wait, newest first. */
 	struct kb_rpc_pending *pending;
+	struct kb_rpc_pending *oldest;
+	/* Counts the connections; calls end with theirs. */
+	uint64_t generation;
 	kb_rpc_peer_counters_t counters;
 } kb_rpc_peer_t;
 
--- a/src/rpc_server.c
+++ b/src/rpc_server.c
@@ -26,7 +26,8 @@
 	/* NULL once the connection has closed. */
 	kb_rpc_session_t *session;
 	kb_rpc_server_t *server;
-	const kb_rpc_procedure_t *procedure;
+	/* A copy, as the server may end before the reply. */
+	kb_rpc_procedure_t procedure;
 	uint32_t xid;
 	void *args;
 	kb_rpc_request_t *next;
@@ -72,7 +73,7 @@
 		if (request->next)
 			request->next->prev = request->prev;
 	}
-	xdr_free(request->procedure->args, request->args);
+	xdr_free(request->procedure.args, request->args);
 	free(request->args);
 	free(request);
 }
@@ -85,7 +86,7 @@
 		request->server->counters.dropped_replies++;
 	} else if (kb_rpc_frame_write_reply(
 			   bufferevent_get_output(session->stream),
-			   request->xid, SUCCESS, request->procedure->res,
+			   request->xid, SUCCESS, request->procedure.res,
 			   res)) {
 		kb_rpc_frame_write_reply(
 			bufferevent_get_output(session->stream), request->xid,
@@ -137,7 +138,7 @@
 		free(request);
 		return KB_ERR_NO_MEMORY;
 	}
-	request->procedure = procedure;
+	request->procedure = *procedure;
 	request->server = server;
 	request->xid = call->rm_xid;
 	if (!procedure->args(xdr, request->args)) {
