--- a/src/rpc_peer.c
+++ b/src/rpc_peer.c
@@ -21,27 +21,25 @@
 	struct kb_rpc_pending *prev;
 } kb_rpc_pending_t;
 
-static void pending_unlink(kb_rpc_pending_t *pending)
+static void pending_unlink(kb_rpc_peer_t *peer, kb_rpc_pending_t *pending)
 {
-	kb_rpc_peer_t *peer = pending->peer;
-
 	if (pending->prev)
 		pending->prev->next = pending->next;
 	else
 		peer->pending = pending->next;
 	if (pending->next)
 		pending->next->prev = pending->prev;
-	else
+	if (peer->oldest == pending)
 		peer->oldest = pending->prev;
 	peer->call_count--;
 }
 
-static void pending_end(kb_rpc_pending_t *pending, kb_result_t result,
-			void *res)
+static void pending_end(kb_rpc_peer_t *peer, kb_rpc_pending_t *pending,
+			kb_result_t result, void *res)
 {
 	kb_rpc_call_t call = pending->call;
 
-	pending_unlink(pending);
+	pending_unlink(peer, pending);
 	event_free(pending->timer);
 	free(pending);
 	call.done(call.ctx, result, res);
@@ -59,7 +57,7 @@
 	/* A callback may start calls anew or finish the peer. */
 	while ((pending = peer->oldest) &&
 	       pending->generation != peer->generation)
-		pending_end(pending, result, NULL);
+		pending_end(peer, pending, result, NULL);
 }
 
 static void on_timeout(evutil_socket_t fd, short what, void *arg)
@@ -73,7 +71,7 @@
 	if (!peer->connected)
 		peer_disconnect(peer, KB_ERR_UNREACHABLE);
 	else
-		pending_end(pending, KB_ERR_TIMEOUT, NULL);
+		pending_end(peer, pending, KB_ERR_TIMEOUT, NULL);
 }
 
 static kb_rpc_pending_t *find_pending(kb_rpc_peer_t *peer, uint32_t xid)
@@ -122,7 +120,7 @@
 		goto out;
 	}
 	if (reply.rm_reply.rp_stat != MSG_ACCEPTED) {
-		pending_end(pending, KB_ERR_PROTOCOL, NULL);
+		pending_end(peer, pending, KB_ERR_PROTOCOL, NULL);
 		result = KB_OK;
 		goto out;
 	}
@@ -137,7 +135,7 @@
 	{
 		xdrproc_t decode = pending->call.decode;
 
-		pending_end(pending, result, result ? NULL : res);
+		pending_end(peer, pending, result, result ? NULL : res);
 		if (res)
 			xdr_free(decode, res);
 		free(res);
