--- a/src/gate_request.c
+++ b/src/gate_request.c
@@ -3,6 +3,7 @@
 #include "gate_answer.h"
 #include "gate_confirm.h"
 #include "gate_read.h"
+#include "gate_wait.h"
 
 #include <stdlib.h>
 
@@ -243,7 +244,10 @@
 
 	(void)admission;
 	count_queue_wait(request, KB_OK);
-	if (kb_gate_request_is_read(request))
+	if (!request->transaction &&
+	    kb_agent_is_silent(request->gate->agent, request->gate->index))
+		result = KB_ERR_UNREACHABLE;
+	else if (kb_gate_request_is_read(request))
 		result = kb_gate_read_prepare(request);
 	else if (!request->transaction && !kb_gate_request_on_primary(request))
 		result = KB_ERR_NO_PRIMARY;
@@ -341,7 +345,6 @@
 		kb_trace_context_parse(&request->trace,
 				       kb_str_from(args->traceparent));
 	begin_span(request, KB_SPAN_QUEUE);
-	kb_admission_submit(&gate->admission, &request->entry,
-			    request->arrived);
+	kb_gate_wait_submit(request);
 	kb_target_gate_tick(gate);
 }
