--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -510,3 +510,76 @@
 	EXPECT_EQ(KB_ERR_TOO_LARGE, statement.result);
 	EXPECT_EQ(0u, host->gates[0]->transactions.count);
 }
+
+/* Keeps the hops that are exported. */
+struct HopKeeper {
+	kb_trace_exporter_t base;
+	std::vector<kb_span_t> spans;
+	std::string names;
+};
+
+static void keep_hop(kb_trace_exporter_t *exporter, const kb_span_t *span)
+{
+	auto *keeper = reinterpret_cast<HopKeeper *>(exporter);
+
+	EXPECT_STREQ("race-1", span->group);
+	EXPECT_STREQ("race-1-a", span->peer);
+	keeper->spans.push_back(*span);
+	keeper->names += std::string(kb_span_kind_name(span->kind)) + "=" +
+			 kb_result_name(span->result) + " ";
+}
+
+TEST_F(TargetGate, EachHopHasItsSpan)
+{
+	static const kb_trace_exporter_ops_t ops = { keep_hop };
+	HopKeeper keeper = { { &ops }, {}, "" };
+	kb_trace_t trace = { &keeper.base, &clock.base, 0 };
+	struct {
+		kbx_action action;
+		const char *traceparent;
+		void (*strike)(FakeConnector &connector);
+		const char *expected;
+	} cases[] = {
+		{ KBX_ACTION_WRITE,
+		  "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01",
+		  [](FakeConnector &) {},
+		  "queue=ok connection=ok statement=ok confirmation=ok " },
+		{ KBX_ACTION_READ,
+		  "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01",
+		  [](FakeConnector &) {},
+		  "queue=ok connection=ok statement=ok confirmation=ok " },
+		{ KBX_ACTION_WRITE,
+		  "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01",
+		  [](FakeConnector &c) { c.cut(1, true); },
+		  "queue=ok connection=ok statement=outcome-unknown " },
+		{ KBX_ACTION_WRITE,
+		  "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00",
+		  [](FakeConnector &) {}, "" },
+		{ KBX_ACTION_WRITE, "", [](FakeConnector &) {}, "" },
+	};
+
+	host->gates[0]->trace = &trace;
+	for (const auto &c : cases) {
+		GateRequest request(c.action, WORK);
+
+		keeper.spans.clear();
+		keeper.names.clear();
+		request.args.traceparent = GateRequest::text(c.traceparent);
+		connector.targets[1].holds = true;
+		submit(request);
+		c.strike(connector);
+		connector.targets[1].holds = false;
+		advance(300);
+		EXPECT_EQ(1, request.ended);
+		EXPECT_EQ(std::string(c.expected).size(), keeper.names.size())
+			<< keeper.names;
+		for (const kb_span_t &span : keeper.spans) {
+			EXPECT_EQ(0x4b, span.context.trace[0]);
+			EXPECT_EQ(0xf0, span.parent[1]);
+			EXPECT_LE(span.start, span.end);
+		}
+		if (c.action == KBX_ACTION_WRITE) {
+			EXPECT_EQ(c.expected, keeper.names);
+		}
+	}
+}
