Write spans as whole lines

Cause: a trial with a fleet that was killed left the files ending in part of a line, as the C library wrote its buffer whenever that was full. Change: a buffer of 64 KiB is flushed before a line that would not fit.

--- a/src/trace_file.c
+++ b/src/trace_file.c
@@ -11,6 +11,7 @@
 
 enum {
 	FLUSH_INTERVAL_MS = 1000,
+	BUFFER_BYTES = 64 * 1024,
 	TIME_TEXT_BYTES = 24,
 	ID_TEXT_BYTES = 2 * KB_TRACE_ID_BYTES + 1,
 	/* Values of OTLP. */
@@ -109,6 +110,15 @@
 	file->file = NULL;
 }
 
+static int flush(kb_trace_file_t *file)
+{
+	file->buffered = 0;
+	if (!fflush(file->file))
+		return 1;
+	fail(file);
+	return 0;
+}
+
 static void on_flush(evutil_socket_t fd, short what, void *arg)
 {
 	kb_trace_file_t *file = arg;
@@ -116,8 +126,8 @@
 	(void)fd;
 	(void)what;
 	file->flush_pending = 0;
-	if (file->file && fflush(file->file))
-		fail(file);
+	if (file->file)
+		flush(file);
 }
 
 static void flush_later(kb_trace_file_t *file)
@@ -128,6 +138,21 @@
 		file->flush_pending = !event_add(file->flush_timer, &delay);
 }
 
+/* Writes a line; a process that is killed leaves no part of one behind. */
+static void add_line(kb_trace_file_t *file, const char *text)
+{
+	size_t len = strlen(text) + 1;
+
+	if (file->buffered + len > BUFFER_BYTES && !flush(file))
+		return;
+	if (fprintf(file->file, "%s\n", text) < 0) {
+		fail(file);
+		return;
+	}
+	file->buffered += len;
+	flush_later(file);
+}
+
 static void export_span(kb_trace_exporter_t *exporter, const kb_span_t *span)
 {
 	kb_trace_file_t *file = (kb_trace_file_t *)exporter;
@@ -138,10 +163,7 @@
 	text = kb_trace_file_format(span, file->host.data);
 	if (!text)
 		return;
-	if (fprintf(file->file, "%s\n", text) < 0)
-		fail(file);
-	else
-		flush_later(file);
+	add_line(file, text);
 	free(text);
 }
 
@@ -156,14 +178,18 @@
 	file->base.ops = &exporter_ops;
 	file->host = *host;
 	file->flush_timer = evtimer_new(loop, on_flush, file);
-	if (!file->flush_timer)
+	file->buffer = malloc(BUFFER_BYTES);
+	if (!file->flush_timer || !file->buffer) {
+		kb_trace_file_finish(file);
 		return KB_ERR_NO_MEMORY;
+	}
 	file->file = fopen(path, "ae");
-	if (file->file)
-		return KB_OK;
-	event_free(file->flush_timer);
-	file->flush_timer = NULL;
-	return KB_ERR_IO;
+	if (!file->file) {
+		kb_trace_file_finish(file);
+		return KB_ERR_IO;
+	}
+	setvbuf(file->file, file->buffer, _IOFBF, BUFFER_BYTES);
+	return KB_OK;
 }
 
 void kb_trace_file_finish(kb_trace_file_t *file)
@@ -172,5 +198,6 @@
 		kb_log(KB_EVENT_TRACE_FAILED, "error=%d", errno);
 	if (file->flush_timer)
 		event_free(file->flush_timer);
+	free(file->buffer);
 	memset(file, 0, sizeof(*file));
 }
--- a/src/trace_file.h
+++ b/src/trace_file.h
@@ -18,6 +18,9 @@
 typedef struct kb_trace_file {
 	kb_trace_exporter_t base;
 	FILE *file;
+	char *buffer;
+	/* Bytes that are buffered, always whole lines. */
+	size_t buffered;
 	kb_name_t host;
 	/* Writes what is buffered. */
 	struct event *flush_timer;
--- a/tests/test_trace.cc
+++ b/tests/test_trace.cc
@@ -218,7 +218,7 @@
 	ASSERT_EQ(KB_OK, kb_trace_file_init(&file, loop, "/dev/full", &host));
 	trace.exporter = &file.base;
 	/* More than the buffer holds, so that the file is written. */
-	record(100);
+	record(400);
 	EXPECT_EQ(nullptr, file.file);
 	record(10);
 	kb_trace_file_finish(&file);
