--- a/tests/test_exec.cc
+++ b/tests/test_exec.cc
@@ -160,6 +160,26 @@
 	EXPECT_EQ(nullptr, exec.answer);
 }
 
+/* The key is taken, so the work was done; its answer cannot be told. */
+TEST_F(Exec, StoredAnswerThatCannotBeReadIsUnknown)
+{
+	kb_answer_t faults[] = { fake_error("57014"), fake_error("40001"), {} };
+
+	faults[2].result = KB_ERR_TOO_LARGE;
+	for (const kb_answer_t &fault : faults) {
+		start(KBX_ACTION_WRITE, "k1");
+		answer(0);
+		error(1, "23505");
+		kb_exec_on_batch_end(&exec, 1);
+		answer(0);
+		kb_exec_on_answer(&exec, 1, &fault);
+		kb_exec_on_batch_end(&exec, 0);
+		EXPECT_EQ(KB_ERR_UNKNOWN, exec.result);
+		EXPECT_EQ(nullptr, exec.answer);
+	}
+	EXPECT_EQ(3, finished);
+}
+
 TEST_F(Exec, RecordsOfTwoCallersHaveDifferentIds)
 {
 	unsigned char digest[KB_REQUEST_RECORD_DIGEST_BYTES] = {};
