--- a/src/caller_api.h
+++ b/src/caller_api.h
@@ -20,8 +20,6 @@
 /* Counters of the caller interface. */
 typedef struct kb_caller_api_counters {
 	uint64_t requests;
-	/* Connections closed by the caller before the answer. */
-	uint64_t abandoned;
 	/* Answers by result code. */
 	uint64_t results[KB_CALLER_API_RESULTS_MAX];
 } kb_caller_api_counters_t;
--- a/src/caller_exchange.c
+++ b/src/caller_exchange.c
@@ -25,7 +25,7 @@
 	/* First member: `done` of the call refers to it. */
 	kb_call_t call;
 	kb_caller_api_t *api;
-	/* NULL once the caller has closed the connection. */
+	/* NULL once the connection is known to be closed. */
 	struct evhttp_request *http;
 	/* Index of the caller's account. */
 	size_t caller;
@@ -87,7 +87,6 @@
 	if (!evhttp_request_get_connection(exchange->http))
 		evhttp_request_free(exchange->http);
 	exchange->http = NULL;
-	exchange->api->counters.abandoned++;
 }
 
 static void watch_connection(kb_caller_exchange_t *exchange,
--- a/src/daemon_metrics.c
+++ b/src/daemon_metrics.c
@@ -51,9 +51,6 @@
 {
 	kb_metrics_text_counter(out, "caller_requests_total",
 				"Requests of callers.", api->counters.requests);
-	kb_metrics_text_counter(out, "caller_abandoned_total",
-				"Requests whose caller left before the answer.",
-				api->counters.abandoned);
 	kb_metrics_text_family(out, "results_total", "counter",
 			       "Answers by result.");
 	for (int i = 0; i < KB_CALLER_API_RESULTS_MAX; i++)
