--- a/src/rpc_peer.c
+++ b/src/rpc_peer.c
@@ -15,30 +15,31 @@
 	kb_rpc_peer_t *peer;
 	kb_rpc_call_t call;
 	uint32_t xid;
+	uint64_t generation;
 	struct event *timer;
 	struct kb_rpc_pending *next;
 	struct kb_rpc_pending *prev;
 } kb_rpc_pending_t;
 
-static void pending_unlink(kb_rpc_pending_t *pending)
+static void pending_unlink(kb_rpc_peer_t *peer, kb_rpc_pending_t *pending)
 {
-	kb_rpc_peer_t *peer = pending->peer;
-
 	if (pending->prev)
 		pending->prev->next = pending->next;
 	else
 		peer->pending = pending->next;
 	if (pending->next)
 		pending->next->prev = pending->prev;
+	if (peer->oldest == pending)
+		peer->oldest = pending->prev;
 	peer->call_count--;
 }
 
-static void pending_end(kb_rpc_pending_t *pending, kb_result_t result,
-			void *res)
+static void pending_end(kb_rpc_peer_t *peer, kb_rpc_pending_t *pending,
+			kb_result_t result, void *res)
 {
 	kb_rpc_call_t call = pending->call;
 
-	pending_unlink(pending);
+	pending_unlink(peer, pending);
 	event_free(pending->timer);
 	free(pending);
 	call.done(call.ctx, result, res);
@@ -46,24 +47,17 @@
 
 static void peer_disconnect(kb_rpc_peer_t *peer, kb_result_t result)
 {
-	kb_rpc_pending_t *last;
+	kb_rpc_pending_t *pending;
 
 	if (peer->stream)
 		bufferevent_free(peer->stream);
 	peer->stream = NULL;
 	peer->connected = 0;
-	/* A callback may start calls anew: end only those there are now. */
-	last = peer->pending;
-	if (!last)
-		return;
-	while (last->next)
-		last = last->next;
-	for (size_t count = peer->call_count; count; count--) {
-		kb_rpc_pending_t *pending = last;
-
-		last = pending->prev;
-		pending_end(pending, result, NULL);
-	}
+	peer->generation++;
+	/* A callback may start calls anew or finish the peer. */
+	while ((pending = peer->oldest) &&
+	       pending->generation != peer->generation)
+		pending_end(peer, pending, result, NULL);
 }
 
 static void on_timeout(evutil_socket_t fd, short what, void *arg)
@@ -77,7 +71,7 @@
 	if (!peer->connected)
 		peer_disconnect(peer, KB_ERR_UNREACHABLE);
 	else
-		pending_end(pending, KB_ERR_TIMEOUT, NULL);
+		pending_end(peer, pending, KB_ERR_TIMEOUT, NULL);
 }
 
 static kb_rpc_pending_t *find_pending(kb_rpc_peer_t *peer, uint32_t xid)
@@ -126,7 +120,7 @@
 		goto out;
 	}
 	if (reply.rm_reply.rp_stat != MSG_ACCEPTED) {
-		pending_end(pending, KB_ERR_PROTOCOL, NULL);
+		pending_end(peer, pending, KB_ERR_PROTOCOL, NULL);
 		result = KB_OK;
 		goto out;
 	}
@@ -141,7 +135,7 @@
 	{
 		xdrproc_t decode = pending->call.decode;
 
-		pending_end(pending, result, result ? NULL : res);
+		pending_end(peer, pending, result, result ? NULL : res);
 		if (res)
 			xdr_free(decode, res);
 		free(res);
@@ -169,6 +163,7 @@
 			free(data);
 		}
 		if (result) {
+			peer->counters.malformed++;
 			kb_log(KB_EVENT_RPC_MALFORMED, "peer=%s:%u",
 			       peer->address.data, peer->port);
 			peer_disconnect(peer, KB_ERR_PROTOCOL);
@@ -278,9 +273,12 @@
 	pending->peer = peer;
 	pending->call = *call;
 	pending->xid = peer->next_xid++;
+	pending->generation = peer->generation;
 	pending->next = peer->pending;
 	if (peer->pending)
 		peer->pending->prev = pending;
+	else
+		peer->oldest = pending;
 	peer->pending = pending;
 	peer->call_count++;
 	peer->counters.calls++;
