Ignore an order's result that comes without a report

An adapter that reports success but has no report to give would have crashed the host. Such a result is now taken as no answer.

--- a/src/failover.c
+++ b/src/failover.c
@@ -317,7 +317,7 @@
 {
 	if (order->target >= failover->watch.group.target_count)
 		return kb_failover_on_timer(failover, now);
-	if (result == KB_OK) {
+	if (result == KB_OK && report) {
 		if (is_news(failover, order, granted, report))
 			kb_watch_on_order_report(&failover->watch, now,
 						 order->target, report);
