Tell a refused connection from a target that refuses it, and change one target at a time

A control connection that the target turned away (too many connections) or that was never answered no longer counts as a host without a listener, which had sped up the detection of a failure. Hosts seed their back-off apart. A group may gain or lose one target in one change, as otherwise a majority of the old targets and one of the new need not meet.

--- a/src/agent.c
+++ b/src/agent.c
@@ -1,6 +1,7 @@
 #include "agent.h"
 
 #include "log.h"
+#include "rendezvous.h"
 
 #include <event2/event.h>
 #include <inttypes.h>
@@ -232,6 +233,8 @@
 	if (!agent->timer)
 		return KB_ERR_NO_MEMORY;
 	kb_failover_params_init(&params);
+	params.seed = kb_rendezvous_score(kb_name_str(&setup->promoter),
+					  kb_name_str(&setup->group->name));
 	kb_confirm_params_init(&confirm_params);
 	kb_failover_init(&agent->failover, &failover_ops, &params,
 			 &agent->spec);
--- a/src/conn.h
+++ b/src/conn.h
@@ -37,7 +37,11 @@
 
 /* What a connection tells its owner. */
 typedef struct kb_conn_events {
-	/* The connection is open, or failed to open and is to be closed. */
+	/*
+	 * The connection is open, or failed to open and is to be closed:
+	 * KB_ERR_UNREACHABLE if nothing listens there, KB_ERR_OVERLOADED if
+	 * the target was reached and refused it.
+	 */
 	void (*on_open)(kb_conn_t *conn, kb_result_t result);
 	/* Statement `index` was answered; `answer` is valid until return. */
 	void (*on_answer)(kb_conn_t *conn, size_t index,
--- a/src/control.c
+++ b/src/control.c
@@ -8,7 +8,7 @@
 
 enum {
 	/* Silence after which the connection is replaced. */
-	ANSWER_TIMEOUT_MS = 1000,
+	ANSWER_TIMEOUT_MS = 500,
 	PARAMS_MAX = 3,
 	NUMBER_BYTES = 24,
 };
@@ -68,8 +68,12 @@
 
 static void connect_target(kb_control_t *control);
 
-/* Drops the connection and ends the orders there are now. */
-static void disconnect(kb_control_t *control, kb_result_t result)
+/*
+ * Drops the connection and ends the orders there are now: the one that was
+ * sent with `sent`, the others with `waiting`.
+ */
+static void disconnect(kb_control_t *control, kb_result_t sent,
+		       kb_result_t waiting)
 {
 	size_t count = control->order_count;
 
@@ -80,8 +84,7 @@
 	if (control->timer)
 		event_del(control->timer);
 	for (; count && control->order_count; count--)
-		end_first(control, control->busy ? result : KB_ERR_UNREACHABLE,
-			  NULL);
+		end_first(control, control->busy ? sent : waiting, NULL);
 }
 
 static void start_timer(kb_control_t *control)
@@ -95,20 +98,27 @@
 }
 
 /* Fails from the loop, as the owner may be in the midst of a decision. */
-static void fail_soon(kb_control_t *control)
+static void fail_soon(kb_control_t *control, kb_result_t result)
 {
+	control->failed = result;
 	event_active(control->timer, EV_TIMEOUT, 0);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	kb_control_t *control = arg;
+	kb_result_t result = control->failed;
 
 	(void)fd;
 	(void)what;
-	kb_log(KB_EVENT_TARGET_CONNECTION_LOST, "target=%s:%u cause=silence",
-	       control->address.address.data, control->address.port);
-	disconnect(control, KB_ERR_TIMEOUT);
+	control->failed = KB_OK;
+	if (!result) {
+		kb_log(KB_EVENT_TARGET_CONNECTION_LOST,
+		       "target=%s:%u cause=silence",
+		       control->address.address.data, control->address.port);
+		result = KB_ERR_TIMEOUT;
+	}
+	disconnect(control, result, result);
 }
 
 static void on_open(kb_conn_t *conn, kb_result_t result)
@@ -116,7 +126,7 @@
 	kb_control_t *control = conn->owner;
 
 	if (result) {
-		disconnect(control, KB_ERR_UNREACHABLE);
+		disconnect(control, result, result);
 		return;
 	}
 	event_del(control->timer);
@@ -158,7 +168,7 @@
 
 	kb_log(KB_EVENT_TARGET_CONNECTION_LOST, "target=%s:%u cause=closed",
 	       control->address.address.data, control->address.port);
-	disconnect(control, KB_ERR_CLOSED);
+	disconnect(control, KB_ERR_CLOSED, KB_ERR_UNREACHABLE);
 }
 
 static const kb_conn_events_t conn_events = {
@@ -215,7 +225,7 @@
 	control->busy = 1;
 	start_timer(control);
 	if (control->conn->ops->send(control->conn, &statement, 1))
-		fail_soon(control);
+		fail_soon(control, KB_ERR_CLOSED);
 }
 
 static void connect_target(kb_control_t *control)
@@ -226,7 +236,7 @@
 
 	if (result) {
 		control->conn = NULL;
-		fail_soon(control);
+		fail_soon(control, KB_ERR_UNREACHABLE);
 		return;
 	}
 	start_timer(control);
--- a/src/control.h
+++ b/src/control.h
@@ -42,9 +42,10 @@
 	/*
 	 * An order has ended. KB_OK: carried out, or a probe's answer;
 	 * KB_ERR_CONFLICT: refused by the target, which still reports itself.
-	 * `report` is NULL for any other result: KB_ERR_UNREACHABLE if it was
-	 * never sent, KB_ERR_CLOSED or KB_ERR_TIMEOUT if it may have been
-	 * carried out.
+	 * `report` is NULL for any other result. KB_ERR_UNREACHABLE: nothing
+	 * listens at the target and the order was not sent. KB_ERR_CLOSED,
+	 * KB_ERR_TIMEOUT: it may have been carried out. KB_ERR_OVERLOADED: the
+	 * target refused the connection.
 	 */
 	void (*ended)(kb_control_t *control, const kb_control_order_t *order,
 		      kb_result_t result, const kb_report_t *report);
@@ -64,6 +65,8 @@
 	size_t order_count;
 	/* The first order was sent. */
 	int busy;
+	/* Why the connection failed before the loop came round, or KB_OK. */
+	kb_result_t failed;
 	kb_result_t answer_result;
 	kb_report_t report;
 };
--- a/src/operator_api.c
+++ b/src/operator_api.c
@@ -156,7 +156,10 @@
 		if (current)
 			resource = *current;
 	} else if (kb_resource_parse_body(&resource, request->kind, name,
-					  body_of(http), &fault) != KB_OK) {
+					  body_of(http), &fault) != KB_OK ||
+		   (current &&
+		    kb_spec_check_change(&current->spec, &resource.spec,
+					 &fault) != KB_OK)) {
 		refuse_field(http, &fault);
 		return;
 	}
--- a/src/pq.c
+++ b/src/pq.c
@@ -178,6 +178,7 @@
 static void on_connect(evutil_socket_t fd, short what, void *arg)
 {
 	pq_conn_t *conn = arg;
+	int reached = PQstatus(conn->pg) != CONNECTION_STARTED;
 
 	(void)fd;
 	(void)what;
@@ -201,7 +202,7 @@
 	default:
 		break;
 	}
-	pq_opened(conn, KB_ERR_UNREACHABLE);
+	pq_opened(conn, reached ? KB_ERR_OVERLOADED : KB_ERR_UNREACHABLE);
 }
 
 static int pq_add(pq_conn_t *conn, const kb_statement_t *statement)
--- a/src/spec.c
+++ b/src/spec.c
@@ -257,6 +257,36 @@
 	return parse_kind(&fields, spec);
 }
 
+/* Returns how many targets of `a` are not in `b`. */
+static size_t count_missing(const kb_group_spec_t *a, const kb_group_spec_t *b)
+{
+	size_t missing = 0;
+
+	for (size_t i = 0; i < a->target_count; i++) {
+		const kb_target_spec_t *target = &a->targets[i];
+		size_t at = kb_group_find_target(b, kb_name_str(&target->name));
+
+		if (at == b->target_count ||
+		    !same_endpoint(target, &b->targets[at]))
+			missing++;
+	}
+	return missing;
+}
+
+kb_result_t kb_spec_check_change(const kb_spec_t *before,
+				 const kb_spec_t *after, kb_fault_t *fault)
+{
+	const kb_group_spec_t *a = &before->u.group, *b = &after->u.group;
+
+	if (before->kind != KB_KIND_GROUP ||
+	    count_missing(a, b) + count_missing(b, a) <= 1)
+		return KB_OK;
+	snprintf(fault->path, sizeof(fault->path), "spec.targets");
+	snprintf(fault->message, sizeof(fault->message),
+		 "may gain or lose one target at a time");
+	return KB_ERR_INVALID;
+}
+
 static json_t *target_to_json(const kb_target_spec_t *target)
 {
 	return json_pack(
--- a/src/spec.h
+++ b/src/spec.h
@@ -56,6 +56,15 @@
 kb_result_t kb_spec_parse(kb_spec_t *spec, kb_kind_t kind, kb_str_t name,
 			  const json_t *json, kb_fault_t *fault);
 
+/*
+ * Checks that a group may be changed from `before` to `after` at once: one
+ * target at most may come or go, so that a majority of the one and a majority
+ * of the other always share a target. Returns KB_ERR_INVALID and describes
+ * the fault.
+ */
+kb_result_t kb_spec_check_change(const kb_spec_t *before,
+				 const kb_spec_t *after, kb_fault_t *fault);
+
 /*
  * Returns the spec as a new JSON object that kb_spec_parse() accepts, or NULL
  * if memory is short.
--- a/tests/test_resource.cc
+++ b/tests/test_resource.cc
@@ -216,3 +216,44 @@
 	EXPECT_EQ(KB_KIND_HOST, kind);
 	EXPECT_STREQ("h1", name.data);
 }
+
+/* A group whose targets have these letters as names and ports. */
+static kb_spec_t group_of(const char *letters)
+{
+	kb_spec_t spec = {};
+
+	spec.kind = KB_KIND_GROUP;
+	for (const char *c = letters; *c; c++) {
+		kb_target_spec_t *target =
+			&spec.u.group.targets[spec.u.group.target_count++];
+
+		kb_name_set(&target->name, (kb_str_t){ c, 1 });
+		kb_name_set(&target->address, KB_STR("127.0.0.1"));
+		target->port = (uint16_t)*c;
+	}
+	return spec;
+}
+
+TEST(Resource, AGroupGainsOrLosesOneTargetAtATime)
+{
+	const struct {
+		const char *before, *after;
+		bool allowed;
+	} cases[] = {
+		{ "abc", "abc", true },	   { "abc", "cab", true },
+		{ "abc", "abcd", true },   { "abcd", "abc", true },
+		{ "abc", "abd", false },   { "abc", "abcde", false },
+		{ "abcde", "abc", false }, { "abc", "de", false },
+	};
+
+	for (const auto &c : cases) {
+		kb_spec_t before = group_of(c.before);
+		kb_spec_t after = group_of(c.after);
+		kb_fault_t fault = {};
+
+		EXPECT_EQ(c.allowed ? KB_OK : KB_ERR_INVALID,
+			  kb_spec_check_change(&before, &after, &fault))
+			<< c.before << " to " << c.after;
+		EXPECT_STREQ(c.allowed ? "" : "spec.targets", fault.path);
+	}
+}
