--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -231,4 +231,24 @@
 	}
 };
 
+/* Begins a transaction and returns its name at the gate. */
+#define BEGIN(name)                                     \
+	GateRequest begin_##name(KBX_ACTION_BEGIN, ""); \
+	submit(begin_##name);                           \
+	ASSERT_EQ(1, begin_##name.ended);               \
+	ASSERT_EQ(KB_OK, begin_##name.result);          \
+	std::string name = begin_##name.transaction
+
+static inline GateRequest within(const std::string &transaction,
+				 kbx_action action, const char *sql)
+{
+	GateRequest request(action, sql);
+
+	request.args.transaction = GateRequest::text(transaction.c_str());
+	return request;
+}
+
+#define WORK "INSERT INTO clockings VALUES (1)"
+#define QUERY "SELECT * FROM clockings"
+
 #endif
--- /dev/null
+++ b/tests/test_gate_end.cc
@@ -0,0 +1,132 @@
+#include "gate_fixture.h"
+
+TEST_F(TargetGate, ClosingEndsEachRequestByWhatMayHaveRun)
+{
+	GateRequest confirming(KBX_ACTION_WRITE, WORK);
+	GateRequest reading(KBX_ACTION_READ, QUERY);
+	GateRequest running[] = { { KBX_ACTION_WRITE, WORK },
+				  { KBX_ACTION_READ, QUERY } };
+	GateRequest queued(KBX_ACTION_WRITE, WORK);
+	BEGIN(open);
+	GateRequest statement = within(open, KBX_ACTION_STATEMENT, "A");
+
+	connector.targets[2].mute = connector.targets[3].mute = true;
+	submit(confirming);
+	submit(reading);
+	connector.targets[1].holds = true;
+	for (GateRequest &request : running)
+		submit(request);
+	submit(queued);
+	submit(statement);
+	host->close(0);
+	for (GateRequest *request : { &confirming, &reading, &running[0],
+				      &running[1], &queued, &statement })
+		EXPECT_EQ(1, request->ended);
+	EXPECT_EQ(KB_ERR_UNKNOWN, confirming.result);
+	EXPECT_EQ(KB_ERR_NOT_FRESH, reading.result);
+	EXPECT_EQ(KB_ERR_UNKNOWN, running[0].result);
+	EXPECT_EQ(KB_ERR_CLOSED, running[1].result);
+	EXPECT_EQ(KB_ERR_DRAINING, queued.result);
+	EXPECT_EQ(KB_ERR_DRAINING, statement.result);
+	settle();
+	EXPECT_EQ(1u, connector.targets[1].open) << "the control connection";
+	connector.targets[2].mute = connector.targets[3].mute = false;
+	advance(300);
+}
+
+TEST_F(TargetGate, AnswerBeyondTheLimitIsNeverAShortSuccess)
+{
+	GateRequest read(KBX_ACTION_READ, QUERY);
+	GateRequest write(KBX_ACTION_WRITE, WORK);
+	GateRequest keyed(KBX_ACTION_WRITE, WORK);
+	BEGIN(open);
+	GateRequest statement = within(open, KBX_ACTION_STATEMENT, QUERY);
+
+	keyed.args.key = GateRequest::text("k1");
+	read.args.max_age_us = 1000000;
+	connector.targets[1].too_large = true;
+	for (GateRequest *request : { &read, &write, &keyed, &statement }) {
+		submit(*request);
+		EXPECT_EQ(1, request->ended);
+		EXPECT_EQ("", request->body);
+	}
+	EXPECT_EQ(KB_ERR_TOO_LARGE, read.result);
+	/* It was committed in the same batch. */
+	EXPECT_EQ(KB_ERR_UNKNOWN, write.result);
+	EXPECT_EQ(KB_ERR_TOO_LARGE, keyed.result);
+	EXPECT_EQ(KB_ERR_TOO_LARGE, statement.result);
+	EXPECT_EQ(0u, host->gates[0]->transactions.count);
+}
+
+/* Keeps the hops that are exported. */
+struct HopKeeper {
+	kb_trace_exporter_t base;
+	std::vector<kb_span_t> spans;
+	std::string names;
+};
+
+static void keep_hop(kb_trace_exporter_t *exporter, const kb_span_t *span)
+{
+	auto *keeper = reinterpret_cast<HopKeeper *>(exporter);
+
+	EXPECT_STREQ("race-1", span->group);
+	EXPECT_STREQ("race-1-a", span->peer);
+	keeper->spans.push_back(*span);
+	keeper->names += std::string(kb_span_kind_name(span->kind)) + "=" +
+			 kb_result_name(span->result) + " ";
+}
+
+TEST_F(TargetGate, EachHopHasItsSpan)
+{
+	static const kb_trace_exporter_ops_t ops = { keep_hop };
+	HopKeeper keeper = { { &ops }, {}, "" };
+	kb_trace_t trace = { &keeper.base, &clock.base, 0 };
+	struct {
+		kbx_action action;
+		const char *traceparent;
+		void (*strike)(FakeConnector &connector);
+		const char *expected;
+	} cases[] = {
+		{ KBX_ACTION_WRITE,
+		  "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01",
+		  [](FakeConnector &) {},
+		  "queue=ok connection=ok statement=ok confirmation=ok " },
+		{ KBX_ACTION_READ,
+		  "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01",
+		  [](FakeConnector &) {},
+		  "queue=ok connection=ok statement=ok confirmation=ok " },
+		{ KBX_ACTION_WRITE,
+		  "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01",
+		  [](FakeConnector &c) { c.cut(1, true); },
+		  "queue=ok connection=ok statement=outcome-unknown " },
+		{ KBX_ACTION_WRITE,
+		  "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00",
+		  [](FakeConnector &) {}, "" },
+		{ KBX_ACTION_WRITE, "", [](FakeConnector &) {}, "" },
+	};
+
+	host->gates[0]->trace = &trace;
+	for (const auto &c : cases) {
+		GateRequest request(c.action, WORK);
+
+		keeper.spans.clear();
+		keeper.names.clear();
+		request.args.traceparent = GateRequest::text(c.traceparent);
+		connector.targets[1].holds = true;
+		submit(request);
+		c.strike(connector);
+		connector.targets[1].holds = false;
+		advance(300);
+		EXPECT_EQ(1, request.ended);
+		EXPECT_EQ(std::string(c.expected).size(), keeper.names.size())
+			<< keeper.names;
+		for (const kb_span_t &span : keeper.spans) {
+			EXPECT_EQ(0x4b, span.context.trace[0]);
+			EXPECT_EQ(0xf0, span.parent[1]);
+			EXPECT_LE(span.start, span.end);
+		}
+		if (c.action == KBX_ACTION_WRITE) {
+			EXPECT_EQ(c.expected, keeper.names);
+		}
+	}
+}
--- /dev/null
+++ b/tests/test_rpc_faults.cc
@@ -0,0 +1,189 @@
+#include "rpc_fixture.h"
+
+/* Replaces the 32-bit word at `offset` of a call. */
+static std::string with_word(std::string data, size_t offset, uint32_t value)
+{
+	uint32_t word = htonl(value);
+
+	memcpy(&data[offset], &word, sizeof(word));
+	return data;
+}
+
+enum {
+	PROGRAM_OFFSET = 16,
+	VERSION_OFFSET = 20,
+	GROUP_LENGTH_OFFSET = 44,
+};
+
+/* Sends bytes to a server and keeps the answer. */
+class RawCaller
+{
+      public:
+	std::string received;
+	bool closed = false;
+
+	RawCaller(struct event_base *loop, uint16_t port)
+	    : stream(bufferevent_socket_new(loop, -1, BEV_OPT_CLOSE_ON_FREE))
+	{
+		struct sockaddr_in address = {};
+
+		address.sin_family = AF_INET;
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		address.sin_port = htons(port);
+		bufferevent_setcb(stream, on_read, nullptr, on_event, this);
+		bufferevent_enable(stream, EV_READ | EV_WRITE);
+		EXPECT_EQ(0, bufferevent_socket_connect(
+				     stream, (struct sockaddr *)&address,
+				     sizeof(address)));
+	}
+
+	~RawCaller()
+	{
+		bufferevent_free(stream);
+	}
+
+	void send(const std::string &data)
+	{
+		bufferevent_write(stream, data.data(), data.size());
+	}
+
+      private:
+	struct bufferevent *stream;
+
+	static void on_read(struct bufferevent *stream, void *ctx)
+	{
+		char data[4096];
+		size_t len = bufferevent_read(stream, data, sizeof(data));
+
+		static_cast<RawCaller *>(ctx)->received.append(data, len);
+	}
+
+	static void on_event(struct bufferevent *, short what, void *ctx)
+	{
+		if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+			static_cast<RawCaller *>(ctx)->closed = true;
+	}
+};
+
+TEST_F(Rpc, MalformedCallsAreAnsweredOrCutByTheTable)
+{
+	const std::string call = call_of(9);
+	struct {
+		const char *name;
+		std::string data;
+		/* Status of the answer, or -1 if the connection is cut. */
+		int status;
+	} cases[] = {
+		{ "unknown version", with_word(call, VERSION_OFFSET, 99),
+		  PROG_MISMATCH },
+		{ "unknown program", with_word(call, PROGRAM_OFFSET, 99),
+		  PROG_UNAVAIL },
+		{ "text beyond the message",
+		  with_word(call, GROUP_LENGTH_OFFSET, 60), GARBAGE_ARGS },
+		{ "text beyond its limit",
+		  with_word(call, GROUP_LENGTH_OFFSET, 1 << 30), GARBAGE_ARGS },
+		{ "no header", std::string("\x80\0\0\0", 4), -1 },
+		{ "cut header", with_word(call.substr(0, 16), 0, 0x8000000c),
+		  -1 },
+		{ "oversized", with_word(call, 0, 0xffffffff), -1 },
+		{ "fragment", with_word(call, 0, 24), -1 },
+		{ "a reply", reply_to(9, 1), -1 },
+		{ "text", "GET / HTTP/1.1\r\n\r\n", -1 },
+	};
+	uint64_t malformed = 0;
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		RawCaller caller(loop.base, port);
+		ViewCall good;
+
+		caller.send(c.data);
+		loop.run_until([&] {
+			return caller.closed || !caller.received.empty();
+		});
+		EXPECT_EQ(c.status < 0, caller.closed);
+		if (c.status >= 0) {
+			ASSERT_LE(28u, caller.received.size());
+			EXPECT_EQ(c.status, caller.received[27]);
+		}
+		if (c.status < 0 || c.status == GARBAGE_ARGS)
+			malformed++;
+		EXPECT_EQ(malformed, server.counters.malformed);
+		ASSERT_EQ(KB_OK, good.start(&peer));
+		expect_requests(1);
+		reply(0, 1);
+		expect_end(good);
+		EXPECT_EQ(KB_OK, good.result);
+	}
+	EXPECT_EQ(1u, server.counters.unknown_version);
+	EXPECT_EQ(sizeof(cases) / sizeof(cases[0]), server.counters.requests);
+}
+
+TEST_F(Rpc, SlowAndTruncatedCallsDisturbNobody)
+{
+	const std::string call = call_of(9);
+	RawCaller slow(loop.base, port);
+	std::unique_ptr<RawCaller> cut(new RawCaller(loop.base, port));
+
+	cut->send(call.substr(0, call.size() - 1));
+	for (char c : call) {
+		EXPECT_TRUE(requests.empty());
+		slow.send(std::string(1, c));
+		event_base_loop(loop.base, EVLOOP_NONBLOCK);
+	}
+	expect_requests(1);
+	cut.reset();
+	reply(0, 5);
+	loop.run_until([&] { return !slow.received.empty(); });
+	EXPECT_EQ(1u, server.counters.requests);
+}
+
+TEST_F(Rpc, MalformedRepliesEndTheCallsByTheTable)
+{
+	const std::string good = reply_to(1, 5);
+	struct {
+		const char *name;
+		std::string data;
+	} cases[] = {
+		{ "text", "HTTP/1.1 400 Bad Request\r\n\r\n" },
+		{ "oversized", with_word(good, 0, 0xffffffff) },
+		{ "fragment", with_word(good, 0, 24) },
+		{ "no header", std::string("\x80\0\0\0", 4) },
+		{ "a call", call_of(1) },
+		{ "result cut short",
+		  with_word(good.substr(0, good.size() - 4), 0,
+			    0x80000000 | (uint32_t)(good.size() - 8)) },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		RawServer raw(loop.base);
+		ViewCall call;
+
+		kb_rpc_peer_finish(&peer);
+		connect(raw.port);
+		ASSERT_EQ(KB_OK, call.start(&peer));
+		loop.run_until([&] { return !raw.received.empty(); });
+		raw.send(c.data);
+		expect_end(call);
+		EXPECT_EQ(KB_ERR_PROTOCOL, call.result);
+	}
+}
+
+TEST_F(Rpc, TruncatedReplyIsNoAnswer)
+{
+	const std::string good = reply_to(1, 5);
+	RawServer raw(loop.base);
+	ViewCall call;
+
+	connect(raw.port);
+	ASSERT_EQ(KB_OK, call.start(&peer));
+	loop.run_until([&] { return !raw.received.empty(); });
+	raw.send(good.substr(0, good.size() - 1));
+	for (int i = 0; i < 5; i++)
+		event_base_loop(loop.base, EVLOOP_NONBLOCK);
+	EXPECT_EQ(0, call.ended);
+	raw.hang_up();
+	expect_end(call);
+	EXPECT_EQ(KB_ERR_CLOSED, call.result);
+}
