Linger at a planned stop and end requests at their deadline

Cause: a stopping host closed connections on which a request had just arrived, and a request at a partitioned target outlived its deadline.

--- a/src/caller_api.c
+++ b/src/caller_api.c
@@ -14,6 +14,8 @@
 #define MEDIA_METRICS "text/plain; version=0.0.4"
 
 enum {
+	/* Time for which a draining host still takes new work. */
+	DRAIN_ACCEPT_MS = 1500,
 	HTTP_TIMEOUT_S = 60,
 	/* Limits of the server as a multiple of those of the settings. */
 	SERVER_LIMIT_PART = 4,
@@ -128,6 +130,12 @@
 	return NULL;
 }
 
+static int refuses_new_work(const kb_caller_api_t *api)
+{
+	return api->draining &&
+	       kb_clock_monotonic(api->clock) >= api->refuse_from;
+}
+
 static void on_request(struct evhttp_request *http, void *arg)
 {
 	kb_caller_api_t *api = arg;
@@ -138,6 +146,9 @@
 	size_t caller;
 
 	api->counters.requests++;
+	if (api->draining)
+		evhttp_add_header(evhttp_request_get_output_headers(http),
+				  "Connection", "close");
 	if (is_too_large(api, http))
 		return;
 	if (kb_caller_path_parse(kb_str_from(path ? path : ""), &parsed)) {
@@ -147,7 +158,7 @@
 	}
 	if (!is_post(api, http))
 		return;
-	if (api->draining && !parsed.transaction.len) {
+	if (refuses_new_work(api) && !parsed.transaction.len) {
 		kb_caller_api_refuse(api, http, KB_ERR_DRAINING,
 				     "the host is leaving");
 		return;
@@ -282,5 +293,15 @@
 
 void kb_caller_api_set_draining(kb_caller_api_t *api, int draining)
 {
+	if (draining && !api->draining)
+		api->refuse_from = kb_clock_monotonic(api->clock) +
+				   DRAIN_ACCEPT_MS * KB_NS_PER_MS;
 	api->draining = draining;
 }
+
+void kb_caller_api_close_listener(kb_caller_api_t *api)
+{
+	if (api->listener)
+		evhttp_del_accept_socket(api->http, api->listener);
+	api->listener = NULL;
+}
--- a/src/caller_api.h
+++ b/src/caller_api.h
@@ -10,6 +10,7 @@
 #include "trace.h"
 
 struct evhttp;
+struct evhttp_bound_socket;
 struct evhttp_request;
 struct evbuffer;
 
@@ -27,6 +28,8 @@
 /* The HTTP interface for callers. */
 typedef struct kb_caller_api {
 	struct evhttp *http;
+	/* NULL once no connection is accepted any more. */
+	struct evhttp_bound_socket *listener;
 	/* Port that it listens on. */
 	uint16_t port;
 	const kb_settings_t *settings;
@@ -40,7 +43,9 @@
 	/* Requests in flight, in all and for each caller. */
 	size_t active;
 	size_t caller_active[KB_SETTINGS_CALLERS_MAX];
+	/* New work is refused from `refuse_from` on. */
 	int draining;
+	kb_time_t refuse_from;
 	kb_caller_api_counters_t counters;
 	kb_class_durations_t durations;
 	/* Appends the metrics of the host to `out`. */
@@ -55,7 +60,11 @@
 			       const kb_catalog_t *catalog);
 void kb_caller_api_finish(kb_caller_api_t *api);
 
-/* Whether new work is refused; open transactions go on. */
+/*
+ * Begins or ends a drain. The health check fails and every answer closes its
+ * connection at once; new work is refused a little later, when the balancer
+ * and the callers had time to go elsewhere. Open transactions go on.
+ */
 void kb_caller_api_set_draining(kb_caller_api_t *api, int draining);
 
 /* Answers with a problem and counts it. */
@@ -69,6 +78,9 @@
 /* Counts out a request of the account `caller`. */
 void kb_caller_api_leave(kb_caller_api_t *api, size_t caller);
 
+/* Accepts no more connections; those that are open go on. */
+void kb_caller_api_close_listener(kb_caller_api_t *api);
+
 KB_END_DECLS
 
 #endif
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -41,6 +41,8 @@
 	int has_hosts, has_fleet, has_server, has_router, has_callers;
 	int has_configuration, has_operators;
 	int stopping;
+	/* Earliest and latest end of a planned stop. */
+	kb_time_t linger_until;
 	kb_time_t drain_until;
 	kb_result_t result;
 };
--- a/src/target_gate.c
+++ b/src/target_gate.c
@@ -28,13 +28,31 @@
 				    offsetof(kb_target_gate_t, pool));
 }
 
+static void end_hopeless(kb_target_gate_t *gate);
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	(void)fd;
 	(void)what;
+	end_hopeless(arg);
 	kb_target_gate_tick(arg);
 }
 
+/* Returns the earliest deadline of a request in execution. */
+static kb_time_t next_deadline(const kb_target_gate_t *gate)
+{
+	kb_time_t next = KB_TIME_NEVER;
+
+	for (size_t i = 0; i < KB_POOL_MAX_CONNECTIONS; i++) {
+		const gate_conn_t *held = gate->pool.connections[i].handle;
+
+		if (held && held->request &&
+		    held->request->entry.deadline < next)
+			next = held->request->entry.deadline;
+	}
+	return next;
+}
+
 void kb_target_gate_tick(kb_target_gate_t *gate)
 {
 	kb_time_t now = gate_now(gate);
@@ -47,6 +65,8 @@
 		next = pool_next;
 	if (wait_next < next)
 		next = wait_next;
+	if (next_deadline(gate) < next)
+		next = next_deadline(gate);
 	if (next == KB_TIME_NEVER) {
 		event_del(gate->timer);
 		return;
@@ -340,12 +360,14 @@
 {
 	size_t primary = kb_agent_primary(gate->agent);
 
+	if (gate_now(gate) >= request->entry.deadline)
+		return 1;
 	if (kb_gate_request_is_read(request))
 		return kb_agent_is_silent(gate->agent, gate->index);
 	return primary != KB_NO_TARGET && primary != gate->index;
 }
 
-void kb_target_gate_on_report(kb_target_gate_t *gate)
+static void end_hopeless(kb_target_gate_t *gate)
 {
 	for (size_t i = 0; i < KB_POOL_MAX_CONNECTIONS; i++) {
 		gate_conn_t *held = gate->pool.connections[i].handle;
@@ -353,5 +375,10 @@
 		if (held && held->request && is_hopeless(gate, held->request))
 			kb_exec_on_lost(&held->request->exec);
 	}
+}
+
+void kb_target_gate_on_report(kb_target_gate_t *gate)
+{
+	end_hopeless(gate);
 	kb_target_gate_tick(gate);
 }
--- a/tests/test_caller_api.cc
+++ b/tests/test_caller_api.cc
@@ -259,6 +259,16 @@
 TEST_F(CallerApi, DrainingRefusesNewWorkAndLetsTransactionsEnd)
 {
 	kb_caller_api_set_draining(api.get(), 1);
+	auto early = submit(request(STATEMENTS, WRITE));
+
+	EXPECT_EQ(503,
+		  submit(request("/healthz", "", "", "", "GET"))->status());
+	ASSERT_EQ(1u, router.waiting.size());
+	router.take().answer(KB_OK);
+	finish(*early);
+	EXPECT_EQ(200, early->status());
+	EXPECT_TRUE(early->has("Connection: close"));
+	clock.now += 1500 * KB_NS_PER_MS;
 	auto write = submit(request(STATEMENTS, WRITE));
 	auto begin = submit(request(TRANSACTIONS, ""));
 	auto health = submit(request("/healthz", "", "", "", "GET"));
