Let callers learn of a planned stop before their connections close

Cause: a host ended 20 to 60 ms after SIGTERM and cut connections on which a request had just arrived. Change: while it drains, each answer ends its connection; the host stays for at least 1 s and until no request has come between two looks 20 ms apart.

--- a/src/caller_api.c
+++ b/src/caller_api.c
@@ -26,10 +26,19 @@
 		      EVHTTP_REQ_TRACE | EVHTTP_REQ_PATCH,
 };
 
+void kb_caller_api_close_if_draining(const kb_caller_api_t *api,
+				     struct evhttp_request *http)
+{
+	if (api->draining)
+		evhttp_add_header(evhttp_request_get_output_headers(http),
+				  "Connection", "close");
+}
+
 void kb_caller_api_problem(kb_caller_api_t *api, struct evhttp_request *http,
 			   const kb_problem_t *problem)
 {
 	api->counters.results[problem->result % KB_CALLER_API_RESULTS_MAX]++;
+	kb_caller_api_close_if_draining(api, http);
 	kb_http_reply_problem(http, problem);
 }
 
--- a/src/caller_api.h
+++ b/src/caller_api.h
@@ -58,6 +58,13 @@
 /* Whether new work is refused; open transactions go on. */
 void kb_caller_api_set_draining(kb_caller_api_t *api, int draining);
 
+/*
+ * Lets the connection end with the answer that follows while the host drains,
+ * so that the caller turns to another host.
+ */
+void kb_caller_api_close_if_draining(const kb_caller_api_t *api,
+				     struct evhttp_request *http);
+
 /* Answers with a problem and counts it. */
 void kb_caller_api_problem(kb_caller_api_t *api, struct evhttp_request *http,
 			   const kb_problem_t *problem);
--- a/src/caller_exchange.c
+++ b/src/caller_exchange.c
@@ -119,6 +119,7 @@
 		return;
 	}
 	api->counters.results[KB_OK]++;
+	kb_caller_api_close_if_draining(api, exchange->http);
 	add_token(exchange, res);
 	if (exchange->call.args.action == KBX_ACTION_BEGIN)
 		reply_begun(exchange, res);
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -42,6 +42,10 @@
 	int has_configuration, has_operators;
 	int stopping;
 	kb_time_t drain_until;
+	/* Until then callers learn that they are to turn elsewhere. */
+	kb_time_t linger_until;
+	/* Requests of callers seen when the drain was last checked. */
+	uint64_t drain_requests;
 	kb_result_t result;
 };
 
--- a/src/daemon_stop.c
+++ b/src/daemon_stop.c
@@ -6,6 +6,8 @@
 
 enum {
 	DRAIN_POLL_MS = 20,
+	/* Time in which callers see that the host takes no new work. */
+	LINGER_MS = 1000,
 };
 
 static int is_drained(const kb_daemon_t *daemon)
@@ -14,15 +16,26 @@
 	       kb_group_services_are_idle(&daemon->services);
 }
 
+/* Whether callers may not yet know, or have just sent something. */
+static int is_calling(kb_daemon_t *daemon, kb_time_t now)
+{
+	uint64_t requests = daemon->callers.counters.requests;
+	int is_quiet = requests == daemon->drain_requests;
+
+	daemon->drain_requests = requests;
+	return now < daemon->linger_until || !is_quiet;
+}
+
 void kb_daemon_on_drain_timer(evutil_socket_t fd, short what, void *arg)
 {
 	kb_daemon_t *daemon = arg;
 	struct timeval poll = { 0, DRAIN_POLL_MS * 1000 };
-	int expired = kb_clock_monotonic(daemon->clock) >= daemon->drain_until;
+	kb_time_t now = kb_clock_monotonic(daemon->clock);
+	int expired = now >= daemon->drain_until;
 
 	(void)fd;
 	(void)what;
-	if (!is_drained(daemon) && !expired) {
+	if (!expired && (is_calling(daemon, now) || !is_drained(daemon))) {
 		event_add(daemon->drain_timer, &poll);
 		return;
 	}
@@ -39,6 +52,8 @@
 		return;
 	daemon->stopping = 1;
 	daemon->drain_until = kb_clock_monotonic(daemon->clock) + grace;
+	daemon->linger_until =
+		kb_clock_monotonic(daemon->clock) + LINGER_MS * KB_NS_PER_MS;
 	kb_log(KB_EVENT_STOP_REQUESTED, "host=%s", daemon->settings->host.data);
 	daemon->hosts.self->leaving = 1;
 	kb_fleet_set_leaving(&daemon->fleet, 1);
--- a/tests/test_caller_api.cc
+++ b/tests/test_caller_api.cc
@@ -267,6 +267,7 @@
 		EXPECT_EQ(503, client->status());
 		EXPECT_TRUE(client->has("draining"));
 		EXPECT_TRUE(client->has("\"outcome\":\"not run\""));
+		EXPECT_TRUE(client->has("Connection: close"));
 	}
 	auto commit =
 		submit(request(TRANSACTIONS "/h1~race-1-a~5f/commit", ""));
