--- a/src/caller_api.c
+++ b/src/caller_api.c
@@ -28,10 +28,19 @@
 		      EVHTTP_REQ_TRACE | EVHTTP_REQ_PATCH,
 };
 
+void kb_caller_api_close_if_draining(const kb_caller_api_t *api,
+				     struct evhttp_request *http)
+{
+	if (api->draining)
+		evhttp_add_header(evhttp_request_get_output_headers(http),
+				  "Connection", "close");
+}
+
 void kb_caller_api_problem(kb_caller_api_t *api, struct evhttp_request *http,
 			   const kb_problem_t *problem)
 {
 	api->counters.results[problem->result % KB_CALLER_API_RESULTS_MAX]++;
+	kb_caller_api_close_if_draining(api, http);
 	kb_http_reply_problem(http, problem);
 }
 
@@ -146,9 +155,6 @@
 	size_t caller;
 
 	api->counters.requests++;
-	if (api->draining)
-		evhttp_add_header(evhttp_request_get_output_headers(http),
-				  "Connection", "close");
 	if (is_too_large(api, http))
 		return;
 	if (kb_caller_path_parse(kb_str_from(path ? path : ""), &parsed)) {
@@ -240,6 +246,7 @@
 	if (!socket ||
 	    getsockname(evhttp_bound_socket_get_fd(socket), &bound.any, &len))
 		return KB_ERR_IO;
+	api->listener = socket;
 	api->port = ntohs(bound.any.sa_family == AF_INET6 ? bound.v6.sin6_port
 							  : bound.v4.sin_port);
 	return KB_OK;
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -44,6 +44,8 @@
 	/* Earliest and latest end of a planned stop. */
 	kb_time_t linger_until;
 	kb_time_t drain_until;
+	/* Requests of callers seen when the drain was last checked. */
+	uint64_t drain_requests;
 	kb_result_t result;
 };
 
--- a/src/daemon_stop.c
+++ b/src/daemon_stop.c
@@ -19,15 +19,26 @@
 	       kb_group_services_are_idle(&daemon->services);
 }
 
+/* Whether callers may not yet know, or have just sent something. */
+static int is_calling(kb_daemon_t *daemon, kb_time_t now)
+{
+	uint64_t requests = daemon->callers.counters.requests;
+	int is_quiet = requests == daemon->drain_requests;
+
+	daemon->drain_requests = requests;
+	return now < daemon->linger_until || !is_quiet;
+}
+
 void kb_daemon_on_drain_timer(evutil_socket_t fd, short what, void *arg)
 {
 	kb_daemon_t *daemon = arg;
 	struct timeval poll = { 0, DRAIN_POLL_MS * 1000 };
-	int expired = kb_clock_monotonic(daemon->clock) >= daemon->drain_until;
+	kb_time_t now = kb_clock_monotonic(daemon->clock);
+	int expired = now >= daemon->drain_until;
 
 	(void)fd;
 	(void)what;
-	if (!is_drained(daemon) && !expired) {
+	if (!expired && (is_calling(daemon, now) || !is_drained(daemon))) {
 		event_add(daemon->drain_timer, &poll);
 		return;
 	}
