--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -61,69 +61,13 @@
 done
 [ -z "$kill_primary" ] || faults="kill-primary@$((seconds / 3))${faults:+,$faults}"
 
-case $workload in
-kalahari) group=race-1 slots=2 connections=16 ;;
-sledza) group=repairs-1 slots=5 connections=55 ;;
-*) usage ;;
-esac
-
 examples=$(cd "$(dirname "$0")" && pwd)
 build=$(cd "$build" && pwd)
 run=${logs:-$(mktemp -d)}
 mkdir -p "$run"
 
-pids=
-cleanup()
-{
-	trap - EXIT INT TERM
-	for pid in $pids
-	do
-		kill -9 "$pid" 2>/dev/null || true
-	done
-	wait 2>/dev/null || true
-	[ -n "$logs" ] || rm -rf "$run"
-}
-trap cleanup EXIT
-trap 'exit 1' INT TERM
-
-# Starts a program with its output in a file and remembers its process.
-start()
-{
-	name=$1
-	shift
-	"$@" >>"$run/$name.log" 2>&1 &
-	eval "pid_$name=$!"
-	pids="$pids $!"
-}
-
-pid_of()
-{
-	eval "echo \$pid_$1"
-}
-
-start_host()
-{
-	(cd "$run" && exec "$build/kumquatbridged" --config "$1.ini") \
-		>>"$run/$1.log" 2>&1 &
-	eval "pid_$1=$!"
-	pids="$pids $!"
-}
-
-wait_for()
-{
-	tries=0
-	until curl -sf -m 1 -o /dev/null "$1"
-	do
-		tries=$((tries + 1))
-		if [ $tries -gt 100 ]
-		then
-			echo "no answer from $1" >&2
-			tail -n 5 "$run"/*.log >&2
-			exit 2
-		fi
-		sleep 0.1
-	done
-}
+. "$examples/fleet_lib.sh"
+choose_group
 
 state_of()
 {
@@ -183,36 +127,8 @@
 	echo "fault: $1 (primary was target $number)"
 }
 
-for file in h1.ini h2.ini h3.ini resources.json
-do
-	sed -e "s/127\.0\.0\.1:8\([0-9][0-9][0-9]\)/127.0.0.1:$prefix\1/g" \
-		-e "s/\"port\": 8\([0-9][0-9][0-9]\)/\"port\": $prefix\1/g" \
-		"$examples/$workload/$file" >"$run/$file"
-done
-
-start store "$build/standin_store" --port "${prefix}701"
-for number in 1 2 3
-do
-	role="--follow 127.0.0.1:${prefix}401"
-	[ $number = 1 ] && role="--primary-term 1"
-	start target$number "$build/standin_target" --name target$number \
-		--port "${prefix}40$number" --control-port "${prefix}60$number" \
-		--slots $slots --connections $connections --connect-delay 12 \
-		--statement-time "$statement_time" \
-		--receive-lag "$receive_lag" --apply-lag "$apply_lag" $role
-done
-for number in 1 2 3
-do
-	wait_for "http://127.0.0.1:${prefix}60$number/state"
-done
-for host in h1 h2 h3
-do
-	start_host $host
-done
-for number in 1 2 3
-do
-	wait_for "http://127.0.0.1:${prefix}10$number/healthz"
-done
+write_settings
+start_fleet
 
 "$build/kumquatload" --workload "$workload" --group "$group" \
 	--hosts "127.0.0.1:${prefix}101,127.0.0.1:${prefix}102,127.0.0.1:${prefix}103" \
--- a/src/daemon_metrics.c
+++ b/src/daemon_metrics.c
@@ -56,10 +56,16 @@
 		"kumquatbridge_gate_unknown_total{target=\"%s\"} %" PRIu64 "\n"
 		"kumquatbridge_gate_replayed_total{target=\"%s\"} %" PRIu64 "\n"
 		"kumquatbridge_gate_active{target=\"%s\"} %zu\n"
-		"kumquatbridge_gate_connections{target=\"%s\"} %u\n",
+		"kumquatbridge_gate_connections{target=\"%s\"} %u\n"
+		"kumquatbridge_gate_confirm_waits_total{target=\"%s\"} "
+		"%" PRIu64 "\n"
+		"kumquatbridge_gate_confirm_wait_us_total{target=\"%s\"} "
+		"%" PRIu64 "\n",
 		target, gate->counters.executed, target, gate->counters.refused,
 		target, gate->counters.unknown, target, gate->counters.replayed,
-		target, gate->active, target, kb_pool_open_count(&gate->pool));
+		target, gate->active, target, kb_pool_open_count(&gate->pool),
+		target, gate->counters.confirm_waits, target,
+		(uint64_t)(gate->counters.confirm_wait / KB_NS_PER_US));
 }
 
 static void write_services(const kb_group_services_t *services,
