Join repeated code, split two files, log membership and configuration

The events 1400 to 1404 and 1500 stood in the catalogue, but nothing logged them.

Orders of a promoter and headers of RPC messages have one writer each. The fleet logs hosts that join, leave, are suspected, are dead or supersede this one; the configuration logs each resource that comes into force. Event 1503 is removed, as nothing can report it. The gate fixture of the tests reaches the timer through the new object; no assertion changed.

--- a/src/agent.c
+++ b/src/agent.c
@@ -2,7 +2,6 @@
 
 #include "log.h"
 
-#include <event2/event.h>
 #include <inttypes.h>
 
 static kb_time_t agent_now(const kb_agent_t *agent)
@@ -12,30 +11,13 @@
 
 static void schedule(kb_agent_t *agent, kb_time_t at)
 {
-	kb_time_t delay;
-	struct timeval timeout;
-
-	if (at >= agent->wake)
-		return;
-	agent->wake = at;
-	delay = at - agent_now(agent);
-	if (delay < 0)
-		delay = 0;
-	/* Rounded up, or the timer would fire before the time has come. */
-	delay += KB_NS_PER_US - 1;
-	timeout.tv_sec = delay / KB_NS_PER_S;
-	timeout.tv_usec = delay % KB_NS_PER_S / KB_NS_PER_US;
-	event_add(agent->timer, &timeout);
+	kb_wakeup_schedule(&agent->wakeup, at);
 }
 
-static void on_timer(evutil_socket_t fd, short what, void *arg)
+static void on_wakeup(void *ctx, kb_time_t now)
 {
-	kb_agent_t *agent = arg;
-	kb_time_t now = agent_now(agent);
+	kb_agent_t *agent = ctx;
 
-	(void)fd;
-	(void)what;
-	agent->wake = KB_TIME_NEVER;
 	schedule(agent, kb_failover_on_timer(&agent->failover, now));
 	schedule(agent, kb_confirm_on_timer(&agent->confirm, now));
 }
@@ -60,34 +42,31 @@
 	order(agent, target, &probe);
 }
 
-static void send_fence(kb_failover_t *failover, size_t target, uint64_t term)
+static void order_as_promoter(kb_agent_t *agent, size_t target,
+			      kb_control_kind_t kind, uint64_t term,
+			      kb_event_t event)
 {
-	kb_agent_t *agent = (kb_agent_t *)failover;
-	kb_control_order_t fence = {
-		.kind = KB_CONTROL_FENCE,
+	kb_control_order_t sent = {
+		.kind = kind,
 		.term = term,
 		.promoter = agent->promoter,
 	};
 
-	kb_log(KB_EVENT_FENCE_SENT, "group=%s target=%s term=%" PRIu64,
-	       agent->spec.name.data, agent->spec.targets[target].name.data,
-	       term);
-	order(agent, target, &fence);
+	kb_log(event, "group=%s target=%s term=%" PRIu64, agent->spec.name.data,
+	       agent->spec.targets[target].name.data, term);
+	order(agent, target, &sent);
 }
 
-static void send_promote(kb_failover_t *failover, size_t target, uint64_t term)
+static void send_fence(kb_failover_t *failover, size_t target, uint64_t term)
 {
-	kb_agent_t *agent = (kb_agent_t *)failover;
-	kb_control_order_t promote = {
-		.kind = KB_CONTROL_PROMOTE,
-		.term = term,
-		.promoter = agent->promoter,
-	};
+	order_as_promoter((kb_agent_t *)failover, target, KB_CONTROL_FENCE,
+			  term, KB_EVENT_FENCE_SENT);
+}
 
-	kb_log(KB_EVENT_PROMOTE_SENT, "group=%s target=%s term=%" PRIu64,
-	       agent->spec.name.data, agent->spec.targets[target].name.data,
-	       term);
-	order(agent, target, &promote);
+static void send_promote(kb_failover_t *failover, size_t target, uint64_t term)
+{
+	order_as_promoter((kb_agent_t *)failover, target, KB_CONTROL_PROMOTE,
+			  term, KB_EVENT_PROMOTE_SENT);
 }
 
 static void send_follow(kb_failover_t *failover, size_t target, uint64_t term,
@@ -227,10 +206,10 @@
 	agent->connector = setup->connector;
 	agent->spec = *setup->group;
 	agent->promoter = setup->promoter;
-	agent->wake = KB_TIME_NEVER;
-	agent->timer = evtimer_new(setup->loop, on_timer, agent);
-	if (!agent->timer)
-		return KB_ERR_NO_MEMORY;
+	result = kb_wakeup_init(&agent->wakeup, agent->loop, agent->clock,
+				on_wakeup, agent);
+	if (result)
+		return result;
 	kb_failover_params_init(&params);
 	kb_confirm_params_init(&confirm_params);
 	kb_failover_init(&agent->failover, &failover_ops, &params,
@@ -252,7 +231,7 @@
 	close_controls(agent);
 	kb_confirm_finish(&agent->confirm);
 	kb_failover_finish(&agent->failover);
-	event_free(agent->timer);
+	kb_wakeup_finish(&agent->wakeup);
 }
 
 kb_result_t kb_agent_set_group(kb_agent_t *agent, const kb_group_spec_t *group)
--- a/src/agent.h
+++ b/src/agent.h
@@ -6,6 +6,7 @@
 #include "failover.h"
 #include "gen/kumquat_rpc.h"
 #include "sampler.h"
+#include "wakeup.h"
 
 KB_BEGIN_DECLS
 
@@ -58,8 +59,7 @@
 	kb_name_t promoter;
 	kb_control_t controls[KB_GROUP_MAX_TARGETS];
 	size_t control_count;
-	struct event *timer;
-	kb_time_t wake;
+	kb_wakeup_t wakeup;
 	uint64_t probes;
 };
 
--- a/src/configuration.c
+++ b/src/configuration.c
@@ -3,7 +3,7 @@
 #include "gen/kumquat_rpc.h"
 #include "log.h"
 
-#include <event2/event.h>
+#include <inttypes.h>
 #include <stdlib.h>
 
 enum {
@@ -15,37 +15,19 @@
 	return kb_clock_monotonic(configuration->clock);
 }
 
-static void schedule(kb_configuration_t *configuration, kb_time_t at)
-{
-	struct timeval timeout;
-	kb_time_t delay;
-
-	if (at >= configuration->wake)
-		return;
-	configuration->wake = at;
-	delay = at - now_of(configuration);
-	if (delay < 0)
-		delay = 0;
-	timeout.tv_sec = delay / KB_NS_PER_S;
-	timeout.tv_usec = delay % KB_NS_PER_S / KB_NS_PER_US;
-	event_add(configuration->timer, &timeout);
-}
-
 /* Lets the spreading act on what has just come. */
 static void run_soon(kb_configuration_t *configuration)
 {
-	schedule(configuration, kb_spread_next_wake(&configuration->spread));
+	kb_wakeup_schedule(&configuration->wakeup,
+			   kb_spread_next_wake(&configuration->spread));
 }
 
-static void on_timer(evutil_socket_t fd, short what, void *arg)
+static void on_wakeup(void *ctx, kb_time_t now)
 {
-	kb_configuration_t *configuration = arg;
+	kb_configuration_t *configuration = ctx;
 
-	(void)fd;
-	(void)what;
-	configuration->wake = KB_TIME_NEVER;
-	schedule(configuration, kb_spread_on_timer(&configuration->spread,
-						   now_of(configuration)));
+	kb_wakeup_schedule(&configuration->wakeup,
+			   kb_spread_on_timer(&configuration->spread, now));
 }
 
 static void on_sent(void *ctx, kb_result_t result, void *res)
@@ -217,6 +199,10 @@
 
 	if (kb_spec_kind_parse(kb_config_entry_kind(entry), &event.kind))
 		return;
+	kb_log(KB_EVENT_CONFIG_IN_FORCE,
+	       "resource=%s/%.*s revision=%" PRIu64 " deleted=%d",
+	       kb_spec_kind_name(event.kind), KB_STR_ARG(event.name),
+	       entry->revision, entry->deleted);
 	if (!entry->deleted) {
 		put_resource(configuration, entry, event.kind);
 		return;
@@ -261,15 +247,14 @@
 	configuration->catalog = setup->catalog;
 	configuration->fleet = setup->fleet;
 	configuration->hosts = setup->hosts;
-	configuration->wake = KB_TIME_NEVER;
 	kb_config_listeners_init(&configuration->listeners);
-	configuration->timer =
-		evtimer_new(setup->loop, on_timer, configuration);
-	if (!configuration->timer)
-		return KB_ERR_NO_MEMORY;
+	result = kb_wakeup_init(&configuration->wakeup, setup->loop,
+				setup->clock, on_wakeup, configuration);
+	if (result)
+		return result;
 	result = open_store(configuration, setup);
 	if (result) {
-		event_free(configuration->timer);
+		kb_wakeup_finish(&configuration->wakeup);
 		return result;
 	}
 	kb_spread_init(&configuration->spread, &spread_ops,
@@ -283,7 +268,7 @@
 {
 	if (configuration->has_store)
 		kb_store_etcd_finish(&configuration->etcd);
-	event_free(configuration->timer);
+	kb_wakeup_finish(&configuration->wakeup);
 	kb_spread_finish(&configuration->spread);
 }
 
--- a/src/configuration.h
+++ b/src/configuration.h
@@ -36,8 +36,7 @@
 	kb_catalog_t *catalog;
 	kb_fleet_t *fleet;
 	kb_hosts_t *hosts;
-	struct event *timer;
-	kb_time_t wake;
+	kb_wakeup_t wakeup;
 } kb_configuration_t;
 
 kb_result_t kb_configuration_init(kb_configuration_t *configuration,
--- a/src/exec.c
+++ b/src/exec.c
@@ -1,5 +1,6 @@
 #include "exec.h"
 
+#include "exec_batch.h"
 #include "request_record.h"
 
 #include <inttypes.h>
@@ -17,25 +18,6 @@
 #define SQLSTATE_READ_ONLY "25006"
 #define SQLSTATE_SERIALIZATION "40001"
 
-enum {
-	BATCH_MAX = 4,
-	/* Indexes of the statements within their batches. */
-	READ_WORK = 1,
-	WRITE_WORK = 1,
-	WRITE_COMMIT = 2,
-	WRITE_POSITION = 3,
-	KEYED_RECORD = 1,
-	KEYED_WORK = 2,
-	KEYED_STORE = 0,
-	KEYED_COMMIT = 1,
-	KEYED_POSITION = 2,
-	TRANSACTION_COMMIT = 0,
-	TRANSACTION_POSITION = 1,
-	TRANSACTION_RECORD = 0,
-	LOOKUP_RECORD = 1,
-	LOOKUP_POSITION = 2,
-};
-
 void kb_exec_init(kb_exec_t *exec, const kb_exec_events_t *events, void *owner)
 {
 	memset(exec, 0, sizeof(*exec));
@@ -114,7 +96,8 @@
 
 	kb_request_record_init(&record, kb_str_from(exec->args->caller),
 			       kb_str_from(exec->args->key), exec->digest);
-	batch[KEYED_RECORD] = kb_request_record_insert(&record, params);
+	batch[KB_EXEC_BATCH_KEYED_RECORD] =
+		kb_request_record_insert(&record, params);
 	send_batch(exec, KB_EXEC_KEYED_WORK, batch, 3);
 	kb_request_record_finish(&record);
 }
@@ -129,7 +112,8 @@
 
 	kb_request_record_init(&record, kb_str_from(exec->args->caller),
 			       kb_str_from(exec->args->key), exec->digest);
-	batch[TRANSACTION_RECORD] = kb_request_record_insert(&record, params);
+	batch[KB_EXEC_BATCH_TRANSACTION_RECORD] =
+		kb_request_record_insert(&record, params);
 	send_batch(exec, KB_EXEC_KEYED_TRANSACTION, batch, 3);
 	kb_request_record_finish(&record);
 }
@@ -271,53 +255,6 @@
 		 answer->sqlstate, KB_STR_ARG(answer->message));
 }
 
-static int is_work(const kb_exec_t *exec, size_t index)
-{
-	switch (exec->phase) {
-	case KB_EXEC_READ:
-	case KB_EXEC_WRITE:
-		return index == WRITE_WORK;
-	case KB_EXEC_KEYED_WORK:
-		return index == KEYED_WORK;
-	case KB_EXEC_STATEMENT:
-		return 1;
-	default:
-		return 0;
-	}
-}
-
-static int is_commit(const kb_exec_t *exec, size_t index)
-{
-	switch (exec->phase) {
-	case KB_EXEC_WRITE:
-		return index == WRITE_COMMIT;
-	case KB_EXEC_KEYED_COMMIT:
-	case KB_EXEC_KEYED_TRANSACTION:
-		return index == KEYED_COMMIT;
-	case KB_EXEC_COMMIT:
-		return index == TRANSACTION_COMMIT;
-	default:
-		return 0;
-	}
-}
-
-static int is_position(const kb_exec_t *exec, size_t index)
-{
-	switch (exec->phase) {
-	case KB_EXEC_WRITE:
-		return index == WRITE_POSITION;
-	case KB_EXEC_KEYED_COMMIT:
-	case KB_EXEC_KEYED_TRANSACTION:
-		return index == KEYED_POSITION;
-	case KB_EXEC_COMMIT:
-		return index == TRANSACTION_POSITION;
-	case KB_EXEC_LOOKUP:
-		return index == LOOKUP_POSITION;
-	default:
-		return 0;
-	}
-}
-
 void kb_exec_on_answer(kb_exec_t *exec, size_t index, const kb_answer_t *answer)
 {
 	if (answer->result == KB_ERR_STATEMENT) {
@@ -330,13 +267,14 @@
 		fail(exec, answer->result, "the answer exceeds the limit");
 		return;
 	}
-	if (is_work(exec, index))
+	if (kb_exec_batch_is_work(exec->phase, index))
 		take_body(exec, answer);
-	else if (is_commit(exec, index))
+	else if (kb_exec_batch_is_commit(exec->phase, index))
 		exec->committed = 1;
-	else if (is_position(exec, index))
+	else if (kb_exec_batch_is_position(exec->phase, index))
 		take_point(exec, answer);
-	else if (exec->phase == KB_EXEC_LOOKUP && index == LOOKUP_RECORD)
+	else if (exec->phase == KB_EXEC_LOOKUP &&
+		 index == KB_EXEC_BATCH_LOOKUP_RECORD)
 		take_record(exec, answer);
 }
 
@@ -352,7 +290,7 @@
 	kb_request_record_init(&record, kb_str_from(exec->args->caller),
 			       kb_str_from(exec->args->key), exec->digest);
 	result = kb_request_record_store(&record, exec->body, params,
-					 &batch[KEYED_STORE]);
+					 &batch[KB_EXEC_BATCH_KEYED_STORE]);
 	if (result) {
 		fail(exec, result, kb_strerror(result));
 		start_one(exec, KB_EXEC_ROLLBACK, SQL_ROLLBACK);
@@ -374,7 +312,8 @@
 	exec->detail[0] = 0;
 	kb_request_record_init(&record, kb_str_from(exec->args->caller),
 			       kb_str_from(exec->args->key), exec->digest);
-	batch[LOOKUP_RECORD] = kb_request_record_select(&record, params);
+	batch[KB_EXEC_BATCH_LOOKUP_RECORD] =
+		kb_request_record_select(&record, params);
 	send_batch(exec, KB_EXEC_LOOKUP, batch, 3);
 	kb_request_record_finish(&record);
 }
@@ -382,8 +321,9 @@
 /* The record of the key was there already. */
 static int key_was_used(const kb_exec_t *exec)
 {
-	int index = exec->phase == KB_EXEC_KEYED_WORK ? (int)KEYED_RECORD
-						      : (int)TRANSACTION_RECORD;
+	int index = exec->phase == KB_EXEC_KEYED_WORK
+			    ? (int)KB_EXEC_BATCH_KEYED_RECORD
+			    : (int)KB_EXEC_BATCH_TRANSACTION_RECORD;
 
 	return (exec->phase == KB_EXEC_KEYED_WORK ||
 		exec->phase == KB_EXEC_KEYED_TRANSACTION) &&
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -4,7 +4,6 @@
 #include "log.h"
 #include "member_wire.h"
 
-#include <event2/event.h>
 #include <sodium.h>
 
 static kb_time_t fleet_now(const kb_fleet_t *fleet)
@@ -12,30 +11,19 @@
 	return kb_clock_monotonic(fleet->clock);
 }
 
-static void schedule(kb_fleet_t *fleet, kb_time_t at)
+/* Lets the protocol act on what has just come. */
+static void run_soon(kb_fleet_t *fleet)
 {
-	struct timeval timeout;
-	kb_time_t delay;
-
-	if (at >= fleet->wake)
-		return;
-	fleet->wake = at;
-	delay = at - fleet_now(fleet);
-	if (delay < 0)
-		delay = 0;
-	timeout.tv_sec = delay / KB_NS_PER_S;
-	timeout.tv_usec = delay % KB_NS_PER_S / KB_NS_PER_US;
-	event_add(fleet->timer, &timeout);
+	kb_wakeup_schedule(&fleet->wakeup,
+			   kb_members_next_wake(&fleet->members));
 }
 
-static void on_timer(evutil_socket_t fd, short what, void *arg)
+static void on_wakeup(void *ctx, kb_time_t now)
 {
-	kb_fleet_t *fleet = arg;
+	kb_fleet_t *fleet = ctx;
 
-	(void)fd;
-	(void)what;
-	fleet->wake = KB_TIME_NEVER;
-	schedule(fleet, kb_members_on_timer(&fleet->members, fleet_now(fleet)));
+	kb_wakeup_schedule(&fleet->wakeup,
+			   kb_members_on_timer(&fleet->members, now));
 }
 
 void kb_fleet_place(const kb_member_t *member, kb_host_place_t *place)
@@ -61,21 +49,44 @@
 		kb_datagram_send(&fleet->datagram, &endpoint, buffer, len);
 }
 
+static void log_state(kb_event_t event, const kb_host_t *host)
+{
+	kb_log(event, "peer=%s leaving=%d", host->name.data, host->leaving);
+}
+
+/* Takes what is known of a host; `known` tells whether it was heard of. */
+static void take_state(kb_host_t *host, int known, const kb_member_t *member)
+{
+	int was_live = known && host->live;
+	int was_leaving = known && host->leaving;
+
+	host->live = member->state != KB_MEMBER_DEAD;
+	host->leaving = member->leaving || member->state == KB_MEMBER_LEAVING;
+	if (host->live && !was_live)
+		log_state(KB_EVENT_MEMBER_JOINED, host);
+	if (!host->live && was_live)
+		log_state(KB_EVENT_MEMBER_DEAD, host);
+	if (host->live && host->leaving && !was_leaving)
+		log_state(KB_EVENT_MEMBER_LEAVING, host);
+	if (member->state == KB_MEMBER_SUSPECT)
+		log_state(KB_EVENT_MEMBER_SUSPECTED, host);
+}
+
 static void on_changed(kb_members_t *members, const kb_member_t *member)
 {
 	kb_fleet_t *fleet = (kb_fleet_t *)members;
 	kb_host_place_t place;
 	kb_host_t *host;
+	int known;
 
 	kb_fleet_place(member, &place);
 	if (place.endpoint.port &&
 	    !kb_name_is(&fleet->hosts->self->name, kb_name_str(&place.name))) {
+		known = kb_hosts_find(fleet->hosts, kb_name_str(&place.name)) !=
+			NULL;
 		host = kb_hosts_put(fleet->hosts, &place);
-		if (host) {
-			host->live = member->state != KB_MEMBER_DEAD;
-			host->leaving = member->leaving ||
-					member->state == KB_MEMBER_LEAVING;
-		}
+		if (host)
+			take_state(host, known, member);
 	}
 	fleet->ops->changed(fleet, member);
 }
@@ -84,6 +95,8 @@
 {
 	kb_fleet_t *fleet = (kb_fleet_t *)members;
 
+	kb_log(KB_EVENT_MEMBER_SUPERSEDED, "host=%s",
+	       fleet->hosts->self->name.data);
 	fleet->ops->superseded(fleet);
 }
 
@@ -105,7 +118,7 @@
 		return;
 	}
 	kb_members_on_message(&fleet->members, &message, fleet_now(fleet));
-	schedule(fleet, kb_members_next_wake(&fleet->members));
+	run_soon(fleet);
 }
 
 static void add_hints(kb_fleet_t *fleet, const kb_settings_t *settings)
@@ -146,17 +159,14 @@
 	fleet->ops = ops;
 	fleet->clock = clock;
 	fleet->hosts = hosts;
-	fleet->wake = KB_TIME_NEVER;
 	randombytes_buf(&seed, sizeof(seed));
 	result = kb_members_init(&fleet->members, &members_ops, &self, seed,
 				 fleet_now(fleet));
 	if (result)
 		return result;
-	fleet->timer = evtimer_new(loop, on_timer, fleet);
-	if (!fleet->timer) {
-		result = KB_ERR_NO_MEMORY;
+	result = kb_wakeup_init(&fleet->wakeup, loop, clock, on_wakeup, fleet);
+	if (result)
 		goto fail;
-	}
 	result = kb_datagram_init(&fleet->datagram, loop,
 				  &settings->listen_hosts, KUMQUAT_MEMBER);
 	if (result)
@@ -164,7 +174,7 @@
 	fleet->datagram.received = on_received;
 	fleet->datagram.ctx = fleet;
 	add_hints(fleet, settings);
-	schedule(fleet, fleet_now(fleet));
+	kb_wakeup_schedule(&fleet->wakeup, fleet_now(fleet));
 	return KB_OK;
 
 fail:
@@ -175,21 +185,20 @@
 void kb_fleet_finish(kb_fleet_t *fleet)
 {
 	kb_datagram_finish(&fleet->datagram);
-	if (fleet->timer)
-		event_free(fleet->timer);
+	kb_wakeup_finish(&fleet->wakeup);
 	kb_members_finish(&fleet->members);
 }
 
 void kb_fleet_call_failed(kb_fleet_t *fleet, kb_str_t host)
 {
 	kb_members_on_call_failed(&fleet->members, host, fleet_now(fleet));
-	schedule(fleet, kb_members_next_wake(&fleet->members));
+	run_soon(fleet);
 }
 
 void kb_fleet_set_leaving(kb_fleet_t *fleet, int leaving)
 {
 	kb_members_set_leaving(&fleet->members, leaving, fleet_now(fleet));
-	schedule(fleet, kb_members_next_wake(&fleet->members));
+	run_soon(fleet);
 }
 
 void kb_fleet_announce_exit(kb_fleet_t *fleet)
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -4,6 +4,7 @@
 #include "datagram.h"
 #include "hosts.h"
 #include "member.h"
+#include "wakeup.h"
 
 KB_BEGIN_DECLS
 
@@ -25,8 +26,7 @@
 	kb_datagram_t datagram;
 	kb_hosts_t *hosts;
 	kb_clock_t *clock;
-	struct event *timer;
-	kb_time_t wake;
+	kb_wakeup_t wakeup;
 };
 
 /* Joins the fleet through the peers of `settings`. */
--- a/src/group_service.c
+++ b/src/group_service.c
@@ -1,79 +1,17 @@
 #include "group_service.h"
 
+#include "group_duties.h"
+#include "group_view.h"
 #include "log.h"
 #include "rendezvous.h"
 
 #include <stdlib.h>
 
 enum {
-	VIEW_TIMEOUT_MS = 300,
 	/* Time that a gate which moves away has for its work in flight. */
 	GATE_DRAIN_MS = 2000,
 };
 
-/* A question for another watcher's view. */
-typedef struct view_question {
-	kb_group_services_t *services;
-	kb_name_t group;
-	const kb_host_t *host;
-} view_question_t;
-
-static kb_group_services_t *services_of(const kb_agent_t *agent)
-{
-	return agent->owner;
-}
-
-static void on_view(void *ctx, kb_result_t result, void *res)
-{
-	view_question_t *question = ctx;
-	kb_group_service_t *service = kb_group_services_find(
-		question->services, kb_name_str(&question->group));
-	const kbx_view_res *answer = res;
-
-	for (size_t i = 0; !result && service && i < service->watcher_count;
-	     i++) {
-		kb_view_t view = { (kb_health_t)answer->health, answer->term };
-
-		if (service->watchers[i] == question->host)
-			kb_agent_on_view(&service->agent, i, &view);
-	}
-	free(question);
-}
-
-static void ask_view(kb_group_service_t *service, kb_host_t *host)
-{
-	kb_group_services_t *services = services_of(&service->agent);
-	view_question_t *question = malloc(sizeof(*question));
-	kbx_view_args args = { service->spec.name.data };
-	kb_rpc_call_t call = {
-		.procedure = KUMQUAT_VIEW,
-		.encode = (xdrproc_t)xdr_kbx_view_args,
-		.args = &args,
-		.decode = (xdrproc_t)xdr_kbx_view_res,
-		.res_size = sizeof(kbx_view_res),
-		.timeout = VIEW_TIMEOUT_MS * KB_NS_PER_MS,
-		.done = on_view,
-		.ctx = question,
-	};
-
-	if (!question)
-		return;
-	question->services = services;
-	question->group = service->spec.name;
-	question->host = host;
-	if (kb_rpc_peer_call(&host->peer, &call))
-		free(question);
-}
-
-static void ask_views(kb_agent_t *agent)
-{
-	kb_group_service_t *service = (kb_group_service_t *)agent;
-
-	for (size_t i = 0; i < service->watcher_count; i++)
-		if (!service->watchers[i]->self)
-			ask_view(service, service->watchers[i]);
-}
-
 static void primary_changed(kb_agent_t *agent, uint64_t term, size_t primary,
 			    int promoted)
 {
@@ -94,7 +32,7 @@
 }
 
 static const kb_agent_ops_t agent_ops = {
-	.ask_views = ask_views,
+	.ask_views = kb_group_view_ask,
 	.primary_changed = primary_changed,
 	.reported = reported,
 };
@@ -262,45 +200,8 @@
 	return 0;
 }
 
-/* Where the duties for a group are, as far as this host is concerned. */
-typedef struct duties {
-	kb_host_t *watchers[KB_WATCHERS_MAX];
-	size_t watcher_count;
-	/* Rank of this host among them, or the count. */
-	size_t rank;
-	int is_gate[KB_GROUP_MAX_TARGETS];
-	int wanted;
-} duties_t;
-
-static void find_duties(const kb_group_services_t *services,
-			const kb_group_placement_t *group, duties_t *duties)
-{
-	const kb_placements_t *placements = services->placements;
-	const kb_member_t *members[KB_WATCHERS_MAX];
-	size_t count = kb_placements_watchers(placements, group, members);
-
-	memset(duties, 0, sizeof(*duties));
-	for (size_t i = 0; i < count; i++) {
-		kb_host_t *host = kb_hosts_find(services->hosts,
-						kb_member_name(members[i]));
-
-		if (host)
-			duties->watchers[duties->watcher_count++] = host;
-	}
-	while (duties->rank < duties->watcher_count &&
-	       !duties->watchers[duties->rank]->self)
-		duties->rank++;
-	duties->wanted = duties->rank < duties->watcher_count;
-	for (size_t i = 0; i < group->spec.target_count; i++) {
-		const kb_member_t *gate =
-			kb_placements_gate(placements, group, i);
-
-		duties->is_gate[i] = kb_placements_is_self(placements, gate);
-		duties->wanted |= duties->is_gate[i];
-	}
-}
-
-static void set_watchers(kb_group_service_t *service, const duties_t *duties)
+static void set_watchers(kb_group_service_t *service,
+			 const kb_group_duties_t *duties)
 {
 	size_t count = duties->watcher_count;
 	int watches = duties->rank < count;
@@ -316,7 +217,8 @@
 }
 
 static void update_gates(kb_group_services_t *services,
-			 kb_group_service_t *service, const duties_t *duties)
+			 kb_group_service_t *service,
+			 const kb_group_duties_t *duties)
 {
 	for (size_t i = 0; i < service->spec.target_count; i++) {
 		if (duties->is_gate[i])
@@ -332,9 +234,9 @@
 {
 	kb_group_service_t *service = kb_group_services_find(
 		services, kb_name_str(&group->spec.name));
-	duties_t duties;
+	kb_group_duties_t duties;
 
-	find_duties(services, group, &duties);
+	kb_group_duties_find(services, group, &duties);
 	if (!service && duties.wanted)
 		service = add_service(services, &group->spec);
 	if (!service)
--- /dev/null
+++ b/src/json_text.h
@@ -0,0 +1,19 @@
+#ifndef KB_JSON_TEXT_H
+#define KB_JSON_TEXT_H
+
+#include "str.h"
+
+#include <jansson.h>
+
+KB_BEGIN_DECLS
+
+/*
+ * Values as the gateway of the store writes them, in JSON strings; NULL if
+ * memory is short.
+ */
+json_t *kb_json_text_base64(kb_str_t bytes);
+json_t *kb_json_text_int64(int64_t value);
+
+KB_END_DECLS
+
+#endif
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -44,7 +44,6 @@
 KB_EVENT(1501, CONFIG_RELAY_STARTED, INFO,
 	 "host watches the store for its data centre")
 KB_EVENT(1502, CONFIG_RELAY_STOPPED, INFO, "host no longer watches the store")
-KB_EVENT(1503, CONFIG_STALE, DEBUG, "an older revision was offered and ignored")
 KB_EVENT(1504, CONFIG_MALFORMED, WARN,
 	 "configuration message that cannot be decoded")
 
--- a/src/rpc_frame.c
+++ b/src/rpc_frame.c
@@ -93,6 +93,14 @@
 	return KB_OK;
 }
 
+static void message_init(struct rpc_msg *message, uint32_t xid,
+			 enum msg_type direction)
+{
+	memset(message, 0, sizeof(*message));
+	message->rm_xid = xid;
+	message->rm_direction = direction;
+}
+
 kb_result_t kb_rpc_frame_write_call(struct evbuffer *output, uint32_t xid,
 				    uint32_t procedure, xdrproc_t encode,
 				    const void *args)
@@ -105,9 +113,7 @@
 	result = frame_begin(&frame, encode, args);
 	if (result)
 		return result;
-	memset(&message, 0, sizeof(message));
-	message.rm_xid = xid;
-	message.rm_direction = CALL;
+	message_init(&message, xid, CALL);
 	message.rm_call.cb_rpcvers = RPC_MSG_VERSION;
 	message.rm_call.cb_prog = KUMQUAT_PROGRAM;
 	message.rm_call.cb_vers = KUMQUAT_VERSION;
@@ -130,9 +136,7 @@
 	result = frame_begin(&frame, encode, res);
 	if (result)
 		return result;
-	memset(&message, 0, sizeof(message));
-	message.rm_xid = xid;
-	message.rm_direction = REPLY;
+	message_init(&message, xid, REPLY);
 	message.rm_reply.rp_stat = MSG_ACCEPTED;
 	message.acpted_rply.ar_verf = _null_auth;
 	message.acpted_rply.ar_stat = status;
--- a/src/store_json.c
+++ b/src/store_json.c
@@ -1,5 +1,7 @@
 #include "store_json.h"
 
+#include "json_text.h"
+
 #include <inttypes.h>
 #include <jansson.h>
 #include <sodium.h>
@@ -7,32 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { NUMBER_TEXT_BYTES = 24 };
-
-static json_t *base64(kb_str_t bytes)
-{
-	size_t size = sodium_base64_encoded_len(bytes.len,
-						sodium_base64_VARIANT_ORIGINAL);
-	char *text = malloc(size);
-	json_t *json;
-
-	if (!text)
-		return NULL;
-	sodium_bin2base64(text, size, (const unsigned char *)bytes.data,
-			  bytes.len, sodium_base64_VARIANT_ORIGINAL);
-	json = json_string(text);
-	free(text);
-	return json;
-}
-
-static json_t *int64_text(int64_t value)
-{
-	char text[NUMBER_TEXT_BYTES];
-
-	snprintf(text, sizeof(text), "%" PRId64, value);
-	return json_string(text);
-}
-
 static char *dump(json_t *json)
 {
 	char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
@@ -58,7 +34,7 @@
 		end[len - 1]++;
 	else
 		end[len++] = 0;
-	json = base64((kb_str_t){ end, len });
+	json = kb_json_text_base64((kb_str_t){ end, len });
 	free(end);
 	return json;
 }
@@ -68,7 +44,7 @@
 	/* The gateway takes an empty key for a missing one. */
 	kb_str_t key = keys->prefix && !keys->key.len ? (kb_str_t){ "", 1 }
 						      : keys->key;
-	json_t *json = json_pack("{s:o}", "key", base64(key));
+	json_t *json = json_pack("{s:o}", "key", kb_json_text_base64(key));
 
 	if (json && keys->prefix &&
 	    json_object_set_new(json, "range_end", prefix_end(keys->key))) {
@@ -85,9 +61,9 @@
 
 static json_t *compare_revision(kb_str_t key, int64_t revision)
 {
-	return json_pack("{s:o,s:s,s:s,s:o}", "key", base64(key), "target",
-			 "MOD", "result", "EQUAL", "mod_revision",
-			 int64_text(revision));
+	return json_pack("{s:o,s:s,s:s,s:o}", "key", kb_json_text_base64(key),
+			 "target", "MOD", "result", "EQUAL", "mod_revision",
+			 kb_json_text_int64(revision));
 }
 
 /* Returns the transaction of `operations` with its conditions. */
@@ -117,11 +93,11 @@
 
 static json_t *put_json(kb_str_t key, kb_str_t value, int64_t lease)
 {
-	json_t *put = json_pack("{s:o,s:o}", "key", base64(key), "value",
-				base64(value));
+	json_t *put = json_pack("{s:o,s:o}", "key", kb_json_text_base64(key),
+				"value", kb_json_text_base64(value));
 
 	if (put && lease &&
-	    json_object_set_new(put, "lease", int64_text(lease))) {
+	    json_object_set_new(put, "lease", kb_json_text_int64(lease))) {
 		json_decref(put);
 		return NULL;
 	}
@@ -155,7 +131,7 @@
 	json_t *create = keys_json(keys);
 
 	if (create && json_object_set_new(create, "start_revision",
-					  int64_text(after + 1))) {
+					  kb_json_text_int64(after + 1))) {
 		json_decref(create);
 		return NULL;
 	}
@@ -167,12 +143,12 @@
 	/* The store counts whole seconds. */
 	int64_t seconds = (ttl + KB_NS_PER_S - 1) / KB_NS_PER_S;
 
-	return dump(json_pack("{s:o}", "TTL", int64_text(seconds)));
+	return dump(json_pack("{s:o}", "TTL", kb_json_text_int64(seconds)));
 }
 
 char *kb_store_json_lease_keep(int64_t lease)
 {
-	return dump(json_pack("{s:o}", "ID", int64_text(lease)));
+	return dump(json_pack("{s:o}", "ID", kb_json_text_int64(lease)));
 }
 
 /* Reads a 64-bit number given as text or as a number; 0 if it is missing. */
--- a/src/target_gate.c
+++ b/src/target_gate.c
@@ -5,7 +5,6 @@
 #include "gate_wait.h"
 #include "log.h"
 
-#include <event2/event.h>
 #include <stdlib.h>
 
 /* One connection of the pool. */
@@ -28,11 +27,10 @@
 				    offsetof(kb_target_gate_t, pool));
 }
 
-static void on_timer(evutil_socket_t fd, short what, void *arg)
+static void on_wakeup(void *ctx, kb_time_t now)
 {
-	(void)fd;
-	(void)what;
-	kb_target_gate_tick(arg);
+	(void)now;
+	kb_target_gate_tick(ctx);
 }
 
 void kb_target_gate_tick(kb_target_gate_t *gate)
@@ -41,20 +39,12 @@
 	kb_time_t next = kb_admission_tick(&gate->admission, now);
 	kb_time_t pool_next = kb_pool_tick(&gate->pool, now);
 	kb_time_t wait_next = kb_gate_wait_check(gate);
-	struct timeval timeout;
 
 	if (pool_next < next)
 		next = pool_next;
 	if (wait_next < next)
 		next = wait_next;
-	if (next == KB_TIME_NEVER) {
-		event_del(gate->timer);
-		return;
-	}
-	next = next > now ? next - now : 0;
-	timeout.tv_sec = next / KB_NS_PER_S;
-	timeout.tv_usec = next % KB_NS_PER_S / KB_NS_PER_US + 1;
-	event_add(gate->timer, &timeout);
+	kb_wakeup_reschedule(&gate->wakeup, next);
 }
 
 static void on_open(kb_conn_t *conn, kb_result_t result)
@@ -249,6 +239,7 @@
 	const kb_target_spec_t *spec = &agent->spec.targets[index];
 	kb_pool_settings_t pool;
 	kb_admission_limits_t limits;
+	kb_result_t result;
 
 	memset(gate, 0, sizeof(*gate));
 	gate->agent = agent;
@@ -260,9 +251,9 @@
 	gate->address =
 		(kb_conn_address_t){ spec->address, spec->port,
 				     agent->spec.database, answer_limit_bytes };
-	gate->timer = evtimer_new(loop, on_timer, gate);
-	if (!gate->timer)
-		return KB_ERR_NO_MEMORY;
+	result = kb_wakeup_init(&gate->wakeup, loop, clock, on_wakeup, gate);
+	if (result)
+		return result;
 	kb_pool_default_settings(&pool, spec->connections, seed);
 	limits = kb_admission_default_limits(spec->slots, pool.limit);
 	kb_pool_init(&gate->pool, &pool_ops, &pool);
@@ -294,7 +285,7 @@
 	while (gate->transactions.first)
 		kb_transactions_remove(&gate->transactions,
 				       gate->transactions.first);
-	event_free(gate->timer);
+	kb_wakeup_finish(&gate->wakeup);
 }
 
 void kb_target_gate_set_spec(kb_target_gate_t *gate,
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -8,6 +8,7 @@
 #include "router.h"
 #include "trace.h"
 #include "transaction.h"
+#include "wakeup.h"
 
 KB_BEGIN_DECLS
 
@@ -40,7 +41,7 @@
 	size_t index;
 	kb_conn_address_t address;
 	kb_transactions_t transactions;
-	struct event *timer;
+	kb_wakeup_t wakeup;
 	size_t active;
 	/* Reads that wait for a probe. */
 	struct kb_gate_request *waiting;
--- a/standin/store/calls.c
+++ b/standin/store/calls.c
@@ -1,4 +1,6 @@
 #include "calls.h"
+
+#include "json_text.h"
 #include "codec.h"
 
 #include <event2/http.h>
@@ -60,7 +62,7 @@
 	range_request_finish(&range);
 	return json_pack("{s:o,s:o,s:o}", "header",
 			 standin_codec_header(revision), "count",
-			 standin_codec_int64((int64_t)json_array_size(kvs)),
+			 kb_json_text_int64((int64_t)json_array_size(kvs)),
 			 "kvs", kvs);
 }
 
@@ -120,7 +122,7 @@
 		return fail(error, HTTP_INTERNAL, "out of memory");
 	return json_pack("{s:o,s:o}", "header",
 			 standin_codec_header(deleted ? at : kv->revision),
-			 "deleted", standin_codec_int64((int64_t)deleted));
+			 "deleted", kb_json_text_int64((int64_t)deleted));
 }
 
 json_t *standin_calls_put(standin_kv_t *kv, const json_t *request,
--- a/standin/store/codec.c
+++ b/standin/store/codec.c
@@ -1,12 +1,12 @@
 #include "codec.h"
 
+#include "json_text.h"
+
 #include <inttypes.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 
-enum { NUMBER_TEXT_BYTES = 24 };
-
 kb_result_t standin_codec_bytes(standin_bytes_t *bytes, const json_t *object,
 				const char *name)
 {
@@ -48,52 +48,28 @@
 	return json_integer_value(field);
 }
 
-json_t *standin_codec_base64(kb_str_t bytes)
-{
-	size_t size = sodium_base64_encoded_len(bytes.len,
-						sodium_base64_VARIANT_ORIGINAL);
-	char *text = malloc(size);
-	json_t *json;
-
-	if (!text)
-		return NULL;
-	sodium_bin2base64(text, size, (const unsigned char *)bytes.data,
-			  bytes.len, sodium_base64_VARIANT_ORIGINAL);
-	json = json_string(text);
-	free(text);
-	return json;
-}
-
-json_t *standin_codec_int64(int64_t value)
-{
-	char text[NUMBER_TEXT_BYTES];
-
-	snprintf(text, sizeof(text), "%" PRId64, value);
-	return json_string(text);
-}
-
 json_t *standin_codec_header(int64_t revision)
 {
-	return json_pack("{s:o}", "revision", standin_codec_int64(revision));
+	return json_pack("{s:o}", "revision", kb_json_text_int64(revision));
 }
 
 json_t *standin_codec_version(const standin_version_t *version)
 {
 	kb_str_t key = { version->key->data, version->key->len };
 	kb_str_t value = { version->value, version->value_len };
-	json_t *json = json_pack("{s:o,s:o}", "key", standin_codec_base64(key),
+	json_t *json = json_pack("{s:o,s:o}", "key", kb_json_text_base64(key),
 				 "mod_revision",
-				 standin_codec_int64(version->mod_revision));
+				 kb_json_text_int64(version->mod_revision));
 
 	if (!json || version->deleted)
 		return json;
 	json_object_set_new(json, "create_revision",
-			    standin_codec_int64(version->create_revision));
+			    kb_json_text_int64(version->create_revision));
 	json_object_set_new(json, "version",
-			    standin_codec_int64(version->version));
-	json_object_set_new(json, "value", standin_codec_base64(value));
+			    kb_json_text_int64(version->version));
+	json_object_set_new(json, "value", kb_json_text_base64(value));
 	if (version->lease)
 		json_object_set_new(json, "lease",
-				    standin_codec_int64(version->lease));
+				    kb_json_text_int64(version->lease));
 	return json;
 }
--- a/standin/store/codec.h
+++ b/standin/store/codec.h
@@ -19,12 +19,6 @@
 /* Reads a 64-bit number given as text or as a number; 0 if it is missing. */
 int64_t standin_codec_number(const json_t *object, const char *name);
 
-/* Returns a base64 string. */
-json_t *standin_codec_base64(kb_str_t bytes);
-
-/* Returns a 64-bit number as the gateway writes it, in text. */
-json_t *standin_codec_int64(int64_t value);
-
 /* Returns {"revision": "N"}. */
 json_t *standin_codec_header(int64_t revision);
 
--- a/standin/store/lease.c
+++ b/standin/store/lease.c
@@ -1,4 +1,6 @@
 #include "lease.h"
+
+#include "json_text.h"
 #include "codec.h"
 
 #include <event2/http.h>
@@ -38,8 +40,8 @@
 {
 	return json_pack("{s:o,s:o,s:o}", "header",
 			 standin_codec_header(leases->kv->revision), "ID",
-			 standin_codec_int64(id), "TTL",
-			 standin_codec_int64(ttl));
+			 kb_json_text_int64(id), "TTL",
+			 kb_json_text_int64(ttl));
 }
 
 json_t *standin_lease_grant(standin_leases_t *leases, const json_t *request,
--- a/standin/store/watch.c
+++ b/standin/store/watch.c
@@ -1,4 +1,6 @@
 #include "watch.h"
+
+#include "json_text.h"
 #include "codec.h"
 
 #include <event2/buffer.h>
@@ -149,7 +151,7 @@
 	send_line(http, json_pack("{s:o,s:b,s:b,s:o}", "header",
 				  standin_codec_header(kv->revision), "created",
 				  1, "canceled", 1, "compact_revision",
-				  standin_codec_int64(kv->compacted)));
+				  kb_json_text_int64(kv->compacted)));
 	evhttp_send_reply_end(http);
 }
 
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -135,10 +135,10 @@
 	/* Makes the timers of the host act on the present time. */
 	void tick()
 	{
-		event_active(agent.timer, EV_TIMEOUT, 0);
+		event_active(agent.wakeup.timer, EV_TIMEOUT, 0);
 		for (kb_target_gate_t *gate : gates)
 			if (gate)
-				event_active(gate->timer, EV_TIMEOUT, 0);
+				event_active(gate->wakeup.timer, EV_TIMEOUT, 0);
 	}
 
       private:
