Share the set-up of HTTP servers and one reader of store entries

Cause: both interfaces listed the methods and looked up the bound port on their own, and a range and a watch's events were read by two loops.

Change: kb_http_server_new() and kb_http_server_listen() serve both interfaces; the store's entries have one reader.

--- a/src/caller_api.c
+++ b/src/caller_api.c
@@ -2,14 +2,13 @@
 
 #include "caller_exchange.h"
 #include "http_reply.h"
+#include "http_server.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
-#include <netinet/in.h>
 #include <sys/queue.h>
-#include <sys/socket.h>
 
 #define MEDIA_METRICS "text/plain; version=0.0.4"
 
@@ -21,9 +20,6 @@
 	STATUS_HEADERS_TOO_LARGE = 431,
 	/* Separator and line end of a header. */
 	HEADER_OVERHEAD_BYTES = 4,
-	ALL_METHODS = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
-		      EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
-		      EVHTTP_REQ_TRACE | EVHTTP_REQ_PATCH,
 };
 
 void kb_caller_api_problem(kb_caller_api_t *api, struct evhttp_request *http,
@@ -215,25 +211,6 @@
 	return result;
 }
 
-static kb_result_t listen_at(kb_caller_api_t *api, const kb_endpoint_t *listen)
-{
-	union {
-		struct sockaddr any;
-		struct sockaddr_in v4;
-		struct sockaddr_in6 v6;
-	} bound = { 0 };
-	socklen_t len = sizeof(bound);
-	struct evhttp_bound_socket *socket = evhttp_bind_socket_with_handle(
-		api->http, listen->address.data, listen->port);
-
-	if (!socket ||
-	    getsockname(evhttp_bound_socket_get_fd(socket), &bound.any, &len))
-		return KB_ERR_IO;
-	api->port = ntohs(bound.any.sa_family == AF_INET6 ? bound.v6.sin6_port
-							  : bound.v4.sin_port);
-	return KB_OK;
-}
-
 kb_result_t kb_caller_api_init(kb_caller_api_t *api, struct event_base *loop,
 			       const kb_settings_t *settings, kb_clock_t *clock,
 			       kb_router_t *router, const kb_catalog_t *catalog)
@@ -250,10 +227,9 @@
 	if (!result)
 		result = add_accounts(api);
 	if (!result)
-		api->http = evhttp_new(loop);
+		api->http = kb_http_server_new(loop);
 	if (!api->http)
 		goto fail;
-	evhttp_set_allowed_methods(api->http, ALL_METHODS);
 	/* What exceeds the limits by little is refused with a problem. */
 	evhttp_set_max_headers_size(api->http, (ssize_t)settings->header_bytes *
 						       SERVER_LIMIT_PART);
@@ -263,7 +239,9 @@
 	evhttp_set_gencb(api->http, on_request, api);
 	evhttp_set_cb(api->http, "/healthz", on_health, api);
 	evhttp_set_cb(api->http, "/metrics", on_metrics, api);
-	result = listen_at(api, &settings->listen_callers);
+	api->port = settings->listen_callers.port;
+	result = kb_http_server_listen(
+		api->http, settings->listen_callers.address.data, &api->port);
 	if (!result)
 		return KB_OK;
 fail:
--- a/src/operator_api.c
+++ b/src/operator_api.c
@@ -1,15 +1,14 @@
 #include "operator_api.h"
 #include "http_reply.h"
+#include "http_server.h"
 #include "log.h"
 #include "operator_json.h"
 #include "operator_submission.h"
 
 #include <event2/buffer.h>
 #include <inttypes.h>
-#include <netinet/in.h>
 #include <sodium.h>
 #include <stdio.h>
-#include <sys/socket.h>
 
 enum {
 	/* Longer bodies are refused with a problem, or by the server. */
@@ -19,9 +18,6 @@
 	IDLE_TIMEOUT_S = 60,
 	CHANGE_ID_BYTES = 16,
 	TAG_BYTES = 32,
-	ALL_METHODS = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
-		      EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
-		      EVHTTP_REQ_TRACE | EVHTTP_REQ_PATCH,
 };
 
 static void refuse(struct evhttp_request *http, kb_result_t result,
@@ -270,27 +266,14 @@
 	}
 }
 
-static kb_result_t bind_server(kb_operator_api_t *api)
+static kb_result_t listen_at_address(kb_operator_api_t *api)
 {
-	union {
-		struct sockaddr any;
-		struct sockaddr_in v4;
-		struct sockaddr_in6 v6;
-	} bound = { 0 };
-	socklen_t len = sizeof(bound);
-	struct evhttp_bound_socket *socket;
 	kb_name_t address;
 
 	if (kb_name_set(&address, api->settings.address) != KB_OK)
 		return KB_ERR_IO;
-	socket = evhttp_bind_socket_with_handle(api->http, address.data,
-						api->settings.port);
-	if (!socket ||
-	    getsockname(evhttp_bound_socket_get_fd(socket), &bound.any, &len))
-		return KB_ERR_IO;
-	api->port = ntohs(bound.any.sa_family == AF_INET6 ? bound.v6.sin6_port
-							  : bound.v4.sin_port);
-	return KB_OK;
+	api->port = api->settings.port;
+	return kb_http_server_listen(api->http, address.data, &api->port);
 }
 
 kb_result_t kb_operator_api_init(kb_operator_api_t *api,
@@ -300,15 +283,14 @@
 
 	memset(api, 0, sizeof(*api));
 	api->settings = *settings;
-	api->http = evhttp_new(settings->base);
+	api->http = kb_http_server_new(settings->base);
 	if (!api->http)
 		return result;
-	evhttp_set_allowed_methods(api->http, ALL_METHODS);
 	evhttp_set_max_body_size(api->http, SERVER_BODY_MAX_BYTES);
 	evhttp_set_max_headers_size(api->http, HEADERS_MAX_BYTES);
 	evhttp_set_timeout(api->http, IDLE_TIMEOUT_S);
 	evhttp_set_gencb(api->http, on_request, api);
-	result = bind_server(api);
+	result = listen_at_address(api);
 	if (result != KB_OK)
 		goto fail;
 	result = kb_operator_watch_init(&api->watch, settings->base,
--- a/src/store_json.c
+++ b/src/store_json.c
@@ -198,9 +198,11 @@
 	return bytes_of(json, kv, "value", &entry->value);
 }
 
-static kb_result_t parse_kvs(kb_store_json_t *json, const json_t *kvs)
+/* Reads the pairs of a range, or the events of a watch. */
+static kb_result_t parse_entries(kb_store_json_t *json, const json_t *items,
+				 int are_events)
 {
-	size_t count = json_array_size(kvs);
+	size_t count = json_array_size(items);
 
 	if (!count)
 		return KB_OK;
@@ -208,33 +210,17 @@
 	if (!json->entries)
 		return KB_ERR_NO_MEMORY;
 	for (size_t i = 0; i < count; i++) {
-		kb_result_t result = parse_entry(json, json_array_get(kvs, i));
-
-		if (result != KB_OK)
-			return result;
-	}
-	return KB_OK;
-}
-
-static kb_result_t parse_events(kb_store_json_t *json, const json_t *events)
-{
-	size_t count = json_array_size(events);
-
-	if (!count)
-		return KB_OK;
-	json->entries = calloc(count, sizeof(json->entries[0]));
-	if (!json->entries)
-		return KB_ERR_NO_MEMORY;
-	for (size_t i = 0; i < count; i++) {
-		const json_t *event = json_array_get(events, i);
+		const json_t *item = json_array_get(items, i);
+		const json_t *kv =
+			are_events ? json_object_get(item, "kv") : item;
 		const char *type =
-			json_string_value(json_object_get(event, "type"));
-		kb_result_t result =
-			parse_entry(json, json_object_get(event, "kv"));
+			json_string_value(json_object_get(item, "type"));
+		kb_result_t result = parse_entry(json, kv);
 
 		if (result != KB_OK)
 			return result;
-		json->entries[i].deleted = type && !strcmp(type, "DELETE");
+		json->entries[i].deleted =
+			are_events && type && !strcmp(type, "DELETE");
 	}
 	return KB_OK;
 }
@@ -284,7 +270,7 @@
 
 	if (result != KB_OK)
 		return result;
-	return parse_kvs(json, json_object_get(root, "kvs"));
+	return parse_entries(json, json_object_get(root, "kvs"), 0);
 }
 
 static kb_result_t read_txn(kb_store_json_t *json, const json_t *root)
@@ -297,7 +283,7 @@
 	if (result != KB_OK)
 		return result;
 	json->succeeded = json_is_true(json_object_get(root, "succeeded"));
-	return parse_kvs(json, json_object_get(range, "kvs"));
+	return parse_entries(json, json_object_get(range, "kvs"), 0);
 }
 
 static kb_result_t read_watch(kb_store_json_t *json, const json_t *root)
@@ -309,7 +295,7 @@
 		return result;
 	json->canceled = json_is_true(json_object_get(message, "canceled"));
 	json->compacted = number_of(message, "compact_revision");
-	return parse_events(json, json_object_get(message, "events"));
+	return parse_entries(json, json_object_get(message, "events"), 1);
 }
 
 static kb_result_t read_lease(kb_store_json_t *json, const json_t *root)
