--- a/src/store_json.c
+++ b/src/store_json.c
@@ -1,5 +1,7 @@
 #include "store_json.h"
 
+#include "json_text.h"
+
 #include <inttypes.h>
 #include <jansson.h>
 #include <sodium.h>
@@ -7,32 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { NUMBER_TEXT_BYTES = 24 };
-
-static json_t *base64(kb_str_t bytes)
-{
-	size_t size = sodium_base64_encoded_len(bytes.len,
-						sodium_base64_VARIANT_ORIGINAL);
-	char *text = malloc(size);
-	json_t *json;
-
-	if (!text)
-		return NULL;
-	sodium_bin2base64(text, size, (const unsigned char *)bytes.data,
-			  bytes.len, sodium_base64_VARIANT_ORIGINAL);
-	json = json_string(text);
-	free(text);
-	return json;
-}
-
-static json_t *int64_text(int64_t value)
-{
-	char text[NUMBER_TEXT_BYTES];
-
-	snprintf(text, sizeof(text), "%" PRId64, value);
-	return json_string(text);
-}
-
 static char *dump(json_t *json)
 {
 	char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
@@ -58,7 +34,7 @@
 		end[len - 1]++;
 	else
 		end[len++] = 0;
-	json = base64((kb_str_t){ end, len });
+	json = kb_json_text_base64((kb_str_t){ end, len });
 	free(end);
 	return json;
 }
@@ -68,7 +44,7 @@
 	/* The gateway takes an empty key for a missing one. */
 	kb_str_t key = keys->prefix && !keys->key.len ? (kb_str_t){ "", 1 }
 						      : keys->key;
-	json_t *json = json_pack("{s:o}", "key", base64(key));
+	json_t *json = json_pack("{s:o}", "key", kb_json_text_base64(key));
 
 	if (json && keys->prefix &&
 	    json_object_set_new(json, "range_end", prefix_end(keys->key))) {
@@ -85,9 +61,9 @@
 
 static json_t *compare_revision(kb_str_t key, int64_t revision)
 {
-	return json_pack("{s:o,s:s,s:s,s:o}", "key", base64(key), "target",
-			 "MOD", "result", "EQUAL", "mod_revision",
-			 int64_text(revision));
+	return json_pack("{s:o,s:s,s:s,s:o}", "key", kb_json_text_base64(key),
+			 "target", "MOD", "result", "EQUAL", "mod_revision",
+			 kb_json_text_int64(revision));
 }
 
 /* Returns the transaction of `operations` with its conditions. */
@@ -117,11 +93,11 @@
 
 static json_t *put_json(kb_str_t key, kb_str_t value, int64_t lease)
 {
-	json_t *put = json_pack("{s:o,s:o}", "key", base64(key), "value",
-				base64(value));
+	json_t *put = json_pack("{s:o,s:o}", "key", kb_json_text_base64(key),
+				"value", kb_json_text_base64(value));
 
 	if (put && lease &&
-	    json_object_set_new(put, "lease", int64_text(lease))) {
+	    json_object_set_new(put, "lease", kb_json_text_int64(lease))) {
 		json_decref(put);
 		return NULL;
 	}
@@ -155,7 +131,7 @@
 	json_t *create = keys_json(keys);
 
 	if (create && json_object_set_new(create, "start_revision",
-					  int64_text(after + 1))) {
+					  kb_json_text_int64(after + 1))) {
 		json_decref(create);
 		return NULL;
 	}
@@ -167,12 +143,12 @@
 	/* The store counts whole seconds. */
 	int64_t seconds = (ttl + KB_NS_PER_S - 1) / KB_NS_PER_S;
 
-	return dump(json_pack("{s:o}", "TTL", int64_text(seconds)));
+	return dump(json_pack("{s:o}", "TTL", kb_json_text_int64(seconds)));
 }
 
 char *kb_store_json_lease_keep(int64_t lease)
 {
-	return dump(json_pack("{s:o}", "ID", int64_text(lease)));
+	return dump(json_pack("{s:o}", "ID", kb_json_text_int64(lease)));
 }
 
 /* Reads a 64-bit number given as text or as a number; 0 if it is missing. */
@@ -222,27 +198,11 @@
 	return bytes_of(json, kv, "value", &entry->value);
 }
 
-static kb_result_t parse_kvs(kb_store_json_t *json, const json_t *kvs)
-{
-	size_t count = json_array_size(kvs);
-
-	if (!count)
-		return KB_OK;
-	json->entries = calloc(count, sizeof(json->entries[0]));
-	if (!json->entries)
-		return KB_ERR_NO_MEMORY;
-	for (size_t i = 0; i < count; i++) {
-		kb_result_t result = parse_entry(json, json_array_get(kvs, i));
-
-		if (result != KB_OK)
-			return result;
-	}
-	return KB_OK;
-}
-
-static kb_result_t parse_events(kb_store_json_t *json, const json_t *events)
+/* Reads the pairs of a range, or the events of a watch. */
+static kb_result_t parse_entries(kb_store_json_t *json, const json_t *items,
+				 int are_events)
 {
-	size_t count = json_array_size(events);
+	size_t count = json_array_size(items);
 
 	if (!count)
 		return KB_OK;
@@ -250,15 +210,17 @@
 	if (!json->entries)
 		return KB_ERR_NO_MEMORY;
 	for (size_t i = 0; i < count; i++) {
-		const json_t *event = json_array_get(events, i);
+		const json_t *item = json_array_get(items, i);
+		const json_t *kv =
+			are_events ? json_object_get(item, "kv") : item;
 		const char *type =
-			json_string_value(json_object_get(event, "type"));
-		kb_result_t result =
-			parse_entry(json, json_object_get(event, "kv"));
+			json_string_value(json_object_get(item, "type"));
+		kb_result_t result = parse_entry(json, kv);
 
 		if (result != KB_OK)
 			return result;
-		json->entries[i].deleted = type && !strcmp(type, "DELETE");
+		json->entries[i].deleted =
+			are_events && type && !strcmp(type, "DELETE");
 	}
 	return KB_OK;
 }
@@ -308,7 +270,7 @@
 
 	if (result != KB_OK)
 		return result;
-	return parse_kvs(json, json_object_get(root, "kvs"));
+	return parse_entries(json, json_object_get(root, "kvs"), 0);
 }
 
 static kb_result_t read_txn(kb_store_json_t *json, const json_t *root)
@@ -321,7 +283,7 @@
 	if (result != KB_OK)
 		return result;
 	json->succeeded = json_is_true(json_object_get(root, "succeeded"));
-	return parse_kvs(json, json_object_get(range, "kvs"));
+	return parse_entries(json, json_object_get(range, "kvs"), 0);
 }
 
 static kb_result_t read_watch(kb_store_json_t *json, const json_t *root)
@@ -333,7 +295,7 @@
 		return result;
 	json->canceled = json_is_true(json_object_get(message, "canceled"));
 	json->compacted = number_of(message, "compact_revision");
-	return parse_events(json, json_object_get(message, "events"));
+	return parse_entries(json, json_object_get(message, "events"), 1);
 }
 
 static kb_result_t read_lease(kb_store_json_t *json, const json_t *root)
