Work out entry, gate and promoter from measured slopes

docs/CAPACITY.md said "not measured" for three roles. capacity.py now takes processor time of two hops, memory of idle connections, and processor time, memory and bytes of a watched group from the benches.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -28,6 +28,8 @@
 FAILURES_PER_DAY = 10
 MEMBER_CHANGES_PER_RESTART = 3
 WATCHERS_PER_GROUP = 3
+READ_SHARE = 0.7
+CONNECTIONS_PER_TARGET = 55
 REPORT_PERIOD_S = 10
 DAY_S = 86400
 LIMIT_BYTES_PER_S = 18_000
@@ -112,6 +114,59 @@
         times(GROUPS, slopes.get("capacity", "group_spec_memory_bytes")))
 
 
+def statement_processor(slopes, field):
+    """Microseconds a statement that takes two hops."""
+    hops = slopes.data.get("hops")
+    return total(
+        times(READ_SHARE, dig(hops, ["read_two_hops", field])),
+        times(1 - READ_SHARE, dig(hops, ["write_two_hops", field])))
+
+
+def probe_processor(slopes):
+    """Microseconds of a gate for the probes of one write on its own."""
+    rows = slopes.get("probe_rate", "rows")
+    probe = slopes.get("watched", "group_cpu_us_per_s")
+    idle = slopes.get("watch", "idleProbesPerS")
+    if not rows or probe is None or not idle:
+        return None
+    slowest = min((row for row in rows if row["writes_per_s"]),
+                  key=lambda row: row["writes_per_s"])
+    probes = slowest["probes_per_s"] * TARGETS_PER_GROUP
+    return probes / slowest["writes_per_s"] * probe / idle
+
+
+def gate_processor(slopes):
+    """Microseconds a second."""
+    return times(STATEMENTS_PER_S / HOSTS, total(
+        statement_processor(slopes, "gate_cpu_us"),
+        times(1 - READ_SHARE, probe_processor(slopes))))
+
+
+def watch_processor(slopes):
+    """Microseconds a second."""
+    return times(GROUPS * WATCHERS_PER_GROUP / HOSTS,
+                 slopes.get("watched", "group_cpu_us_per_s"))
+
+
+def watch_bytes(slopes):
+    """Bytes a second, both ways."""
+    return times(GROUPS * WATCHERS_PER_GROUP / HOSTS,
+                 slopes.get("watched", "group_bytes_per_s"))
+
+
+def watch_memory(slopes):
+    return times(GROUPS * WATCHERS_PER_GROUP / HOSTS,
+                 slopes.get("watched", "group_memory_bytes"))
+
+
+def open_files():
+    callers = CONNECTIONS / HOSTS
+    peers = 2 * (HOSTS - 1)
+    per_host = GROUPS * TARGETS_PER_GROUP / HOSTS
+    return callers + peers + per_host * (CONNECTIONS_PER_TARGET
+                                         + WATCHERS_PER_GROUP)
+
+
 def role_rows(slopes):
     per_centre = HOSTS / DATA_CENTRES
     targets = GROUPS * TARGETS_PER_GROUP / HOSTS
@@ -133,19 +188,17 @@
            show(times(STATEMENTS_PER_S / HOSTS,
                       slopes.get("entry", "statement_bytes")), "B/s"),
            show(times(STATEMENTS_PER_S / HOSTS * 1e-4,
-                      slopes.get("entry", "statement_cpu_us")),
+                      statement_processor(slopes, "entry_cpu_us")),
                 "% of a core", 1),
            show(times(CONNECTIONS / HOSTS * 1e-6,
-                      slopes.get("entry", "connection_memory_bytes")),
+                      slopes.get("connections", "connection_memory_bytes")),
                 "MB", 1))
     yield ("gate",
            f"{targets:.1f} targets, "
            f"{STATEMENTS_PER_S / HOSTS:,.0f} statements a second",
            show(times(targets, slopes.get("gate", "target_bytes_per_s")),
                 "B/s"),
-           show(times(STATEMENTS_PER_S / HOSTS * 1e-4,
-                      slopes.get("gate", "statement_cpu_us")),
-                "% of a core", 1),
+           show(times(1e-4, gate_processor(slopes)), "% of a core", 1),
            show(times(targets * 1e-6,
                       slopes.get("gate", "target_memory_bytes")), "MB", 1))
     yield ("relay",
@@ -159,14 +212,9 @@
            f"{watched:.1f} groups, {watched * TARGETS_PER_GROUP:.1f} "
            f"targets probed; {PRIMARY_CHANGES_PER_DAY} changes of primary "
            "a day in the fleet",
-           show(times(watched * TARGETS_PER_GROUP,
-                      slopes.get("promoter", "target_bytes_per_s")), "B/s"),
-           show(times(watched * TARGETS_PER_GROUP * 1e-4,
-                      slopes.get("promoter", "target_cpu_us_per_s")),
-                "% of a core", 3),
-           show(times(watched * 1e-6,
-                      slopes.get("promoter", "group_memory_bytes")),
-                "MB", 1))
+           show(watch_bytes(slopes), "B/s"),
+           show(times(1e-4, watch_processor(slopes)), "% of a core", 2),
+           show(times(1e-6, watch_memory(slopes)), "MB", 1))
     yield ("operator's API",
            f"status of {DATA_CENTRES} data centres while it is shown",
            show(times(DATA_CENTRES, status), "B/s at most"),
@@ -212,18 +260,23 @@
 def limit_rows(slopes):
     transfer = times(GROUPS, slopes.get("capacity",
                                         "resource_transfer_bytes"))
-    yield ("control bytes a second, sent and received",
+    yield ("bytes a second between hosts, sent and received",
            show(times(2, host_bytes(slopes)), "B/s"),
            show(LIMIT_BYTES_PER_S, "B/s"))
+    yield ("probes of the watched targets, sent and received",
+           show(watch_bytes(slopes), "B/s"),
+           show(LIMIT_BYTES_PER_S, "B/s"))
     yield ("the busiest host while hosts restart, sent",
            show(slopes.at("propagation", HOSTS, "restart_most_bytes_per_s"),
                 "B/s"),
            show(LIMIT_BYTES_PER_S, "B/s"))
     yield ("processor for control",
-           show(times(1e-4, host_processor(slopes)), "%", 3),
+           show(times(1e-4, total(host_processor(slopes),
+                                  watch_processor(slopes))), "%", 2),
            show(LIMIT_PROCESSOR_PERCENT, "%", 1))
     yield ("memory for control",
-           show(times(1e-6, host_memory(slopes)), "MB", 1),
+           show(times(1e-6, total(host_memory(slopes),
+                                  watch_memory(slopes))), "MB", 1),
            show(LIMIT_MEMORY_BYTES * 1e-6, "MB"))
     yield ("configuration taken at a start",
            show(times(1e-6, transfer), "MB", 1),
@@ -234,6 +287,15 @@
     yield ("the same spread over a day and all hosts",
            show(times(RESTARTS_PER_DAY / HOSTS / DAY_S, transfer), "B/s"),
            show(LIMIT_BYTES_PER_S, "B/s"))
+    yield ("processor for statements, entry and gate",
+           show(times(1e-4, total(
+               times(STATEMENTS_PER_S / HOSTS,
+                     statement_processor(slopes, "entry_cpu_us")),
+               gate_processor(slopes))), "%", 1),
+           "none stated")
+    yield ("open files of a host",
+           show(open_files()),
+           "1,024 is a usual default")
 
 
 def table(head, rows):
--- a/bench/hops.sh
+++ b/bench/hops.sh
@@ -80,15 +80,30 @@
 		--group "$group" "$@"
 }
 
+# Prints the bytes that the hosts have exchanged with the targets over the
+# connections that are open, with 52 bytes of headers a segment.
+target_bytes()
+{
+	ss -tinOH state established "( dport = :${prefix}401 or \
+		dport = :${prefix}402 or dport = :${prefix}403 )" |
+		tr ' ' '\n' |
+		awk -F: '
+		$1 == "bytes_sent" || $1 == "bytes_received" { sum += $2 }
+		$1 == "segs_out" || $1 == "segs_in" { sum += $2 * 52 }
+		END { printf "%.0f\n", sum }'
+}
+
 # Prints processor time in clock ticks and resident pages of host h2, which
-# watches the groups and is no gate.
+# watches the groups and is no gate, and the bytes above.
 idle_usage()
 {
 	awk '{ print $14 + $15 }' "/proc/$pid_h2/stat"
 	awk '{ print $2 }' "/proc/$pid_h2/statm"
+	target_bytes
 }
 
-# Prints groups, microseconds of processor time a second and bytes.
+# Prints groups, microseconds of processor time a second, resident bytes, and
+# bytes a second that a host exchanges with the targets.
 measure_idle()
 {
 	echo "$(idle_usage)" >"$run/idle"
@@ -97,7 +112,12 @@
 		-v hertz="$(getconf CLK_TCK)" -v page="$(getconf PAGESIZE)" \
 		-v seconds=$idle_seconds '
 		NR == 1 { us = ($2 - $1) / hertz * 1e6 / seconds }
-		NR == 2 { printf "%d %.0f %.0f\n", groups, us, $2 * page }'
+		NR == 2 { resident = $2 * page }
+		NR == 3 {
+			bytes = ($2 - $1) / seconds / 3
+			printf "%d %.0f %.0f %.0f\n", groups, us, resident,
+				bytes
+		}'
 }
 
 # Until membership has settled, requests may be forwarded.
