Refuse reads at a leaving replica in its gate; take all descriptors allowed

The router already passed leaving targets over; now the gate, which decides, refuses them too. The daemon raises its limit of open files to the hard one.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -9,6 +9,7 @@
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 
 enum {
 	MESSAGE_BYTES = 512,
@@ -285,8 +286,20 @@
 	return KB_OK;
 }
 
+/* Each caller, host and target connection takes a descriptor. */
+static void raise_descriptor_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit))
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 kb_result_t kb_daemon_run(kb_daemon_t *daemon)
 {
+	raise_descriptor_limit();
 	signal(SIGPIPE, SIG_IGN);
 	kb_log(KB_EVENT_DAEMON_STARTED, "version=%s", kb_version_string());
 	if (event_base_dispatch(daemon->loop) < 0)
--- a/src/gate_request.c
+++ b/src/gate_request.c
@@ -244,8 +244,12 @@
 
 	(void)admission;
 	count_queue_wait(request, KB_OK);
-	if (!request->transaction &&
-	    kb_agent_is_silent(request->gate->agent, request->gate->index))
+	if (kb_gate_request_is_read(request) &&
+	    request->gate->spec.state == KB_STATE_LEAVING &&
+	    !kb_gate_request_on_primary(request))
+		result = KB_ERR_DRAINING;
+	else if (!request->transaction &&
+		 kb_agent_is_silent(request->gate->agent, request->gate->index))
 		result = KB_ERR_UNREACHABLE;
 	else if (kb_gate_request_is_read(request))
 		result = kb_gate_read_prepare(request);
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -192,6 +192,23 @@
 	EXPECT_EQ(KB_ERR_UNKNOWN, write.result);
 }
 
+TEST_F(TargetGate, LeavingReplicaTakesNoReads)
+{
+	GateRequest before(KBX_ACTION_READ, QUERY);
+	GateRequest after(KBX_ACTION_READ, QUERY);
+	kb_target_gate_t *gate = host->gates[1];
+	kb_target_spec_t spec = gate->spec;
+
+	before.args.max_age_us = after.args.max_age_us = 5000000;
+	submit(before, 1);
+	EXPECT_EQ(KB_OK, before.result);
+	spec.state = KB_STATE_LEAVING;
+	kb_target_gate_set_spec(gate, &spec);
+	submit(after, 1);
+	EXPECT_EQ(1, after.ended);
+	EXPECT_EQ(KB_ERR_DRAINING, after.result);
+}
+
 TEST_F(TargetGate, SlowReadAtTheConfirmedPrimaryIsAsOfItsSending)
 {
 	GateRequest read(KBX_ACTION_READ, QUERY);
