Let the view of a silent target grow old

Cause: a replica's age in a view was that at its last report, so a target that had died showed the age 0 for good: status misled, and entry hosts went on to try it first for reads that accept an age. Past two seconds without a report the age now counts to the present. The new test fails without the change (age 0 after ten seconds of silence while the primary went on).

--- a/src/agent.c
+++ b/src/agent.c
@@ -5,6 +5,11 @@
 
 #include <inttypes.h>
 
+enum {
+	/* Time for which a report tells the present age of a replica. */
+	REPORT_MAX_AGE_MS = 2000,
+};
+
 static kb_time_t agent_now(const kb_agent_t *agent)
 {
 	return kb_clock_monotonic(agent->clock);
@@ -336,6 +341,9 @@
 		return KB_TIME_NEVER;
 	if (target != kb_agent_primary(agent))
 		kb_agent_report(agent, target, &at);
+	/* A target that has gone silent grows older. */
+	if (now - at > REPORT_MAX_AGE_MS * KB_NS_PER_MS)
+		at = now;
 	return at > reached ? at - reached : 0;
 }
 
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -192,6 +192,23 @@
 	EXPECT_EQ(KB_ERR_UNKNOWN, write.result);
 }
 
+TEST_F(TargetGate, ViewOfATargetThatWentSilentGrowsOld)
+{
+	kbx_target_view items[KB_GROUP_MAX_TARGETS];
+	kbx_group_view view;
+
+	kb_agent_fill_view(&host->agent, &view, items);
+	EXPECT_LE(0, items[1].age_us);
+	EXPECT_GE(500000, items[1].age_us);
+	connector.targets[2].mute = true;
+	connector.replicates = false;
+	connector.targets[1].received++;
+	connector.targets[1].applied++;
+	advance(10000);
+	kb_agent_fill_view(&host->agent, &view, items);
+	EXPECT_LE(9000000, items[1].age_us);
+}
+
 TEST_F(TargetGate, LeavingReplicaTakesNoReads)
 {
 	GateRequest before(KBX_ACTION_READ, QUERY);
