Let one raw client serve the tests of both listeners

Cause: the tests of calls between hosts wrote the client of the caller interface's tests again. It stands in tests/raw_client.h now; no assertion changed.

--- a/tests/test_rpc_faults.cc
+++ b/tests/test_rpc_faults.cc
@@ -1,3 +1,4 @@
+#include "raw_client.h"
 #include "rpc_fixture.h"
 
 /* Replaces the 32-bit word at `offset` of a call. */
@@ -15,56 +16,6 @@
 	GROUP_LENGTH_OFFSET = 44,
 };
 
-/* Sends bytes to a server and keeps the answer. */
-class RawCaller
-{
-      public:
-	std::string received;
-	bool closed = false;
-
-	RawCaller(struct event_base *loop, uint16_t port)
-	    : stream(bufferevent_socket_new(loop, -1, BEV_OPT_CLOSE_ON_FREE))
-	{
-		struct sockaddr_in address = {};
-
-		address.sin_family = AF_INET;
-		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		address.sin_port = htons(port);
-		bufferevent_setcb(stream, on_read, nullptr, on_event, this);
-		bufferevent_enable(stream, EV_READ | EV_WRITE);
-		EXPECT_EQ(0, bufferevent_socket_connect(
-				     stream, (struct sockaddr *)&address,
-				     sizeof(address)));
-	}
-
-	~RawCaller()
-	{
-		bufferevent_free(stream);
-	}
-
-	void send(const std::string &data)
-	{
-		bufferevent_write(stream, data.data(), data.size());
-	}
-
-      private:
-	struct bufferevent *stream;
-
-	static void on_read(struct bufferevent *stream, void *ctx)
-	{
-		char data[4096];
-		size_t len = bufferevent_read(stream, data, sizeof(data));
-
-		static_cast<RawCaller *>(ctx)->received.append(data, len);
-	}
-
-	static void on_event(struct bufferevent *, short what, void *ctx)
-	{
-		if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-			static_cast<RawCaller *>(ctx)->closed = true;
-	}
-};
-
 TEST_F(Rpc, MalformedCallsAreAnsweredOrCutByTheTable)
 {
 	const std::string call = call_of(9);
@@ -94,7 +45,7 @@
 
 	for (const auto &c : cases) {
 		SCOPED_TRACE(c.name);
-		RawCaller caller(loop.base, port);
+		RawClient caller(loop.base, port);
 		ViewCall good;
 
 		caller.send(c.data);
@@ -122,8 +73,8 @@
 TEST_F(Rpc, SlowAndTruncatedCallsDisturbNobody)
 {
 	const std::string call = call_of(9);
-	RawCaller slow(loop.base, port);
-	std::unique_ptr<RawCaller> cut(new RawCaller(loop.base, port));
+	RawClient slow(loop.base, port);
+	std::unique_ptr<RawClient> cut(new RawClient(loop.base, port));
 
 	cut->send(call.substr(0, call.size() - 1));
 	for (char c : call) {
