--- a/daemon/kumquatbridged.c
+++ b/daemon/kumquatbridged.c
@@ -1,6 +1,7 @@
 #include "kumquatbridge.h"
 
 #include "log.h"
+#include "session_host.h"
 #include "settings.h"
 
 #include <argp.h>
@@ -61,19 +62,40 @@
 		fprintf(stderr, "%s: %s %s\n", file, key, message);
 }
 
-static int run(const kb_settings_t *settings)
+/* Serves callers over HTTP and targets through libpq. */
+static kb_result_t run_daemon(const kb_settings_t *settings)
 {
 	kb_daemon_t *daemon = NULL;
 	kb_clock_t clock;
 	kb_result_t result;
 
 	kb_clock_init_system(&clock);
-	result = kb_log_init(settings->host.data, settings->log_level);
-	if (!result)
-		result = kb_daemon_create(&daemon, settings, &clock);
+	result = kb_daemon_create(&daemon, settings, &clock);
 	if (!result)
 		result = kb_daemon_run(daemon);
 	kb_daemon_free(daemon);
+	return result;
+}
+
+/* Serves sessions of the platform's callers. */
+static kb_result_t run_session_host(const kb_settings_t *settings,
+				    const char *path)
+{
+	kb_clock_t clock;
+
+	kb_clock_init_suspendable(&clock);
+	return kb_session_host_run(settings, path, &clock);
+}
+
+static int run(const kb_settings_t *settings, const char *path)
+{
+	kb_result_t result;
+
+	result = kb_log_init(settings->host.data, settings->log_level);
+	if (!result)
+		result = settings->listen_sessions.port
+				 ? run_session_host(settings, path)
+				 : run_daemon(settings);
 	kb_log_finish();
 	if (!result)
 		return EXIT_SUCCESS;
@@ -92,7 +114,7 @@
 	if (kb_settings_load(&settings, options.config, print_fault, NULL))
 		return EXIT_SETTINGS;
 	if (!options.check)
-		status = run(settings);
+		status = run(settings, options.config);
 	kb_settings_free(settings);
 	return status;
 }
--- a/include/kumquatbridge.h
+++ b/include/kumquatbridge.h
@@ -41,6 +41,8 @@
 	KB_ERR_TOKEN_INVALID = 108,
 	/* The target rejected the statement and rolled it back. */
 	KB_ERR_STATEMENT = 109,
+	/* No statement is prepared under the name. */
+	KB_ERR_NO_STATEMENT = 110,
 
 	/* A queue or limit is full; the request did not run. */
 	KB_ERR_OVERLOADED = 201,
@@ -58,6 +60,12 @@
 	KB_ERR_ROLLED_BACK = 207,
 	/* The target could not be reached; no byte of the request was sent. */
 	KB_ERR_UNREACHABLE = 208,
+	/* The target is a replica and takes no write; it did not run. */
+	KB_ERR_READ_ONLY = 209,
+	/* The address belongs to another target; the request did not run. */
+	KB_ERR_WRONG_TARGET = 210,
+	/* The target accepts no more connections; it did not run. */
+	KB_ERR_TOO_MANY = 211,
 
 	/* The request may or may not have taken effect. */
 	KB_ERR_UNKNOWN = 301,
@@ -132,6 +140,12 @@
 /* Initializes `clock` to read the clocks of the operating system. */
 void kb_clock_init_system(kb_clock_t *clock);
 
+/*
+ * Initializes `clock` to read the clocks of the operating system; its
+ * monotonic time includes the time for which the host was suspended.
+ */
+void kb_clock_init_suspendable(kb_clock_t *clock);
+
 /* Returns the monotonic time of `clock`. */
 kb_time_t kb_clock_monotonic(kb_clock_t *clock);
 
--- /dev/null
+++ b/src/databases.h
@@ -0,0 +1,66 @@
+#ifndef KB_DATABASES_H
+#define KB_DATABASES_H
+
+#include "str.h"
+
+KB_BEGIN_DECLS
+
+/* Which data a database's reads accept. */
+typedef enum kb_read_rule {
+	/* Everything acknowledged before. */
+	KB_READ_CURRENT,
+	/* Data of a stated age. */
+	KB_READ_AGED,
+	/* Data of a stated age that has the session's own commits. */
+	KB_READ_OWN,
+} kb_read_rule_t;
+
+/* A name by which callers reach a database group, and how it is served. */
+typedef struct kb_database {
+	kb_name_t name;
+	kb_name_t group;
+	kb_read_rule_t rule;
+	/* Greatest age of the data, for KB_READ_AGED and KB_READ_OWN. */
+	kb_time_t max_age;
+	/* Longest time of one statement. */
+	kb_time_t timeout;
+	/* Time in which callers want a whole operation served. */
+	kb_time_t objective;
+	/* 0 is served first. */
+	unsigned priority;
+} kb_database_t;
+
+/* What the configuration says of a database group. */
+typedef struct kb_group_limits {
+	kb_name_t group;
+	/* Connections that a target accepts from all hosts together. */
+	unsigned connections;
+	/* An acknowledged commit must survive the loss of the primary. */
+	int durable;
+} kb_group_limits_t;
+
+/* One version of the operators' configuration. */
+typedef struct kb_databases {
+	uint64_t version;
+	kb_database_t *databases;
+	size_t database_count;
+	kb_group_limits_t *groups;
+	size_t group_count;
+	/* A transaction that rests for longer may be ended. */
+	kb_time_t txn_idle;
+} kb_databases_t;
+
+void kb_databases_finish(kb_databases_t *databases);
+
+/* Return an entry, or NULL. */
+const kb_database_t *kb_databases_find(const kb_databases_t *databases,
+				       kb_str_t name);
+const kb_group_limits_t *kb_databases_group(const kb_databases_t *databases,
+					    kb_str_t group);
+
+/* Sorts the databases by name; to be called once they are all there. */
+void kb_databases_sort(kb_databases_t *databases);
+
+KB_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/gen/kumquat_session.x
@@ -0,0 +1,160 @@
+/* Calls between hosts that serve sessions. Regenerate with generate.sh. */
+
+const KBS_TEXT_MAX = 1048576;
+const KBS_ROWS_MAX = 1048576;
+const KBS_VALUES_MAX = 4096;
+const KBS_ENTRIES_MAX = 65536;
+
+typedef opaque kbs_text<KBS_TEXT_MAX>;
+
+struct kbs_point {
+	unsigned hyper term;
+	unsigned hyper position;
+};
+
+enum kbs_kind {
+	KBS_READ = 0,
+	KBS_WRITE = 1,
+	KBS_COMMIT = 2,
+	KBS_ROLLBACK = 3
+};
+
+struct kbs_value {
+	kbs_text name;
+	kbs_text value;
+};
+
+struct kbs_run_args {
+	kbs_text group;
+	/* Target, or empty for the group's primary. */
+	kbs_text target;
+	kbs_kind kind;
+	/* Whether it belongs to a transaction that the caller opened. */
+	bool transactional;
+	/* Whether that transaction may run on a replica. */
+	bool read_only;
+	/* Transaction at the gate, or 0 to open one. */
+	unsigned hyper transaction;
+	kbs_text id;
+	/* Shape of the prepared statement to run, or empty. */
+	kbs_text shape;
+	kbs_text body;
+	/* All values of the session. */
+	kbs_value values<KBS_VALUES_MAX>;
+	/* Point that the target's log must include, or zero. */
+	kbs_point include;
+	/* Time in which it may still run, in microseconds. */
+	hyper time_left_us;
+	/* Time left of its objective, in microseconds; may be negative. */
+	hyper objective_left_us;
+	/* 0 is served first. */
+	unsigned int priority;
+	/* Longest pause between statements of the transaction. */
+	hyper idle_limit_us;
+};
+
+/* State of the gate that answers, a hint for placing reads. */
+struct kbs_load {
+	unsigned int waiting;
+	unsigned int running;
+	unsigned int slots;
+	hyper service_us;
+};
+
+/* What a host that holds a group knows of its primary. */
+struct kbs_stamp {
+	bool valid;
+	/* Term in which the primary leads. */
+	unsigned hyper term;
+	/* Newest point that any acknowledged write has. */
+	kbs_point point;
+	kbs_text primary;
+};
+
+struct kbs_run_res {
+	/* A kb_result_t. */
+	int result;
+	kbs_text message;
+	kbs_text rows<KBS_ROWS_MAX>;
+	kbs_text signature;
+	kbs_point point;
+	/* Transaction that stays open, or 0. */
+	unsigned hyper transaction;
+	/* Whether the statement was sent to a target. */
+	bool offered;
+	/* Time until a retry may succeed, in microseconds, or 0. */
+	hyper retry_us;
+	kbs_load load;
+	kbs_stamp stamp;
+	/* Host that holds the group as the answering host knows, or empty. */
+	kbs_text holder;
+};
+
+/* A key of the platform's store with its value. */
+struct kbs_entry {
+	kbs_text key;
+	kbs_text value;
+	unsigned hyper revision;
+};
+
+struct kbs_sync_args {
+	kbs_text host;
+	/* Revision up to which the sender knows the store. */
+	unsigned hyper revision;
+	bool whole;
+};
+
+struct kbs_sync_res {
+	unsigned hyper revision;
+	/* Time since the revision was read from the store, in microseconds. */
+	hyper age_us;
+	/* Keys changed since the sender's revision. */
+	kbs_entry changed<KBS_ENTRIES_MAX>;
+	/* All keys. */
+	kbs_text keys<KBS_ENTRIES_MAX>;
+};
+
+/* The holder of a group asks a candidate not to take the group over. */
+struct kbs_grant_args {
+	kbs_text group;
+	kbs_text holder;
+	unsigned hyper revision;
+	/* Whether the sender serves the group now. */
+	bool serving;
+};
+
+struct kbs_grant_res {
+	bool granted;
+};
+
+/* Asks when a host last heard the holder of a group serve it. */
+struct kbs_heard_args {
+	kbs_text group;
+	kbs_text holder;
+};
+
+struct kbs_heard_res {
+	/* Time since then in microseconds, or -1. */
+	hyper age_us;
+};
+
+struct kbs_stamp_args {
+	kbs_text group;
+};
+
+struct kbs_stamp_res {
+	kbs_stamp stamp;
+	kbs_text holder;
+};
+
+/* Asks a host whether it reaches a target as primary. */
+struct kbs_reach_args {
+	kbs_text group;
+	kbs_text target;
+};
+
+struct kbs_reach_res {
+	bool reached;
+	bool primary;
+	unsigned hyper term;
+};
--- /dev/null
+++ b/src/hold.h
@@ -0,0 +1,191 @@
+#ifndef KB_HOLD_H
+#define KB_HOLD_H
+
+#include "str.h"
+
+KB_BEGIN_DECLS
+
+enum {
+	/* Hosts that may take a group over without the longest wait. */
+	KB_HOLD_CANDIDATES_MAX = 5,
+	KB_HOLD_HOSTS_MAX = 128,
+	/* A renewal lets the holder serve for this time from its sending. */
+	KB_HOLD_VALID_MS = 1200,
+	/* Renewals are sent this often; four fit into their validity. */
+	KB_HOLD_RENEW_MS = 250,
+	/* Silence after which a holder is held lost: three renewals. */
+	KB_HOLD_SUSPECT_MS = 800,
+	/* Longest time of serving without a word from the store. */
+	KB_HOLD_STORE_MAX_S = 20,
+	/* The store is asked this often while the candidates answer. */
+	KB_HOLD_STORE_CHECK_S = 5,
+	/* Candidates of lower rank wait longer before they take over. */
+	KB_HOLD_RANK_MS = 400,
+	/* Further patience of a host that is no candidate. */
+	KB_HOLD_UNCALLED_S = 5,
+	/* Before the end of its validity nothing is begun any more. */
+	KB_HOLD_MARGIN_MS = 50,
+};
+
+/* What the store's key of a group says. */
+typedef struct kb_hold_record {
+	kb_name_t holder;
+	/* The former holder stopped before it wrote this. */
+	int released;
+	/*
+	 * The holder was no candidate when it took the group over and has not
+	 * served it since.
+	 */
+	int uncalled;
+	size_t candidate_count;
+	kb_name_t candidates[KB_HOLD_CANDIDATES_MAX];
+} kb_hold_record_t;
+
+typedef enum kb_hold_role {
+	/* Another host holds the group, or none. */
+	KB_HOLD_NONE,
+	/* A write that takes the group over has no answer yet. */
+	KB_HOLD_TAKING,
+	/* The group is taken; the former holder may still serve. */
+	KB_HOLD_WAITING,
+	/* This host serves while its renewals are valid. */
+	KB_HOLD_SERVING,
+	/* It serves no more and hands the group over. */
+	KB_HOLD_RELEASING,
+} kb_hold_role_t;
+
+typedef struct kb_hold kb_hold_t;
+
+/* Each op may fail by not answering; it is tried again. */
+typedef struct kb_hold_ops {
+	/* Reads the key; kb_hold_on_read() follows with `sent_at`. */
+	void (*read)(void *ctx, kb_hold_t *hold, kb_time_t sent_at);
+	/*
+	 * Writes the key if its revision is `expected` (0: it does not
+	 * exist); kb_hold_on_written() follows with `number`.
+	 */
+	void (*write)(void *ctx, kb_hold_t *hold,
+		      const kb_hold_record_t *record, int64_t expected,
+		      uint64_t number);
+	/* Asks a candidate for a grant; kb_hold_on_grant() follows. */
+	void (*ask)(void *ctx, kb_hold_t *hold, const kb_name_t *candidate,
+		    kb_time_t asked_at);
+	/* Asks the candidates when they heard the holder serve. */
+	void (*inquire)(void *ctx, kb_hold_t *hold);
+	/* The role or the holder changed. */
+	void (*changed)(void *ctx, kb_hold_t *hold);
+} kb_hold_ops_t;
+
+/* Time of the last renewal that a candidate granted. */
+typedef struct kb_hold_grant {
+	kb_name_t candidate;
+	kb_time_t asked_at;
+	int granted;
+} kb_hold_grant_t;
+
+/* Live hosts in the order in which they should hold the group. */
+typedef struct kb_hold_ranking {
+	size_t count;
+	kb_name_t hosts[KB_HOLD_HOSTS_MAX];
+} kb_hold_ranking_t;
+
+/*
+ * Decides which host sends to a group's primary and replaces it: the one that
+ * the group's key in the store names. It serves only while its renewals are
+ * valid. A renewal is valid for KB_HOLD_VALID_MS from its sending once either
+ * the store has shown the key unchanged or every candidate has granted it. A
+ * host that takes the group over grants nothing from the moment at which it
+ * sends its write, and serves KB_HOLD_VALID_MS after it knows that the write
+ * took effect; one that was no candidate waits KB_HOLD_STORE_MAX_S, for which
+ * a holder may go on without the store. All times are of one clock that
+ * counts suspension.
+ */
+struct kb_hold {
+	const kb_hold_ops_t *ops;
+	void *ctx;
+	kb_name_t group;
+	kb_name_t self;
+	/* The first start of the whole fleet: no former holder exists. */
+	int first_start;
+	kb_hold_role_t role;
+	/*
+	 * The key as last known. Revision 0: it does not exist, and `record`
+	 * is what it said before.
+	 */
+	int known;
+	int64_t revision;
+	/* Revision of the store for which that is known. */
+	int64_t as_of;
+	kb_hold_record_t record;
+	/* Revision at which this host took the group; its fencing token. */
+	int64_t token;
+	/* Earliest time of serving while waiting. */
+	kb_time_t serve_at;
+	/* Sending of the last store answer that showed the key unchanged. */
+	kb_time_t confirmed_at;
+	int confirmed;
+	kb_time_t read_sent_at;
+	int reading;
+	kb_time_t wrote_at;
+	uint64_t write_number;
+	/* A write of new candidates waits for its answer. */
+	int rewriting;
+	kb_hold_record_t wanted;
+	kb_time_t asked_at;
+	size_t grant_count;
+	kb_hold_grant_t grants[KB_HOLD_CANDIDATES_MAX * 2];
+	/* Last grant given, and last time the holder was heard serving. */
+	kb_time_t granted_at;
+	kb_time_t heard_at;
+	kb_time_t inquired_at;
+	int inquiring;
+};
+
+void kb_hold_init(kb_hold_t *hold, const kb_hold_ops_t *ops, void *ctx,
+		  const kb_name_t *group, const kb_name_t *self,
+		  int first_start);
+
+/* Whether this host may send to the primary and tell successes at `now`. */
+int kb_hold_may_serve(const kb_hold_t *hold, kb_time_t now);
+
+/* Until when that holds without a further renewal. */
+kb_time_t kb_hold_valid_until(const kb_hold_t *hold);
+
+/* Carries out what is due at `now`. */
+void kb_hold_tick(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
+		  kb_time_t now);
+
+/*
+ * The key as a read or a peer shows it. `revision` is that of the key, or of
+ * the store if the key does not exist and `record` is NULL. States older than
+ * the one known are ignored.
+ */
+void kb_hold_on_key(kb_hold_t *hold, const kb_hold_record_t *record,
+		    int64_t revision, kb_time_t now);
+
+/* Answer to the read that was sent at `sent_at`. */
+void kb_hold_on_read(kb_hold_t *hold, kb_time_t sent_at, kb_result_t result,
+		     const kb_hold_record_t *record, int64_t revision,
+		     kb_time_t now);
+
+/* Answer to a write: KB_OK, KB_ERR_CONFLICT, or it may take effect. */
+void kb_hold_on_written(kb_hold_t *hold, uint64_t number, kb_result_t result,
+			int64_t revision, kb_time_t now);
+
+void kb_hold_on_grant(kb_hold_t *hold, const kb_name_t *candidate,
+		      kb_time_t asked_at, int granted);
+
+/* Another host last heard the holder at `heard_at`; or it never did. */
+void kb_hold_on_heard(kb_hold_t *hold, int heard, kb_time_t heard_at);
+
+/* Decides on a grant that `holder` asks for. */
+int kb_hold_grant(kb_hold_t *hold, const kb_name_t *holder, int64_t revision,
+		  int serving, kb_time_t now);
+
+/* Stops serving and hands the group to the first of `ranking` but itself. */
+void kb_hold_release(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
+		     const kb_name_t *successor, kb_time_t now);
+
+KB_END_DECLS
+
+#endif
--- a/src/hosts.c
+++ b/src/hosts.c
@@ -66,6 +66,18 @@
 	return host;
 }
 
+kb_result_t kb_hosts_init_at(kb_hosts_t *hosts, struct event_base *loop,
+			     const kb_host_place_t *self)
+{
+	memset(hosts, 0, sizeof(*hosts));
+	hosts->loop = loop;
+	hosts->self = kb_hosts_put(hosts, self);
+	if (!hosts->self)
+		return KB_ERR_NO_MEMORY;
+	hosts->self->self = 1;
+	return KB_OK;
+}
+
 kb_result_t kb_hosts_init(kb_hosts_t *hosts, struct event_base *loop,
 			  const kb_settings_t *settings)
 {
@@ -76,13 +88,7 @@
 		.region = settings->region,
 	};
 
-	memset(hosts, 0, sizeof(*hosts));
-	hosts->loop = loop;
-	hosts->self = kb_hosts_put(hosts, &self);
-	if (!hosts->self)
-		return KB_ERR_NO_MEMORY;
-	hosts->self->self = 1;
-	return KB_OK;
+	return kb_hosts_init_at(hosts, loop, &self);
 }
 
 void kb_hosts_finish(kb_hosts_t *hosts)
--- a/src/hosts.h
+++ b/src/hosts.h
@@ -7,6 +7,14 @@
 
 KB_BEGIN_DECLS
 
+/* Where a host is. */
+typedef struct kb_host_place {
+	kb_name_t name;
+	kb_endpoint_t endpoint;
+	kb_name_t data_centre;
+	kb_name_t region;
+} kb_host_place_t;
+
 /* Another host or this one, as far as requests are concerned. */
 typedef struct kb_host {
 	kb_name_t name;
@@ -16,6 +24,14 @@
 	int self;
 	int live;
 	int leaving;
+	/* The store does not name it any more since then; 0 if it does. */
+	kb_time_t unlisted_at;
+	/* Calls to it failed: it gets no duty before this time. */
+	kb_time_t suspect_until;
+	/* Replies at the last look, and since when there was no other. */
+	uint64_t replies_seen;
+	kb_time_t quiet_since;
+	int pinging;
 	/* Connection to it; unused for this host. */
 	kb_rpc_peer_t peer;
 } kb_host_t;
@@ -32,16 +48,10 @@
 /* Initializes the table with this host alone. */
 kb_result_t kb_hosts_init(kb_hosts_t *hosts, struct event_base *loop,
 			  const kb_settings_t *settings);
+kb_result_t kb_hosts_init_at(kb_hosts_t *hosts, struct event_base *loop,
+			     const kb_host_place_t *self);
 void kb_hosts_finish(kb_hosts_t *hosts);
 
-/* Where a host is. */
-typedef struct kb_host_place {
-	kb_name_t name;
-	kb_endpoint_t endpoint;
-	kb_name_t data_centre;
-	kb_name_t region;
-} kb_host_place_t;
-
 /* Adds a host or changes its place. Returns it, or NULL without memory. */
 kb_host_t *kb_hosts_put(kb_hosts_t *hosts, const kb_host_place_t *place);
 
--- /dev/null
+++ b/src/lead.c
@@ -0,0 +1,559 @@
+#include "lead.h"
+
+#include "log.h"
+
+#include <inttypes.h>
+
+static const char *const state_names[] = {
+	[KB_LEAD_IDLE] = "idle",	   [KB_LEAD_FINDING] = "finding",
+	[KB_LEAD_SERVING] = "serving",	   [KB_LEAD_DOUBTING] = "doubting",
+	[KB_LEAD_REPLACING] = "replacing", [KB_LEAD_PROMOTING] = "promoting",
+};
+
+void kb_lead_init(kb_lead_t *lead, const kb_lead_ops_t *ops, void *ctx,
+		  const kb_name_t *group)
+{
+	memset(lead, 0, sizeof(*lead));
+	lead->ops = ops;
+	lead->ctx = ctx;
+	lead->group = *group;
+}
+
+static void set_paused(kb_lead_t *lead, int paused)
+{
+	if (lead->paused == paused)
+		return;
+	lead->paused = paused;
+	lead->ops->pause(lead->ctx, paused);
+}
+
+static void enter(kb_lead_t *lead, kb_lead_state_t state, kb_time_t now)
+{
+	if (lead->state == state)
+		return;
+	kb_log(KB_EVENT_LEAD_STATE,
+	       "group=%s from=%s to=%s primary=%s term=%" PRIu64
+	       " newest=%" PRIu64 ".%" PRIu64 " ms=%" PRId64,
+	       lead->group.data, state_names[lead->state], state_names[state],
+	       lead->has_primary ? lead->primary.place.target.data : "",
+	       lead->term, lead->newest.term, lead->newest.position,
+	       (now - lead->since) / KB_NS_PER_MS);
+	lead->state = state;
+	lead->since = now;
+	lead->inquired = 0;
+	set_paused(lead, state != KB_LEAD_SERVING && state != KB_LEAD_DOUBTING);
+}
+
+int kb_lead_serves(const kb_lead_t *lead)
+{
+	return lead->state == KB_LEAD_SERVING ||
+	       lead->state == KB_LEAD_DOUBTING;
+}
+
+void kb_lead_hold(kb_lead_t *lead, int holds, kb_time_t now)
+{
+	if (holds == (lead->state != KB_LEAD_IDLE))
+		return;
+	lead->has_primary = 0;
+	lead->term = 0;
+	lead->newest = (kb_point_t){ 0 };
+	lead->probe_count = 0;
+	lead->chosen.len = 0;
+	lead->replaced.len = 0;
+	lead->planned = 0;
+	lead->lost_at = now;
+	enter(lead, holds ? KB_LEAD_FINDING : KB_LEAD_IDLE, now);
+	lead->ops->bind(lead->ctx, NULL);
+}
+
+static kb_lead_probe_t *probe_of(kb_lead_t *lead, kb_str_t target)
+{
+	for (size_t i = 0; i < lead->probe_count; i++)
+		if (kb_name_is(&lead->probes[i].target, target))
+			return &lead->probes[i];
+	return NULL;
+}
+
+/* Keeps one probe for each target of the group. */
+static void follow_targets(kb_lead_t *lead, const kb_target_list_t *targets)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < lead->probe_count; i++)
+		if (kb_target_list_find(targets,
+					kb_name_str(&lead->probes[i].target)))
+			lead->probes[kept++] = lead->probes[i];
+	lead->probe_count = kept;
+	for (size_t i = 0; i < targets->count; i++) {
+		const kb_target_entry_t *entry = &targets->entries[i];
+		kb_lead_probe_t *probe;
+
+		if (!kb_name_is(&entry->place.group,
+				kb_name_str(&lead->group)) ||
+		    probe_of(lead, kb_name_str(&entry->place.target)) ||
+		    lead->probe_count == KB_LEAD_TARGETS_MAX)
+			continue;
+		probe = &lead->probes[lead->probe_count++];
+		memset(probe, 0, sizeof(*probe));
+		probe->target = entry->place.target;
+	}
+}
+
+static void send_probe(kb_lead_t *lead, kb_lead_probe_t *probe,
+		       const kb_target_entry_t *entry, kb_time_t now)
+{
+	if (probe->waiting &&
+	    now - probe->sent_at < KB_LEAD_PROBE_TIMEOUT_MS * KB_NS_PER_MS)
+		return;
+	if (probe->waiting) {
+		probe->failed_at = now;
+		probe->refused = 0;
+	}
+	if (now - probe->sent_at < KB_LEAD_PROBE_PAUSE_MS * KB_NS_PER_MS)
+		return;
+	probe->waiting = 1;
+	probe->sent_at = now;
+	lead->ops->probe(lead->ctx, entry);
+}
+
+static const kb_target_entry_t *entry_of(const kb_lead_t *lead,
+					 const kb_target_list_t *targets,
+					 const kb_name_t *target)
+{
+	const kb_target_entry_t *entry =
+		kb_target_list_find(targets, kb_name_str(target));
+
+	if (!entry && lead->has_primary &&
+	    kb_name_is(&lead->primary.place.target, kb_name_str(target)))
+		entry = &lead->primary;
+	return entry;
+}
+
+/* Probes the targets that have not answered since `after`. */
+static size_t probe_all(kb_lead_t *lead, const kb_target_list_t *targets,
+			kb_time_t after, kb_time_t now, size_t *answered)
+{
+	size_t missing = 0;
+
+	*answered = 0;
+	for (size_t i = 0; i < lead->probe_count; i++) {
+		kb_lead_probe_t *probe = &lead->probes[i];
+
+		if (probe->answered_at > after) {
+			++*answered;
+			continue;
+		}
+		missing++;
+		send_probe(lead, probe,
+			   kb_target_list_find(targets,
+					       kb_name_str(&probe->target)),
+			   now);
+	}
+	return missing;
+}
+
+static void serve(kb_lead_t *lead, const kb_target_entry_t *primary,
+		  const kb_target_report_t *report, kb_time_t now)
+{
+	lead->primary = *primary;
+	lead->has_primary = 1;
+	lead->term = report->term;
+	lead->newest = report->received;
+	lead->chosen.len = 0;
+	lead->planned = 0;
+	lead->ops->bind(lead->ctx, primary);
+	kb_log(KB_EVENT_PRIMARY_SERVES,
+	       "group=%s primary=%s term=%" PRIu64 " position=%" PRIu64
+	       " gap_ms=%" PRId64,
+	       lead->group.data, primary->place.target.data, report->term,
+	       report->received.position,
+	       lead->lost_at ? (now - lead->lost_at) / KB_NS_PER_MS : 0);
+	lead->lost_at = 0;
+	enter(lead, KB_LEAD_SERVING, now);
+}
+
+static void begin_promotion(kb_lead_t *lead, kb_time_t now)
+{
+	lead->chosen.len = 0;
+	lead->ordered = 0;
+	if (!lead->lost_at)
+		lead->lost_at = now;
+	for (size_t i = 0; i < lead->probe_count; i++)
+		lead->probes[i].rejected = 0;
+	enter(lead, KB_LEAD_PROMOTING, now);
+	lead->ops->abort(lead->ctx);
+	lead->ops->bind(lead->ctx, NULL);
+}
+
+static void tick_finding(kb_lead_t *lead, const kb_target_list_t *targets,
+			 kb_time_t now)
+{
+	const kb_lead_probe_t *best = NULL;
+	uint64_t highest = 0;
+	size_t answered;
+	size_t missing = probe_all(lead, targets, lead->since, now, &answered);
+	kb_time_t spent = now - lead->since;
+
+	for (size_t i = 0; i < lead->probe_count; i++) {
+		const kb_lead_probe_t *probe = &lead->probes[i];
+
+		if (probe->answered_at <= lead->since)
+			continue;
+		if (probe->report.term > highest)
+			highest = probe->report.term;
+		if (probe->report.is_primary &&
+		    (!best || probe->report.term > best->report.term))
+			best = probe;
+	}
+	if (best && best->report.term >= highest &&
+	    best->report.term >= lead->term &&
+	    (!missing || spent >= KB_LEAD_FIND_MS * KB_NS_PER_MS)) {
+		serve(lead,
+		      kb_target_list_find(targets, kb_name_str(&best->target)),
+		      &best->report, now);
+		return;
+	}
+	if (answered && spent >= KB_LEAD_LEADERLESS_MS * KB_NS_PER_MS &&
+	    (!missing || spent >= KB_LEAD_SILENT_MS * KB_NS_PER_MS))
+		begin_promotion(lead, now);
+}
+
+static void tick_doubting(kb_lead_t *lead, const kb_target_list_t *targets,
+			  kb_time_t now)
+{
+	kb_lead_probe_t *probe =
+		probe_of(lead, kb_name_str(&lead->primary.place.target));
+	kb_time_t spent = now - lead->since;
+	kb_time_t limit;
+
+	if (!probe) {
+		/* Its entry is gone; the connections decide. */
+		if (spent >= KB_LEAD_SILENT_MS * KB_NS_PER_MS)
+			begin_promotion(lead, now);
+		return;
+	}
+	send_probe(lead, probe,
+		   entry_of(lead, targets, &lead->primary.place.target), now);
+	if (probe->failed_at <= lead->since)
+		return;
+	set_paused(lead, 1);
+	if (!lead->inquired) {
+		lead->inquired = 1;
+		lead->ops->inquire(lead->ctx, &lead->primary);
+	}
+	limit = probe->refused ? KB_LEAD_REFUSED_MS : KB_LEAD_SILENT_MS;
+	if (spent >= limit * KB_NS_PER_MS) {
+		kb_log(KB_EVENT_PRIMARY_LOST,
+		       "group=%s primary=%s term=%" PRIu64
+		       " refused=%d silent_ms=%" PRId64,
+		       lead->group.data, lead->primary.place.target.data,
+		       lead->term, probe->refused, spent / KB_NS_PER_MS);
+		begin_promotion(lead, now);
+	}
+}
+
+/* The target with the newest log that may become primary, or NULL. */
+static kb_lead_probe_t *newest_replica(kb_lead_t *lead,
+				       const kb_target_list_t *targets,
+				       kb_time_t after)
+{
+	kb_lead_probe_t *best = NULL;
+
+	for (size_t i = 0; i < lead->probe_count; i++) {
+		kb_lead_probe_t *probe = &lead->probes[i];
+		const kb_target_entry_t *entry = kb_target_list_find(
+			targets, kb_name_str(&probe->target));
+		int is_old = lead->has_primary &&
+			     kb_name_is(&lead->primary.place.target,
+					kb_name_str(&probe->target));
+
+		if (probe->rejected || probe->answered_at <= after || is_old ||
+		    !entry || entry->leaving)
+			continue;
+		if (!best || kb_point_compare(probe->report.received,
+					      best->report.received) > 0)
+			best = probe;
+	}
+	return best;
+}
+
+static void order(kb_lead_t *lead, const kb_target_list_t *targets,
+		  kb_lead_probe_t *probe, kb_time_t now)
+{
+	const kb_target_entry_t *entry =
+		kb_target_list_find(targets, kb_name_str(&probe->target));
+
+	if (lead->ops->hold_left(lead->ctx) <
+	    KB_LEAD_HOLD_LEFT_MS * KB_NS_PER_MS)
+		return;
+	lead->chosen = probe->target;
+	lead->ordered = 1;
+	lead->ordered_at = now;
+	lead->promotions++;
+	kb_log(KB_EVENT_PROMOTE_SENT,
+	       "group=%s target=%s received=%" PRIu64 ".%" PRIu64
+	       " newest=%" PRIu64 ".%" PRIu64 " planned=%d",
+	       lead->group.data, probe->target.data,
+	       probe->report.received.term, probe->report.received.position,
+	       lead->newest.term, lead->newest.position, lead->planned);
+	lead->ops->promote(lead->ctx, entry);
+}
+
+static void tick_polling(kb_lead_t *lead, const kb_target_list_t *targets,
+			 kb_time_t now)
+{
+	kb_lead_probe_t *best;
+	size_t answered;
+	size_t missing = probe_all(lead, targets, lead->since, now, &answered);
+	kb_time_t spent = now - lead->since;
+	int has_all = missing <= (lead->has_primary ? 1u : 0u);
+
+	if (!has_all && spent < KB_LEAD_POLL_MS * KB_NS_PER_MS)
+		return;
+	best = newest_replica(lead, targets, lead->since);
+	if (!best) {
+		if (spent >= KB_LEAD_PROMOTE_MS * KB_NS_PER_MS) {
+			enter(lead, KB_LEAD_FINDING, now);
+			lead->has_primary = 0;
+		}
+		return;
+	}
+	if (lead->durable && !has_all &&
+	    (!lead->newest.term ||
+	     kb_point_compare(best->report.received, lead->newest) < 0))
+		return;
+	order(lead, targets, best, now);
+}
+
+static void tick_promoting(kb_lead_t *lead, const kb_target_list_t *targets,
+			   kb_time_t now)
+{
+	kb_lead_probe_t *probe;
+
+	if (!lead->ordered) {
+		tick_polling(lead, targets, now);
+		return;
+	}
+	probe = probe_of(lead, kb_name_str(&lead->chosen));
+	if (!probe || probe->rejected ||
+	    now - lead->ordered_at > KB_LEAD_PROMOTE_MS * KB_NS_PER_MS) {
+		lead->ordered = 0;
+		lead->since = now;
+		return;
+	}
+	if (probe->answered_at > lead->ordered_at && probe->report.is_primary &&
+	    probe->report.term >= lead->term) {
+		if (lead->has_primary) {
+			lead->replaced = lead->primary.place.target;
+			lead->replaced_at = now;
+			lead->stepped_at = 0;
+		}
+		kb_log(KB_EVENT_PRIMARY_PROMOTED,
+		       "group=%s primary=%s term=%" PRIu64 " planned=%d",
+		       lead->group.data, probe->target.data,
+		       probe->report.term, lead->planned);
+		serve(lead,
+		      kb_target_list_find(targets, kb_name_str(&probe->target)),
+		      &probe->report, now);
+		return;
+	}
+	send_probe(lead, probe,
+		   kb_target_list_find(targets, kb_name_str(&probe->target)),
+		   now);
+}
+
+static void tick_replacing(kb_lead_t *lead, const kb_target_list_t *targets,
+			   kb_time_t now)
+{
+	kb_time_t spent = now - lead->since;
+	int must = spent >= KB_LEAD_PLANNED_MAX_MS * KB_NS_PER_MS;
+	kb_time_t recent = now - KB_LEAD_CATCH_UP_MS * KB_NS_PER_MS;
+	kb_lead_probe_t *best;
+	size_t answered;
+
+	probe_all(lead, targets, now - KB_LEAD_PROBE_PAUSE_MS * KB_NS_PER_MS,
+		  now, &answered);
+	best = newest_replica(lead, targets, recent);
+	if (!lead->chosen.len) {
+		/* Statements go on until a replica is close. */
+		set_paused(lead, 0);
+		if (best && (must || best->report.lag <=
+					     KB_LEAD_CATCH_UP_MS *
+						     KB_NS_PER_MS)) {
+			lead->chosen = best->target;
+			lead->ordered_at = now;
+			lead->lost_at = now;
+			set_paused(lead, 1);
+		}
+		return;
+	}
+	spent = now - lead->ordered_at;
+	if (lead->ops->active(lead->ctx)) {
+		if (spent >= KB_LEAD_FINISH_MS * KB_NS_PER_MS)
+			lead->ops->abort(lead->ctx);
+		if (spent < 2 * KB_LEAD_FINISH_MS * KB_NS_PER_MS)
+			return;
+	}
+	if (best &&
+	    (kb_point_compare(best->report.received, lead->newest) >= 0 ||
+	     (must && spent >= 2 * KB_LEAD_FINISH_MS * KB_NS_PER_MS))) {
+		lead->planned = 1;
+		lead->chosen.len = 0;
+		begin_promotion(lead, now);
+		order(lead, targets, best, now);
+		return;
+	}
+	if (spent >= 2 * KB_LEAD_FINISH_MS * KB_NS_PER_MS && !must) {
+		/* It did not catch up: let statements go on and try again. */
+		lead->chosen.len = 0;
+		set_paused(lead, 0);
+	}
+}
+
+/* Tells a replaced primary that it leads no more. */
+static void tick_replaced(kb_lead_t *lead, const kb_target_list_t *targets,
+			  kb_time_t now)
+{
+	const kb_target_entry_t *entry;
+
+	if (!lead->replaced.len || now - lead->stepped_at < KB_NS_PER_S)
+		return;
+	entry = kb_target_list_find(targets, kb_name_str(&lead->replaced));
+	if (!entry ||
+	    now - lead->replaced_at > KB_LEAD_STEP_DOWN_S * KB_NS_PER_S) {
+		lead->replaced.len = 0;
+		return;
+	}
+	lead->stepped_at = now;
+	lead->ops->step_down(lead->ctx, entry, lead->term);
+}
+
+static void follow_primary(kb_lead_t *lead, const kb_target_list_t *targets)
+{
+	const kb_target_entry_t *entry = kb_target_list_find(
+		targets, kb_name_str(&lead->primary.place.target));
+
+	if (!entry)
+		return;
+	/* Started anew under its id: it holds nothing of before. */
+	lead->primary = *entry;
+}
+
+void kb_lead_tick(kb_lead_t *lead, const kb_target_list_t *targets,
+		  kb_time_t now)
+{
+	if (lead->state == KB_LEAD_IDLE)
+		return;
+	follow_targets(lead, targets);
+	if (lead->has_primary)
+		follow_primary(lead, targets);
+	switch (lead->state) {
+	case KB_LEAD_FINDING:
+		tick_finding(lead, targets, now);
+		break;
+	case KB_LEAD_SERVING:
+		if (lead->primary.leaving) {
+			lead->chosen.len = 0;
+			enter(lead, KB_LEAD_REPLACING, now);
+			tick_replacing(lead, targets, now);
+		}
+		break;
+	case KB_LEAD_DOUBTING:
+		tick_doubting(lead, targets, now);
+		break;
+	case KB_LEAD_REPLACING:
+		tick_replacing(lead, targets, now);
+		break;
+	case KB_LEAD_PROMOTING:
+		tick_promoting(lead, targets, now);
+		break;
+	default:
+		break;
+	}
+	tick_replaced(lead, targets, now);
+}
+
+void kb_lead_on_probe(kb_lead_t *lead, kb_str_t target, kb_result_t result,
+		      const kb_target_report_t *report, kb_time_t now)
+{
+	kb_lead_probe_t *probe = probe_of(lead, target);
+	int is_primary = lead->has_primary &&
+			 kb_name_is(&lead->primary.place.target, target);
+
+	if (!probe)
+		return;
+	probe->waiting = 0;
+	if (result && result != KB_ERR_OVERLOADED) {
+		probe->failed_at = now;
+		probe->refused = result == KB_ERR_UNREACHABLE;
+		return;
+	}
+	if (!result) {
+		probe->answered_at = now;
+		probe->report = *report;
+	}
+	if (lead->state != KB_LEAD_DOUBTING || !is_primary)
+		return;
+	if (!result && !report->is_primary) {
+		lead->lost_at = lead->lost_at ? lead->lost_at : now;
+		enter(lead, KB_LEAD_FINDING, now);
+		return;
+	}
+	enter(lead, KB_LEAD_SERVING, now);
+	set_paused(lead, 0);
+}
+
+void kb_lead_on_promoted(kb_lead_t *lead, kb_str_t target, kb_result_t result,
+			 kb_time_t now)
+{
+	kb_lead_probe_t *probe = probe_of(lead, target);
+
+	if (!probe || lead->state != KB_LEAD_PROMOTING ||
+	    !kb_name_is(&lead->chosen, target))
+		return;
+	if (result == KB_ERR_CONFLICT)
+		probe->rejected = 1;
+	else if (result == KB_ERR_OVERLOADED || result == KB_ERR_UNREACHABLE)
+		/* Nothing was done: choose anew at once. */
+		lead->ordered_at = now - KB_LEAD_PROMOTE_MS * KB_NS_PER_MS;
+	if (result)
+		kb_log(KB_EVENT_PROMOTION_FAILED, "group=%s target=%s result=%s",
+		       lead->group.data, lead->chosen.data,
+		       kb_result_name(result));
+}
+
+void kb_lead_on_reached(kb_lead_t *lead, kb_str_t target,
+			const kb_name_t *host, uint64_t term, kb_time_t now)
+{
+	(void)now;
+	if (lead->state != KB_LEAD_DOUBTING || !lead->has_primary ||
+	    !kb_name_is(&lead->primary.place.target, target) ||
+	    term < lead->term)
+		return;
+	kb_log(KB_EVENT_GROUP_CUT_OFF, "group=%s primary=%s reached_by=%s",
+	       lead->group.data, lead->primary.place.target.data, host->data);
+	lead->ops->hand_over(lead->ctx, host);
+}
+
+void kb_lead_on_answer(kb_lead_t *lead, kb_point_t point)
+{
+	if (kb_point_compare(point, lead->newest) > 0)
+		lead->newest = point;
+}
+
+void kb_lead_on_trouble(kb_lead_t *lead, int read_only, kb_time_t now)
+{
+	kb_lead_probe_t *probe;
+
+	if (lead->state != KB_LEAD_SERVING)
+		return;
+	if (read_only) {
+		lead->lost_at = now;
+		enter(lead, KB_LEAD_FINDING, now);
+		return;
+	}
+	probe = probe_of(lead, kb_name_str(&lead->primary.place.target));
+	if (probe)
+		probe->failed_at = 0;
+	enter(lead, KB_LEAD_DOUBTING, now);
+}
--- /dev/null
+++ b/src/link_pool.c
@@ -0,0 +1,494 @@
+#include "pool_conn.h"
+
+#include <stdlib.h>
+
+static kb_time_t now_of(const kb_link_pool_t *pool)
+{
+	return kb_clock_monotonic(pool->clock);
+}
+
+void kb_link_pool_init(kb_link_pool_t *pool, const kb_link_pool_ops_t *ops,
+		       void *ctx, kb_linker_t *linker, kb_clock_t *clock,
+		       uint64_t nonce)
+{
+	memset(pool, 0, sizeof(*pool));
+	pool->ops = ops;
+	pool->ctx = ctx;
+	pool->linker = linker;
+	pool->clock = clock;
+	pool->next_transaction = nonce;
+	pool->service = POOL_SERVICE_MS * KB_NS_PER_MS;
+}
+
+kb_time_t kb_link_pool_silence(const kb_link_pool_t *pool)
+{
+	kb_time_t silence = pool->service * POOL_SILENCE_FACTOR;
+
+	return silence > POOL_SILENCE_MIN_MS * KB_NS_PER_MS
+		       ? silence
+		       : POOL_SILENCE_MIN_MS * KB_NS_PER_MS;
+}
+
+void kb_pool_job_end(kb_link_pool_t *pool, kb_pool_job_t *job, kbs_run_res *res)
+{
+	kb_link_pool_load(pool, &res->load);
+	job->done(job->ctx, res);
+	free(job);
+}
+
+/* Time until a retry may succeed: what waits now will have been served. */
+static kb_time_t retry_after(const kb_link_pool_t *pool)
+{
+	unsigned slots = pool->slots ? pool->slots : 1;
+
+	return pool->service * (kb_time_t)(pool->job_count + 1) /
+	       (kb_time_t)slots;
+}
+
+void kb_pool_job_refuse(kb_link_pool_t *pool, kb_pool_job_t *job,
+			kb_result_t result, const char *message)
+{
+	kbs_run_res res = {
+		.result = (int)result,
+		.message = kb_text_view(kb_str_from(message)),
+		.offered = job->offered,
+		.retry_us = retry_after(pool) / KB_NS_PER_US,
+	};
+
+	kb_pool_job_end(pool, job, &res);
+}
+
+void kb_pool_job_requeue(kb_link_pool_t *pool, kb_pool_job_t *job)
+{
+	job->next = pool->jobs;
+	pool->jobs = job;
+	pool->job_count++;
+}
+
+static kb_pool_job_t *unlink_job(kb_link_pool_t *pool, kb_pool_job_t *job)
+{
+	kb_pool_job_t **link = &pool->jobs;
+
+	while (*link != job)
+		link = &(*link)->next;
+	*link = job->next;
+	job->next = NULL;
+	pool->job_count--;
+	return job;
+}
+
+static kb_pool_conn_t *find_transaction(const kb_link_pool_t *pool,
+					uint64_t transaction)
+{
+	kb_pool_conn_t *conn = pool->conns;
+
+	while (conn && conn->transaction != transaction)
+		conn = conn->next;
+	return conn;
+}
+
+/*
+ * Whether `a` is served before `b`: what can still meet its objective, then
+ * by class with open transactions one class up, then the earliest objective.
+ */
+static int is_before(const kb_pool_job_t *a, const kb_pool_job_t *b,
+		     kb_time_t now)
+{
+	int a_late = a->objective < now;
+	int b_late = b->objective < now;
+	int a_class = (int)a->args->priority - (a->transaction != 0);
+	int b_class = (int)b->args->priority - (b->transaction != 0);
+
+	if (a_late != b_late)
+		return b_late;
+	if (a_class != b_class)
+		return a_class < b_class;
+	if (a->objective != b->objective)
+		return a->objective < b->objective;
+	return a->number < b->number;
+}
+
+static unsigned used_slots(const kb_link_pool_t *pool)
+{
+	unsigned used = 0;
+
+	for (const kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next)
+		used += (unsigned)kb_pool_conn_uses_slot(conn);
+	return used;
+}
+
+static unsigned opening(const kb_link_pool_t *pool)
+{
+	unsigned count = 0;
+
+	for (const kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next)
+		count += conn->state == KB_POOL_CONN_OPENING;
+	return count;
+}
+
+/* How many orders an idle connection needs before it can run the job. */
+static int preparation(const kb_pool_conn_t *conn, const kbs_run_args *args)
+{
+	if (kb_session_values_exceed(&conn->values, args->values.values_val,
+				     args->values.values_len))
+		return 2 + (int)args->values.values_len;
+	return kb_session_values_missing(&conn->values,
+					 args->values.values_val,
+					 args->values.values_len) != NULL;
+}
+
+static kb_pool_conn_t *choose_conn(const kb_link_pool_t *pool,
+				   const kb_pool_job_t *job)
+{
+	kb_pool_conn_t *best = NULL;
+	int best_cost = 0;
+
+	if (job->transaction)
+		return find_transaction(pool, job->transaction);
+	for (kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next) {
+		int cost;
+
+		if (conn->state != KB_POOL_CONN_IDLE)
+			continue;
+		cost = preparation(conn, job->args);
+		if (!best || cost < best_cost) {
+			best = conn;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+/* The next job that may be sent; a pause lets open transactions go on. */
+static kb_pool_job_t *choose_job(const kb_link_pool_t *pool, kb_time_t now,
+				 int has_idle)
+{
+	kb_pool_job_t *best = NULL;
+
+	for (kb_pool_job_t *job = pool->jobs; job; job = job->next) {
+		if (!job->transaction && (pool->paused || !has_idle))
+			continue;
+		if (!best || is_before(job, best, now))
+			best = job;
+	}
+	return best;
+}
+
+static int has_idle_conn(const kb_link_pool_t *pool)
+{
+	for (const kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next)
+		if (conn->state == KB_POOL_CONN_IDLE)
+			return 1;
+	return 0;
+}
+
+/* Opens connections for what waits without one. */
+static void open_more(kb_link_pool_t *pool, kb_time_t now)
+{
+	unsigned waiting = 0;
+	unsigned pending = opening(pool);
+
+	if (pool->paused || now < pool->hold_opening_until ||
+	    !pool->place.endpoint.port || has_idle_conn(pool))
+		return;
+	for (const kb_pool_job_t *job = pool->jobs; job; job = job->next)
+		waiting += !job->transaction;
+	while (waiting > pending && pool->conn_count < pool->limit &&
+	       pending < pool->slots && pool->ops->may_serve(pool->ctx, now)) {
+		if (kb_pool_conn_open(pool))
+			return;
+		pending++;
+	}
+}
+
+void kb_link_pool_dispatch(kb_link_pool_t *pool)
+{
+	kb_time_t now = now_of(pool);
+
+	if (pool->dispatching)
+		return;
+	pool->dispatching = 1;
+	while (now >= pool->hold_sending_until &&
+	       pool->ops->may_serve(pool->ctx, now) &&
+	       used_slots(pool) < pool->slots + POOL_EXTRA_SENT) {
+		kb_pool_job_t *job =
+			choose_job(pool, now, has_idle_conn(pool));
+		kb_pool_conn_t *conn;
+
+		if (!job)
+			break;
+		conn = choose_conn(pool, job);
+		unlink_job(pool, job);
+		if (!conn) {
+			kb_pool_job_refuse(pool, job, KB_ERR_ROLLED_BACK,
+					   "the transaction has ended");
+			continue;
+		}
+		kb_pool_conn_start(conn, job);
+	}
+	open_more(pool, now);
+	pool->dispatching = 0;
+}
+
+static void end_transaction(kb_link_pool_t *pool, kb_pool_conn_t *conn,
+			    const kbs_run_args *args, kb_run_done_fn_t *done,
+			    void *ctx)
+{
+	kbs_run_res res = { .result = KB_OK };
+
+	(void)args;
+	if (conn && conn->state == KB_POOL_CONN_PINNED) {
+		kb_pool_conn_roll_back(conn);
+	} else if (conn) {
+		kb_pool_conn_fail(conn, KB_ERR_ROLLED_BACK,
+				  "the caller ended the transaction");
+		kb_pool_conn_close(conn);
+	}
+	kb_link_pool_load(pool, &res.load);
+	done(ctx, &res);
+}
+
+/* Time until a new job would have been served. */
+static kb_time_t expected_wait(const kb_link_pool_t *pool,
+			       const kb_pool_job_t *job, kb_time_t now)
+{
+	unsigned slots = pool->slots ? pool->slots : 1;
+	unsigned ahead = 0;
+
+	for (const kb_pool_job_t *other = pool->jobs; other;
+	     other = other->next)
+		ahead += (unsigned)is_before(other, job, now);
+	return pool->service * (kb_time_t)(ahead + 1) / (kb_time_t)slots;
+}
+
+void kb_link_pool_run(kb_link_pool_t *pool, const kbs_run_args *args,
+		      kb_run_done_fn_t *done, void *ctx)
+{
+	kb_time_t now = now_of(pool);
+	kb_pool_conn_t *conn = NULL;
+	kb_pool_job_t *job;
+
+	if (args->transaction)
+		conn = find_transaction(pool, args->transaction);
+	if (args->kind == KBS_ROLLBACK) {
+		end_transaction(pool, conn, args, done, ctx);
+		kb_link_pool_dispatch(pool);
+		return;
+	}
+	job = calloc(1, sizeof(*job));
+	if (!job) {
+		kbs_run_res res = { .result = KB_ERR_OVERLOADED };
+
+		done(ctx, &res);
+		return;
+	}
+	job->args = args;
+	job->done = done;
+	job->ctx = ctx;
+	job->number = pool->next_job++;
+	job->deadline = now + args->time_left_us * KB_NS_PER_US;
+	job->objective = now + args->objective_left_us * KB_NS_PER_US;
+	job->transaction = args->transaction;
+	if (args->transaction &&
+	    (!conn || conn->state != KB_POOL_CONN_PINNED)) {
+		kb_pool_job_refuse(pool, job, KB_ERR_ROLLED_BACK,
+				   "the transaction has ended");
+		return;
+	}
+	if (!args->transaction &&
+	    (pool->job_count >= POOL_JOBS_MAX ||
+	     now + expected_wait(pool, job, now) > job->deadline)) {
+		pool->counters.refused++;
+		kb_pool_job_refuse(pool, job, KB_ERR_OVERLOADED,
+				   "the target cannot serve it in time");
+		return;
+	}
+	kb_pool_job_requeue(pool, job);
+	kb_link_pool_dispatch(pool);
+}
+
+/* A job whose time passed while it waited did not run. */
+static void expire(kb_link_pool_t *pool, kb_pool_job_t *job)
+{
+	kb_pool_conn_t *conn = job->transaction
+				       ? find_transaction(pool, job->transaction)
+				       : NULL;
+
+	pool->counters.expired++;
+	unlink_job(pool, job);
+	if (conn && conn->state == KB_POOL_CONN_PINNED)
+		kb_pool_conn_roll_back(conn);
+	kb_pool_job_refuse(pool, job,
+			   job->transaction ? KB_ERR_ROLLED_BACK
+					    : KB_ERR_DEADLINE,
+			   "its time passed before a slot was free");
+}
+
+static kb_time_t expire_jobs(kb_link_pool_t *pool, kb_time_t now)
+{
+	kb_time_t next = KB_TIME_NEVER;
+	kb_pool_job_t *job = pool->jobs;
+
+	while (job) {
+		if (job->deadline <= now) {
+			expire(pool, job);
+			/* The list may have changed altogether. */
+			job = pool->jobs;
+			continue;
+		}
+		if (job->deadline < next)
+			next = job->deadline;
+		job = job->next;
+	}
+	return next;
+}
+
+kb_time_t kb_link_pool_tick(kb_link_pool_t *pool)
+{
+	kb_time_t now = now_of(pool);
+	kb_pool_conn_t *conn;
+	kb_time_t next;
+
+	/* What ends may start statements, which wait until all is done. */
+	pool->dispatching = 1;
+	next = expire_jobs(pool, now);
+	conn = pool->conns;
+	while (conn) {
+		kb_pool_conn_t *following = conn->next;
+		kb_time_t at = kb_pool_conn_tick(conn, now);
+
+		if (at < next)
+			next = at;
+		conn = following;
+	}
+	pool->dispatching = 0;
+	kb_link_pool_dispatch(pool);
+	if (pool->jobs && pool->hold_sending_until > now &&
+	    pool->hold_sending_until < next)
+		next = pool->hold_sending_until;
+	if (pool->jobs && pool->hold_opening_until > now &&
+	    pool->hold_opening_until < next)
+		next = pool->hold_opening_until;
+	return next;
+}
+
+static void close_conns(kb_link_pool_t *pool, const char *message)
+{
+	while (pool->conns) {
+		kb_pool_conn_t *conn = pool->conns;
+		kb_pool_job_t *job = conn->job;
+
+		conn->job = NULL;
+		if (job && !job->offered && !conn->transaction)
+			kb_pool_job_requeue(pool, job);
+		else if (job)
+			kb_pool_job_refuse(
+				pool, job,
+				job->args->kind == KBS_COMMIT ||
+						(job->args->kind == KBS_WRITE &&
+						 !job->args->transactional)
+					? KB_ERR_UNKNOWN
+				: job->args->transactional
+					? KB_ERR_ROLLED_BACK
+					: KB_ERR_CLOSED,
+				message);
+		kb_pool_conn_close(conn);
+	}
+}
+
+void kb_link_pool_refuse_waiting(kb_link_pool_t *pool, kb_result_t result,
+				 const char *message)
+{
+	while (pool->jobs) {
+		kb_pool_job_t *job = unlink_job(pool, pool->jobs);
+
+		kb_pool_job_refuse(pool, job,
+				   job->transaction ? KB_ERR_ROLLED_BACK
+						    : result,
+				   message);
+	}
+}
+
+void kb_link_pool_finish(kb_link_pool_t *pool)
+{
+	if (!pool->clock)
+		return;
+	pool->dispatching = 1;
+	close_conns(pool, "this host stops");
+	kb_link_pool_refuse_waiting(pool, KB_ERR_DRAINING, "this host stops");
+}
+
+void kb_link_pool_bind(kb_link_pool_t *pool, const kb_link_place_t *place,
+		       unsigned slots, unsigned limit)
+{
+	int moved = !kb_name_is(&pool->place.target,
+				kb_name_str(&place->target)) ||
+		    !kb_name_is(&pool->place.endpoint.address,
+				kb_name_str(&place->endpoint.address)) ||
+		    pool->place.endpoint.port != place->endpoint.port;
+
+	pool->slots = slots;
+	pool->limit = limit;
+	pool->place = *place;
+	if (moved) {
+		pool->hold_opening_until = 0;
+		pool->hold_sending_until = 0;
+		pool->dispatching = 1;
+		close_conns(pool, "the group has another primary");
+		pool->dispatching = 0;
+	}
+	kb_link_pool_dispatch(pool);
+}
+
+void kb_link_pool_abort_transactions(kb_link_pool_t *pool)
+{
+	kb_pool_conn_t *conn = pool->conns;
+
+	pool->dispatching = 1;
+	while (conn) {
+		kb_pool_conn_t *next = conn->next;
+
+		if (conn->transaction && conn->state == KB_POOL_CONN_PINNED) {
+			kb_pool_conn_roll_back(conn);
+		} else if (conn->transaction && conn->job &&
+			   conn->job->args->kind != KBS_COMMIT) {
+			kb_pool_conn_fail(conn, KB_ERR_ROLLED_BACK,
+					  "the primary is being replaced");
+			kb_pool_conn_close(conn);
+		}
+		conn = next;
+	}
+	pool->dispatching = 0;
+	kb_link_pool_dispatch(pool);
+}
+
+void kb_link_pool_close_idle(kb_link_pool_t *pool)
+{
+	kb_pool_conn_t *conn = pool->conns;
+
+	while (conn) {
+		kb_pool_conn_t *next = conn->next;
+
+		if (conn->state == KB_POOL_CONN_IDLE)
+			kb_pool_conn_close(conn);
+		conn = next;
+	}
+}
+
+unsigned kb_link_pool_active(const kb_link_pool_t *pool)
+{
+	unsigned active = 0;
+
+	for (const kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next)
+		active += conn->state == KB_POOL_CONN_BUSY ||
+			  conn->transaction != 0;
+	return active;
+}
+
+void kb_link_pool_load(const kb_link_pool_t *pool, kbs_load *load)
+{
+	load->waiting = pool->job_count;
+	load->running = used_slots(pool);
+	load->slots = pool->slots;
+	load->service_us = pool->service / KB_NS_PER_US;
+}
--- a/src/log.c
+++ b/src/log.c
@@ -1,15 +1,26 @@
 #include "log.h"
 
+#include <inttypes.h>
 #include <jansson.h>
 #include <log4c.h>
-#include <time.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
+#include <unistd.h>
 
 #define LOG_CATEGORY "kumquatbridge"
 #define LOG_FIELDS_MAX_BYTES 1024
 
+enum {
+	/* Lines a second in the long run, and at once after a quiet time. */
+	LOG_LINES_PER_S = 100,
+	LOG_LINES_BURST = 400,
+	/* A pipe takes up to this much at once or reports that it is full. */
+	LOG_LINE_MAX_BYTES = 4096,
+};
+
 static const kb_event_info_t catalogue[] = {
 #define KB_EVENT(number, name, level, text) \
 	{ KB_EVENT_##name, #name, KB_LOG_##level, text },
@@ -59,11 +70,47 @@
 	return KB_ERR_INVALID;
 }
 
+/* Lines that may still be written now, and lines left out since the last. */
+static double allowance = LOG_LINES_BURST;
+static kb_time_t allowed_at;
+static uint64_t suppressed;
+
+/* Whether a line may be written; too many at once are left out. */
+static int take_allowance(void)
+{
+	struct timespec time;
+	kb_time_t now;
+
+	clock_gettime(CLOCK_MONOTONIC, &time);
+	now = time.tv_sec * KB_NS_PER_S + time.tv_nsec;
+	allowance += (double)(now - allowed_at) / (double)KB_NS_PER_S *
+		     LOG_LINES_PER_S;
+	allowed_at = now;
+	if (allowance > LOG_LINES_BURST)
+		allowance = LOG_LINES_BURST;
+	if (allowance < 1)
+		return 0;
+	allowance--;
+	return 1;
+}
+
+/* Writes a line unless that would block. */
 static int append_line(log4c_appender_t *appender,
 		       const log4c_logging_event_t *event)
 {
+	struct pollfd room = { .fd = STDOUT_FILENO, .events = POLLOUT };
+	char line[LOG_LINE_MAX_BYTES];
+	int len;
+
 	(void)appender;
-	return fprintf(stderr, "%s\n", event->evt_msg);
+	len = snprintf(line, sizeof(line), "%s\n", event->evt_msg);
+	if (len < 0 || len >= (int)sizeof(line) || poll(&room, 1, 0) != 1 ||
+	    !(room.revents & POLLOUT) ||
+	    write(STDOUT_FILENO, line, (size_t)len) != len) {
+		suppressed++;
+		return -1;
+	}
+	return len;
 }
 
 static const log4c_appender_type_t line_appender = {
@@ -79,7 +126,7 @@
 	if (!category)
 		return KB_ERR_IO;
 	log4c_appender_type_set(&line_appender);
-	appender = log4c_appender_get("kumquatbridge_stderr");
+	appender = log4c_appender_get("kumquatbridge_stdout");
 	if (!appender)
 		return KB_ERR_IO;
 	log4c_appender_set_type(appender, &line_appender);
@@ -111,27 +158,18 @@
 	}
 }
 
-void kb_log(kb_event_t event, const char *format, ...)
+static void write_event(const kb_event_info_t *info, char *fields)
 {
-	const kb_event_info_t *info = find_event(event);
-	char fields[LOG_FIELDS_MAX_BYTES];
 	struct timespec now;
 	json_t *line;
 	char *text;
-	va_list args;
 
-	if (!category || !info ||
-	    !log4c_category_is_priority_enabled(category,
-						priorities[info->level]))
-		return;
-	va_start(args, format);
-	vsnprintf(fields, sizeof(fields), format, args);
-	va_end(args);
 	clock_gettime(CLOCK_REALTIME, &now);
 	line = json_pack("{s:f,s:s,s:s,s:i,s:s,s:s}", "time",
 			 (double)now.tv_sec + (double)now.tv_nsec / 1e9, "host",
 			 log_host, "level", level_names[info->level], "event",
-			 (int)event, "name", info->name, "text", info->text);
+			 (int)info->event, "name", info->name, "text",
+			 info->text);
 	if (!line)
 		return;
 	add_fields(line, fields);
@@ -142,3 +180,36 @@
 	free(text);
 	json_decref(line);
 }
+
+/* Tells how many lines were left out since the last one. */
+static void tell_suppressed(void)
+{
+	char fields[LOG_FIELDS_MAX_BYTES];
+	uint64_t count = suppressed;
+
+	suppressed = 0;
+	snprintf(fields, sizeof(fields), "lines=%" PRIu64, count);
+	write_event(find_event(KB_EVENT_LOG_SUPPRESSED), fields);
+}
+
+void kb_log(kb_event_t event, const char *format, ...)
+{
+	const kb_event_info_t *info = find_event(event);
+	char fields[LOG_FIELDS_MAX_BYTES];
+	va_list args;
+
+	if (!category || !info ||
+	    !log4c_category_is_priority_enabled(category,
+						priorities[info->level]))
+		return;
+	if (!take_allowance()) {
+		suppressed++;
+		return;
+	}
+	if (suppressed)
+		tell_suppressed();
+	va_start(args, format);
+	vsnprintf(fields, sizeof(fields), format, args);
+	va_end(args);
+	write_event(info, fields);
+}
--- a/src/log.h
+++ b/src/log.h
@@ -31,7 +31,7 @@
 const kb_event_info_t *kb_log_catalogue(size_t *count);
 
 /*
- * Starts logging to standard error at `level` and above, naming `host` in
+ * Starts logging to standard output at `level` and above, naming `host` in
  * each line. Returns KB_ERR_IO if the log library cannot be set up.
  */
 kb_result_t kb_log_init(const char *host, kb_log_level_t level);
@@ -45,7 +45,8 @@
 /*
  * Writes one event as a line of JSON. `format` describes its fields as
  * key=value pairs separated by spaces and may be "". Without kb_log_init()
- * nothing is written.
+ * nothing is written. Lines that come too fast, or that standard output does
+ * not take at once, are left out; the next line tells how many.
  */
 void kb_log(kb_event_t event, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -10,10 +10,16 @@
 KB_EVENT(1003, STOP_FORCED, WARN, "stop forced before the drain ended")
 KB_EVENT(1004, LISTEN_FAILED, ERROR, "cannot listen on an address")
 
+KB_EVENT(1005, SETTINGS_RELOADED, INFO, "settings were read again")
+KB_EVENT(1006, READINESS, INFO, "readiness for new callers changed")
+
 KB_EVENT(1100, TARGET_CONNECTED, INFO, "target connection opened")
 KB_EVENT(1101, TARGET_CONNECT_FAILED, WARN, "target connection failed")
 KB_EVENT(1102, TARGET_CONNECTION_LOST, WARN, "target connection lost")
 
+KB_EVENT(1103, TARGET_MALFORMED, WARN,
+	 "a target sent what cannot be decoded")
+
 KB_EVENT(1200, GATE_OPENED, INFO, "host became the gate of a target")
 KB_EVENT(1201, GATE_CLOSED, INFO, "host is no longer the gate of a target")
 KB_EVENT(1202, OUTCOME_UNKNOWN, WARN, "a write ended with outcome unknown")
@@ -30,6 +36,9 @@
 KB_EVENT(1307, GROUP_CUT_OFF, WARN, "host reaches no majority of a group")
 KB_EVENT(1308, PRIMARY_SERVES, INFO, "primary serves again")
 
+KB_EVENT(1309, LEAD_STATE, INFO, "the watch over a primary changed its state")
+KB_EVENT(1310, HOLD_STATE, INFO, "who may replace a group's primary changed")
+
 KB_EVENT(1400, MEMBER_JOINED, INFO, "host became known or returned")
 KB_EVENT(1401, MEMBER_LEAVING, INFO, "host takes no new work")
 KB_EVENT(1402, MEMBER_SUSPECTED, DEBUG, "host does not answer probes")
@@ -53,6 +62,11 @@
 KB_EVENT(1603, STORE_COMPACTED, INFO, "the store has forgotten changes")
 KB_EVENT(1604, STORE_STALE_READ, WARN, "the store showed an old state")
 
+KB_EVENT(1605, STORE_LOST, WARN, "the store does not answer")
+KB_EVENT(1606, STORE_REGAINED, INFO, "the store answers")
+KB_EVENT(1607, STORE_ENTRY_MALFORMED, WARN,
+	 "an entry of the store cannot be decoded and is not used")
+
 KB_EVENT(1700, RESOURCE_CHANGED, INFO, "an operator's change was accepted")
 KB_EVENT(1701, RESOURCE_CONFLICT, INFO, "an operator's change met a conflict")
 KB_EVENT(1702, RESOURCE_UNKNOWN, WARN,
@@ -61,6 +75,13 @@
 
 KB_EVENT(1800, TRACE_FAILED, ERROR, "the trace file cannot be written")
 
+KB_EVENT(1810, SESSION_REFUSED, INFO, "a session was refused")
+KB_EVENT(1811, REQUEST_FAILED, INFO, "a request ended without success")
+KB_EVENT(1812, REQUEST_RETRIED, INFO, "a request goes to another target")
+KB_EVENT(1813, SESSION_MALFORMED, WARN,
+	 "a caller sent what cannot be decoded")
+KB_EVENT(1814, LOG_SUPPRESSED, WARN, "log lines were left out")
+
 KB_EVENT(1900, RPC_CONNECTION_LOST, WARN, "connection to a host lost")
 KB_EVENT(1901, RPC_VERSION_REFUSED, WARN, "message of an unknown version")
 KB_EVENT(1902, RPC_LATE_REPLY, DEBUG, "reply to a call that has ended")
--- /dev/null
+++ b/src/mirror.c
@@ -0,0 +1,248 @@
+#include "mirror.h"
+
+#include "text.h"
+
+#include <stdlib.h>
+
+enum {
+	INITIAL_CAPACITY = 32,
+};
+
+static void finish_entry(kb_mirror_entry_t *entry)
+{
+	free((char *)entry->key.data);
+	free((char *)entry->value.data);
+}
+
+void kb_mirror_finish(kb_mirror_t *mirror)
+{
+	for (size_t i = 0; i < mirror->count; i++)
+		finish_entry(&mirror->entries[i]);
+	free(mirror->entries);
+	mirror->entries = NULL;
+	mirror->count = 0;
+	mirror->capacity = 0;
+}
+
+static kb_mirror_entry_t *find(const kb_mirror_t *mirror, kb_str_t key)
+{
+	for (size_t i = 0; i < mirror->count; i++)
+		if (kb_str_equal(mirror->entries[i].key, key))
+			return &mirror->entries[i];
+	return NULL;
+}
+
+const kb_mirror_entry_t *kb_mirror_find(const kb_mirror_t *mirror, kb_str_t key)
+{
+	return find(mirror, key);
+}
+
+static kb_result_t copy(kb_str_t from, kb_str_t *to)
+{
+	char *data = malloc(from.len + 1);
+
+	if (!data)
+		return KB_ERR_NO_MEMORY;
+	memcpy(data, from.data, from.len);
+	data[from.len] = 0;
+	*to = (kb_str_t){ data, from.len };
+	return KB_OK;
+}
+
+static kb_mirror_entry_t *add(kb_mirror_t *mirror, kb_str_t key)
+{
+	size_t capacity =
+		mirror->capacity ? mirror->capacity * 2 : INITIAL_CAPACITY;
+	kb_mirror_entry_t *entries;
+	kb_mirror_entry_t *entry;
+
+	if (mirror->count == mirror->capacity) {
+		entries = reallocarray(mirror->entries, capacity,
+				       sizeof(*entries));
+		if (!entries)
+			return NULL;
+		mirror->entries = entries;
+		mirror->capacity = capacity;
+	}
+	entry = &mirror->entries[mirror->count];
+	memset(entry, 0, sizeof(*entry));
+	if (copy(key, &entry->key))
+		return NULL;
+	mirror->count++;
+	return entry;
+}
+
+static kb_result_t put(kb_mirror_t *mirror, kb_str_t key, kb_str_t value,
+		       int64_t revision)
+{
+	kb_mirror_entry_t *entry = find(mirror, key);
+	kb_str_t held;
+
+	if (entry && entry->revision >= revision)
+		return KB_OK;
+	if (copy(value, &held))
+		return KB_ERR_NO_MEMORY;
+	if (!entry)
+		entry = add(mirror, key);
+	if (!entry) {
+		free((char *)held.data);
+		return KB_ERR_NO_MEMORY;
+	}
+	free((char *)entry->value.data);
+	entry->value = held;
+	entry->revision = revision;
+	mirror->changed(mirror->ctx, entry->key, entry);
+	return KB_OK;
+}
+
+static void drop(kb_mirror_t *mirror, kb_mirror_entry_t *entry)
+{
+	kb_mirror_entry_t old = *entry;
+
+	*entry = mirror->entries[--mirror->count];
+	mirror->changed(mirror->ctx, old.key, NULL);
+	finish_entry(&old);
+}
+
+static int in_range(const kb_store_range_t *range, kb_str_t key)
+{
+	for (size_t i = 0; i < range->count; i++)
+		if (kb_str_equal(range->entries[i].key, key))
+			return 1;
+	return 0;
+}
+
+static void note_time(kb_mirror_t *mirror, kb_time_t at)
+{
+	if (at > mirror->as_of)
+		mirror->as_of = at;
+}
+
+kb_result_t kb_mirror_replace(kb_mirror_t *mirror,
+			      const kb_store_range_t *range, kb_time_t sent_at)
+{
+	size_t i = 0;
+
+	if (range->revision < mirror->revision)
+		return KB_OK;
+	mirror->revision = range->revision;
+	note_time(mirror, sent_at);
+	while (i < mirror->count) {
+		kb_mirror_entry_t *entry = &mirror->entries[i];
+
+		if (!in_range(range, entry->key) &&
+		    entry->revision <= range->revision)
+			drop(mirror, entry);
+		else
+			i++;
+	}
+	for (i = 0; i < range->count; i++)
+		if (put(mirror, range->entries[i].key, range->entries[i].value,
+			range->entries[i].revision))
+			return KB_ERR_NO_MEMORY;
+	return KB_OK;
+}
+
+kb_result_t kb_mirror_change(kb_mirror_t *mirror, const kb_store_range_t *range,
+			     kb_time_t sent_at)
+{
+	if (range->revision < mirror->revision)
+		return KB_OK;
+	for (size_t i = 0; i < range->count; i++) {
+		const kb_store_entry_t *entry = &range->entries[i];
+		kb_mirror_entry_t *held = find(mirror, entry->key);
+
+		if (!entry->deleted) {
+			if (put(mirror, entry->key, entry->value,
+				entry->revision))
+				return KB_ERR_NO_MEMORY;
+		} else if (held && held->revision < entry->revision) {
+			mirror->revision = entry->revision;
+			drop(mirror, held);
+		}
+	}
+	mirror->revision = range->revision;
+	note_time(mirror, sent_at);
+	return KB_OK;
+}
+
+kb_result_t kb_mirror_tell(const kb_mirror_t *mirror, const kbs_sync_args *args,
+			   kbs_sync_res *res, kb_time_t now)
+{
+	memset(res, 0, sizeof(*res));
+	res->revision = (uint64_t)mirror->revision;
+	res->age_us = (now - mirror->as_of) / KB_NS_PER_US;
+	if (!mirror->revision ||
+	    (!args->whole && args->revision >= (uint64_t)mirror->revision))
+		return KB_OK;
+	res->changed.changed_val =
+		calloc(mirror->count + 1, sizeof(*res->changed.changed_val));
+	res->keys.keys_val =
+		calloc(mirror->count + 1, sizeof(*res->keys.keys_val));
+	if (!res->changed.changed_val || !res->keys.keys_val) {
+		kb_mirror_tell_finish(res);
+		return KB_ERR_NO_MEMORY;
+	}
+	for (size_t i = 0; i < mirror->count; i++) {
+		const kb_mirror_entry_t *entry = &mirror->entries[i];
+		kbs_entry *told;
+
+		res->keys.keys_val[res->keys.keys_len++] =
+			kb_text_view(entry->key);
+		if (!args->whole && (uint64_t)entry->revision <= args->revision)
+			continue;
+		told = &res->changed.changed_val[res->changed.changed_len++];
+		told->key = kb_text_view(entry->key);
+		told->value = kb_text_view(entry->value);
+		told->revision = (uint64_t)entry->revision;
+	}
+	return KB_OK;
+}
+
+void kb_mirror_tell_finish(kbs_sync_res *res)
+{
+	free(res->changed.changed_val);
+	free(res->keys.keys_val);
+	memset(res, 0, sizeof(*res));
+}
+
+static int is_named(const kbs_sync_res *res, kb_str_t key)
+{
+	for (u_int i = 0; i < res->keys.keys_len; i++)
+		if (kb_str_equal(kb_text_str(res->keys.keys_val[i]), key))
+			return 1;
+	return 0;
+}
+
+kb_result_t kb_mirror_learn(kb_mirror_t *mirror, const kbs_sync_res *res,
+			    kb_time_t sent_at)
+{
+	int64_t revision = (int64_t)res->revision;
+	kb_time_t as_of = sent_at - res->age_us * KB_NS_PER_US;
+	size_t i = 0;
+
+	if (revision < mirror->revision || !revision)
+		return KB_OK;
+	if (revision == mirror->revision) {
+		note_time(mirror, as_of);
+		return KB_OK;
+	}
+	mirror->revision = revision;
+	note_time(mirror, as_of);
+	while (i < mirror->count) {
+		kb_mirror_entry_t *entry = &mirror->entries[i];
+
+		if (!is_named(res, entry->key) && entry->revision <= revision)
+			drop(mirror, entry);
+		else
+			i++;
+	}
+	for (u_int j = 0; j < res->changed.changed_len; j++) {
+		const kbs_entry *told = &res->changed.changed_val[j];
+
+		if (put(mirror, kb_text_str(told->key),
+			kb_text_str(told->value), (int64_t)told->revision))
+			return KB_ERR_NO_MEMORY;
+	}
+	return KB_OK;
+}
--- /dev/null
+++ b/src/mirror.h
@@ -0,0 +1,63 @@
+#ifndef KB_MIRROR_H
+#define KB_MIRROR_H
+
+#include "kumquat_session.h"
+#include "store.h"
+
+KB_BEGIN_DECLS
+
+/* A key of the store as this host knows it. */
+typedef struct kb_mirror_entry {
+	kb_str_t key;
+	kb_str_t value;
+	int64_t revision;
+} kb_mirror_entry_t;
+
+/*
+ * What this host knows of the store's keys, from the store itself or from
+ * other hosts. It never goes back to an older revision of the store.
+ */
+typedef struct kb_mirror {
+	kb_mirror_entry_t *entries;
+	size_t count;
+	size_t capacity;
+	/* Revision of the store that the entries show; 0: none yet. */
+	int64_t revision;
+	/* Latest time at which the store was at most that far. */
+	kb_time_t as_of;
+	/* A key changed; `entry` is NULL if it was removed. */
+	void (*changed)(void *ctx, kb_str_t key, const kb_mirror_entry_t *entry);
+	void *ctx;
+} kb_mirror_t;
+
+void kb_mirror_finish(kb_mirror_t *mirror);
+
+/*
+ * Takes the whole store as read by a call that was sent at `sent_at`.
+ * Ignored if the store is known at a later revision.
+ */
+kb_result_t kb_mirror_replace(kb_mirror_t *mirror,
+			      const kb_store_range_t *range, kb_time_t sent_at);
+
+/* Takes changes since its revision, up to that of `range`. */
+kb_result_t kb_mirror_change(kb_mirror_t *mirror, const kb_store_range_t *range,
+			     kb_time_t sent_at);
+
+/* Fills in what a host that knows `args->revision` lacks. Data is shared. */
+kb_result_t kb_mirror_tell(const kb_mirror_t *mirror, const kbs_sync_args *args,
+			   kbs_sync_res *res, kb_time_t now);
+
+/* Frees the lists of `res`. */
+void kb_mirror_tell_finish(kbs_sync_res *res);
+
+/* Takes what another host told in answer to a call sent at `sent_at`. */
+kb_result_t kb_mirror_learn(kb_mirror_t *mirror, const kbs_sync_res *res,
+			    kb_time_t sent_at);
+
+/* Returns an entry, or NULL. */
+const kb_mirror_entry_t *kb_mirror_find(const kb_mirror_t *mirror,
+					kb_str_t key);
+
+KB_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/pool_conn.c
@@ -0,0 +1,553 @@
+#include "pool_conn.h"
+
+#include "log.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+enum {
+	/* Weight of the newest service time: one part in eight. */
+	SERVICE_WEIGHT = 8,
+	SHAPE_NAME_BYTES = 300,
+};
+
+static const kbs_run_args *args_of(const kb_pool_conn_t *conn)
+{
+	return conn->job->args;
+}
+
+static int is_own(kb_order_kind_t kind)
+{
+	return kind == KB_ORDER_READ || kind == KB_ORDER_WRITE ||
+	       kind == KB_ORDER_COMMIT;
+}
+
+static void enter(kb_pool_conn_t *conn, kb_pool_conn_state_t state)
+{
+	conn->state = state;
+	conn->since = kb_clock_monotonic(conn->pool->clock);
+	conn->silent = 0;
+}
+
+static void unlink_conn(kb_pool_conn_t *conn)
+{
+	kb_pool_conn_t **link = &conn->pool->conns;
+
+	while (*link != conn)
+		link = &(*link)->next;
+	*link = conn->next;
+	conn->pool->conn_count--;
+}
+
+static void free_conn(kb_pool_conn_t *conn)
+{
+	unlink_conn(conn);
+	kb_session_values_finish(&conn->values);
+	kb_session_values_finish(&conn->shapes);
+	free(conn);
+}
+
+void kb_pool_conn_close(kb_pool_conn_t *conn)
+{
+	if (conn->link)
+		kb_link_close(conn->link);
+	free_conn(conn);
+}
+
+/* Name under which a shape is prepared, the same on every connection. */
+static kb_str_t shape_name(const kbs_run_args *args, char *buffer)
+{
+	kb_str_t shape = kb_text_str(args->shape);
+	int len = snprintf(buffer, SHAPE_NAME_BYTES, "%c%.*s",
+			   args->kind == KBS_READ ? 'r' : 'w',
+			   KB_STR_ARG(shape));
+
+	if (len < 0 || len >= SHAPE_NAME_BYTES)
+		return KB_STR("");
+	return (kb_str_t){ buffer, (size_t)len };
+}
+
+static kb_order_kind_t own_kind(kbs_kind kind)
+{
+	switch (kind) {
+	case KBS_READ:
+		return KB_ORDER_READ;
+	case KBS_WRITE:
+		return KB_ORDER_WRITE;
+	default:
+		return KB_ORDER_COMMIT;
+	}
+}
+
+/* Chooses what the connection needs next to run its job. */
+static void choose_order(kb_pool_conn_t *conn, kb_order_t *order, char *name)
+{
+	const kbs_run_args *args = args_of(conn);
+	const kbs_value *missing;
+
+	memset(order, 0, sizeof(*order));
+	order->id = KB_STR("");
+	order->name = KB_STR("");
+	order->body = KB_STR("");
+	conn->setting = NULL;
+	if (!conn->begun &&
+	    kb_session_values_exceed(&conn->values, args->values.values_val,
+				     args->values.values_len)) {
+		order->kind = KB_ORDER_RESET;
+		return;
+	}
+	missing = kb_session_values_missing(&conn->values,
+					    args->values.values_val,
+					    args->values.values_len);
+	if (missing) {
+		order->kind = KB_ORDER_SET;
+		order->name = kb_text_str(missing->name);
+		order->body = kb_text_str(missing->value);
+		conn->setting = missing;
+		return;
+	}
+	if (args->shape.kbs_text_len) {
+		kb_str_t prepared = shape_name(args, name);
+
+		order->name = prepared;
+		if (!kb_session_values_get(&conn->shapes, prepared)) {
+			order->kind = args->kind == KBS_READ
+					      ? KB_ORDER_PREPARE_READ
+					      : KB_ORDER_PREPARE_WRITE;
+			order->body = kb_text_str(args->shape);
+			return;
+		}
+	}
+	if (args->transactional && !conn->begun) {
+		order->kind = args->read_only ? KB_ORDER_BEGIN_READ_ONLY
+					      : KB_ORDER_BEGIN;
+		order->name = KB_STR("");
+		order->include = kb_point_from(args->include);
+		return;
+	}
+	order->kind = own_kind(args->kind);
+	order->id = kb_text_str(args->id);
+	order->body = kb_text_str(args->body);
+	if (!args->transactional && args->kind == KBS_READ)
+		order->include = kb_point_from(args->include);
+}
+
+void kb_pool_conn_fail(kb_pool_conn_t *conn, kb_result_t result,
+		       const char *message)
+{
+	kb_pool_job_t *job = conn->job;
+
+	conn->job = NULL;
+	if (job)
+		kb_pool_job_refuse(conn->pool, job, result, message);
+}
+
+/* Result of a statement whose answer will not come. */
+static kb_result_t lost_result(const kb_pool_job_t *job)
+{
+	if (job->args->kind == KBS_COMMIT)
+		return job->offered ? KB_ERR_UNKNOWN : KB_ERR_ROLLED_BACK;
+	if (job->args->transactional)
+		return KB_ERR_ROLLED_BACK;
+	if (job->args->kind == KBS_WRITE)
+		return job->offered ? KB_ERR_UNKNOWN : KB_ERR_UNREACHABLE;
+	return KB_ERR_CLOSED;
+}
+
+/* Ends the job of a connection that was lost, or lets it wait again. */
+static void lose_job(kb_pool_conn_t *conn, const char *message)
+{
+	kb_pool_job_t *job = conn->job;
+
+	conn->job = NULL;
+	if (!job)
+		return;
+	if (!job->offered && !conn->transaction &&
+	    job->attempts < POOL_ATTEMPTS_MAX)
+		kb_pool_job_requeue(conn->pool, job);
+	else
+		kb_pool_job_refuse(conn->pool, job, lost_result(job), message);
+}
+
+static void send_next(kb_pool_conn_t *conn)
+{
+	kb_link_pool_t *pool = conn->pool;
+	char name[SHAPE_NAME_BYTES];
+	kb_order_t order;
+
+	choose_order(conn, &order, name);
+	if (!pool->ops->may_serve(pool->ctx,
+				  kb_clock_monotonic(pool->clock))) {
+		int pinned = conn->transaction != 0;
+
+		if (pinned) {
+			kb_pool_conn_fail(conn, KB_ERR_ROLLED_BACK,
+					  "this host no longer serves the "
+					  "primary");
+			kb_pool_conn_close(conn);
+			return;
+		}
+		lose_job(conn, "this host no longer serves the primary");
+		enter(conn, KB_POOL_CONN_IDLE);
+		return;
+	}
+	if (kb_link_send(conn->link, &order)) {
+		lose_job(conn, "the statement cannot be sent");
+		kb_pool_conn_close(conn);
+		return;
+	}
+	conn->sent_kind = order.kind;
+	conn->sent_at = kb_clock_monotonic(pool->clock);
+	if (is_own(order.kind)) {
+		conn->job->offered = 1;
+		pool->counters.statements++;
+	}
+	enter(conn, KB_POOL_CONN_BUSY);
+}
+
+static void measure(kb_pool_conn_t *conn)
+{
+	kb_link_pool_t *pool = conn->pool;
+	kb_time_t took = kb_clock_monotonic(pool->clock) - conn->sent_at;
+
+	pool->service += (took - pool->service) / SERVICE_WEIGHT;
+}
+
+/* A preparing order succeeded: notes what the connection has now. */
+static kb_result_t note_prepared(kb_pool_conn_t *conn)
+{
+	char name[SHAPE_NAME_BYTES];
+
+	switch (conn->sent_kind) {
+	case KB_ORDER_RESET:
+		conn->pool->counters.resets++;
+		kb_session_values_finish(&conn->values);
+		kb_session_values_finish(&conn->shapes);
+		return KB_OK;
+	case KB_ORDER_SET:
+		return kb_session_values_set(&conn->values,
+					     kb_text_str(conn->setting->name),
+					     kb_text_str(conn->setting->value));
+	case KB_ORDER_PREPARE_READ:
+	case KB_ORDER_PREPARE_WRITE:
+		return kb_session_values_set(
+			&conn->shapes, shape_name(args_of(conn), name),
+			kb_text_str(args_of(conn)->shape));
+	default:
+		conn->begun = 1;
+		conn->transaction = ++conn->pool->next_transaction;
+		return KB_OK;
+	}
+}
+
+static void fill_res(kbs_run_res *res, const kb_reply_t *reply)
+{
+	memset(res, 0, sizeof(*res));
+	res->result = (int)reply->result;
+	res->message = kb_text_view(reply->message);
+	res->rows.rows_len = (u_int)reply->row_count;
+	res->rows.rows_val = (kbs_text *)reply->rows;
+	res->signature = kb_text_view(reply->signature);
+	res->point = kb_point_to(reply->point);
+	res->offered = TRUE;
+}
+
+/* Returns the connection to the pool, or ends its failed transaction. */
+static void release(kb_pool_conn_t *conn, kb_txn_state_t state)
+{
+	if (state == KB_TXN_NONE) {
+		conn->transaction = 0;
+		conn->begun = 0;
+		enter(conn, KB_POOL_CONN_IDLE);
+	} else {
+		kb_pool_conn_roll_back(conn);
+	}
+}
+
+/* The hold ended while the statement ran: its success must not be told. */
+static void withhold(kb_pool_conn_t *conn)
+{
+	kb_pool_job_t *job = conn->job;
+	kb_result_t result = lost_result(job);
+
+	conn->job = NULL;
+	kb_pool_job_refuse(conn->pool, job, result,
+			   "the primary may have been replaced meanwhile");
+	kb_pool_conn_close(conn);
+}
+
+static void take_own_answer(kb_pool_conn_t *conn, const kb_reply_t *reply)
+{
+	kb_link_pool_t *pool = conn->pool;
+	kb_pool_job_t *job = conn->job;
+	kb_time_t now = kb_clock_monotonic(pool->clock);
+	kbs_run_res res;
+
+	measure(conn);
+	if (!reply->result && !pool->ops->may_serve(pool->ctx, now)) {
+		withhold(conn);
+		return;
+	}
+	if (reply->result == KB_ERR_OVERLOADED && now < job->deadline &&
+	    job->attempts < POOL_ATTEMPTS_MAX &&
+	    (reply->state == KB_TXN_OPEN) == (conn->transaction != 0)) {
+		/* The target did not run it. */
+		pool->hold_sending_until =
+			now + POOL_BUSY_PAUSE_MS * KB_NS_PER_MS;
+		job->offered = 0;
+		job->transaction = conn->transaction;
+		conn->job = NULL;
+		enter(conn, conn->transaction ? KB_POOL_CONN_PINNED
+					      : KB_POOL_CONN_IDLE);
+		kb_pool_job_requeue(pool, job);
+		return;
+	}
+	fill_res(&res, reply);
+	conn->job = NULL;
+	if (reply->result == KB_ERR_READ_ONLY)
+		pool->ops->sign(pool->ctx, KB_SIGN_READ_ONLY, reply->point);
+	if (conn->transaction && reply->state == KB_TXN_OPEN) {
+		res.transaction = conn->transaction;
+		enter(conn, KB_POOL_CONN_PINNED);
+	} else {
+		release(conn, reply->state);
+	}
+	kb_pool_job_end(pool, job, &res);
+}
+
+static void take_prepared(kb_pool_conn_t *conn, const kb_reply_t *reply)
+{
+	kb_link_pool_t *pool = conn->pool;
+	kb_pool_job_t *job = conn->job;
+
+	if (!reply->result) {
+		if (note_prepared(conn)) {
+			kb_pool_conn_fail(conn, KB_ERR_OVERLOADED,
+					  "memory is short");
+			kb_pool_conn_close(conn);
+			return;
+		}
+		send_next(conn);
+		return;
+	}
+	if (reply->result == KB_ERR_READ_ONLY)
+		pool->ops->sign(pool->ctx, KB_SIGN_READ_ONLY, reply->point);
+	conn->job = NULL;
+	if (conn->transaction)
+		kb_pool_job_refuse(pool, job, KB_ERR_ROLLED_BACK,
+				   "the connection could not be prepared");
+	else if (reply->result == KB_ERR_READ_ONLY ||
+		 reply->result == KB_ERR_NOT_FRESH)
+		kb_pool_job_refuse(pool, job, reply->result,
+				   "the target refused to begin");
+	else if (job->attempts < POOL_ATTEMPTS_MAX)
+		kb_pool_job_requeue(pool, job);
+	else
+		kb_pool_job_refuse(pool, job, KB_ERR_OVERLOADED,
+				   "the connection could not be prepared");
+	if (reply->result == KB_ERR_OVERLOADED)
+		pool->hold_sending_until =
+			kb_clock_monotonic(pool->clock) +
+			POOL_BUSY_PAUSE_MS * KB_NS_PER_MS;
+	if (reply->state == KB_TXN_NONE && !conn->transaction &&
+	    (reply->result == KB_ERR_READ_ONLY ||
+	     reply->result == KB_ERR_NOT_FRESH ||
+	     reply->result == KB_ERR_OVERLOADED))
+		enter(conn, KB_POOL_CONN_IDLE);
+	else
+		kb_pool_conn_close(conn);
+}
+
+static void on_opened(void *ctx, kb_result_t result, kb_point_t point)
+{
+	kb_pool_conn_t *conn = ctx;
+	kb_link_pool_t *pool = conn->pool;
+	kb_time_t now = kb_clock_monotonic(pool->clock);
+
+	if (!result) {
+		enter(conn, KB_POOL_CONN_IDLE);
+		pool->counters.opened++;
+		pool->ops->sign(pool->ctx, KB_SIGN_ANSWERED, point);
+		kb_link_pool_dispatch(pool);
+		return;
+	}
+	kb_log(KB_EVENT_TARGET_CONNECT_FAILED, "target=%s result=%s",
+	       pool->place.target.data, kb_result_name(result));
+	pool->counters.open_failed++;
+	pool->hold_opening_until = now + POOL_REFUSED_PAUSE_MS * KB_NS_PER_MS;
+	conn->link = NULL;
+	free_conn(conn);
+	if (result != KB_ERR_TOO_MANY)
+		pool->ops->sign(pool->ctx, KB_SIGN_LOST, (kb_point_t){ 0 });
+	kb_link_pool_dispatch(pool);
+}
+
+static void on_answered(void *ctx, const kb_reply_t *reply)
+{
+	kb_pool_conn_t *conn = ctx;
+	kb_link_pool_t *pool = conn->pool;
+
+	pool->ops->sign(pool->ctx, KB_SIGN_ANSWERED, reply->point);
+	if (conn->state == KB_POOL_CONN_ABANDONED) {
+		if (conn->sent_kind == KB_ORDER_ROLLBACK || !conn->begun)
+			release(conn, reply->state);
+		else
+			kb_pool_conn_roll_back(conn);
+	} else if (is_own(conn->sent_kind)) {
+		take_own_answer(conn, reply);
+	} else {
+		take_prepared(conn, reply);
+	}
+	kb_link_pool_dispatch(pool);
+}
+
+static void on_lost(void *ctx, kb_result_t result)
+{
+	kb_pool_conn_t *conn = ctx;
+	kb_link_pool_t *pool = conn->pool;
+
+	kb_log(KB_EVENT_TARGET_CONNECTION_LOST, "target=%s result=%s state=%d",
+	       pool->place.target.data, kb_result_name(result), conn->state);
+	pool->counters.lost++;
+	conn->link = NULL;
+	lose_job(conn, "the connection to the target was lost");
+	free_conn(conn);
+	pool->ops->sign(pool->ctx, KB_SIGN_LOST, (kb_point_t){ 0 });
+	kb_link_pool_dispatch(pool);
+}
+
+static const kb_link_events_t link_events = {
+	.opened = on_opened,
+	.answered = on_answered,
+	.lost = on_lost,
+};
+
+kb_result_t kb_pool_conn_open(kb_link_pool_t *pool)
+{
+	kb_pool_conn_t *conn = calloc(1, sizeof(*conn));
+
+	if (!conn)
+		return KB_ERR_NO_MEMORY;
+	conn->pool = pool;
+	conn->next = pool->conns;
+	pool->conns = conn;
+	pool->conn_count++;
+	enter(conn, KB_POOL_CONN_OPENING);
+	conn->link = kb_link_open(pool->linker, &pool->place, &link_events,
+				  conn);
+	if (!conn->link) {
+		free_conn(conn);
+		return KB_ERR_NO_MEMORY;
+	}
+	return KB_OK;
+}
+
+void kb_pool_conn_start(kb_pool_conn_t *conn, kb_pool_job_t *job)
+{
+	conn->job = job;
+	conn->idle_limit = job->args->idle_limit_us * KB_NS_PER_US;
+	job->attempts++;
+	send_next(conn);
+}
+
+void kb_pool_conn_roll_back(kb_pool_conn_t *conn)
+{
+	kb_order_t order = { .kind = KB_ORDER_ROLLBACK,
+			     .id = { "", 0 },
+			     .name = { "", 0 },
+			     .body = { "", 0 } };
+
+	conn->transaction = 0;
+	if (kb_link_send(conn->link, &order)) {
+		kb_pool_conn_close(conn);
+		return;
+	}
+	conn->sent_kind = KB_ORDER_ROLLBACK;
+	conn->sent_at = kb_clock_monotonic(conn->pool->clock);
+	enter(conn, KB_POOL_CONN_ABANDONED);
+	conn->silent = 1;
+}
+
+int kb_pool_conn_uses_slot(const kb_pool_conn_t *conn)
+{
+	return !conn->silent && (conn->state == KB_POOL_CONN_OPENING ||
+				 conn->state == KB_POOL_CONN_BUSY ||
+				 conn->state == KB_POOL_CONN_ABANDONED);
+}
+
+/* Gives up on the answer of a statement that has been silent too long. */
+static void give_up(kb_pool_conn_t *conn)
+{
+	kb_pool_job_t *job = conn->job;
+	kb_result_t result = lost_result(job);
+
+	conn->job = NULL;
+	if (job->args->kind == KBS_READ && !job->args->transactional &&
+	    job->offered) {
+		enter(conn, KB_POOL_CONN_ABANDONED);
+		conn->silent = 1;
+	}
+	kb_pool_job_refuse(conn->pool, job, result,
+			   "the target did not answer in time");
+	if (conn->state != KB_POOL_CONN_ABANDONED)
+		kb_pool_conn_close(conn);
+}
+
+static kb_time_t tick_busy(kb_pool_conn_t *conn, kb_time_t now)
+{
+	kb_link_pool_t *pool = conn->pool;
+	kb_time_t lost_at = conn->sent_at + kb_link_pool_silence(pool);
+	kb_pool_job_t *job = conn->job;
+	int is_final = job->offered &&
+		       (job->args->kind == KBS_COMMIT ||
+			(job->args->kind == KBS_WRITE &&
+			 !job->args->transactional));
+
+	if (now >= lost_at && !conn->silent) {
+		conn->silent = 1;
+		pool->counters.silent++;
+		pool->ops->sign(pool->ctx, KB_SIGN_SILENT, (kb_point_t){ 0 });
+	}
+	if (now >= job->deadline || (conn->silent && !is_final)) {
+		give_up(conn);
+		return KB_TIME_NEVER;
+	}
+	return conn->silent || job->deadline < lost_at ? job->deadline
+						       : lost_at;
+}
+
+kb_time_t kb_pool_conn_tick(kb_pool_conn_t *conn, kb_time_t now)
+{
+	kb_time_t until;
+
+	switch (conn->state) {
+	case KB_POOL_CONN_BUSY:
+		return tick_busy(conn, now);
+	case KB_POOL_CONN_OPENING:
+		until = conn->since + POOL_OPEN_TIMEOUT_MS * KB_NS_PER_MS;
+		break;
+	case KB_POOL_CONN_IDLE:
+		until = conn->since + POOL_IDLE_S * KB_NS_PER_S;
+		break;
+	case KB_POOL_CONN_PINNED:
+		until = conn->since + conn->idle_limit;
+		break;
+	default:
+		until = conn->since + POOL_ABANDONED_MS * KB_NS_PER_MS;
+		break;
+	}
+	if (now < until)
+		return until;
+	if (conn->state == KB_POOL_CONN_OPENING) {
+		kb_link_pool_t *pool = conn->pool;
+
+		pool->counters.open_failed++;
+		pool->hold_opening_until =
+			now + POOL_REFUSED_PAUSE_MS * KB_NS_PER_MS;
+		kb_pool_conn_close(conn);
+		pool->ops->sign(pool->ctx, KB_SIGN_SILENT, (kb_point_t){ 0 });
+		return KB_TIME_NEVER;
+	}
+	kb_pool_conn_close(conn);
+	return KB_TIME_NEVER;
+}
--- a/src/problem.c
+++ b/src/problem.c
@@ -37,6 +37,7 @@
 		return STATUS_CONFLICT;
 	case KB_ERR_KEY_REUSED:
 	case KB_ERR_STATEMENT:
+	case KB_ERR_NO_STATEMENT:
 		return STATUS_UNPROCESSABLE;
 	case KB_ERR_OVERLOADED:
 	case KB_ERR_DEADLINE:
@@ -45,6 +46,9 @@
 	case KB_ERR_DRAINING:
 	case KB_ERR_NOT_GATE:
 	case KB_ERR_UNREACHABLE:
+	case KB_ERR_READ_ONLY:
+	case KB_ERR_WRONG_TARGET:
+	case KB_ERR_TOO_MANY:
 		return HTTP_SERVUNAVAIL;
 	case KB_ERR_UNKNOWN:
 	case KB_ERR_TIMEOUT:
--- /dev/null
+++ b/src/proxy.c
@@ -0,0 +1,344 @@
+#include "proxy_parts.h"
+
+#include "log.h"
+#include "metrics_text.h"
+
+#include <event2/event.h>
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdlib.h>
+
+static int has_prefix(kb_str_t key, kb_str_t prefix)
+{
+	return key.len > prefix.len &&
+	       !memcmp(key.data, prefix.data, prefix.len);
+}
+
+/* Takes a version of the configuration over; it never goes back. */
+static void use_databases(kb_proxy_t *proxy, kb_databases_t *databases)
+{
+	if (proxy->databases.version &&
+	    databases->version <= proxy->databases.version) {
+		kb_databases_finish(databases);
+		return;
+	}
+	kb_databases_finish(&proxy->databases);
+	proxy->databases = *databases;
+	for (size_t i = 0; i < proxy->group_count; i++)
+		proxy->groups[i]->configured = 0;
+	for (size_t i = 0; i < proxy->databases.group_count; i++) {
+		const kb_group_limits_t *limits = &proxy->databases.groups[i];
+		kb_proxy_group_t *group =
+			kb_proxy_group_get(proxy, kb_name_str(&limits->group));
+
+		if (!group)
+			continue;
+		group->configured = 1;
+		group->connections = limits->connections;
+		group->lead.durable = limits->durable;
+	}
+	kb_log(KB_EVENT_CONFIG_IN_FORCE,
+	       "version=%" PRIu64 " databases=%zu groups=%zu revision=%" PRId64,
+	       proxy->databases.version, proxy->databases.database_count,
+	       proxy->databases.group_count, proxy->mirror.revision);
+}
+
+static void use_target(kb_proxy_t *proxy, kb_str_t key,
+		       const kb_mirror_entry_t *entry)
+{
+	kb_platform_view_t *view = proxy->setup.view;
+	kb_platform_item_t item;
+	kb_name_t target;
+
+	memset(&item, 0, sizeof(item));
+	if (view->ops->target(view, key, &target))
+		return;
+	if (!entry ||
+	    view->ops->decode(view, entry->key, entry->value, &item)) {
+		if (entry)
+			kb_log(KB_EVENT_STORE_ENTRY_MALFORMED,
+			       "key=%.*s revision=%" PRId64, KB_STR_ARG(key),
+			       entry->revision);
+		kb_target_list_remove(&proxy->targets, kb_name_str(&target));
+		return;
+	}
+	if (kb_target_list_put(&proxy->targets, &item.target))
+		kb_log(KB_EVENT_STORE_ENTRY_MALFORMED, "key=%.*s memory=short",
+		       KB_STR_ARG(key));
+}
+
+static void use_configuration(kb_proxy_t *proxy, const kb_mirror_entry_t *entry)
+{
+	kb_platform_view_t *view = proxy->setup.view;
+	kb_platform_item_t item;
+
+	memset(&item, 0, sizeof(item));
+	if (!entry)
+		return;
+	if (view->ops->decode(view, entry->key, entry->value, &item)) {
+		kb_log(KB_EVENT_STORE_ENTRY_MALFORMED,
+		       "key=%.*s revision=%" PRId64, KB_STR_ARG(entry->key),
+		       entry->revision);
+		return;
+	}
+	use_databases(proxy, &item.databases);
+}
+
+static void on_mirror_changed(void *ctx, kb_str_t key,
+			      const kb_mirror_entry_t *entry)
+{
+	kb_proxy_t *proxy = ctx;
+	kb_platform_view_t *view = proxy->setup.view;
+
+	if (has_prefix(key, KB_STR(KB_PRESENCE_PREFIX))) {
+		kb_proxy_host_on_key(proxy, key, entry);
+		return;
+	}
+	if (has_prefix(key, KB_STR(KB_PROXY_HOLD_PREFIX))) {
+		kb_proxy_group_on_key(proxy, key, entry);
+		return;
+	}
+	switch (view->ops->kind(view, key)) {
+	case KB_PLATFORM_DATABASES:
+		use_configuration(proxy, entry);
+		break;
+	case KB_PLATFORM_TARGET:
+		use_target(proxy, key, entry);
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct timeval pause = { 0, KB_PROXY_TICK_MS * 1000 };
+	kb_proxy_t *proxy = arg;
+	kb_time_t now = kb_clock_monotonic(proxy->clock);
+
+	(void)fd;
+	(void)what;
+	event_add(proxy->tick, &pause);
+	kb_proxy_sync_tick(proxy, now);
+	kb_presence_tick(&proxy->presence,
+			 !proxy->mirror.revision ||
+				 kb_mirror_find(
+					 &proxy->mirror,
+					 kb_name_str(&proxy->presence.key)));
+	kb_proxy_hosts_tick(proxy, now);
+	for (size_t i = 0; i < proxy->group_count; i++)
+		kb_proxy_group_tick(proxy->groups[i], now);
+	kb_proxy_gates_tick(proxy, now);
+	kb_proxy_sessions_tick(proxy, now);
+}
+
+static kb_result_t add_seeds(kb_proxy_t *proxy, const kb_settings_t *settings)
+{
+	for (size_t i = 0; i < proxy->seed_count; i++)
+		kb_rpc_peer_finish(&proxy->seeds[i].peer);
+	proxy->seed_count = 0;
+	for (size_t i = 0; i < settings->seed_count; i++) {
+		const kb_endpoint_t *endpoint = &settings->seeds[i];
+		kb_proxy_seed_t *seed = &proxy->seeds[proxy->seed_count];
+
+		if (endpoint->port == proxy->self.endpoint.port &&
+		    kb_name_is(&endpoint->address,
+			       kb_name_str(&proxy->self.endpoint.address)))
+			continue;
+		seed->endpoint = *endpoint;
+		if (kb_rpc_peer_init(&seed->peer, proxy->setup.loop,
+				     kb_name_str(&endpoint->address),
+				     endpoint->port, 8))
+			return KB_ERR_NO_MEMORY;
+		proxy->seed_count++;
+	}
+	return KB_OK;
+}
+
+void kb_proxy_reload(kb_proxy_t *proxy, const kb_settings_t *settings)
+{
+	if (add_seeds(proxy, settings))
+		kb_log(KB_EVENT_SETTINGS_RELOADED, "seeds=0 memory=short");
+}
+
+static kb_result_t set_up(kb_proxy_t *proxy)
+{
+	const kb_settings_t *settings = proxy->setup.settings;
+	uint64_t seed;
+	kb_result_t result;
+
+	randombytes_buf(&seed, sizeof(seed));
+	kb_rng_init(&proxy->rng, seed);
+	proxy->started_at = kb_clock_monotonic(proxy->clock);
+	proxy->self.name = settings->host;
+	proxy->self.endpoint = settings->listen_hosts;
+	proxy->self.data_centre = settings->data_centre;
+	proxy->self.region = settings->region;
+	proxy->mirror.changed = on_mirror_changed;
+	proxy->mirror.ctx = proxy;
+	result = kb_proxy_stats_init(&proxy->stats);
+	if (!result)
+		result = kb_hosts_init_at(&proxy->hosts, proxy->setup.loop,
+					  &proxy->self);
+	if (!result)
+		result = kb_presence_init(&proxy->presence, proxy->setup.store,
+					  proxy->clock, &proxy->self);
+	if (!result)
+		result = add_seeds(proxy, settings);
+	if (!result)
+		result = kb_proxy_serve(proxy);
+	if (result)
+		return result;
+	kb_follower_init(&proxy->follower, proxy->setup.store, &proxy->mirror,
+			 proxy->clock, kb_rng_next(&proxy->rng));
+	proxy->tick = evtimer_new(proxy->setup.loop, on_tick, proxy);
+	if (!proxy->tick)
+		return KB_ERR_NO_MEMORY;
+	event_active(proxy->tick, 0, 0);
+	return KB_OK;
+}
+
+kb_result_t kb_proxy_create(kb_proxy_t **out, const kb_proxy_setup_t *setup)
+{
+	kb_proxy_t *proxy = calloc(1, sizeof(*proxy));
+	kb_result_t result;
+
+	if (!proxy)
+		return KB_ERR_NO_MEMORY;
+	proxy->setup = *setup;
+	proxy->clock = setup->clock;
+	result = set_up(proxy);
+	if (result) {
+		kb_proxy_free(proxy);
+		return result;
+	}
+	*out = proxy;
+	return KB_OK;
+}
+
+void kb_proxy_free(kb_proxy_t *proxy)
+{
+	if (!proxy)
+		return;
+	if (proxy->tick)
+		event_free(proxy->tick);
+	kb_follower_finish(&proxy->follower);
+	kb_presence_finish(&proxy->presence);
+	for (size_t i = 0; i < proxy->seed_count; i++)
+		kb_rpc_peer_finish(&proxy->seeds[i].peer);
+	for (size_t i = 0; i < proxy->hosts.count; i++)
+		kb_rpc_peer_finish(&proxy->hosts.hosts[i]->peer);
+	for (size_t i = 0; i < proxy->gate_count; i++)
+		kb_proxy_gate_free(proxy->gates[i]);
+	for (size_t i = 0; i < proxy->group_count; i++)
+		kb_proxy_group_free(proxy->groups[i]);
+	if (proxy->has_server)
+		kb_rpc_server_finish(&proxy->server);
+	kb_hosts_finish(&proxy->hosts);
+	free(proxy->gates);
+	free(proxy->groups);
+	free(proxy->loads);
+	kb_databases_finish(&proxy->databases);
+	kb_target_list_finish(&proxy->targets);
+	kb_mirror_finish(&proxy->mirror);
+	kb_proxy_stats_finish(&proxy->stats);
+	free(proxy);
+}
+
+int kb_proxy_is_ready(const kb_proxy_t *proxy)
+{
+	return !proxy->stopping && proxy->databases.version &&
+	       proxy->targets.count;
+}
+
+void kb_proxy_stop(kb_proxy_t *proxy, kb_time_t deadline)
+{
+	if (proxy->stopping)
+		return;
+	proxy->stopping = 1;
+	proxy->stop_begun_at = kb_clock_monotonic(proxy->clock);
+	proxy->stop_at = deadline;
+	proxy->hosts.self->leaving = 1;
+	kb_presence_leave(&proxy->presence);
+}
+
+int kb_proxy_is_stopping(const kb_proxy_t *proxy)
+{
+	return proxy->stopping;
+}
+
+int kb_proxy_is_idle(const kb_proxy_t *proxy)
+{
+	for (size_t i = 0; i < proxy->gate_count; i++)
+		if (kb_link_pool_active(&proxy->gates[i]->pool) ||
+		    proxy->gates[i]->pool.jobs)
+			return 0;
+	for (size_t i = 0; i < proxy->group_count; i++)
+		if (proxy->groups[i]->hold.role != KB_HOLD_NONE ||
+		    kb_link_pool_active(&proxy->groups[i]->pool))
+			return 0;
+	return 1;
+}
+
+static void write_pool(struct evbuffer *out, const char *name,
+		       const kb_link_pool_t *pool, uint64_t value)
+{
+	kb_metrics_text_value(out, name, "target",
+			      pool->place.target.data, (double)value);
+}
+
+static void write_pools(kb_proxy_t *proxy, struct evbuffer *out,
+			const char *name, size_t offset, const char *help)
+{
+	kb_metrics_text_family(out, name, "counter", help);
+	for (size_t i = 0; i < proxy->gate_count; i++) {
+		const kb_link_pool_t *pool = &proxy->gates[i]->pool;
+
+		write_pool(out, name, pool,
+			   *(const uint64_t *)((const char *)&pool->counters +
+					       offset));
+	}
+	for (size_t i = 0; i < proxy->group_count; i++) {
+		const kb_link_pool_t *pool = &proxy->groups[i]->pool;
+
+		if (pool->place.target.len)
+			write_pool(out, name, pool,
+				   *(const uint64_t
+					     *)((const char *)&pool->counters +
+						offset));
+	}
+}
+
+void kb_proxy_write_metrics(kb_proxy_t *proxy, struct evbuffer *out)
+{
+	kb_proxy_stats_write(&proxy->stats, out);
+	kb_metrics_text_family(out, "sessions", "gauge", "Open sessions.");
+	kb_metrics_text_value(out, "sessions", NULL, NULL,
+			      (double)proxy->session_count);
+	kb_metrics_text_family(out, "configuration_version", "gauge",
+			       "Version of the configuration in force.");
+	kb_metrics_text_value(out, "configuration_version", NULL, NULL,
+			      (double)proxy->databases.version);
+	kb_metrics_text_family(out, "hold_serving", "gauge",
+			       "Whether this host may serve a group's primary.");
+	for (size_t i = 0; i < proxy->group_count; i++)
+		kb_metrics_text_value(
+			out, "hold_serving", "group",
+			proxy->groups[i]->name.data,
+			kb_hold_may_serve(&proxy->groups[i]->hold,
+					  kb_clock_monotonic(proxy->clock)));
+#define POOL(member) offsetof(kb_link_pool_counters_t, member)
+	write_pools(proxy, out, "target_statements_total", POOL(statements),
+		    "Statements sent to a target.");
+	write_pools(proxy, out, "target_connections_total", POOL(opened),
+		    "Connections opened to a target.");
+	write_pools(proxy, out, "target_lost_total", POOL(lost),
+		    "Connections lost to a target.");
+	write_pools(proxy, out, "target_refused_total", POOL(refused),
+		    "Statements refused before they waited.");
+	write_pools(proxy, out, "target_expired_total", POOL(expired),
+		    "Statements whose time passed while they waited.");
+	write_pools(proxy, out, "target_silent_total", POOL(silent),
+		    "Statements whose answer was held lost.");
+#undef POOL
+}
--- /dev/null
+++ b/src/proxy.h
@@ -0,0 +1,77 @@
+#ifndef KB_PROXY_H
+#define KB_PROXY_H
+
+#include "caller_session.h"
+#include "platform_view.h"
+#include "store.h"
+
+struct event_base;
+struct evbuffer;
+
+KB_BEGIN_DECLS
+
+/* What a proxy is given; all of it must outlive the proxy. */
+typedef struct kb_proxy_setup {
+	const kb_settings_t *settings;
+	kb_clock_t *clock;
+	struct event_base *loop;
+	kb_store_t *store;
+	kb_linker_t *linker;
+	kb_platform_view_t *view;
+} kb_proxy_setup_t;
+
+/* Serves callers' sessions together with the other hosts of the fleet. */
+typedef struct kb_proxy kb_proxy_t;
+
+/* A caller's session on this host. */
+typedef struct kb_proxy_session kb_proxy_session_t;
+
+/*
+ * Creates a proxy that listens for other hosts. Returns KB_OK and sets
+ * `*proxy`, to be freed with kb_proxy_free(), or KB_ERR_IO or
+ * KB_ERR_NO_MEMORY.
+ */
+kb_result_t kb_proxy_create(kb_proxy_t **proxy, const kb_proxy_setup_t *setup);
+void kb_proxy_free(kb_proxy_t *proxy);
+
+/* Whether new callers can be served here. */
+int kb_proxy_is_ready(const kb_proxy_t *proxy);
+
+/* Begins a planned stop that ends at `deadline` at the latest. */
+void kb_proxy_stop(kb_proxy_t *proxy, kb_time_t deadline);
+
+/* Whether a planned stop has begun, and whether all work has ended. */
+int kb_proxy_is_stopping(const kb_proxy_t *proxy);
+int kb_proxy_is_idle(const kb_proxy_t *proxy);
+
+/* Takes other seeds over from settings that were read again. */
+void kb_proxy_reload(kb_proxy_t *proxy, const kb_settings_t *settings);
+
+/* Writes counters and latencies. */
+void kb_proxy_write_metrics(kb_proxy_t *proxy, struct evbuffer *out);
+
+/* Receives the answer to a query; called once each, after its return too. */
+typedef void kb_proxy_answer_fn_t(void *ctx, const kb_answer_t *answer);
+
+/*
+ * Opens a session. Returns KB_OK and sets `*session`, to be closed with
+ * kb_proxy_session_close(); KB_ERR_NOT_FOUND if no such database is
+ * configured; KB_ERR_OVERLOADED or KB_ERR_NO_MEMORY.
+ */
+kb_result_t kb_proxy_session_open(kb_proxy_session_t **session,
+				  kb_proxy_t *proxy, kb_str_t database,
+				  kb_proxy_answer_fn_t *answer, void *ctx);
+
+/* Closes a session; what it runs is ended and not answered. */
+void kb_proxy_session_close(kb_proxy_session_t *session);
+
+/* Takes a query; the one before must have been answered. */
+void kb_proxy_session_query(kb_proxy_session_t *session,
+			    const kb_query_t *query);
+
+/* State of the session's transaction. */
+kb_txn_state_t kb_proxy_session_state(const kb_proxy_session_t *session);
+
+KB_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/proxy_gate.c
@@ -0,0 +1,170 @@
+#include "proxy_parts.h"
+
+#include "rendezvous.h"
+
+#include <stdlib.h>
+
+enum {
+	/* Part of a target's connections that one gate may hold. */
+	GATE_SHARE_PERCENT = 60,
+	GATE_CONNECTIONS_MIN = 2,
+	/* A gate that nobody uses gives its connections back. */
+	GATE_IDLE_S = 5,
+};
+
+static int always(void *ctx, kb_time_t now)
+{
+	(void)ctx;
+	(void)now;
+	return 1;
+}
+
+static void ignore_sign(void *ctx, kb_target_sign_t sign, kb_point_t point)
+{
+	(void)ctx;
+	(void)sign;
+	(void)point;
+}
+
+static const kb_link_pool_ops_t pool_ops = {
+	.may_serve = always,
+	.sign = ignore_sign,
+};
+
+static kb_proxy_gate_t *find_gate(const kb_proxy_t *proxy, kb_str_t target)
+{
+	for (size_t i = 0; i < proxy->gate_count; i++)
+		if (kb_name_is(&proxy->gates[i]->target, target))
+			return proxy->gates[i];
+	return NULL;
+}
+
+static kb_proxy_gate_t *get_gate(kb_proxy_t *proxy,
+				 const kb_target_entry_t *target)
+{
+	kb_proxy_gate_t *gate =
+		find_gate(proxy, kb_name_str(&target->place.target));
+	kb_proxy_gate_t **gates;
+
+	if (gate)
+		return gate;
+	gates = reallocarray(proxy->gates, proxy->gate_count + 1,
+			     sizeof(*gates));
+	if (!gates)
+		return NULL;
+	proxy->gates = gates;
+	gate = calloc(1, sizeof(*gate));
+	if (!gate)
+		return NULL;
+	gate->proxy = proxy;
+	gate->target = target->place.target;
+	kb_link_pool_init(&gate->pool, &pool_ops, gate, proxy->setup.linker,
+			  proxy->clock, kb_rng_next(&proxy->rng) >> 1);
+	gates[proxy->gate_count++] = gate;
+	return gate;
+}
+
+/* Connections that one of several gates of a target may hold. */
+static unsigned share_of(const kb_proxy_t *proxy,
+			 const kb_target_entry_t *target)
+{
+	const kb_group_limits_t *limits = kb_databases_group(
+		&proxy->databases, kb_name_str(&target->place.group));
+	unsigned share = limits ? limits->connections * GATE_SHARE_PERCENT / 100
+				: 0;
+
+	return share > GATE_CONNECTIONS_MIN ? share : GATE_CONNECTIONS_MIN;
+}
+
+void kb_proxy_gate_run(kb_proxy_t *proxy, const kb_target_entry_t *target,
+		       const kbs_run_args *args, kb_run_done_fn_t *done,
+		       void *ctx)
+{
+	kb_proxy_gate_t *gate = get_gate(proxy, target);
+
+	if (!gate || (target->leaving && !args->transaction)) {
+		kbs_run_res res = { .result = KB_ERR_DRAINING };
+
+		done(ctx, &res);
+		return;
+	}
+	gate->used_at = kb_clock_monotonic(proxy->clock);
+	kb_link_pool_bind(&gate->pool, &target->place, target->slots,
+			  share_of(proxy, target));
+	kb_link_pool_run(&gate->pool, args, done, ctx);
+}
+
+void kb_proxy_gate_free(kb_proxy_gate_t *gate)
+{
+	kb_link_pool_finish(&gate->pool);
+	free(gate);
+}
+
+void kb_proxy_gates_tick(kb_proxy_t *proxy, kb_time_t now)
+{
+	for (size_t i = 0; i < proxy->gate_count; i++) {
+		kb_proxy_gate_t *gate = proxy->gates[i];
+
+		kb_link_pool_tick(&gate->pool);
+		if (now - gate->used_at > GATE_IDLE_S * KB_NS_PER_S &&
+		    gate->pool.conns)
+			kb_link_pool_close_idle(&gate->pool);
+	}
+	for (size_t i = 0; i < proxy->gate_count; i++) {
+		kb_proxy_gate_t *gate = proxy->gates[i];
+
+		if (gate->pool.conns || gate->pool.jobs ||
+		    now - gate->used_at <= GATE_IDLE_S * KB_NS_PER_S)
+			continue;
+		proxy->gates[i--] = proxy->gates[--proxy->gate_count];
+		kb_proxy_gate_free(gate);
+	}
+}
+
+kb_host_t *kb_proxy_gate_host(kb_proxy_t *proxy,
+			      const kb_target_entry_t *target, kb_time_t now)
+{
+	kb_host_t *best = NULL;
+	int best_near = 0;
+	uint64_t best_score = 0;
+
+	for (size_t i = 0; i < proxy->hosts.count; i++) {
+		kb_host_t *host = proxy->hosts.hosts[i];
+		int near = kb_name_is(&host->data_centre,
+				      kb_name_str(&target->data_centre));
+		uint64_t score;
+
+		if (!kb_proxy_host_usable(host, now))
+			continue;
+		score = kb_rendezvous_score(kb_name_str(&host->name),
+					    kb_name_str(&target->place.target));
+		if (best && (near < best_near ||
+			     (near == best_near && score <= best_score)))
+			continue;
+		best = host;
+		best_near = near;
+		best_score = score;
+	}
+	return best;
+}
+
+kb_proxy_load_t *kb_proxy_load_get(kb_proxy_t *proxy, kb_str_t target)
+{
+	kb_proxy_load_t *loads;
+	kb_proxy_load_t *load;
+
+	for (size_t i = 0; i < proxy->load_count; i++)
+		if (kb_name_is(&proxy->loads[i].target, target))
+			return &proxy->loads[i];
+	loads = reallocarray(proxy->loads, proxy->load_count + 1,
+			     sizeof(*loads));
+	if (!loads)
+		return NULL;
+	proxy->loads = loads;
+	load = &loads[proxy->load_count];
+	memset(load, 0, sizeof(*load));
+	if (kb_name_set(&load->target, target))
+		return NULL;
+	proxy->load_count++;
+	return load;
+}
--- /dev/null
+++ b/src/proxy_hosts.c
@@ -0,0 +1,146 @@
+#include "proxy_parts.h"
+
+#include "log.h"
+
+enum {
+	/* A host whose calls fail gets no duty for this time. */
+	SUSPECT_MS = 1000,
+	/* A host that the store no longer names is kept for this time. */
+	UNLISTED_S = 8,
+	/* Calls without any reply for this time let a ping be sent. */
+	QUIET_MS = 200,
+	/* The connection is given up if that is not answered by then. */
+	PING_TIMEOUT_MS = 500,
+	/* A connection that does not open by then is given up. */
+	CONNECT_TIMEOUT_MS = 300,
+};
+
+int kb_proxy_host_usable(const kb_host_t *host, kb_time_t now)
+{
+	return host->live && !host->leaving && now >= host->suspect_until;
+}
+
+void kb_proxy_host_failed(kb_proxy_t *proxy, kb_host_t *host,
+			  kb_result_t result)
+{
+	kb_time_t now = kb_clock_monotonic(proxy->clock);
+
+	if (host->self)
+		return;
+	if (now >= host->suspect_until)
+		kb_log(KB_EVENT_MEMBER_SUSPECTED, "peer=%s result=%s",
+		       host->name.data, kb_result_name(result));
+	host->suspect_until = now + SUSPECT_MS * KB_NS_PER_MS;
+}
+
+void kb_proxy_host_on_key(kb_proxy_t *proxy, kb_str_t key,
+			  const kb_mirror_entry_t *entry)
+{
+	kb_str_t prefix = KB_STR(KB_PRESENCE_PREFIX);
+	kb_time_t now = kb_clock_monotonic(proxy->clock);
+	kb_host_place_t place;
+	kb_host_t *host;
+
+	if (!entry) {
+		host = kb_hosts_find(&proxy->hosts,
+				     (kb_str_t){ key.data + prefix.len,
+						 key.len - prefix.len });
+		if (host && !host->self && !host->unlisted_at)
+			host->unlisted_at = now;
+		return;
+	}
+	if (kb_presence_parse(entry->value, &place)) {
+		kb_log(KB_EVENT_STORE_ENTRY_MALFORMED, "key=%.*s",
+		       KB_STR_ARG(key));
+		return;
+	}
+	if (kb_name_is(&place.name, kb_name_str(&proxy->self.name)))
+		return;
+	host = kb_hosts_put(&proxy->hosts, &place);
+	if (!host)
+		return;
+	if (!host->live || host->unlisted_at)
+		kb_log(KB_EVENT_MEMBER_JOINED, "peer=%s", host->name.data);
+	host->live = 1;
+	host->unlisted_at = 0;
+}
+
+
+static void on_pinged(void *ctx, kb_result_t result, void *res)
+{
+	kb_host_t *host = ctx;
+
+	(void)result;
+	(void)res;
+	host->pinging = 0;
+}
+
+static bool_t xdr_nothing(XDR *xdr, void *nothing)
+{
+	(void)xdr;
+	(void)nothing;
+	return TRUE;
+}
+
+static void ping(kb_host_t *host)
+{
+	char nothing = 0;
+	kb_rpc_call_t rpc = {
+		.procedure = KB_PROXY_PING,
+		.encode = (xdrproc_t)xdr_nothing,
+		.args = &nothing,
+		.decode = (xdrproc_t)xdr_nothing,
+		.res_size = sizeof(nothing),
+		.timeout = KB_NS_PER_S,
+		.done = on_pinged,
+		.ctx = host,
+	};
+
+	host->pinging = !kb_rpc_peer_call(&host->peer, &rpc);
+}
+
+/* Finds connections on which nothing comes back any more. */
+static void watch_peer(kb_proxy_t *proxy, kb_host_t *host, kb_time_t now)
+{
+	kb_rpc_peer_t *peer = &host->peer;
+	kb_time_t quiet;
+
+	if (!peer->call_count || host->replies_seen != peer->counters.replies) {
+		host->replies_seen = peer->counters.replies;
+		host->quiet_since = now;
+		return;
+	}
+	quiet = now - host->quiet_since;
+	if (!peer->connected) {
+		if (quiet >= CONNECT_TIMEOUT_MS * KB_NS_PER_MS) {
+			kb_proxy_host_failed(proxy, host, KB_ERR_UNREACHABLE);
+			kb_rpc_peer_reset(peer);
+			host->quiet_since = now;
+		}
+		return;
+	}
+	if (quiet >= QUIET_MS * KB_NS_PER_MS && !host->pinging) {
+		ping(host);
+	} else if (quiet >= (QUIET_MS + PING_TIMEOUT_MS) * KB_NS_PER_MS) {
+		kb_proxy_host_failed(proxy, host, KB_ERR_TIMEOUT);
+		kb_rpc_peer_reset(peer);
+		host->quiet_since = now;
+	}
+}
+
+void kb_proxy_hosts_tick(kb_proxy_t *proxy, kb_time_t now)
+{
+	for (size_t i = 0; i < proxy->hosts.count; i++) {
+		kb_host_t *host = proxy->hosts.hosts[i];
+
+		if (host->self)
+			continue;
+		watch_peer(proxy, host, now);
+		if (host->live && host->unlisted_at &&
+		    now - host->unlisted_at > UNLISTED_S * KB_NS_PER_S) {
+			kb_log(KB_EVENT_MEMBER_DEAD, "peer=%s",
+			       host->name.data);
+			host->live = 0;
+		}
+	}
+}
--- /dev/null
+++ b/src/proxy_parts.h
@@ -0,0 +1,195 @@
+#ifndef KB_PROXY_PARTS_H
+#define KB_PROXY_PARTS_H
+
+#include "proxy.h"
+
+#include "follower.h"
+#include "hold.h"
+#include "hosts.h"
+#include "lead.h"
+#include "link_pool.h"
+#include "presence.h"
+#include "proxy_stats.h"
+#include "rng.h"
+#include "rpc_server.h"
+#include "stamps.h"
+#include "target_probe.h"
+
+struct event;
+
+KB_BEGIN_DECLS
+
+enum {
+	/* Procedures between hosts that serve sessions. */
+	KB_PROXY_PING = 100,
+	KB_PROXY_RUN = 101,
+	KB_PROXY_SYNC = 102,
+	KB_PROXY_GRANT = 103,
+	KB_PROXY_HEARD = 104,
+	KB_PROXY_STAMP = 105,
+	KB_PROXY_REACH = 106,
+	/* What is due is looked for this often. */
+	KB_PROXY_TICK_MS = 20,
+	/* Time for a small call between hosts. */
+	KB_PROXY_CALL_MS = 500,
+};
+
+/* Prefix of the keys that say who holds a group. */
+#define KB_PROXY_HOLD_PREFIX "kumquatbridge/hold/"
+
+/* Probes of one target by this host. */
+typedef struct kb_proxy_probe {
+	kb_target_probe_t probe;
+	struct kb_proxy_group *group;
+	/* Calls of other hosts that wait for its answer. */
+	struct kb_proxy_reach *reaches;
+	/* The group's watch over the primary asked. */
+	int for_lead;
+	int stepping_down;
+} kb_proxy_probe_t;
+
+/* A database group as this host takes part in it. */
+typedef struct kb_proxy_group {
+	kb_proxy_t *proxy;
+	kb_name_t name;
+	kb_hold_t hold;
+	kb_lead_t lead;
+	/* Connections to the primary while this host holds the group. */
+	kb_link_pool_t pool;
+	kb_stamps_t stamps;
+	/* Load of the primary as the holder told last. */
+	kbs_load load;
+	kb_time_t load_at;
+	/* Primary as the holder told last. */
+	kb_name_t primary;
+	uint64_t primary_term;
+	kb_time_t stamp_asked_at;
+	kb_time_t used_at;
+	kb_proxy_probe_t *probes[KB_LEAD_TARGETS_MAX];
+	size_t probe_count;
+	/* In the configuration in force. */
+	int configured;
+	unsigned connections;
+} kb_proxy_group_t;
+
+/* Connections of this host to a replica whose gate it is. */
+typedef struct kb_proxy_gate {
+	kb_proxy_t *proxy;
+	kb_name_t target;
+	kb_link_pool_t pool;
+	kb_time_t used_at;
+} kb_proxy_gate_t;
+
+/* What this host knows of a target's load. */
+typedef struct kb_proxy_load {
+	kb_name_t target;
+	kbs_load load;
+	kb_time_t at;
+	/* Statements of this host that it has not answered. */
+	unsigned outstanding;
+	/* Its log lacked what a read needed, at that time. */
+	kb_time_t lagged_at;
+	kb_time_t failed_at;
+} kb_proxy_load_t;
+
+/* A host to ask while no other is known. */
+typedef struct kb_proxy_seed {
+	kb_rpc_peer_t peer;
+	kb_endpoint_t endpoint;
+} kb_proxy_seed_t;
+
+struct kb_proxy {
+	kb_proxy_setup_t setup;
+	kb_clock_t *clock;
+	kb_rng_t rng;
+	kb_host_place_t self;
+	kb_hosts_t hosts;
+	kb_mirror_t mirror;
+	kb_follower_t follower;
+	kb_presence_t presence;
+	kb_databases_t databases;
+	kb_target_list_t targets;
+	kb_rpc_server_t server;
+	int has_server;
+	kb_proxy_seed_t seeds[KB_SETTINGS_SEEDS_MAX];
+	size_t seed_count;
+	kb_proxy_group_t **groups;
+	size_t group_count;
+	kb_proxy_gate_t **gates;
+	size_t gate_count;
+	kb_proxy_load_t *loads;
+	size_t load_count;
+	struct event *tick;
+	kb_time_t started_at;
+	kb_time_t tick_at;
+	/* Last answer of another host that follows the store closely. */
+	kb_time_t synced_at;
+	kb_time_t sync_sent_at;
+	int syncing;
+	int stopping;
+	kb_time_t stop_at;
+	kb_time_t stop_begun_at;
+	kb_proxy_session_t *sessions;
+	size_t session_count;
+	kb_proxy_stats_t stats;
+};
+
+/* proxy_group.c */
+kb_proxy_group_t *kb_proxy_group_find(const kb_proxy_t *proxy, kb_str_t name);
+kb_proxy_group_t *kb_proxy_group_get(kb_proxy_t *proxy, kb_str_t name);
+void kb_proxy_group_free(kb_proxy_group_t *group);
+void kb_proxy_group_tick(kb_proxy_group_t *group, kb_time_t now);
+void kb_proxy_group_on_key(kb_proxy_t *proxy, kb_str_t key,
+			   const kb_mirror_entry_t *entry);
+/* What this host can say of the group's primary now. */
+void kb_proxy_group_stamp(kb_proxy_group_t *group, kbs_stamp *stamp);
+/* Takes what the holder said in answer to a call sent at `sent_at`. */
+void kb_proxy_group_learn(kb_proxy_group_t *group, const kbs_stamp *stamp,
+			  kb_time_t sent_at);
+/* Whether this host serves the primary's statements now. */
+int kb_proxy_group_may_serve(const kb_proxy_group_t *group, kb_time_t now);
+/* The group's hosts in the order in which they should hold it. */
+void kb_proxy_group_rank(kb_proxy_group_t *group, kb_hold_ranking_t *ranking);
+
+/* proxy_probe.c */
+kb_proxy_probe_t *kb_proxy_probe_get(kb_proxy_group_t *group,
+				     const kb_target_entry_t *target);
+void kb_proxy_probes_tick(kb_proxy_group_t *group);
+void kb_proxy_probes_finish(kb_proxy_group_t *group);
+void kb_proxy_probe_reach(kb_proxy_group_t *group, kb_rpc_request_t *request,
+			  const kbs_reach_args *args);
+
+/* proxy_gate.c */
+void kb_proxy_gate_run(kb_proxy_t *proxy, const kb_target_entry_t *target,
+		       const kbs_run_args *args, kb_run_done_fn_t *done,
+		       void *ctx);
+void kb_proxy_gates_tick(kb_proxy_t *proxy, kb_time_t now);
+void kb_proxy_gate_free(kb_proxy_gate_t *gate);
+kb_host_t *kb_proxy_gate_host(kb_proxy_t *proxy,
+			      const kb_target_entry_t *target, kb_time_t now);
+kb_proxy_load_t *kb_proxy_load_get(kb_proxy_t *proxy, kb_str_t target);
+
+/* proxy_hosts.c */
+void kb_proxy_hosts_tick(kb_proxy_t *proxy, kb_time_t now);
+void kb_proxy_host_on_key(kb_proxy_t *proxy, kb_str_t key,
+			  const kb_mirror_entry_t *entry);
+/* Whether a host may get duties. */
+int kb_proxy_host_usable(const kb_host_t *host, kb_time_t now);
+void kb_proxy_host_failed(kb_proxy_t *proxy, kb_host_t *host,
+			  kb_result_t result);
+
+/* proxy_rpc.c */
+kb_result_t kb_proxy_serve(kb_proxy_t *proxy);
+/* Runs a statement that is meant for this host. */
+void kb_proxy_run_here(kb_proxy_t *proxy, const kbs_run_args *args,
+		       kb_run_done_fn_t *done, void *ctx);
+
+/* proxy_sync.c */
+void kb_proxy_sync_tick(kb_proxy_t *proxy, kb_time_t now);
+
+/* proxy_session.c */
+void kb_proxy_sessions_tick(kb_proxy_t *proxy, kb_time_t now);
+
+KB_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/proxy_reads.c
@@ -0,0 +1,158 @@
+#include "proxy_reads.h"
+
+enum {
+	/* Time of a message to another data centre and to another region. */
+	COST_NEAR_US = 1000,
+	COST_FAR_US = 20000,
+	/* Replicas are preferred to the primary, which alone takes writes. */
+	COST_PRIMARY_US = 60000,
+	/* A target that lagged or failed just now is tried after others. */
+	LAGGED_MS = 200,
+	COST_LAGGED_US = 100000,
+	FAILED_MS = 500,
+	COST_FAILED_US = 400000,
+	/* What a gate told is halved after each of these times. */
+	LOAD_HALF_MS = 100,
+	/* Reserve for the time between the caller's sending and its arrival. */
+	AGE_RESERVE_MS = 50,
+	DEFAULT_SERVICE_US = 20000,
+	HALVINGS_MAX = 16,
+};
+
+void kb_read_choice_init(kb_read_choice_t *choice,
+			 const kb_database_t *database, kb_point_t committed,
+			 kb_time_t now)
+{
+	kb_time_t age = database->max_age - AGE_RESERVE_MS * KB_NS_PER_MS;
+
+	memset(choice, 0, sizeof(*choice));
+	choice->rule = database->rule;
+	choice->began_at = now;
+	choice->bound = now - (age > 0 ? age : 0);
+	if (database->rule == KB_READ_OWN)
+		choice->own = committed;
+}
+
+void kb_read_choice_exclude(kb_read_choice_t *choice, const kb_name_t *target)
+{
+	if (choice->excluded_count < KB_READ_CHOICE_EXCLUDED_MAX)
+		choice->excluded[choice->excluded_count++] = *target;
+}
+
+void kb_read_choice_restart(kb_read_choice_t *choice)
+{
+	choice->excluded_count = 0;
+	choice->exhausted = 0;
+}
+
+static int is_excluded(const kb_read_choice_t *choice, const kb_name_t *target)
+{
+	for (size_t i = 0; i < choice->excluded_count; i++)
+		if (kb_name_is(&choice->excluded[i], kb_name_str(target)))
+			return 1;
+	return 0;
+}
+
+static int is_primary(const kb_proxy_group_t *group,
+		      const kb_target_entry_t *target)
+{
+	if (group->primary.len)
+		return kb_name_is(&group->primary,
+				  kb_name_str(&target->place.target));
+	return target->claims_primary;
+}
+
+static kb_str_t region_of(const kb_proxy_t *proxy, const kb_name_t *centre)
+{
+	const kb_settings_t *settings = proxy->setup.settings;
+
+	for (size_t i = 0; i < settings->place_count; i++)
+		if (kb_name_is(&settings->places[i].data_centre,
+			       kb_name_str(centre)))
+			return kb_name_str(&settings->places[i].region);
+	return KB_STR("");
+}
+
+static int64_t distance(const kb_proxy_t *proxy, const kb_name_t *centre)
+{
+	if (kb_name_is(centre, kb_name_str(&proxy->self.data_centre)))
+		return 0;
+	if (kb_str_equal(region_of(proxy, centre),
+			 kb_name_str(&proxy->self.region)))
+		return COST_NEAR_US;
+	return COST_FAR_US;
+}
+
+/* Expected time at a target, from what its gate told and what is sent. */
+static int64_t expected(const kbs_load *load, kb_time_t age,
+			unsigned outstanding)
+{
+	int64_t service = load->service_us > 0 ? load->service_us
+					       : DEFAULT_SERVICE_US;
+	int64_t slots = load->slots ? load->slots : 1;
+	int64_t halvings = age / (LOAD_HALF_MS * KB_NS_PER_MS);
+	int64_t told = ((int64_t)load->waiting + load->running) >>
+		       (halvings < HALVINGS_MAX ? halvings : HALVINGS_MAX);
+	int64_t ahead = told > outstanding ? told : outstanding;
+
+	return service + service * ahead / slots;
+}
+
+static int64_t cost_of(kb_proxy_t *proxy, const kb_target_entry_t *target,
+		       kb_time_t now)
+{
+	const kb_proxy_load_t *load =
+		kb_proxy_load_get(proxy, kb_name_str(&target->place.target));
+	int64_t cost = distance(proxy, &target->data_centre);
+
+	if (!load)
+		return cost;
+	cost += expected(&load->load, now - load->at, load->outstanding);
+	if (load->lagged_at &&
+	    now - load->lagged_at < LAGGED_MS * KB_NS_PER_MS)
+		cost += COST_LAGGED_US;
+	if (load->failed_at &&
+	    now - load->failed_at < FAILED_MS * KB_NS_PER_MS)
+		cost += COST_FAILED_US;
+	return cost;
+}
+
+const kb_target_entry_t *kb_read_choice_next(kb_read_choice_t *choice,
+					     kb_proxy_t *proxy,
+					     kb_proxy_group_t *group)
+{
+	kb_time_t now = kb_clock_monotonic(proxy->clock);
+	const kb_target_entry_t *best = NULL;
+	int64_t best_cost = 0;
+	int64_t primary_cost;
+	kb_point_t aged;
+
+	choice->stamp_age = now - kb_stamps_newest(&group->stamps);
+	choice->exhausted = 1;
+	if (!kb_stamps_include(&group->stamps, choice->bound, &aged))
+		return NULL;
+	choice->include = kb_point_compare(aged, choice->own) >= 0
+				  ? aged
+				  : choice->own;
+	for (size_t i = 0; i < proxy->targets.count; i++) {
+		const kb_target_entry_t *target = &proxy->targets.entries[i];
+		int64_t cost;
+
+		if (!kb_name_is(&target->place.group,
+				kb_name_str(&group->name)) ||
+		    target->leaving || is_primary(group, target) ||
+		    is_excluded(choice, &target->place.target))
+			continue;
+		cost = cost_of(proxy, target, now);
+		if (best && cost >= best_cost)
+			continue;
+		best = target;
+		best_cost = cost;
+	}
+	primary_cost = COST_PRIMARY_US + expected(&group->load,
+						  now - group->load_at, 0);
+	if (!best || (primary_cost < best_cost && !choice->excluded_count))
+		return NULL;
+	choice->exhausted = 0;
+	return best;
+}
--- /dev/null
+++ b/src/proxy_reads.h
@@ -0,0 +1,50 @@
+#ifndef KB_PROXY_READS_H
+#define KB_PROXY_READS_H
+
+#include "proxy_parts.h"
+
+KB_BEGIN_DECLS
+
+enum {
+	KB_READ_CHOICE_EXCLUDED_MAX = 16,
+};
+
+/* Which replicas may serve a read, and which have been tried. */
+typedef struct kb_read_choice {
+	kb_read_rule_t rule;
+	/* The read must include what was acknowledged before this time. */
+	kb_time_t bound;
+	/* The session's own newest commit, or zero. */
+	kb_point_t own;
+	/* Point that the log of the target chosen last must include. */
+	kb_point_t include;
+	kb_time_t began_at;
+	/* Age of the newest stamp at the last choice, for the log. */
+	kb_time_t stamp_age;
+	size_t excluded_count;
+	kb_name_t excluded[KB_READ_CHOICE_EXCLUDED_MAX];
+	/* Every target was tried. */
+	int exhausted;
+} kb_read_choice_t;
+
+void kb_read_choice_init(kb_read_choice_t *choice,
+			 const kb_database_t *database, kb_point_t committed,
+			 kb_time_t now);
+
+/* Leaves a target out that could not serve the read. */
+void kb_read_choice_exclude(kb_read_choice_t *choice, const kb_name_t *target);
+
+/* Considers every target again. */
+void kb_read_choice_restart(kb_read_choice_t *choice);
+
+/*
+ * Returns the replica with the least expected time and sets `include`, or
+ * returns NULL if the read must go to the primary.
+ */
+const kb_target_entry_t *kb_read_choice_next(kb_read_choice_t *choice,
+					     kb_proxy_t *proxy,
+					     kb_proxy_group_t *group);
+
+KB_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/proxy_rpc.c
@@ -0,0 +1,205 @@
+#include "proxy_parts.h"
+
+#include "log.h"
+
+#include <stdlib.h>
+
+static bool_t xdr_nothing(XDR *xdr, void *nothing)
+{
+	(void)xdr;
+	(void)nothing;
+	return TRUE;
+}
+
+static void serve_ping(void *ctx, kb_rpc_request_t *request, void *args)
+{
+	char nothing = 0;
+
+	(void)ctx;
+	(void)args;
+	kb_rpc_server_reply(request, &nothing);
+}
+
+void kb_proxy_run_here(kb_proxy_t *proxy, const kbs_run_args *args,
+		       kb_run_done_fn_t *done, void *ctx)
+{
+	kb_str_t target = kb_text_str(args->target);
+	const kb_target_entry_t *entry;
+	kb_proxy_group_t *group;
+	kbs_run_res res = { 0 };
+
+	if (target.len) {
+		entry = kb_target_list_find(&proxy->targets, target);
+		if (entry) {
+			kb_proxy_gate_run(proxy, entry, args, done, ctx);
+			return;
+		}
+		res.result = args->transaction ? KB_ERR_ROLLED_BACK
+					       : KB_ERR_WRONG_TARGET;
+		done(ctx, &res);
+		return;
+	}
+	group = kb_proxy_group_find(proxy, kb_text_str(args->group));
+	if (group && group->hold.role == KB_HOLD_SERVING) {
+		kb_link_pool_run(&group->pool, args, done, ctx);
+		return;
+	}
+	res.result = args->transaction ? KB_ERR_ROLLED_BACK : KB_ERR_NOT_GATE;
+	if (group)
+		res.holder = kb_text_view(
+			kb_name_str(&group->hold.record.holder));
+	done(ctx, &res);
+}
+
+/* A statement that another host sent here. */
+typedef struct run_request {
+	kb_proxy_t *proxy;
+	kb_rpc_request_t *request;
+	const kbs_run_args *args;
+} run_request_t;
+
+static void on_ran(void *ctx, const kbs_run_res *res)
+{
+	run_request_t run = *(run_request_t *)ctx;
+	kb_proxy_group_t *group = kb_proxy_group_find(
+		run.proxy, kb_text_str(run.args->group));
+	kbs_run_res told = *res;
+
+	free(ctx);
+	if (group && !run.args->target.kbs_text_len)
+		kb_proxy_group_stamp(group, &told.stamp);
+	kb_rpc_server_reply(run.request, &told);
+}
+
+static void serve_run(void *ctx, kb_rpc_request_t *request, void *args)
+{
+	run_request_t *run = calloc(1, sizeof(*run));
+	kbs_run_res res = { .result = KB_ERR_OVERLOADED };
+
+	if (!run) {
+		kb_rpc_server_reply(request, &res);
+		return;
+	}
+	run->proxy = ctx;
+	run->request = request;
+	run->args = args;
+	kb_proxy_run_here(ctx, args, on_ran, run);
+}
+
+static void serve_sync(void *ctx, kb_rpc_request_t *request, void *args)
+{
+	kb_proxy_t *proxy = ctx;
+	kbs_sync_res res;
+
+	if (kb_mirror_tell(&proxy->mirror, args, &res,
+			   kb_clock_monotonic(proxy->clock)))
+		memset(&res, 0, sizeof(res));
+	kb_rpc_server_reply(request, &res);
+	kb_mirror_tell_finish(&res);
+}
+
+static void serve_grant(void *ctx, kb_rpc_request_t *request, void *raw)
+{
+	kb_proxy_t *proxy = ctx;
+	const kbs_grant_args *args = raw;
+	kb_proxy_group_t *group =
+		kb_proxy_group_get(proxy, kb_text_str(args->group));
+	kbs_grant_res res = { 0 };
+	kb_name_t holder;
+
+	if (group && !kb_name_set(&holder, kb_text_str(args->holder)))
+		res.granted = kb_hold_grant(&group->hold, &holder,
+					    (int64_t)args->revision,
+					    args->serving,
+					    kb_clock_monotonic(proxy->clock))
+				      ? TRUE
+				      : FALSE;
+	kb_rpc_server_reply(request, &res);
+}
+
+static void serve_heard(void *ctx, kb_rpc_request_t *request, void *raw)
+{
+	kb_proxy_t *proxy = ctx;
+	const kbs_heard_args *args = raw;
+	kb_time_t now = kb_clock_monotonic(proxy->clock);
+	kb_proxy_group_t *group =
+		kb_proxy_group_find(proxy, kb_text_str(args->group));
+	kbs_heard_res res = { .age_us = -1 };
+
+	if (group && kb_name_is(&group->hold.record.holder,
+				kb_text_str(args->holder))) {
+		if (kb_name_is(&proxy->self.name, kb_text_str(args->holder)))
+			res.age_us =
+				kb_hold_may_serve(&group->hold, now) ? 0 : -1;
+		else
+			res.age_us = (now - group->hold.heard_at) /
+				     KB_NS_PER_US;
+	}
+	kb_rpc_server_reply(request, &res);
+}
+
+static void serve_stamp(void *ctx, kb_rpc_request_t *request, void *raw)
+{
+	const kbs_stamp_args *args = raw;
+	kb_proxy_group_t *group =
+		kb_proxy_group_find(ctx, kb_text_str(args->group));
+	kbs_stamp_res res = { 0 };
+
+	if (group) {
+		kb_proxy_group_stamp(group, &res.stamp);
+		res.holder = kb_text_view(
+			kb_name_str(&group->hold.record.holder));
+	}
+	kb_rpc_server_reply(request, &res);
+}
+
+static void serve_reach(void *ctx, kb_rpc_request_t *request, void *raw)
+{
+	const kbs_reach_args *args = raw;
+
+	kb_proxy_probe_reach(kb_proxy_group_find(ctx, kb_text_str(args->group)),
+			     request, args);
+}
+
+kb_result_t kb_proxy_serve(kb_proxy_t *proxy)
+{
+	const kb_rpc_procedure_t procedures[] = {
+		{ KB_PROXY_PING, (xdrproc_t)xdr_nothing, sizeof(int),
+		  (xdrproc_t)xdr_nothing, serve_ping, proxy },
+		{ KB_PROXY_RUN, (xdrproc_t)xdr_kbs_run_args,
+		  sizeof(kbs_run_args), (xdrproc_t)xdr_kbs_run_res, serve_run,
+		  proxy },
+		{ KB_PROXY_SYNC, (xdrproc_t)xdr_kbs_sync_args,
+		  sizeof(kbs_sync_args), (xdrproc_t)xdr_kbs_sync_res,
+		  serve_sync, proxy },
+		{ KB_PROXY_GRANT, (xdrproc_t)xdr_kbs_grant_args,
+		  sizeof(kbs_grant_args), (xdrproc_t)xdr_kbs_grant_res,
+		  serve_grant, proxy },
+		{ KB_PROXY_HEARD, (xdrproc_t)xdr_kbs_heard_args,
+		  sizeof(kbs_heard_args), (xdrproc_t)xdr_kbs_heard_res,
+		  serve_heard, proxy },
+		{ KB_PROXY_STAMP, (xdrproc_t)xdr_kbs_stamp_args,
+		  sizeof(kbs_stamp_args), (xdrproc_t)xdr_kbs_stamp_res,
+		  serve_stamp, proxy },
+		{ KB_PROXY_REACH, (xdrproc_t)xdr_kbs_reach_args,
+		  sizeof(kbs_reach_args), (xdrproc_t)xdr_kbs_reach_res,
+		  serve_reach, proxy },
+	};
+	struct sockaddr_storage address;
+	socklen_t len;
+	kb_result_t result;
+
+	result = kb_endpoint_resolve(&proxy->self.endpoint, &address, &len);
+	if (!result)
+		result = kb_rpc_server_init(&proxy->server, proxy->setup.loop,
+					    (struct sockaddr *)&address, len);
+	if (result) {
+		kb_log(KB_EVENT_LISTEN_FAILED, "key=listen.hosts");
+		return result;
+	}
+	proxy->has_server = 1;
+	for (size_t i = 0; i < sizeof(procedures) / sizeof(procedures[0]); i++)
+		if (kb_rpc_server_add(&proxy->server, &procedures[i]))
+			return KB_ERR_NO_MEMORY;
+	return KB_OK;
+}
--- /dev/null
+++ b/src/proxy_sync.c
@@ -0,0 +1,109 @@
+#include "proxy_parts.h"
+
+#include "rendezvous.h"
+
+#include <stdlib.h>
+
+enum {
+	/* Other hosts are asked for changes this often. */
+	SYNC_PAUSE_MS = 250,
+	/* Without fresh news for this time a host reads the store itself. */
+	SYNC_STALE_MS = 1500,
+	/* News of the store that are older than this are not fresh. */
+	SYNC_AGE_MAX_MS = 3000,
+};
+
+/* The host that reads the store for the others. */
+static kb_host_t *reader(kb_proxy_t *proxy, kb_time_t now)
+{
+	kb_host_t *best = NULL;
+	uint64_t best_score = 0;
+
+	for (size_t i = 0; i < proxy->hosts.count; i++) {
+		kb_host_t *host = proxy->hosts.hosts[i];
+		uint64_t score = kb_rendezvous_score(kb_name_str(&host->name),
+						     KB_STR("store reader"));
+
+		if (!kb_proxy_host_usable(host, now) ||
+		    (best && score <= best_score))
+			continue;
+		best = host;
+		best_score = score;
+	}
+	return best;
+}
+
+static kb_host_t *any_host(kb_proxy_t *proxy, kb_time_t now)
+{
+	size_t count = proxy->hosts.count;
+	size_t start = (size_t)kb_rng_below(&proxy->rng, count);
+
+	for (size_t i = 0; i < count; i++) {
+		kb_host_t *host = proxy->hosts.hosts[(start + i) % count];
+
+		if (!host->self && kb_proxy_host_usable(host, now))
+			return host;
+	}
+	return NULL;
+}
+
+static void on_synced(void *ctx, kb_result_t result, void *res)
+{
+	kb_proxy_t *proxy = ctx;
+	const kbs_sync_res *told = res;
+
+	proxy->syncing = 0;
+	if (result)
+		return;
+	kb_mirror_learn(&proxy->mirror, told, proxy->sync_sent_at);
+	if (told->revision &&
+	    told->age_us * KB_NS_PER_US <= SYNC_AGE_MAX_MS * KB_NS_PER_MS)
+		proxy->synced_at = kb_clock_monotonic(proxy->clock);
+}
+
+static void sync_with(kb_proxy_t *proxy, kb_rpc_peer_t *peer, kb_time_t now)
+{
+	kbs_sync_args args = {
+		.host = kb_text_view(kb_name_str(&proxy->self.name)),
+		.revision = (uint64_t)proxy->mirror.revision,
+		.whole = proxy->mirror.revision ? FALSE : TRUE,
+	};
+	kb_rpc_call_t rpc = {
+		.procedure = KB_PROXY_SYNC,
+		.encode = (xdrproc_t)xdr_kbs_sync_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_kbs_sync_res,
+		.res_size = sizeof(kbs_sync_res),
+		.timeout = KB_PROXY_CALL_MS * KB_NS_PER_MS,
+		.done = on_synced,
+		.ctx = proxy,
+	};
+
+	proxy->sync_sent_at = now;
+	proxy->stats.host_calls++;
+	proxy->syncing = !kb_rpc_peer_call(peer, &rpc);
+}
+
+void kb_proxy_sync_tick(kb_proxy_t *proxy, kb_time_t now)
+{
+	kb_host_t *from = reader(proxy, now);
+	int stale = now - proxy->synced_at > SYNC_STALE_MS * KB_NS_PER_MS;
+
+	kb_follower_enable(&proxy->follower, !from || from->self || stale);
+	kb_follower_tick(&proxy->follower);
+	if (proxy->syncing ||
+	    now - proxy->sync_sent_at < SYNC_PAUSE_MS * KB_NS_PER_MS)
+		return;
+	if (from && from->self && proxy->follower.reached)
+		return;
+	if (!from || from->self || stale)
+		from = any_host(proxy, now);
+	if (from)
+		sync_with(proxy, &from->peer, now);
+	else if (proxy->seed_count && !proxy->mirror.revision)
+		sync_with(proxy,
+			  &proxy->seeds[kb_rng_below(&proxy->rng,
+						     proxy->seed_count)]
+				   .peer,
+			  now);
+}
--- a/src/rpc_peer.c
+++ b/src/rpc_peer.c
@@ -119,6 +119,7 @@
 		result = KB_OK;
 		goto out;
 	}
+	peer->counters.replies++;
 	if (reply.rm_reply.rp_stat != MSG_ACCEPTED) {
 		pending_end(peer, pending, KB_ERR_PROTOCOL, NULL);
 		result = KB_OK;
@@ -232,6 +233,12 @@
 	return kb_name_set(&peer->address, address);
 }
 
+void kb_rpc_peer_reset(kb_rpc_peer_t *peer)
+{
+	peer_disconnect(peer, peer->connected ? KB_ERR_CLOSED
+					      : KB_ERR_UNREACHABLE);
+}
+
 void kb_rpc_peer_finish(kb_rpc_peer_t *peer)
 {
 	/* No call can start any more while the last ones end. */
--- a/src/rpc_peer.h
+++ b/src/rpc_peer.h
@@ -31,6 +31,7 @@
 /* Counters of a peer. */
 typedef struct kb_rpc_peer_counters {
 	uint64_t calls;
+	uint64_t replies;
 	uint64_t late_replies;
 	uint64_t refused;
 	/* Messages that cannot be decoded. */
@@ -75,6 +76,12 @@
  */
 kb_result_t kb_rpc_peer_call(kb_rpc_peer_t *peer, const kb_rpc_call_t *call);
 
+/*
+ * Drops the connection. Calls that wait end with KB_ERR_CLOSED, or with
+ * KB_ERR_UNREACHABLE if it was never open.
+ */
+void kb_rpc_peer_reset(kb_rpc_peer_t *peer);
+
 KB_END_DECLS
 
 #endif
--- a/src/settings.c
+++ b/src/settings.c
@@ -82,6 +82,21 @@
 	return 1;
 }
 
+/* What a host that serves sessions of the platform needs. */
+static void check_sessions(load_t *load)
+{
+	const kb_settings_t *settings = load->settings;
+
+	if (!settings->listen_hosts.port)
+		report(load, 0, "listen.hosts", "is missing");
+	if (!settings->listen_readiness.port)
+		report(load, 0, "listen.readiness", "is missing");
+	if (!settings->store.port)
+		report(load, 0, "store.address", "is missing");
+	if (!settings->orders.port)
+		report(load, 0, "orders.address", "is missing");
+}
+
 static void check_complete(load_t *load)
 {
 	const kb_settings_t *settings = load->settings;
@@ -92,6 +107,10 @@
 		report(load, 0, "host.data_centre", "is missing");
 	if (!settings->region.len)
 		report(load, 0, "host.region", "is missing");
+	if (settings->listen_sessions.port) {
+		check_sessions(load);
+		return;
+	}
 	if (!settings->listen_callers.port)
 		report(load, 0, "listen.callers", "is missing");
 	if (!settings->listen_hosts.port)
--- a/src/settings.h
+++ b/src/settings.h
@@ -13,6 +13,8 @@
 #define KB_SETTINGS_CALLERS_MAX 256
 #define KB_SETTINGS_OPERATORS_MAX 64
 #define KB_SETTINGS_KEYS_MAX 8
+#define KB_SETTINGS_SEEDS_MAX 8
+#define KB_SETTINGS_PLACES_MAX 64
 #define KB_SETTINGS_SECRET_MAX_BYTES 128
 #define KB_SETTINGS_PATH_MAX_BYTES 256
 
@@ -45,6 +47,12 @@
 	char hex[KB_SETTINGS_SECRET_MAX_BYTES + 1];
 } kb_settings_key_t;
 
+/* A data centre and its region. */
+typedef struct kb_settings_place {
+	kb_name_t data_centre;
+	kb_name_t region;
+} kb_settings_place_t;
+
 struct kb_settings {
 	kb_name_t host;
 	kb_name_t data_centre;
@@ -54,6 +62,19 @@
 	kb_endpoint_t listen_callers;
 	kb_endpoint_t listen_operators;
 	kb_endpoint_t listen_hosts;
+	/* Sessions of callers in the platform's protocol; port 0 for none. */
+	kb_endpoint_t listen_sessions;
+	kb_endpoint_t listen_readiness;
+	kb_endpoint_t listen_metrics;
+	/* Where the platform takes orders to promote a target. */
+	kb_endpoint_t orders;
+	/* Hosts to ask while the store is away. */
+	size_t seed_count;
+	kb_endpoint_t seeds[KB_SETTINGS_SEEDS_MAX];
+	size_t place_count;
+	kb_settings_place_t places[KB_SETTINGS_PLACES_MAX];
+	/* The whole fleet starts for the first time. */
+	int first_start;
 
 	/* Port 0 if there is no store. */
 	kb_endpoint_t store;
--- a/src/settings_value.c
+++ b/src/settings_value.c
@@ -233,6 +233,55 @@
 	return NULL;
 }
 
+static const char *set_seeds(kb_settings_t *settings, const value_spec_t *spec,
+			     const char *name, const char *value)
+{
+	(void)spec;
+	(void)name;
+	settings->seed_count = 0;
+	while (*value) {
+		kb_str_t item = { value, strcspn(value, ",") };
+
+		if (settings->seed_count == KB_SETTINGS_SEEDS_MAX)
+			return "names too many hosts";
+		if (kb_endpoint_parse(item,
+				      &settings->seeds[settings->seed_count]))
+			return "must be addresses joined by commas";
+		settings->seed_count++;
+		value += item.len;
+		value += *value == ',';
+	}
+	return NULL;
+}
+
+static const char *set_place(kb_settings_t *settings, const value_spec_t *spec,
+			     const char *name, const char *value)
+{
+	kb_settings_place_t *place = &settings->places[settings->place_count];
+
+	(void)spec;
+	if (settings->place_count == KB_SETTINGS_PLACES_MAX)
+		return "is one data centre too many";
+	if (kb_name_set(&place->data_centre, kb_str_from(name)) ||
+	    kb_name_set(&place->region, kb_str_from(value)) ||
+	    !place->region.len)
+		return "must be the name of a region";
+	settings->place_count++;
+	return NULL;
+}
+
+static const char *set_flag(kb_settings_t *settings, const value_spec_t *spec,
+			    const char *name, const char *value)
+{
+	int *flag = field(settings, spec);
+
+	(void)name;
+	*flag = !strcmp(value, "true");
+	if (!*flag && strcmp(value, "false"))
+		return "must be true or false";
+	return NULL;
+}
+
 #define AT(member) offsetof(kb_settings_t, member)
 #define KIB UINT64_C(1024)
 #define MIB (KIB * KIB)
@@ -248,6 +297,16 @@
 	{ "listen", "operators", set_endpoint, AT(listen_operators), 0, 0,
 	  "address" },
 	{ "listen", "hosts", set_endpoint, AT(listen_hosts), 0, 0, "address" },
+	{ "listen", "sessions", set_endpoint, AT(listen_sessions), 0, 0,
+	  "address" },
+	{ "listen", "readiness", set_endpoint, AT(listen_readiness), 0, 0,
+	  "address" },
+	{ "listen", "metrics", set_endpoint, AT(listen_metrics), 0, 0,
+	  "address" },
+	{ "fleet", "seeds", set_seeds, 0, 0, 0, "addresses" },
+	{ "fleet", "first_start", set_flag, AT(first_start), 0, 0, "flag" },
+	{ "data_centres", ANY_NAME, set_place, 0, 0, 0, "region" },
+	{ "orders", "address", set_endpoint, AT(orders), 0, 0, "address" },
 	{ "store", "address", set_endpoint, AT(store), 0, 0, "address" },
 	{ "store", "deadline", set_duration, AT(store_deadline),
 	  (uint64_t)KB_NS_PER_MS, 60 * SECOND, "duration" },
--- a/src/store.h
+++ b/src/store.h
@@ -125,10 +125,21 @@
 	kb_result_t (*watch)(kb_store_t *store, const kb_store_keys_t *keys,
 			     int64_t after, const kb_store_watch_ops_t *ops,
 			     void *ctx);
+	/*
+	 * Waits up to `wait` for changes after revision `after` and reports
+	 * them once, in the order of revisions; none if none came. May be
+	 * NULL. KB_ERR_NOT_FOUND: the store has forgotten some of them.
+	 */
+	kb_result_t (*poll)(kb_store_t *store, const kb_store_keys_t *keys,
+			    int64_t after, kb_time_t wait,
+			    kb_store_range_fn_t *done, void *ctx);
 	kb_result_t (*lease_grant)(kb_store_t *store, kb_time_t ttl,
 				   kb_store_lease_fn_t *done, void *ctx);
 	kb_result_t (*lease_keep)(kb_store_t *store, int64_t lease,
 				  kb_store_lease_fn_t *done, void *ctx);
+	/* Ends a lease and removes its keys. May be NULL. */
+	kb_result_t (*lease_end)(kb_store_t *store, int64_t lease,
+				 kb_store_lease_fn_t *done, void *ctx);
 	/* Ends all calls and watches made with `ctx` without an answer. */
 	void (*cancel)(kb_store_t *store, void *ctx);
 } kb_store_ops_t;
