--- a/src/hold.c
+++ b/src/hold.c
@@ -90,6 +90,14 @@
 		       kb_hold_valid_until(hold);
 }
 
+int kb_hold_is_live(const kb_hold_t *hold, kb_time_t now)
+{
+	if (hold->role == KB_HOLD_WAITING)
+		return !hold->record.uncalled &&
+		       now < hold->serve_at + KB_HOLD_VALID_MS * KB_NS_PER_MS;
+	return kb_hold_may_serve(hold, now);
+}
+
 /* Asks the candidates of the record and of a rewrite under way. */
 static void set_grants(kb_hold_t *hold)
 {
@@ -341,7 +349,9 @@
 	if (rank >= KB_HOLD_HOSTS_MAX)
 		return;
 	if (!hold->record.holder.len)
-		patience = (kb_time_t)rank * KB_HOLD_RANK_MS * KB_NS_PER_MS;
+		patience = (KB_HOLD_FIRST_MS +
+			    (kb_time_t)rank * KB_HOLD_RANK_MS) *
+			   KB_NS_PER_MS;
 	else if (!is_candidate(&hold->record, &hold->self))
 		patience += KB_HOLD_UNCALLED_S * KB_NS_PER_S;
 	if (now - hold->heard_at < patience) {
--- a/src/hold.h
+++ b/src/hold.h
@@ -21,6 +21,8 @@
 	KB_HOLD_STORE_CHECK_S = 5,
 	/* Candidates of lower rank wait longer before they take over. */
 	KB_HOLD_RANK_MS = 400,
+	/* Time for hosts to find each other before one takes a group first. */
+	KB_HOLD_FIRST_MS = 600,
 	/* Further patience of a host that is no candidate. */
 	KB_HOLD_UNCALLED_S = 5,
 	/* Before the end of its validity nothing is begun any more. */
@@ -148,6 +150,12 @@
 /* Whether this host may send to the primary and tell successes at `now`. */
 int kb_hold_may_serve(const kb_hold_t *hold, kb_time_t now);
 
+/*
+ * Whether other hosts should leave the group to this one: it serves, or will
+ * once the former holder has stopped.
+ */
+int kb_hold_is_live(const kb_hold_t *hold, kb_time_t now);
+
 /* Until when that holds without a further renewal. */
 kb_time_t kb_hold_valid_until(const kb_hold_t *hold);
 
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -240,7 +240,7 @@
 		.group = kb_text_view(kb_name_str(&group->name)),
 		.holder = kb_text_view(kb_name_str(&proxy->self.name)),
 		.revision = (uint64_t)hold->revision,
-		.serving = kb_hold_may_serve(hold, asked_at),
+		.serving = kb_hold_is_live(hold, asked_at),
 	};
 	kb_rpc_call_t rpc = {
 		.procedure = KB_PROXY_GRANT,
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -130,7 +130,7 @@
 				kb_text_str(args->holder))) {
 		if (kb_name_is(&proxy->self.name, kb_text_str(args->holder)))
 			res.age_us =
-				kb_hold_may_serve(&group->hold, now) ? 0 : -1;
+				kb_hold_is_live(&group->hold, now) ? 0 : -1;
 		else
 			res.age_us = (now - group->hold.heard_at) /
 				     KB_NS_PER_US;
