Settle a hold, move it near its primary, keep slots at work

Cause 1: after a restart of everything each host waited the full validity before it served its own group again. A record now says when its holder has served. Cause 2: a holder in another region kept three statements on a 16 ms way to two slots; a send limit from the measured way, and a hand-over to a nearer host. Also: the store is polled every 0.5 s and news of peers older than 1.2 s no longer count, since a cut reader withheld a configuration.

--- a/src/follower.h
+++ b/src/follower.h
@@ -8,7 +8,7 @@
 
 enum {
 	/* A poll of the store waits this long, so that its loss shows soon. */
-	KB_FOLLOWER_WAIT_MS = 2000,
+	KB_FOLLOWER_WAIT_MS = 500,
 	/* Changes that come close together are read with one poll. */
 	KB_FOLLOWER_PAUSE_MS = 250,
 	/* Pause after a call that failed; half of it is random. */
--- a/src/hold.c
+++ b/src/hold.c
@@ -186,7 +186,7 @@
 {
 	kb_time_t wait = KB_HOLD_VALID_MS * KB_NS_PER_MS;
 
-	if (hold->record.released)
+	if (hold->record.released || hold->record.settled)
 		wait = 0;
 	else if (hold->record.uncalled)
 		wait = KB_HOLD_STORE_MAX_S * KB_NS_PER_S;
@@ -398,14 +398,20 @@
 {
 	kb_hold_record_t wanted;
 
-	if (now - hold->wrote_at < REWRITE_PAUSE_MS * KB_NS_PER_MS)
+	if (now - hold->wrote_at < REWRITE_PAUSE_MS * KB_NS_PER_MS &&
+	    (hold->role != KB_HOLD_SERVING || hold->record.settled))
+		return;
+	if (hold->rewriting &&
+	    now - hold->wrote_at < CALL_TIMEOUT_MS * KB_NS_PER_MS)
 		return;
 	make_record(&wanted, &hold->self, ranking);
 	wanted.uncalled = hold->role == KB_HOLD_WAITING &&
 			  hold->record.uncalled;
+	wanted.settled = hold->role == KB_HOLD_SERVING ||
+			 hold->record.settled;
 	if (!hold->rewriting && hold->revision &&
 	    same_candidates(&wanted, &hold->record) &&
-	    !hold->record.released &&
+	    !hold->record.released && wanted.settled == hold->record.settled &&
 	    wanted.uncalled == hold->record.uncalled)
 		return;
 	/* A write without an answer may still take effect: repeat it. */
--- a/src/hold.h
+++ b/src/hold.h
@@ -39,6 +39,8 @@
 	 * served it since.
 	 */
 	int uncalled;
+	/* The holder has served: no former holder may serve any more. */
+	int settled;
 	size_t candidate_count;
 	kb_name_t candidates[KB_HOLD_CANDIDATES_MAX];
 } kb_hold_record_t;
--- a/src/hold_record.c
+++ b/src/hold_record.c
@@ -11,9 +11,10 @@
 	for (size_t i = 0; i < record->candidate_count; i++)
 		json_array_append_new(candidates,
 				      json_string(record->candidates[i].data));
-	json = json_pack("{s:s,s:b,s:b,s:o}", "holder", record->holder.data,
-			 "released", record->released, "uncalled",
-			 record->uncalled, "candidates", candidates);
+	json = json_pack("{s:s,s:b,s:b,s:b,s:o}", "holder",
+			 record->holder.data, "released", record->released,
+			 "uncalled", record->uncalled, "settled",
+			 record->settled, "candidates", candidates);
 	text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	json_decref(json);
 	return text;
@@ -46,9 +47,10 @@
 
 	memset(record, 0, sizeof(*record));
 	if (json &&
-	    !json_unpack(json, "{s:s,s:b,s:b,s:o}", "holder", &holder,
+	    !json_unpack(json, "{s:s,s:b,s:b,s:b,s:o}", "holder", &holder,
 			 "released", &record->released, "uncalled",
-			 &record->uncalled, "candidates", &candidates) &&
+			 &record->uncalled, "settled", &record->settled,
+			 "candidates", &candidates) &&
 	    json_is_array(candidates) && *holder &&
 	    !kb_name_set(&record->holder, kb_str_from(holder)))
 		result = read_candidates(record, candidates);
--- a/src/link_pool.c
+++ b/src/link_pool.c
@@ -201,6 +201,23 @@
 	}
 }
 
+/*
+ * Statements that may be sent at once: enough to keep the slots at work while
+ * answers and further statements are on their way.
+ */
+static unsigned send_limit(const kb_link_pool_t *pool)
+{
+	kb_time_t at_work = pool->service - pool->round_trip;
+	kb_time_t on_way = pool->round_trip;
+
+	if (at_work < KB_NS_PER_MS)
+		at_work = KB_NS_PER_MS;
+	if (on_way > at_work * POOL_SENT_MAX)
+		on_way = at_work * POOL_SENT_MAX;
+	return pool->slots + POOL_EXTRA_SENT +
+	       (unsigned)(pool->slots * on_way / at_work);
+}
+
 void kb_link_pool_dispatch(kb_link_pool_t *pool)
 {
 	kb_time_t now = now_of(pool);
@@ -210,7 +227,7 @@
 	pool->dispatching = 1;
 	while (now >= pool->hold_sending_until &&
 	       pool->ops->may_serve(pool->ctx, now) &&
-	       used_slots(pool) < pool->slots + POOL_EXTRA_SENT) {
+	       used_slots(pool) < send_limit(pool)) {
 		kb_pool_job_t *job =
 			choose_job(pool, now, has_idle_conn(pool));
 		kb_pool_conn_t *conn;
--- a/src/link_pool.h
+++ b/src/link_pool.h
@@ -64,6 +64,8 @@
 	unsigned job_count;
 	/* Mean time of a statement at the target. */
 	kb_time_t service;
+	/* Mean time of an order that needs no slot: the way there and back. */
+	kb_time_t round_trip;
 	/* Nothing is sent or opened before these times. */
 	kb_time_t hold_sending_until;
 	kb_time_t hold_opening_until;
--- a/src/pool_conn.c
+++ b/src/pool_conn.c
@@ -213,6 +213,15 @@
 	pool->service += (took - pool->service) / SERVICE_WEIGHT;
 }
 
+/* Orders that prepare a connection need no slot and little time. */
+static void measure_round_trip(kb_pool_conn_t *conn)
+{
+	kb_link_pool_t *pool = conn->pool;
+	kb_time_t took = kb_clock_monotonic(pool->clock) - conn->sent_at;
+
+	pool->round_trip += (took - pool->round_trip) / SERVICE_WEIGHT;
+}
+
 /* A preparing order succeeded: notes what the connection has now. */
 static kb_result_t note_prepared(kb_pool_conn_t *conn)
 {
@@ -320,6 +329,7 @@
 	kb_link_pool_t *pool = conn->pool;
 	kb_pool_job_t *job = conn->job;
 
+	measure_round_trip(conn);
 	if (!reply->result) {
 		if (note_prepared(conn)) {
 			kb_pool_conn_fail(conn, KB_ERR_OVERLOADED,
--- a/src/pool_conn.h
+++ b/src/pool_conn.h
@@ -27,6 +27,8 @@
 	POOL_SERVICE_MS = 10,
 	/* Statements sent beyond the slots, to cover the way there. */
 	POOL_EXTRA_SENT = 1,
+	/* A long way never lets more than this many be sent for a slot. */
+	POOL_SENT_MAX = 3,
 };
 
 /* A statement that waits or runs. */
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -19,9 +19,11 @@
 	/* Connections of a target left to other hosts' probes and gates. */
 	SPARE_CONNECTIONS = 3,
 	SPARE_CONNECTIONS_MIN = 2,
-	/* A planned stop lets open transactions end within this time. */
-	STOP_FINISH_MS = 500,
-	STOP_RELEASE_MS = 800,
+	/* A planned hand-over lets open transactions end within this time. */
+	HAND_OVER_FINISH_MS = 500,
+	HAND_OVER_MS = 800,
+	/* A group moves to a host nearer to its primary after this time. */
+	NEARER_S = 3,
 	/* Hosts that are asked whether they reach a primary. */
 	REACH_HOSTS = 4,
 };
@@ -682,24 +684,55 @@
 		free(call);
 }
 
-/* Ends this host's hold in good order at a planned stop. */
-static void tick_stop(kb_proxy_group_t *group, kb_time_t now)
+/* Ends this host's hold in good order. */
+static void hand_over(kb_proxy_group_t *group,
+		      const kb_hold_ranking_t *ranking, kb_time_t now)
 {
-	kb_time_t spent = now - group->proxy->stop_begun_at;
-	kb_hold_ranking_t ranking;
+	kb_time_t spent = now - group->handing_at;
 
 	if (group->hold.role != KB_HOLD_SERVING &&
-	    group->hold.role != KB_HOLD_WAITING)
+	    group->hold.role != KB_HOLD_WAITING) {
+		group->handing_at = 0;
 		return;
+	}
 	group->pool.paused = 1;
 	if (kb_link_pool_active(&group->pool)) {
-		if (spent > STOP_FINISH_MS * KB_NS_PER_MS)
+		if (spent > HAND_OVER_FINISH_MS * KB_NS_PER_MS)
 			kb_link_pool_abort_transactions(&group->pool);
-		if (spent < STOP_RELEASE_MS * KB_NS_PER_MS)
+		if (spent < HAND_OVER_MS * KB_NS_PER_MS)
 			return;
 	}
-	kb_proxy_group_rank(group, &ranking);
-	kb_hold_release(&group->hold, &ranking, NULL, now);
+	kb_hold_release(&group->hold, ranking,
+			group->successor.len ? &group->successor : NULL, now);
+	group->successor.len = 0;
+}
+
+/* Statements to a primary in another region cost their way each time. */
+static void seek_nearer(kb_proxy_group_t *group,
+			const kb_hold_ranking_t *ranking, kb_time_t now)
+{
+	kb_proxy_t *proxy = group->proxy;
+	const kb_target_entry_t *primary = &group->lead.primary;
+	const kb_host_t *best =
+		ranking->count ? kb_hosts_find(&proxy->hosts,
+					       kb_name_str(&ranking->hosts[0]))
+			       : NULL;
+
+	if (group->lead.state != KB_LEAD_SERVING || !best ||
+	    !kb_proxy_host_usable(best, now) ||
+	    nearness(proxy, best, primary) <=
+		    nearness(proxy, proxy->hosts.self, primary)) {
+		group->nearer_since = 0;
+		return;
+	}
+	if (!group->nearer_since)
+		group->nearer_since = now;
+	if (now - group->nearer_since < NEARER_S * KB_NS_PER_S)
+		return;
+	kb_log(KB_EVENT_HOLD_STATE, "group=%s nearer=%s primary=%s",
+	       group->name.data, best->name.data, primary->place.target.data);
+	group->handing_at = now;
+	group->successor = best->name;
 }
 
 void kb_proxy_group_tick(kb_proxy_group_t *group, kb_time_t now)
@@ -708,14 +741,18 @@
 	kb_hold_ranking_t ranking;
 	int serves;
 
+	kb_proxy_group_rank(group, &ranking);
 	if (proxy->mirror.revision && !group->hold.known && group->configured)
 		kb_hold_on_key(&group->hold, NULL, proxy->mirror.revision, now);
-	if (!proxy->stopping || group->hold.role != KB_HOLD_NONE) {
-		kb_proxy_group_rank(group, &ranking);
+	if (!proxy->stopping || group->hold.role != KB_HOLD_NONE)
 		kb_hold_tick(&group->hold, &ranking, now);
-	}
-	if (proxy->stopping)
-		tick_stop(group, now);
+	if (proxy->stopping && !group->handing_at)
+		group->handing_at = now;
+	serves = group->hold.role == KB_HOLD_SERVING;
+	if (serves && !group->handing_at)
+		seek_nearer(group, &ranking, now);
+	if (group->handing_at)
+		hand_over(group, &ranking, now);
 	serves = group->hold.role == KB_HOLD_SERVING;
 	kb_lead_hold(&group->lead, serves, now);
 	kb_lead_tick(&group->lead, &proxy->targets, now);
--- a/src/proxy_parts.h
+++ b/src/proxy_parts.h
@@ -67,6 +67,11 @@
 	kb_time_t used_at;
 	kb_proxy_probe_t *probes[KB_LEAD_TARGETS_MAX];
 	size_t probe_count;
+	/* A planned hand-over to another host has begun then, or 0. */
+	kb_time_t handing_at;
+	kb_name_t successor;
+	/* Since when another host is nearer to the primary, or 0. */
+	kb_time_t nearer_since;
 	/* In the configuration in force. */
 	int configured;
 	unsigned connections;
--- a/src/proxy_sync.c
+++ b/src/proxy_sync.c
@@ -8,9 +8,9 @@
 	/* Other hosts are asked for changes this often. */
 	SYNC_PAUSE_MS = 250,
 	/* Without fresh news for this time a host reads the store itself. */
-	SYNC_STALE_MS = 1500,
+	SYNC_STALE_MS = 700,
 	/* News of the store that are older than this are not fresh. */
-	SYNC_AGE_MAX_MS = 3000,
+	SYNC_AGE_MAX_MS = 1200,
 };
 
 /* The host that reads the store for the others. */
