--- a/src/hold.c
+++ b/src/hold.c
@@ -9,6 +9,8 @@
 	REWRITE_PAUSE_MS = 1000,
 	/* Time for answers of other hosts that were asked about the holder. */
 	INQUIRY_MS = 100,
+	/* Pause after a write that took a group over in vain. */
+	TAKE_PAUSE_MS = 300,
 };
 
 static int names_equal(const kb_name_t *a, const kb_name_t *b)
@@ -16,10 +18,10 @@
 	return kb_name_is(a, kb_name_str(b));
 }
 
-static int is_candidate(const kb_hold_record_t *record, const kb_name_t *host)
+static int is_in(const kb_hold_set_t *set, const kb_name_t *host)
 {
-	for (size_t i = 0; i < record->candidate_count; i++)
-		if (names_equal(&record->candidates[i], host))
+	for (size_t i = 0; i < set->count; i++)
+		if (names_equal(&set->hosts[i], host))
 			return 1;
 	return 0;
 }
@@ -50,37 +52,54 @@
 	hold->first_start = first_start;
 }
 
-/* Until when the grants of all candidates let this host serve. */
-static kb_time_t granted_until(const kb_hold_t *hold)
+/*
+ * Sending of the newest renewal that a majority of `set` granted, this host
+ * counted; 0 if there is none, KB_TIME_NEVER if this host is a majority.
+ */
+static kb_time_t majority_time(const kb_hold_t *hold, const kb_hold_set_t *set)
 {
-	kb_time_t oldest = KB_TIME_NEVER;
-	kb_time_t until;
-	kb_time_t limit;
+	kb_time_t times[KB_HOLD_CANDIDATES_MAX];
+	size_t majority = set->count / 2 + 1;
+	size_t count = 0;
 
-	if (!hold->confirmed)
+	if (!set->count)
 		return 0;
-	limit = hold->confirmed_at + KB_HOLD_STORE_MAX_S * KB_NS_PER_S;
-	for (size_t i = 0; i < hold->grant_count; i++) {
-		if (!hold->grants[i].granted)
-			return 0;
-		if (hold->grants[i].asked_at < oldest)
-			oldest = hold->grants[i].asked_at;
+	for (size_t i = 0; i < set->count; i++) {
+		kb_time_t at = 0;
+		size_t place;
+
+		if (names_equal(&set->hosts[i], &hold->self))
+			at = KB_TIME_NEVER;
+		for (size_t j = 0; j < hold->grant_count; j++)
+			if (hold->grants[j].granted &&
+			    names_equal(&hold->grants[j].candidate,
+					&set->hosts[i]))
+				at = hold->grants[j].asked_at;
+		for (place = count++; place && times[place - 1] < at; place--)
+			times[place] = times[place - 1];
+		times[place] = at;
 	}
-	if (oldest == KB_TIME_NEVER)
-		return limit;
-	until = oldest + KB_HOLD_VALID_MS * KB_NS_PER_MS;
-	return until < limit ? until : limit;
+	return times[majority - 1];
 }
 
 kb_time_t kb_hold_valid_until(const kb_hold_t *hold)
 {
-	kb_time_t granted = granted_until(hold);
-	kb_time_t stored = hold->confirmed
-				   ? hold->confirmed_at +
-					     KB_HOLD_VALID_MS * KB_NS_PER_MS
-				   : 0;
-
-	return granted > stored ? granted : stored;
+	kb_time_t limit = hold->confirmed_at +
+			  KB_HOLD_STORE_MAX_S * KB_NS_PER_S;
+	kb_time_t granted = majority_time(hold, &hold->record.candidates);
+	kb_time_t wanted = hold->rewriting
+				   ? majority_time(hold,
+						   &hold->wanted.candidates)
+				   : granted;
+
+	if (wanted < granted)
+		granted = wanted;
+	if (!hold->confirmed || !granted)
+		return 0;
+	if (granted == KB_TIME_NEVER)
+		return limit;
+	granted += KB_HOLD_VALID_MS * KB_NS_PER_MS;
+	return granted < limit ? granted : limit;
 }
 
 int kb_hold_may_serve(const kb_hold_t *hold, kb_time_t now)
@@ -93,41 +112,46 @@
 int kb_hold_is_live(const kb_hold_t *hold, kb_time_t now)
 {
 	if (hold->role == KB_HOLD_WAITING)
-		return !hold->record.uncalled &&
-		       now < hold->serve_at + KB_HOLD_VALID_MS * KB_NS_PER_MS;
+		return now < hold->serve_at + KB_HOLD_STORE_MAX_S * KB_NS_PER_S;
 	return kb_hold_may_serve(hold, now);
 }
 
-/* Asks the candidates of the record and of a rewrite under way. */
+static void ask_set(kb_hold_t *hold, const kb_hold_set_t *set,
+		    const kb_hold_grant_t *old, size_t old_count)
+{
+	for (size_t i = 0; i < set->count; i++) {
+		kb_hold_grant_t *grant;
+		size_t j = 0;
+
+		if (names_equal(&set->hosts[i], &hold->self))
+			continue;
+		while (j < hold->grant_count &&
+		       !names_equal(&hold->grants[j].candidate, &set->hosts[i]))
+			j++;
+		if (j < hold->grant_count)
+			continue;
+		grant = &hold->grants[hold->grant_count++];
+		memset(grant, 0, sizeof(*grant));
+		grant->candidate = set->hosts[i];
+		for (j = 0; j < old_count; j++)
+			if (names_equal(&old[j].candidate, &set->hosts[i]))
+				*grant = old[j];
+	}
+}
+
+/* Asks the candidates of the record, of a rewrite, and the former ones. */
 static void set_grants(kb_hold_t *hold)
 {
-	kb_hold_grant_t old[KB_HOLD_CANDIDATES_MAX * 2];
+	kb_hold_grant_t old[sizeof(hold->grants) / sizeof(hold->grants[0])];
 	size_t old_count = hold->grant_count;
-	const kb_hold_record_t *records[2] = { &hold->record, &hold->wanted };
 
 	memcpy(old, hold->grants, sizeof(old));
 	hold->grant_count = 0;
-	for (int r = 0; r < 1 + hold->rewriting; r++) {
-		for (size_t i = 0; i < records[r]->candidate_count; i++) {
-			const kb_name_t *name = &records[r]->candidates[i];
-			kb_hold_grant_t *grant;
-			size_t j = 0;
-
-			if (names_equal(name, &hold->self))
-				continue;
-			while (j < hold->grant_count &&
-			       !names_equal(&hold->grants[j].candidate, name))
-				j++;
-			if (j < hold->grant_count)
-				continue;
-			grant = &hold->grants[hold->grant_count++];
-			memset(grant, 0, sizeof(*grant));
-			grant->candidate = *name;
-			for (j = 0; j < old_count; j++)
-				if (names_equal(&old[j].candidate, name))
-					*grant = old[j];
-		}
-	}
+	ask_set(hold, &hold->record.candidates, old, old_count);
+	if (hold->rewriting)
+		ask_set(hold, &hold->wanted.candidates, old, old_count);
+	if (hold->role == KB_HOLD_WAITING)
+		ask_set(hold, &hold->record.former, old, old_count);
 }
 
 static void begin_read(kb_hold_t *hold, kb_time_t now)
@@ -181,23 +205,23 @@
 	hold->ops->changed(hold->ctx, hold);
 }
 
-/* The key names this host: it waits until the former holder has stopped. */
+/* The key names this host: it waits until the former holders have stopped. */
 static void begin_waiting(kb_hold_t *hold, kb_time_t now)
 {
-	kb_time_t wait = KB_HOLD_VALID_MS * KB_NS_PER_MS;
+	const kb_hold_record_t *record = &hold->record;
 
-	if (hold->record.released || hold->record.settled)
-		wait = 0;
-	else if (hold->record.uncalled)
-		wait = KB_HOLD_STORE_MAX_S * KB_NS_PER_S;
 	hold->token = hold->revision;
-	hold->serve_at = now + wait;
+	hold->former_stopped = record->released || record->settled ||
+			       (!record->former.count && !record->former_lost);
+	hold->serve_at = now;
+	if (!hold->former_stopped)
+		hold->serve_at += KB_HOLD_STORE_MAX_S * KB_NS_PER_S;
 	hold->confirmed = 0;
 	hold->rewriting = 0;
 	hold->grant_count = 0;
 	hold->asked_at = 0;
-	set_grants(hold);
 	set_role(hold, KB_HOLD_WAITING);
+	set_grants(hold);
 }
 
 void kb_hold_on_read(kb_hold_t *hold, kb_time_t sent_at, kb_result_t result,
@@ -208,6 +232,7 @@
 		hold->reading = 0;
 	if (result)
 		return;
+	hold->verified = 1;
 	kb_hold_on_key(hold, record, revision, now);
 	if (!record || revision != hold->revision || !names_self(hold))
 		return;
@@ -222,34 +247,62 @@
 	hold->confirmed = 1;
 }
 
-static void fill_candidates(kb_hold_record_t *record,
-			    const kb_hold_ranking_t *ranking)
+/* Whether a host that is asked has granted nothing for some time. */
+static int is_missing(const kb_hold_t *hold, const kb_name_t *host,
+		      kb_time_t now)
 {
-	for (size_t i = 0; i < ranking->count &&
-			   record->candidate_count < KB_HOLD_CANDIDATES_MAX;
-	     i++)
-		if (!is_candidate(record, &ranking->hosts[i]))
-			record->candidates[record->candidate_count++] =
-				ranking->hosts[i];
+	for (size_t i = 0; i < hold->grant_count; i++) {
+		const kb_hold_grant_t *grant = &hold->grants[i];
+		kb_time_t last = grant->granted ? grant->asked_at
+						: grant->since;
+
+		if (names_equal(&grant->candidate, host))
+			return last && now - last > KB_HOLD_MISSING_MS *
+							    KB_NS_PER_MS;
+	}
+	return 0;
 }
 
-static void make_record(kb_hold_record_t *record, const kb_name_t *holder,
-			const kb_hold_ranking_t *ranking)
+/* Names the first hosts of the ranking; those that do not answer last. */
+static void make_record(const kb_hold_t *hold, kb_hold_record_t *record,
+			const kb_name_t *holder,
+			const kb_hold_ranking_t *ranking, kb_time_t now)
 {
+	kb_hold_set_t *set = &record->candidates;
+
 	memset(record, 0, sizeof(*record));
 	record->holder = *holder;
-	record->candidates[record->candidate_count++] = *holder;
-	fill_candidates(record, ranking);
+	set->hosts[set->count++] = *holder;
+	for (int missing = 0; missing < 2; missing++)
+		for (size_t i = 0; i < ranking->count &&
+				   set->count < KB_HOLD_CANDIDATES_MAX;
+		     i++)
+			if (!is_in(set, &ranking->hosts[i]) &&
+			    is_missing(hold, &ranking->hosts[i], now) ==
+				    missing)
+				set->hosts[set->count++] = ranking->hosts[i];
+}
+
+/* Notes whose grants the holder that served last may have had. */
+static void keep_former(kb_hold_record_t *record,
+			const kb_hold_record_t *replaced)
+{
+	if (replaced->settled) {
+		record->former = replaced->candidates;
+		return;
+	}
+	record->former = replaced->former;
+	record->former_lost = replaced->former_lost;
+	record->released = replaced->released;
 }
 
 static void take(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
 		 kb_time_t now)
 {
-	int is_first = !hold->record.holder.len && hold->first_start;
-
-	make_record(&hold->wanted, &hold->self, ranking);
-	hold->wanted.uncalled = !is_first &&
-				!is_candidate(&hold->record, &hold->self);
+	make_record(hold, &hold->wanted, &hold->self, ranking, now);
+	keep_former(&hold->wanted, &hold->record);
+	if (!hold->record.holder.len && !hold->first_start)
+		hold->wanted.former_lost = 1;
 	set_role(hold, KB_HOLD_TAKING);
 	begin_write(hold, now);
 }
@@ -268,8 +321,10 @@
 	if (number != hold->write_number)
 		return;
 	if (result || (hold->known && revision <= hold->as_of)) {
-		if (hold->role == KB_HOLD_TAKING)
+		if (hold->role == KB_HOLD_TAKING) {
+			hold->heard_at += TAKE_PAUSE_MS * KB_NS_PER_MS;
 			set_role(hold, KB_HOLD_NONE);
+		}
 		begin_read(hold, now);
 		return;
 	}
@@ -288,30 +343,42 @@
 }
 
 void kb_hold_on_grant(kb_hold_t *hold, const kb_name_t *candidate,
-		      kb_time_t asked_at, int granted)
+		      kb_time_t asked_at, int granted, kb_time_t now)
 {
 	for (size_t i = 0; i < hold->grant_count; i++) {
 		kb_hold_grant_t *grant = &hold->grants[i];
 
-		if (!names_equal(&grant->candidate, candidate))
+		if (!names_equal(&grant->candidate, candidate) || !granted ||
+		    asked_at < grant->since)
 			continue;
-		if (granted && (!grant->granted || asked_at > grant->asked_at))
+		if (!grant->granted || asked_at > grant->asked_at)
 			grant->asked_at = asked_at;
-		if (granted)
-			grant->granted = 1;
+		grant->granted = 1;
+	}
+	if (hold->role == KB_HOLD_WAITING && !hold->former_stopped &&
+	    !hold->record.former_lost &&
+	    majority_time(hold, &hold->record.former)) {
+		hold->former_stopped = 1;
+		hold->serve_at = now + KB_HOLD_VALID_MS * KB_NS_PER_MS;
 	}
 }
 
 int kb_hold_grant(kb_hold_t *hold, const kb_name_t *holder, int64_t revision,
 		  int serving, kb_time_t now)
 {
-	if (hold->role != KB_HOLD_NONE || names_self(hold))
+	if (!hold->verified) {
+		/* An earlier process may have granted a later revision. */
+		begin_read(hold, now);
+		return 0;
+	}
+	if (hold->role != KB_HOLD_NONE || names_self(hold) ||
+	    revision < hold->granted_revision)
 		return 0;
 	/* A later write than the sender knows of names another host. */
 	if (hold->known && hold->revision > revision &&
 	    !names_equal(&hold->record.holder, holder))
 		return 0;
-	hold->granted_at = now;
+	hold->granted_revision = revision;
 	if (serving)
 		hold->heard_at = now;
 	return 1;
@@ -352,7 +419,7 @@
 		patience = (KB_HOLD_FIRST_MS +
 			    (kb_time_t)rank * KB_HOLD_RANK_MS) *
 			   KB_NS_PER_MS;
-	else if (!is_candidate(&hold->record, &hold->self))
+	else if (!is_in(&hold->record.candidates, &hold->self))
 		patience += KB_HOLD_UNCALLED_S * KB_NS_PER_S;
 	if (now - hold->heard_at < patience) {
 		hold->inquiring = 0;
@@ -377,45 +444,47 @@
 static void ask_candidates(kb_hold_t *hold, kb_time_t now)
 {
 	hold->asked_at = now;
-	for (size_t i = 0; i < hold->grant_count; i++)
+	for (size_t i = 0; i < hold->grant_count; i++) {
+		if (!hold->grants[i].since)
+			hold->grants[i].since = now;
 		hold->ops->ask(hold->ctx, hold, &hold->grants[i].candidate,
 			       now);
+	}
 }
 
-static int same_candidates(const kb_hold_record_t *a, const kb_hold_record_t *b)
+static int same_set(const kb_hold_set_t *a, const kb_hold_set_t *b)
 {
-	if (a->candidate_count != b->candidate_count)
+	if (a->count != b->count)
 		return 0;
-	for (size_t i = 0; i < a->candidate_count; i++)
-		if (!is_candidate(b, &a->candidates[i]))
+	for (size_t i = 0; i < a->count; i++)
+		if (!is_in(b, &a->hosts[i]))
 			return 0;
 	return 1;
 }
 
-/* Names the present hosts as candidates. */
+/* Names the present hosts as candidates, and settles the hold when it may. */
 static void rewrite(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
 		    kb_time_t now)
 {
 	kb_hold_record_t wanted;
+	int settles = hold->role == KB_HOLD_WAITING && !hold->record.settled &&
+		      now >= hold->serve_at && now < kb_hold_valid_until(hold);
 
-	if (now - hold->wrote_at < REWRITE_PAUSE_MS * KB_NS_PER_MS &&
-	    (hold->role != KB_HOLD_SERVING || hold->record.settled))
-		return;
 	if (hold->rewriting &&
 	    now - hold->wrote_at < CALL_TIMEOUT_MS * KB_NS_PER_MS)
 		return;
-	make_record(&wanted, &hold->self, ranking);
-	wanted.uncalled = hold->role == KB_HOLD_WAITING &&
-			  hold->record.uncalled;
-	wanted.settled = hold->role == KB_HOLD_SERVING ||
-			 hold->record.settled;
+	if (!settles && now - hold->wrote_at < REWRITE_PAUSE_MS * KB_NS_PER_MS)
+		return;
+	make_record(hold, &wanted, &hold->self, ranking, now);
+	wanted.settled = hold->record.settled || settles;
+	if (!wanted.settled)
+		keep_former(&wanted, &hold->record);
 	if (!hold->rewriting && hold->revision &&
-	    same_candidates(&wanted, &hold->record) &&
-	    !hold->record.released && wanted.settled == hold->record.settled &&
-	    wanted.uncalled == hold->record.uncalled)
+	    wanted.settled == hold->record.settled &&
+	    same_set(&wanted.candidates, &hold->record.candidates))
 		return;
 	/* A write without an answer may still take effect: repeat it. */
-	if (!hold->rewriting)
+	if (!hold->rewriting || settles)
 		hold->wanted = wanted;
 	hold->rewriting = 1;
 	set_grants(hold);
@@ -425,23 +494,13 @@
 static void renew(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
 		  kb_time_t now)
 {
-	kb_time_t renewal = KB_HOLD_RENEW_MS * KB_NS_PER_MS;
-	kb_time_t store_pause = KB_HOLD_STORE_CHECK_S * KB_NS_PER_S;
-	kb_time_t granted = granted_until(hold);
-
-	if (now - hold->asked_at >= renewal)
+	if (now - hold->asked_at >= KB_HOLD_RENEW_MS * KB_NS_PER_MS)
 		ask_candidates(hold, now);
-	if (granted < now + (KB_HOLD_VALID_MS - 2 * KB_HOLD_RENEW_MS) *
-				    KB_NS_PER_MS)
-		store_pause = renewal;
-	if (!hold->confirmed || now - hold->confirmed_at >= store_pause) {
-		if (!hold->reading || now - hold->read_sent_at >= renewal) {
-			hold->reading = 0;
-			begin_read(hold, now);
-		}
-	}
+	if (!hold->confirmed ||
+	    now - hold->confirmed_at >= KB_HOLD_STORE_CHECK_S * KB_NS_PER_S)
+		begin_read(hold, now);
 	rewrite(hold, ranking, now);
-	if (hold->role == KB_HOLD_WAITING && now >= hold->serve_at &&
+	if (hold->role == KB_HOLD_WAITING && hold->record.settled &&
 	    now + KB_HOLD_MARGIN_MS * KB_NS_PER_MS < kb_hold_valid_until(hold))
 		set_role(hold, KB_HOLD_SERVING);
 }
@@ -485,9 +544,10 @@
 			next = &ranking->hosts[i];
 	if (!next)
 		return;
-	make_record(&hold->wanted, next, ranking);
-	hold->wanted.released = hold->role == KB_HOLD_SERVING;
-	hold->wanted.uncalled = !hold->wanted.released && hold->record.uncalled;
+	make_record(hold, &hold->wanted, next, ranking, now);
+	keep_former(&hold->wanted, &hold->record);
+	if (hold->role == KB_HOLD_SERVING)
+		hold->wanted.released = 1;
 	hold->rewriting = 0;
 	set_role(hold, KB_HOLD_RELEASING);
 	begin_write(hold, now);
--- a/src/hold.h
+++ b/src/hold.h
@@ -6,7 +6,7 @@
 KB_BEGIN_DECLS
 
 enum {
-	/* Hosts that may take a group over without the longest wait. */
+	/* Hosts that grant renewals; a majority of them must. */
 	KB_HOLD_CANDIDATES_MAX = 5,
 	KB_HOLD_HOSTS_MAX = 128,
 	/* A renewal lets the holder serve for this time from its sending. */
@@ -25,24 +25,33 @@
 	KB_HOLD_FIRST_MS = 600,
 	/* Further patience of a host that is no candidate. */
 	KB_HOLD_UNCALLED_S = 5,
+	/* A candidate that has granted nothing for this time is replaced. */
+	KB_HOLD_MISSING_MS = 1500,
 	/* Before the end of its validity nothing is begun any more. */
 	KB_HOLD_MARGIN_MS = 50,
 };
 
+/* Hosts of which a majority decides whether a holder may serve. */
+typedef struct kb_hold_set {
+	size_t count;
+	kb_name_t hosts[KB_HOLD_CANDIDATES_MAX];
+} kb_hold_set_t;
+
 /* What the store's key of a group says. */
 typedef struct kb_hold_record {
 	kb_name_t holder;
 	/* The former holder stopped before it wrote this. */
 	int released;
+	/* No former holder may serve any more; this one may. */
+	int settled;
+	/* Hosts that grant the holder's renewals. */
+	kb_hold_set_t candidates;
 	/*
-	 * The holder was no candidate when it took the group over and has not
-	 * served it since.
+	 * Until it is settled: the candidates of the holder that served last.
+	 * They are not known if `former_lost` is set.
 	 */
-	int uncalled;
-	/* The holder has served: no former holder may serve any more. */
-	int settled;
-	size_t candidate_count;
-	kb_name_t candidates[KB_HOLD_CANDIDATES_MAX];
+	kb_hold_set_t former;
+	int former_lost;
 } kb_hold_record_t;
 
 typedef enum kb_hold_role {
@@ -83,8 +92,11 @@
 /* Time of the last renewal that a candidate granted. */
 typedef struct kb_hold_grant {
 	kb_name_t candidate;
+	/* Sending of the last renewal that it granted. */
 	kb_time_t asked_at;
 	int granted;
+	/* Since when it is asked. */
+	kb_time_t since;
 } kb_hold_grant_t;
 
 /* Live hosts in the order in which they should hold the group. */
@@ -96,13 +108,15 @@
 /*
  * Decides which host sends to a group's primary and replaces it: the one that
  * the group's key in the store names. It serves only while its renewals are
- * valid. A renewal is valid for KB_HOLD_VALID_MS from its sending once either
- * the store has shown the key unchanged or every candidate has granted it. A
- * host that takes the group over grants nothing from the moment at which it
- * sends its write, and serves KB_HOLD_VALID_MS after it knows that the write
- * took effect; one that was no candidate waits KB_HOLD_STORE_MAX_S, for which
- * a holder may go on without the store. All times are of one clock that
- * counts suspension.
+ * valid: for KB_HOLD_VALID_MS from the sending of one that a majority of the
+ * candidates in the key granted, and for KB_HOLD_STORE_MAX_S at most since the
+ * store last showed the key unchanged. A candidate grants nothing to a holder
+ * of an earlier revision than it granted before. A host that takes the group
+ * over by a write on the revision that it knows waits until KB_HOLD_VALID_MS
+ * after a majority of the former candidates granted its own renewals, or
+ * KB_HOLD_STORE_MAX_S after the write. Then it writes that no former holder may
+ * serve (`settled`), and serves once that is confirmed. All times are of one
+ * clock that counts suspension.
  */
 struct kb_hold {
 	const kb_hold_ops_t *ops;
@@ -125,6 +139,8 @@
 	int64_t token;
 	/* Earliest time of serving while waiting. */
 	kb_time_t serve_at;
+	/* A majority of the former candidates grants nothing else. */
+	int former_stopped;
 	/* Sending of the last store answer that showed the key unchanged. */
 	kb_time_t confirmed_at;
 	int confirmed;
@@ -137,9 +153,12 @@
 	kb_hold_record_t wanted;
 	kb_time_t asked_at;
 	size_t grant_count;
-	kb_hold_grant_t grants[KB_HOLD_CANDIDATES_MAX * 2];
-	/* Last grant given, and last time the holder was heard serving. */
-	kb_time_t granted_at;
+	kb_hold_grant_t grants[KB_HOLD_CANDIDATES_MAX * 3];
+	/* This process has read the key from the store itself. */
+	int verified;
+	/* Highest revision of a holder to whom a grant was given. */
+	int64_t granted_revision;
+	/* Last time at which the holder was heard serving. */
 	kb_time_t heard_at;
 	kb_time_t inquired_at;
 	int inquiring;
@@ -182,8 +201,9 @@
 void kb_hold_on_written(kb_hold_t *hold, uint64_t number, kb_result_t result,
 			int64_t revision, kb_time_t now);
 
+/* A candidate's answer to the renewal that was sent at `asked_at`. */
 void kb_hold_on_grant(kb_hold_t *hold, const kb_name_t *candidate,
-		      kb_time_t asked_at, int granted);
+		      kb_time_t asked_at, int granted, kb_time_t now);
 
 /* Another host last heard the holder at `heard_at`; or it never did. */
 void kb_hold_on_heard(kb_hold_t *hold, int heard, kb_time_t heard_at);
--- a/src/hold_record.c
+++ b/src/hold_record.c
@@ -2,38 +2,45 @@
 
 #include <jansson.h>
 
+static json_t *format_set(const kb_hold_set_t *set)
+{
+	json_t *array = json_array();
+
+	for (size_t i = 0; i < set->count; i++)
+		json_array_append_new(array, json_string(set->hosts[i].data));
+	return array;
+}
+
 char *kb_hold_record_format(const kb_hold_record_t *record)
 {
-	json_t *candidates = json_array();
 	json_t *json;
 	char *text;
 
-	for (size_t i = 0; i < record->candidate_count; i++)
-		json_array_append_new(candidates,
-				      json_string(record->candidates[i].data));
-	json = json_pack("{s:s,s:b,s:b,s:b,s:o}", "holder",
+	json = json_pack("{s:s,s:b,s:b,s:o,s:o,s:b}", "holder",
 			 record->holder.data, "released", record->released,
-			 "uncalled", record->uncalled, "settled",
-			 record->settled, "candidates", candidates);
+			 "settled", record->settled, "candidates",
+			 format_set(&record->candidates), "former",
+			 format_set(&record->former),
+			 "formerLost", record->former_lost);
 	text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	json_decref(json);
 	return text;
 }
 
-static kb_result_t read_candidates(kb_hold_record_t *record,
-				   const json_t *candidates)
+static kb_result_t read_set(kb_hold_set_t *set, const json_t *hosts)
 {
 	const json_t *name;
 	size_t i;
 
-	if (json_array_size(candidates) > KB_HOLD_CANDIDATES_MAX)
+	if (!json_is_array(hosts) ||
+	    json_array_size(hosts) > KB_HOLD_CANDIDATES_MAX)
 		return KB_ERR_PROTOCOL;
-	json_array_foreach (candidates, i, name) {
+	json_array_foreach (hosts, i, name) {
 		if (!json_is_string(name) ||
-		    kb_name_set(&record->candidates[i],
+		    kb_name_set(&set->hosts[i],
 				kb_str_from(json_string_value(name))))
 			return KB_ERR_PROTOCOL;
-		record->candidate_count++;
+		set->count++;
 	}
 	return KB_OK;
 }
@@ -43,17 +50,18 @@
 	json_t *json = json_loadb(text.data, text.len, 0, NULL);
 	kb_result_t result = KB_ERR_PROTOCOL;
 	json_t *candidates;
+	json_t *former;
 	const char *holder;
 
 	memset(record, 0, sizeof(*record));
 	if (json &&
-	    !json_unpack(json, "{s:s,s:b,s:b,s:b,s:o}", "holder", &holder,
-			 "released", &record->released, "uncalled",
-			 &record->uncalled, "settled", &record->settled,
-			 "candidates", &candidates) &&
-	    json_is_array(candidates) && *holder &&
-	    !kb_name_set(&record->holder, kb_str_from(holder)))
-		result = read_candidates(record, candidates);
+	    !json_unpack(json, "{s:s,s:b,s:b,s:o,s:o,s:b}", "holder", &holder,
+			 "released", &record->released, "settled",
+			 &record->settled, "candidates", &candidates, "former",
+			 &former, "formerLost", &record->former_lost) &&
+	    *holder && !kb_name_set(&record->holder, kb_str_from(holder)) &&
+	    !read_set(&record->candidates, candidates))
+		result = read_set(&record->former, former);
 	json_decref(json);
 	return result;
 }
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -228,7 +228,8 @@
 	free(ctx);
 	if (!result)
 		kb_hold_on_grant(&call.group->hold, &call.candidate,
-				 call.asked_at, granted->granted);
+				 call.asked_at, granted->granted,
+				 kb_clock_monotonic(call.group->proxy->clock));
 }
 
 static void hold_ask(void *ctx, kb_hold_t *hold, const kb_name_t *candidate,
@@ -281,10 +282,10 @@
 	kb_proxy_group_t *group = ctx;
 	kb_proxy_t *proxy = group->proxy;
 
-	for (size_t i = 0; i < hold->record.candidate_count; i++) {
+	for (size_t i = 0; i < hold->record.candidates.count; i++) {
 		kb_host_t *host = kb_hosts_find(
 			&proxy->hosts,
-			kb_name_str(&hold->record.candidates[i]));
+			kb_name_str(&hold->record.candidates.hosts[i]));
 		grant_call_t *call;
 		kbs_heard_args args = {
 			.group = kb_text_view(kb_name_str(&group->name)),
