Test the hold of a group with seeds, broken variants and directed faults

400 seeds of crashes, freezes, cuts, store outages and late writes show no two hosts that serve one group at once; a variant without the wait, one with a single grant and one that grants to earlier holders are found.

--- a/src/hold.c
+++ b/src/hold.c
@@ -494,7 +494,13 @@
 static void renew(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
 		  kb_time_t now)
 {
-	if (now - hold->asked_at >= KB_HOLD_RENEW_MS * KB_NS_PER_MS)
+	kb_time_t pause = kb_hold_valid_until(hold) >
+					  now + KB_HOLD_VALID_MS / 2 *
+							KB_NS_PER_MS
+				  ? KB_HOLD_RENEW_MS
+				  : KB_HOLD_URGENT_MS;
+
+	if (now - hold->asked_at >= pause * KB_NS_PER_MS)
 		ask_candidates(hold, now);
 	if (!hold->confirmed ||
 	    now - hold->confirmed_at >= KB_HOLD_STORE_CHECK_S * KB_NS_PER_S)
@@ -512,7 +518,7 @@
 		return;
 	switch (hold->role) {
 	case KB_HOLD_NONE:
-		if (names_self(hold))
+		if (names_self(hold) || !hold->verified)
 			begin_read(hold, now);
 		else
 			watch_holder(hold, ranking, now);
--- a/src/hold.h
+++ b/src/hold.h
@@ -13,6 +13,8 @@
 	KB_HOLD_VALID_MS = 1200,
 	/* Renewals are sent this often; four fit into their validity. */
 	KB_HOLD_RENEW_MS = 250,
+	/* They are sent this often while too few are granted. */
+	KB_HOLD_URGENT_MS = 80,
 	/* Silence after which a holder is held lost: three renewals. */
 	KB_HOLD_SUSPECT_MS = 800,
 	/* Longest time of serving without a word from the store. */
--- /dev/null
+++ b/tests/test_hold.cc
@@ -0,0 +1,594 @@
+#include "hold.h"
+#include "hold_record.h"
+#include "rng.h"
+
+#include <gtest/gtest.h>
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+constexpr kb_time_t MS = KB_NS_PER_MS;
+constexpr kb_time_t STEP = 10 * MS;
+
+kb_name_t name_of(const std::string &text)
+{
+	kb_name_t name;
+
+	kb_name_set(&name, { text.data(), text.size() });
+	return name;
+}
+
+/* Which rule a broken variant of the hosts leaves out. */
+enum class Broken {
+	NOTHING,
+	/* A new holder serves as soon as its write took effect. */
+	NO_WAIT,
+	/* Any candidate's grant counts as a majority's. */
+	ONE_GRANT,
+	/* A candidate grants to holders of earlier revisions too. */
+	GRANTS_OLD,
+};
+
+/* A store with one key, hosts that may take the group over, and faults. */
+class World
+{
+      public:
+	struct Host {
+		World *world;
+		std::string name;
+		kb_hold_t hold;
+		bool alive = true;
+		kb_time_t frozen_until = 0;
+		kb_time_t down_until = 0;
+		bool store_cut = false;
+		int generation = 0;
+	};
+
+	struct Event {
+		kb_time_t at;
+		std::function<void()> run;
+	};
+
+	std::vector<std::unique_ptr<Host>> hosts;
+	kb_time_t now = KB_NS_PER_S;
+	kb_rng_t rng;
+	Broken broken = Broken::NOTHING;
+	bool exists = false;
+	kb_hold_record_t record{};
+	int64_t revision = 10;
+	int64_t key_revision = 0;
+	bool store_down = false;
+	int lost_percent = 0;
+	std::map<std::pair<size_t, size_t>, bool> cuts;
+	std::multimap<kb_time_t, std::function<void()>> events;
+	std::string violation;
+	kb_time_t served_at = 0;
+	kb_hold_ops_t ops{};
+
+	World(size_t count, uint64_t seed, Broken how = Broken::NOTHING)
+		: broken(how)
+	{
+		kb_rng_init(&rng, seed);
+		ops.read = on_read;
+		ops.write = on_write;
+		ops.ask = on_ask;
+		ops.inquire = on_inquire;
+		ops.changed = [](void *, kb_hold_t *) {};
+		for (size_t i = 0; i < count; i++) {
+			hosts.push_back(std::make_unique<Host>());
+			hosts[i]->world = this;
+			hosts[i]->name = "h" + std::to_string(i);
+			start(*hosts[i], true);
+		}
+	}
+
+	uint64_t below(uint64_t bound)
+	{
+		return kb_rng_below(&rng, bound);
+	}
+
+	void start(Host &host, bool first)
+	{
+		kb_name_t group = name_of("g");
+		kb_name_t self = name_of(host.name);
+
+		host.generation++;
+		host.alive = true;
+		kb_hold_init(&host.hold, &ops, &host, &group, &self, first);
+	}
+
+	size_t index(const Host &host) const
+	{
+		return (size_t)std::stoul(host.name.substr(1));
+	}
+
+	bool linked(size_t a, size_t b)
+	{
+		return !cuts[{ a < b ? a : b, a < b ? b : a }];
+	}
+
+	bool runs(const Host &host) const
+	{
+		return host.alive && now >= host.frozen_until;
+	}
+
+	void after(kb_time_t delay, std::function<void()> run)
+	{
+		events.emplace(now + delay, std::move(run));
+	}
+
+	/* Runs at a host when it next runs, unless it restarts before. */
+	void deliver(Host &host, kb_time_t delay, std::function<void()> run)
+	{
+		int generation = host.generation;
+
+		after(delay, [this, &host, generation, run] {
+			if (host.generation != generation)
+				return;
+			if (!runs(host))
+				deliver(host, 50 * MS, run);
+			else
+				run();
+		});
+	}
+
+	kb_time_t delay()
+	{
+		return (kb_time_t)(1 + below(20)) * MS;
+	}
+
+	bool reaches_store(const Host &host) const
+	{
+		return !store_down && !host.store_cut;
+	}
+
+	static void on_read(void *ctx, kb_hold_t *, kb_time_t sent_at)
+	{
+		Host &host = *static_cast<Host *>(ctx);
+		World &world = *host.world;
+
+		world.after(world.delay(), [&host, &world, sent_at] {
+			bool ok = world.reaches_store(host);
+			bool found = world.exists;
+			kb_hold_record_t seen = world.record;
+			int64_t revision = found ? world.key_revision
+						 : world.revision;
+
+			world.deliver(host, world.delay(), [=, &host, &world] {
+				kb_hold_on_read(&host.hold, sent_at,
+						ok ? KB_OK : KB_ERR_TIMEOUT,
+						found ? &seen : nullptr,
+						revision, world.now);
+			});
+		});
+	}
+
+	static void on_write(void *ctx, kb_hold_t *,
+			     const kb_hold_record_t *record, int64_t expected,
+			     uint64_t number)
+	{
+		Host &host = *static_cast<Host *>(ctx);
+		World &world = *host.world;
+		kb_hold_record_t copy = *record;
+		kb_time_t late = 0;
+
+		/* The text is what the store keeps. */
+		char *text = kb_hold_record_format(record);
+		EXPECT_EQ(KB_OK,
+			  kb_hold_record_parse(&copy, kb_str_from(text)));
+		free(text);
+		if (world.below(100) < (uint64_t)world.lost_percent)
+			late = (kb_time_t)(1 + world.below(4)) * KB_NS_PER_S;
+		world.after(world.delay() + late, [=, &host, &world] {
+			bool reached = late || world.reaches_store(host);
+			int64_t present =
+				world.exists ? world.key_revision : 0;
+			bool done = reached && present == expected;
+			int64_t revision;
+
+			if (done) {
+				world.exists = true;
+				world.record = copy;
+				world.key_revision = ++world.revision;
+			}
+			revision = world.revision;
+			if (late)
+				return;
+			world.deliver(host, world.delay(), [=, &host, &world] {
+				kb_hold_on_written(
+					&host.hold, number,
+					!reached ? KB_ERR_UNKNOWN
+					: done	 ? KB_OK
+						 : KB_ERR_CONFLICT,
+					revision, world.now);
+			});
+		});
+	}
+
+	Host *find(const kb_name_t *name)
+	{
+		for (auto &host : hosts)
+			if (kb_name_is(name, { host->name.data(),
+					       host->name.size() }))
+				return host.get();
+		return nullptr;
+	}
+
+	static void on_ask(void *ctx, kb_hold_t *hold,
+			   const kb_name_t *candidate, kb_time_t asked_at)
+	{
+		Host &host = *static_cast<Host *>(ctx);
+		World &world = *host.world;
+		Host &other = *world.find(candidate);
+		kb_name_t self = hold->self;
+		int64_t revision = hold->revision;
+		int live = kb_hold_is_live(hold, asked_at);
+
+		if (!world.linked(world.index(host), world.index(other)))
+			return;
+		world.deliver(other, world.delay(), [=, &host, &other, &world] {
+			kb_name_t from = name_of(other.name);
+
+			int64_t told = revision;
+
+			if (world.broken == Broken::GRANTS_OLD)
+				told = std::max({ told, other.hold.revision,
+						  other.hold.granted_revision });
+			int granted = kb_hold_grant(&other.hold, &self, told,
+						    live, world.now);
+
+			if (!world.linked(world.index(host),
+					  world.index(other)))
+				return;
+			world.deliver(host, world.delay(), [=, &host, &world] {
+				kb_hold_on_grant(&host.hold, &from, asked_at,
+						 granted, world.now);
+				if (world.broken == Broken::ONE_GRANT)
+					for (size_t i = 0;
+					     i < host.hold.grant_count; i++)
+						kb_hold_on_grant(
+							&host.hold,
+							&host.hold.grants[i]
+								 .candidate,
+							asked_at, granted,
+							world.now);
+			});
+		});
+	}
+
+	static void on_inquire(void *ctx, kb_hold_t *hold)
+	{
+		Host &host = *static_cast<Host *>(ctx);
+		World &world = *host.world;
+
+		for (size_t i = 0; i < hold->record.candidates.count; i++) {
+			Host *other = world.find(
+				&hold->record.candidates.hosts[i]);
+
+			if (other == &host ||
+			    !world.linked(world.index(host),
+					  world.index(*other)))
+				continue;
+			kb_time_t heard = other->hold.heard_at;
+
+			world.deliver(host, 2 * world.delay(), [=, &host] {
+				kb_hold_on_heard(&host.hold, 1, heard);
+			});
+		}
+	}
+
+	/* What spreads between hosts beside the store. */
+	void gossip(Host &host)
+	{
+		if (!exists || !reaches_store(host))
+			return;
+		kb_hold_on_key(&host.hold, &record, key_revision, now);
+	}
+
+	void tick_host(Host &host)
+	{
+		kb_hold_ranking_t ranking{};
+
+		for (auto &other : hosts)
+			if (other->alive)
+				ranking.hosts[ranking.count++] =
+					name_of(other->name);
+		if (!host.hold.known && reaches_store(host) && !exists)
+			kb_hold_on_key(&host.hold, nullptr, revision, now);
+		/* A host that starts reads the whole store first. */
+		if (!host.hold.known || below(25) == 0)
+			gossip(host);
+		kb_hold_tick(&host.hold, &ranking, now);
+		if (broken == Broken::NO_WAIT &&
+		    host.hold.role == KB_HOLD_WAITING)
+			host.hold.serve_at = now;
+	}
+
+	void check()
+	{
+		std::string serving;
+
+		for (auto &host : hosts) {
+			if (!host->alive || !kb_hold_may_serve(&host->hold, now))
+				continue;
+			served_at = now;
+			if (!serving.empty() && violation.empty())
+				violation = serving + " and " + host->name +
+					    " serve at " +
+					    std::to_string(now / MS) + " ms";
+			serving = host->name;
+		}
+	}
+
+	void step()
+	{
+		now += STEP;
+		while (!events.empty() && events.begin()->first <= now) {
+			auto run = events.begin()->second;
+
+			events.erase(events.begin());
+			run();
+			check();
+		}
+		for (auto &host : hosts) {
+			if (!host->alive && now >= host->down_until)
+				start(*host, false);
+			if (runs(*host))
+				tick_host(*host);
+			check();
+		}
+	}
+
+	void run(kb_time_t duration)
+	{
+		for (kb_time_t end = now + duration; now < end;)
+			step();
+	}
+
+	void random_fault()
+	{
+		Host &host = *hosts[below(hosts.size())];
+		size_t other = below(hosts.size());
+
+		switch (below(8)) {
+		case 0:
+			host.alive = false;
+			host.down_until = now + (kb_time_t)(300 + below(4000)) *
+							MS;
+			break;
+		case 1:
+			host.frozen_until =
+				now + (kb_time_t)(200 + below(4000)) * MS;
+			break;
+		case 2:
+			host.store_cut = !host.store_cut;
+			break;
+		case 3:
+			store_down = !store_down;
+			break;
+		case 4:
+			lost_percent = lost_percent ? 0 : 40;
+			break;
+		case 5:
+		case 6:
+			for (size_t i = 0; i < hosts.size(); i++)
+				if (i != index(host) && below(2))
+					cuts[{ std::min(i, index(host)),
+					       std::max(i, index(host)) }] =
+						below(2) == 0;
+			break;
+		default:
+			if (other != index(host))
+				cuts[{ std::min(other, index(host)),
+				       std::max(other, index(host)) }] = true;
+			break;
+		}
+	}
+
+	void heal()
+	{
+		cuts.clear();
+		store_down = false;
+		lost_percent = 0;
+		for (auto &host : hosts)
+			host->store_cut = false;
+	}
+};
+
+std::string run_seed(uint64_t seed, Broken broken)
+{
+	World world(3 + seed % 5, seed, broken);
+
+	world.run(3 * KB_NS_PER_S);
+	for (int i = 0; i < 12 && world.violation.empty(); i++) {
+		world.random_fault();
+		world.run((kb_time_t)(100 + world.below(2500)) * MS);
+	}
+	return world.violation;
+}
+
+/* A holder cut off from all returns to its candidates, not to the store. */
+std::string return_of_a_holder(uint64_t seed, Broken broken)
+{
+	World world(5, seed, broken);
+	size_t old = 5;
+	size_t next = 5;
+
+	world.run(4 * KB_NS_PER_S);
+	for (size_t i = 0; i < 5; i++)
+		if (world.hosts[i]->hold.role == KB_HOLD_SERVING)
+			old = i;
+	world.hosts[old]->store_cut = true;
+	for (size_t i = 0; i < 5; i++)
+		if (i != old)
+			world.cuts[{ std::min(i, old), std::max(i, old) }] =
+				true;
+	world.run(4 * KB_NS_PER_S);
+	for (size_t i = 0; i < 5; i++)
+		if (i != old && world.hosts[i]->hold.role == KB_HOLD_SERVING)
+			next = i;
+	EXPECT_NE(old, next);
+	world.cuts.clear();
+	world.cuts[{ std::min(next, old), std::max(next, old) }] = true;
+	world.run(4 * KB_NS_PER_S);
+	return world.violation;
+}
+
+} // namespace
+
+TEST(Hold, AHolderThatReturnsGetsNoGrantOfItsEarlierRevision)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		EXPECT_EQ("", return_of_a_holder(seed, Broken::NOTHING));
+		EXPECT_NE("", return_of_a_holder(seed, Broken::GRANTS_OLD));
+	}
+}
+
+TEST(Hold, TwoHostsNeverServeAGroupAtOnce)
+{
+	for (uint64_t seed = 1; seed <= 400; seed++)
+		ASSERT_EQ("", run_seed(seed, Broken::NOTHING))
+			<< "seed " << seed;
+}
+
+TEST(Hold, EveryBrokenRuleIsFound)
+{
+	for (Broken broken : { Broken::NO_WAIT, Broken::ONE_GRANT }) {
+		bool found = false;
+
+		for (uint64_t seed = 1; seed <= 400 && !found; seed++)
+			found = !run_seed(seed, broken).empty();
+		EXPECT_TRUE(found) << (int)broken;
+	}
+}
+
+TEST(Hold, IsServedSoonAfterTheFleetStarts)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		World world(7, seed);
+
+		world.run(2 * KB_NS_PER_S);
+		EXPECT_GT(world.served_at, world.now - 100 * MS) << seed;
+	}
+}
+
+TEST(Hold, GoesOnThroughAStoreOutageWithoutOneCandidate)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		World world(7, seed);
+		kb_time_t gap = 0;
+
+		world.run(4 * KB_NS_PER_S);
+		world.store_down = true;
+		for (auto &host : world.hosts)
+			if (host->hold.role != KB_HOLD_SERVING) {
+				host->alive = false;
+				host->down_until = KB_TIME_NEVER;
+				break;
+			}
+		for (int i = 0; i < 800; i++) {
+			world.step();
+			gap = std::max(gap, world.now - world.served_at);
+		}
+		EXPECT_LE(gap, 50 * MS) << seed;
+	}
+}
+
+TEST(Hold, AnotherHostServesSoonAfterTheHolderDies)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		World world(7, seed);
+		kb_time_t died;
+
+		world.run(4 * KB_NS_PER_S);
+		for (auto &host : world.hosts)
+			if (host->hold.role == KB_HOLD_SERVING) {
+				host->alive = false;
+				host->down_until = KB_TIME_NEVER;
+			}
+		died = world.now;
+		world.run(3 * KB_NS_PER_S);
+		EXPECT_GT(world.served_at, died + KB_NS_PER_S) << seed;
+		EXPECT_GT(world.served_at, world.now - 100 * MS) << seed;
+	}
+}
+
+TEST(Hold, IsServedAgainAfterEveryHostRestarts)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		World world(7, seed);
+
+		world.run(4 * KB_NS_PER_S);
+		for (auto &host : world.hosts) {
+			host->alive = false;
+			host->down_until = world.now + KB_NS_PER_S;
+		}
+		world.run(1600 * MS);
+		EXPECT_GT(world.served_at, world.now - 100 * MS) << seed;
+	}
+}
+
+TEST(Hold, IsServedAgainOnceFaultsHaveEnded)
+{
+	for (uint64_t seed = 1; seed <= 200; seed++) {
+		World world(3 + seed % 5, seed);
+
+		world.run(3 * KB_NS_PER_S);
+		for (int i = 0; i < 10; i++) {
+			world.random_fault();
+			world.run((kb_time_t)(100 + world.below(1500)) * MS);
+		}
+		world.heal();
+		world.run(10 * KB_NS_PER_S);
+		EXPECT_GT(world.served_at, world.now - 500 * MS)
+			<< "seed " << seed;
+	}
+}
+
+TEST(Hold, ADeletedKeyIsWrittenAnewWithoutAGap)
+{
+	World world(5, 3);
+	kb_time_t gap = 0;
+
+	world.run(4 * KB_NS_PER_S);
+	world.exists = false;
+	world.revision++;
+	for (auto &host : world.hosts)
+		kb_hold_on_key(&host->hold, nullptr, world.revision, world.now);
+	for (int i = 0; i < 300; i++) {
+		world.step();
+		gap = std::max(gap, world.now - world.served_at);
+	}
+	EXPECT_LE(gap, 50 * MS);
+	EXPECT_TRUE(world.exists);
+	EXPECT_EQ("", world.violation);
+}
+
+TEST(Hold, AReleaseMovesTheGroupWithoutWaiting)
+{
+	World world(5, 7);
+	kb_hold_ranking_t ranking{};
+	kb_time_t gap = 0;
+
+	world.run(4 * KB_NS_PER_S);
+	for (auto &host : world.hosts)
+		ranking.hosts[ranking.count++] = name_of(host->name);
+	for (auto &host : world.hosts)
+		if (host->hold.role == KB_HOLD_SERVING) {
+			kb_hold_release(&host->hold, &ranking, nullptr,
+					world.now);
+			break;
+		}
+	for (int i = 0; i < 200; i++) {
+		world.step();
+		gap = std::max(gap, world.now - world.served_at);
+	}
+	EXPECT_LE(gap, 1000 * MS);
+	EXPECT_EQ("", world.violation);
+}
