Ask new candidates before naming them; leave callers of a cut-off host

Cause: naming a candidate that had granted nothing yet ended the validity of a serving hold, and a new candidate, never asked before, suspected the holder at once. A host cut off from store and hosts stayed ready and kept its callers.

--- a/daemon/session_host.c
+++ b/daemon/session_host.c
@@ -160,6 +160,16 @@
 	event_base_loopbreak(host->loop);
 }
 
+/* Callers whose connection ends outside a transaction reach other hosts. */
+static void leave_callers_to_others(session_host_t *host)
+{
+	if (host->was_ready)
+		kb_log(KB_EVENT_READINESS, "ready=0 sessions=%zu",
+		       host->door.count);
+	host->was_ready = 0;
+	kb_caller_door_close_idle(&host->door);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct timeval pause = { 0, HOUSEKEEPING_MS * 1000 };
@@ -170,6 +180,8 @@
 	(void)what;
 	event_add(host->timer, &pause);
 	check_settings(host, now);
+	if (kb_proxy_is_cut_off(host->proxy))
+		leave_callers_to_others(host);
 	if (host->stop_begun_at)
 		go_on_stopping(host, now);
 }
--- a/src/hold.c
+++ b/src/hold.c
@@ -148,7 +148,7 @@
 	memcpy(old, hold->grants, sizeof(old));
 	hold->grant_count = 0;
 	ask_set(hold, &hold->record.candidates, old, old_count);
-	if (hold->rewriting)
+	if (hold->preparing || hold->rewriting)
 		ask_set(hold, &hold->wanted.candidates, old, old_count);
 	if (hold->role == KB_HOLD_WAITING)
 		ask_set(hold, &hold->record.former, old, old_count);
@@ -175,6 +175,7 @@
 static void lose(kb_hold_t *hold)
 {
 	hold->confirmed = 0;
+	hold->preparing = 0;
 	hold->rewriting = 0;
 	if (hold->role != KB_HOLD_TAKING)
 		set_role(hold, KB_HOLD_NONE);
@@ -189,6 +190,10 @@
 	if (!hold->known || (record && !names_equal(&record->holder,
 						    &hold->record.holder)))
 		hold->heard_at = now;
+	/* A new candidate has not been asked before. */
+	if (record && is_in(&record->candidates, &hold->self) &&
+	    !is_in(&hold->record.candidates, &hold->self))
+		hold->heard_at = now;
 	hold->known = 1;
 	hold->as_of = revision;
 	if (!record) {
@@ -217,6 +222,7 @@
 	if (!hold->former_stopped)
 		hold->serve_at += KB_HOLD_STORE_MAX_S * KB_NS_PER_S;
 	hold->confirmed = 0;
+	hold->preparing = 0;
 	hold->rewriting = 0;
 	hold->grant_count = 0;
 	hold->asked_at = 0;
@@ -462,6 +468,18 @@
 	return 1;
 }
 
+/*
+ * Whether the wanted candidates grant renewals already, so that naming them
+ * does not interrupt the service; or there is none to interrupt.
+ */
+static int is_prepared(const kb_hold_t *hold, kb_time_t now)
+{
+	kb_time_t recent = now - KB_HOLD_VALID_MS / 2 * KB_NS_PER_MS;
+
+	return majority_time(hold, &hold->wanted.candidates) >= recent ||
+	       kb_hold_valid_until(hold) <= now;
+}
+
 /* Names the present hosts as candidates, and settles the hold when it may. */
 static void rewrite(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
 		    kb_time_t now)
@@ -481,11 +499,19 @@
 		keep_former(&wanted, &hold->record);
 	if (!hold->rewriting && hold->revision &&
 	    wanted.settled == hold->record.settled &&
-	    same_set(&wanted.candidates, &hold->record.candidates))
+	    same_set(&wanted.candidates, &hold->record.candidates)) {
+		hold->preparing = 0;
 		return;
+	}
 	/* A write without an answer may still take effect: repeat it. */
 	if (!hold->rewriting || settles)
 		hold->wanted = wanted;
+	if (!hold->rewriting && !settles && !is_prepared(hold, now)) {
+		hold->preparing = 1;
+		set_grants(hold);
+		return;
+	}
+	hold->preparing = 0;
 	hold->rewriting = 1;
 	set_grants(hold);
 	begin_write(hold, now);
--- a/src/hold.h
+++ b/src/hold.h
@@ -10,13 +10,13 @@
 	KB_HOLD_CANDIDATES_MAX = 5,
 	KB_HOLD_HOSTS_MAX = 128,
 	/* A renewal lets the holder serve for this time from its sending. */
-	KB_HOLD_VALID_MS = 1200,
+	KB_HOLD_VALID_MS = 900,
 	/* Renewals are sent this often; four fit into their validity. */
-	KB_HOLD_RENEW_MS = 250,
+	KB_HOLD_RENEW_MS = 200,
 	/* They are sent this often while too few are granted. */
 	KB_HOLD_URGENT_MS = 80,
 	/* Silence after which a holder is held lost: three renewals. */
-	KB_HOLD_SUSPECT_MS = 800,
+	KB_HOLD_SUSPECT_MS = 600,
 	/* Longest time of serving without a word from the store. */
 	KB_HOLD_STORE_MAX_S = 20,
 	/* The store is asked this often while the candidates answer. */
@@ -150,7 +150,9 @@
 	int reading;
 	kb_time_t wrote_at;
 	uint64_t write_number;
-	/* A write of new candidates waits for its answer. */
+	/* New candidates are asked before a write names them. */
+	int preparing;
+	/* That write waits for its answer. */
 	int rewriting;
 	kb_hold_record_t wanted;
 	kb_time_t asked_at;
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -8,6 +8,11 @@
 #include <sodium.h>
 #include <stdlib.h>
 
+enum {
+	/* Renewals, news and pings are answered several times in this time. */
+	CUT_OFF_MS = 1200,
+};
+
 static int has_prefix(kb_str_t key, kb_str_t prefix)
 {
 	return key.len > prefix.len &&
@@ -245,10 +250,18 @@
 	free(proxy);
 }
 
+int kb_proxy_is_cut_off(const kb_proxy_t *proxy)
+{
+	kb_time_t now = kb_clock_monotonic(proxy->clock);
+
+	return proxy->hosts.count > 1 && proxy->contact_at &&
+	       now - proxy->contact_at > CUT_OFF_MS * KB_NS_PER_MS;
+}
+
 int kb_proxy_is_ready(const kb_proxy_t *proxy)
 {
 	return !proxy->stopping && proxy->databases.version &&
-	       proxy->targets.count;
+	       proxy->targets.count && !kb_proxy_is_cut_off(proxy);
 }
 
 void kb_proxy_stop(kb_proxy_t *proxy, kb_time_t deadline)
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -37,6 +37,12 @@
 /* Whether new callers can be served here. */
 int kb_proxy_is_ready(const kb_proxy_t *proxy);
 
+/*
+ * Whether neither the store nor another host has answered for some time:
+ * callers are better served elsewhere.
+ */
+int kb_proxy_is_cut_off(const kb_proxy_t *proxy);
+
 /* Begins a planned stop that ends at `deadline` at the latest. */
 void kb_proxy_stop(kb_proxy_t *proxy, kb_time_t deadline);
 
--- a/src/proxy_parts.h
+++ b/src/proxy_parts.h
@@ -131,6 +131,8 @@
 	kb_time_t synced_at;
 	kb_time_t sync_sent_at;
 	int syncing;
+	/* Last answer of the store or of any other host. */
+	kb_time_t contact_at;
 	int stopping;
 	kb_time_t stop_at;
 	kb_time_t stop_begun_at;
