--- a/daemon/session_host.c
+++ b/daemon/session_host.c
@@ -147,8 +147,13 @@
 	kb_time_t grace = host->settings->drain_grace;
 	int is_idle;
 
-	if (spent >= STOP_NOTICE_MS * KB_NS_PER_MS)
-		kb_caller_door_close_idle(&host->door);
+	if (spent >= grace * STOP_TXN_PERCENT / 100) {
+		kb_caller_door_close(&host->door);
+		kb_caller_door_set_policy(&host->door, KB_DOOR_KEEP_QUERIES);
+	} else if (spent >= STOP_NOTICE_MS * KB_NS_PER_MS) {
+		kb_caller_door_set_policy(&host->door,
+					  KB_DOOR_KEEP_TRANSACTIONS);
+	}
 	is_idle = !host->door.count && kb_proxy_is_idle(host->proxy);
 	if (!is_idle)
 		host->idle_since = now;
@@ -167,7 +172,7 @@
 		kb_log(KB_EVENT_READINESS, "ready=0 sessions=%zu",
 		       host->door.count);
 	host->was_ready = 0;
-	kb_caller_door_close_idle(&host->door);
+	kb_caller_door_set_policy(&host->door, KB_DOOR_KEEP_TRANSACTIONS);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -180,10 +185,12 @@
 	(void)what;
 	event_add(host->timer, &pause);
 	check_settings(host, now);
-	if (kb_proxy_is_cut_off(host->proxy))
-		leave_callers_to_others(host);
 	if (host->stop_begun_at)
 		go_on_stopping(host, now);
+	else if (kb_proxy_is_cut_off(host->proxy))
+		leave_callers_to_others(host);
+	else
+		kb_caller_door_set_policy(&host->door, KB_DOOR_KEEP);
 }
 
 static struct evhttp *serve_http(session_host_t *host,
