Name leaving hosts, tell successors, answer with the holder's name

Cause: a stopping host handed its groups to hosts that were stopping too, since a removed key does not tell a stop from a lapsed lease; a successor learned of a release with the next news (up to 0.4 s) and callers with theirs.

--- a/src/gen/kumquat_session.h
+++ b/src/gen/kumquat_session.h
@@ -120,6 +120,7 @@
 		u_int changed_len;
 		kbs_entry *changed_val;
 	} changed;
+	bool_t removed;
 	struct {
 		u_int keys_len;
 		kbs_text *keys_val;
@@ -140,6 +141,16 @@
 };
 typedef struct kbs_grant_res kbs_grant_res;
 
+struct kbs_look_args {
+	kbs_text group;
+};
+typedef struct kbs_look_args kbs_look_args;
+
+struct kbs_look_res {
+	bool_t taken;
+};
+typedef struct kbs_look_res kbs_look_res;
+
 struct kbs_heard_args {
 	kbs_text group;
 	kbs_text holder;
@@ -191,6 +202,8 @@
 extern  bool_t xdr_kbs_sync_res (XDR *, kbs_sync_res*);
 extern  bool_t xdr_kbs_grant_args (XDR *, kbs_grant_args*);
 extern  bool_t xdr_kbs_grant_res (XDR *, kbs_grant_res*);
+extern  bool_t xdr_kbs_look_args (XDR *, kbs_look_args*);
+extern  bool_t xdr_kbs_look_res (XDR *, kbs_look_res*);
 extern  bool_t xdr_kbs_heard_args (XDR *, kbs_heard_args*);
 extern  bool_t xdr_kbs_heard_res (XDR *, kbs_heard_res*);
 extern  bool_t xdr_kbs_stamp_args (XDR *, kbs_stamp_args*);
@@ -212,6 +225,8 @@
 extern bool_t xdr_kbs_sync_res ();
 extern bool_t xdr_kbs_grant_args ();
 extern bool_t xdr_kbs_grant_res ();
+extern bool_t xdr_kbs_look_args ();
+extern bool_t xdr_kbs_look_res ();
 extern bool_t xdr_kbs_heard_args ();
 extern bool_t xdr_kbs_heard_res ();
 extern bool_t xdr_kbs_stamp_args ();
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -110,7 +110,8 @@
 	hyper age_us;
 	/* Keys changed since the sender's revision. */
 	kbs_entry changed<KBS_ENTRIES_MAX>;
-	/* All keys. */
+	/* Keys were removed since; then `keys` has all that are left. */
+	bool removed;
 	kbs_text keys<KBS_ENTRIES_MAX>;
 };
 
@@ -127,6 +128,15 @@
 	bool granted;
 };
 
+/* The store's key of a group names the receiver now. */
+struct kbs_look_args {
+	kbs_text group;
+};
+
+struct kbs_look_res {
+	bool taken;
+};
+
 /* Asks when a host last heard the holder of a group serve it. */
 struct kbs_heard_args {
 	kbs_text group;
--- a/src/gen/kumquat_session_xdr.c
+++ b/src/gen/kumquat_session_xdr.c
@@ -230,6 +230,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->changed.changed_val, (u_int *) &objp->changed.changed_len, KBS_ENTRIES_MAX,
 		sizeof (kbs_entry), (xdrproc_t) xdr_kbs_entry))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->removed))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, KBS_ENTRIES_MAX,
 		sizeof (kbs_text), (xdrproc_t) xdr_kbs_text))
 		 return FALSE;
@@ -262,6 +264,26 @@
 	return TRUE;
 }
 
+bool_t
+xdr_kbs_look_args (XDR *xdrs, kbs_look_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_kbs_text (xdrs, &objp->group))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kbs_look_res (XDR *xdrs, kbs_look_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->taken))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_kbs_heard_args (XDR *xdrs, kbs_heard_args *objp)
 {
--- a/src/hold.c
+++ b/src/hold.c
@@ -341,6 +341,7 @@
 		take_written(hold, revision);
 		hold->heard_at = now;
 		lose(hold);
+		hold->ops->tell(hold->ctx, hold, &hold->record.holder);
 	} else if (hold->rewriting) {
 		hold->rewriting = 0;
 		take_written(hold, revision);
@@ -361,6 +362,13 @@
 			grant->asked_at = asked_at;
 		grant->granted = 1;
 	}
+	if (hold->role == KB_HOLD_WAITING && !hold->former_stopped && granted &&
+	    hold->record.former.count &&
+	    names_equal(&hold->record.former.hosts[0], candidate)) {
+		/* It does not serve, and will not without a write. */
+		hold->former_stopped = 1;
+		hold->serve_at = now;
+	}
 	if (hold->role == KB_HOLD_WAITING && !hold->former_stopped &&
 	    !hold->record.former_lost &&
 	    majority_time(hold, &hold->record.former)) {
@@ -369,6 +377,15 @@
 	}
 }
 
+void kb_hold_look(kb_hold_t *hold, kb_time_t now)
+{
+	if (hold->role != KB_HOLD_NONE)
+		return;
+	/* A read that was sent before may not show it. */
+	hold->reading = 0;
+	begin_read(hold, now);
+}
+
 int kb_hold_grant(kb_hold_t *hold, const kb_name_t *holder, int64_t revision,
 		  int serving, kb_time_t now)
 {
--- a/src/hold.h
+++ b/src/hold.h
@@ -49,8 +49,8 @@
 	/* Hosts that grant the holder's renewals. */
 	kb_hold_set_t candidates;
 	/*
-	 * Until it is settled: the candidates of the holder that served last.
-	 * They are not known if `former_lost` is set.
+	 * Until it is settled: the holder that served last and its candidates,
+	 * in this order. They are not known if `former_lost` is set.
 	 */
 	kb_hold_set_t former;
 	int former_lost;
@@ -87,6 +87,8 @@
 		    kb_time_t asked_at);
 	/* Asks the candidates when they heard the holder serve. */
 	void (*inquire)(void *ctx, kb_hold_t *hold);
+	/* Asks a host to read the key, which names it now. */
+	void (*tell)(void *ctx, kb_hold_t *hold, const kb_name_t *host);
 	/* The role or the holder changed. */
 	void (*changed)(void *ctx, kb_hold_t *hold);
 } kb_hold_ops_t;
@@ -209,6 +211,9 @@
 void kb_hold_on_grant(kb_hold_t *hold, const kb_name_t *candidate,
 		      kb_time_t asked_at, int granted, kb_time_t now);
 
+/* The key names this host, as another one says: reads it. */
+void kb_hold_look(kb_hold_t *hold, kb_time_t now);
+
 /* Another host last heard the holder at `heard_at`; or it never did. */
 void kb_hold_on_heard(kb_hold_t *hold, int heard, kb_time_t heard_at);
 
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -99,6 +99,7 @@
 {
 	kb_mirror_entry_t old = *entry;
 
+	mirror->removed_at = mirror->revision;
 	*entry = mirror->entries[--mirror->count];
 	mirror->changed(mirror->ctx, old.key, NULL);
 	finish_entry(&old);
@@ -175,6 +176,9 @@
 	if (!mirror->revision ||
 	    (!args->whole && args->revision >= (uint64_t)mirror->revision))
 		return KB_OK;
+	/* A host that has been told since needs no list of what is left. */
+	res->removed = args->whole || args->revision <
+					      (uint64_t)mirror->removed_at;
 	res->changed.changed_val =
 		calloc(mirror->count + 1, sizeof(*res->changed.changed_val));
 	res->keys.keys_val =
@@ -187,8 +191,9 @@
 		const kb_mirror_entry_t *entry = &mirror->entries[i];
 		kbs_entry *told;
 
-		res->keys.keys_val[res->keys.keys_len++] =
-			kb_text_view(entry->key);
+		if (res->removed)
+			res->keys.keys_val[res->keys.keys_len++] =
+				kb_text_view(entry->key);
 		if (!args->whole && (uint64_t)entry->revision <= args->revision)
 			continue;
 		told = &res->changed.changed_val[res->changed.changed_len++];
@@ -229,7 +234,7 @@
 	}
 	mirror->revision = revision;
 	note_time(mirror, as_of);
-	while (i < mirror->count) {
+	while (res->removed && i < mirror->count) {
 		kb_mirror_entry_t *entry = &mirror->entries[i];
 
 		if (!is_named(res, entry->key) && entry->revision <= revision)
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -23,6 +23,8 @@
 	size_t capacity;
 	/* Revision of the store that the entries show; 0: none yet. */
 	int64_t revision;
+	/* Revision up to which keys have been removed. */
+	int64_t removed_at;
 	/* Latest time at which the store was at most that far. */
 	kb_time_t as_of;
 	/* A key changed; `entry` is NULL if it was removed. */
--- a/src/presence.c
+++ b/src/presence.c
@@ -65,7 +65,8 @@
 	(void)written;
 	if (result == KB_ERR_NOT_FOUND)
 		presence->lease = 0;
-	presence->written = !result;
+	presence->written = !result && presence->wrote_leaving ==
+					       presence->leaving;
 	next_call(presence, result ? KB_PRESENCE_RETRY_MS
 				   : KB_PRESENCE_KEEP_MS);
 }
@@ -73,12 +74,13 @@
 static kb_result_t write_key(kb_presence_t *presence)
 {
 	const kb_host_place_t *place = &presence->place;
-	json_t *json = json_pack("{s:s,s:s,s:i,s:s,s:s}", "name",
+	json_t *json = json_pack("{s:s,s:s,s:i,s:s,s:s,s:b}", "name",
 				 place->name.data, "address",
 				 place->endpoint.address.data, "port",
 				 place->endpoint.port, "dataCentre",
 				 place->data_centre.data, "region",
-				 place->region.data);
+				 place->region.data, "leaving",
+				 presence->leaving);
 	char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	kb_store_write_t write = {
 		.key = kb_name_str(&presence->key),
@@ -88,6 +90,7 @@
 	};
 	kb_result_t result = KB_ERR_NO_MEMORY;
 
+	presence->wrote_leaving = presence->leaving;
 	if (text)
 		result = presence->store->ops->put(presence->store, &write,
 						   on_written, presence);
@@ -102,7 +105,7 @@
 	kb_time_t now = kb_clock_monotonic(presence->clock);
 	kb_result_t result;
 
-	if (presence->calling || presence->leaving || now < presence->next_at)
+	if (presence->calling || now < presence->next_at)
 		return;
 	presence->calling = 1;
 	if (!presence->lease)
@@ -118,29 +121,15 @@
 		next_call(presence, KB_PRESENCE_RETRY_MS);
 }
 
-static void on_ended(void *ctx, kb_result_t result, int64_t lease,
-		     kb_time_t ttl)
-{
-	/* The lease ends by itself if this did not reach the store. */
-	(void)ctx;
-	(void)result;
-	(void)lease;
-	(void)ttl;
-}
-
 void kb_presence_leave(kb_presence_t *presence)
 {
-	kb_store_t *store = presence->store;
-
-	if (presence->leaving)
-		return;
 	presence->leaving = 1;
-	if (presence->lease)
-		store->ops->lease_end(store, presence->lease, on_ended,
-				      presence);
+	presence->written = 0;
+	presence->next_at = 0;
 }
 
-kb_result_t kb_presence_parse(kb_str_t value, kb_host_place_t *place)
+kb_result_t kb_presence_parse(kb_str_t value, kb_host_place_t *place,
+			      int *leaving)
 {
 	json_t *json = json_loadb(value.data, value.len, 0, NULL);
 	const char *name;
@@ -152,9 +141,9 @@
 
 	memset(place, 0, sizeof(*place));
 	if (json &&
-	    !json_unpack(json, "{s:s,s:s,s:i,s:s,s:s}", "name", &name,
+	    !json_unpack(json, "{s:s,s:s,s:i,s:s,s:s,s:b}", "name", &name,
 			 "address", &address, "port", &port, "dataCentre",
-			 &data_centre, "region", &region) &&
+			 &data_centre, "region", &region, "leaving", leaving) &&
 	    port > 0 && port <= UINT16_MAX &&
 	    !kb_name_set(&place->name, kb_str_from(name)) &&
 	    !kb_name_set(&place->endpoint.address, kb_str_from(address)) &&
--- a/src/presence.h
+++ b/src/presence.h
@@ -28,6 +28,8 @@
 	int written;
 	int calling;
 	int leaving;
+	/* What the last write told of that. */
+	int wrote_leaving;
 	kb_time_t next_at;
 } kb_presence_t;
 
@@ -38,11 +40,12 @@
 /* Makes the call that is due. `listed`: the key is known to exist. */
 void kb_presence_tick(kb_presence_t *presence, int listed);
 
-/* Removes the key: this host takes no new duty. */
+/* Tells others that this host takes no new duty. */
 void kb_presence_leave(kb_presence_t *presence);
 
 /* Reads the value of a host's key. Returns KB_ERR_PROTOCOL. */
-kb_result_t kb_presence_parse(kb_str_t value, kb_host_place_t *place);
+kb_result_t kb_presence_parse(kb_str_t value, kb_host_place_t *place,
+			      int *leaving);
 
 KB_END_DECLS
 
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -137,6 +137,11 @@
 	kb_proxy_sessions_tick(proxy, now);
 }
 
+void kb_proxy_wake(kb_proxy_t *proxy)
+{
+	event_active(proxy->tick, 0, 0);
+}
+
 static kb_result_t add_seeds(kb_proxy_t *proxy, const kb_settings_t *settings)
 {
 	for (size_t i = 0; i < proxy->seed_count; i++)
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -117,6 +117,14 @@
 		 group->name.data);
 }
 
+/* A host that is about to serve a group loses no time. */
+static void wake_if_beginning(kb_proxy_group_t *group)
+{
+	if (group->hold.role == KB_HOLD_WAITING ||
+	    group->lead.state == KB_LEAD_FINDING)
+		kb_proxy_wake(group->proxy);
+}
+
 /* A call to the store for a hold. */
 typedef struct hold_call {
 	kb_proxy_group_t *group;
@@ -155,6 +163,7 @@
 	}
 	kb_hold_on_read(&call.group->hold, call.sent_at, result, found,
 			revision, now);
+	wake_if_beginning(call.group);
 }
 
 static void hold_read(void *ctx, kb_hold_t *hold, kb_time_t sent_at)
@@ -188,6 +197,7 @@
 	       written ? written->revision : 0);
 	kb_hold_on_written(&call.group->hold, call.number, result,
 			   written ? written->revision : 0, now);
+	wake_if_beginning(call.group);
 }
 
 static void hold_write(void *ctx, kb_hold_t *hold,
@@ -230,6 +240,7 @@
 		kb_hold_on_grant(&call.group->hold, &call.candidate,
 				 call.asked_at, granted->granted,
 				 kb_clock_monotonic(call.group->proxy->clock));
+	wake_if_beginning(call.group);
 }
 
 static void hold_ask(void *ctx, kb_hold_t *hold, const kb_name_t *candidate,
@@ -316,6 +327,39 @@
 	}
 }
 
+static void on_looked(void *ctx, kb_result_t result, void *res)
+{
+	/* A host that was not told learns it from the others. */
+	(void)ctx;
+	(void)result;
+	(void)res;
+}
+
+static void hold_tell(void *ctx, kb_hold_t *hold, const kb_name_t *name)
+{
+	kb_proxy_group_t *group = ctx;
+	kb_proxy_t *proxy = group->proxy;
+	kb_host_t *host = kb_hosts_find(&proxy->hosts, kb_name_str(name));
+	kbs_look_args args = {
+		.group = kb_text_view(kb_name_str(&group->name)),
+	};
+	kb_rpc_call_t rpc = {
+		.procedure = KB_PROXY_LOOK,
+		.encode = (xdrproc_t)xdr_kbs_look_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_kbs_look_res,
+		.res_size = sizeof(kbs_look_res),
+		.timeout = KB_PROXY_CALL_MS * KB_NS_PER_MS,
+		.done = on_looked,
+	};
+
+	(void)hold;
+	if (!host || host->self)
+		return;
+	proxy->stats.host_calls++;
+	kb_rpc_peer_call(&host->peer, &rpc);
+}
+
 static void hold_changed(void *ctx, kb_hold_t *hold)
 {
 	static const char *const roles[] = {
@@ -336,6 +380,7 @@
 	.write = hold_write,
 	.ask = hold_ask,
 	.inquire = hold_inquire,
+	.tell = hold_tell,
 	.changed = hold_changed,
 };
 
--- a/src/proxy_hosts.c
+++ b/src/proxy_hosts.c
@@ -40,6 +40,7 @@
 	kb_time_t now = kb_clock_monotonic(proxy->clock);
 	kb_host_place_t place;
 	kb_host_t *host;
+	int leaving;
 
 	if (!entry) {
 		host = kb_hosts_find(&proxy->hosts,
@@ -49,7 +50,7 @@
 			host->unlisted_at = now;
 		return;
 	}
-	if (kb_presence_parse(entry->value, &place)) {
+	if (kb_presence_parse(entry->value, &place, &leaving)) {
 		kb_log(KB_EVENT_STORE_ENTRY_MALFORMED, "key=%.*s",
 		       KB_STR_ARG(key));
 		return;
@@ -61,6 +62,9 @@
 		return;
 	if (!host->live || host->unlisted_at)
 		kb_log(KB_EVENT_MEMBER_JOINED, "peer=%s", host->name.data);
+	if (leaving && !host->leaving)
+		kb_log(KB_EVENT_MEMBER_LEAVING, "peer=%s", host->name.data);
+	host->leaving = leaving;
 	host->live = 1;
 	host->unlisted_at = 0;
 }
--- a/src/proxy_parts.h
+++ b/src/proxy_parts.h
@@ -28,6 +28,7 @@
 	KB_PROXY_HEARD = 104,
 	KB_PROXY_STAMP = 105,
 	KB_PROXY_REACH = 106,
+	KB_PROXY_LOOK = 107,
 	/* What is due is looked for this often. */
 	KB_PROXY_TICK_MS = 20,
 	/* Time for a small call between hosts. */
@@ -141,6 +142,9 @@
 	kb_proxy_stats_t stats;
 };
 
+/* Looks soon for what is due. */
+void kb_proxy_wake(kb_proxy_t *proxy);
+
 /* proxy_group.c */
 kb_proxy_group_t *kb_proxy_group_find(const kb_proxy_t *proxy, kb_str_t name);
 kb_proxy_group_t *kb_proxy_group_get(kb_proxy_t *proxy, kb_str_t name);
--- a/src/proxy_probe.c
+++ b/src/proxy_probe.c
@@ -42,6 +42,7 @@
 		kb_lead_on_probe(&probe->group->lead,
 				 kb_name_str(&target->place.target), result,
 				 report, now);
+		kb_proxy_wake(probe->group->proxy);
 	}
 }
 
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -117,6 +117,19 @@
 	kb_rpc_server_reply(request, &res);
 }
 
+static void serve_look(void *ctx, kb_rpc_request_t *request, void *raw)
+{
+	kb_proxy_t *proxy = ctx;
+	const kbs_look_args *args = raw;
+	kb_proxy_group_t *group =
+		kb_proxy_group_get(proxy, kb_text_str(args->group));
+	kbs_look_res res = { .taken = group ? TRUE : FALSE };
+
+	if (group)
+		kb_hold_look(&group->hold, kb_clock_monotonic(proxy->clock));
+	kb_rpc_server_reply(request, &res);
+}
+
 static void serve_heard(void *ctx, kb_rpc_request_t *request, void *raw)
 {
 	kb_proxy_t *proxy = ctx;
@@ -178,6 +191,9 @@
 		{ KB_PROXY_HEARD, (xdrproc_t)xdr_kbs_heard_args,
 		  sizeof(kbs_heard_args), (xdrproc_t)xdr_kbs_heard_res,
 		  serve_heard, proxy },
+		{ KB_PROXY_LOOK, (xdrproc_t)xdr_kbs_look_args,
+		  sizeof(kbs_look_args), (xdrproc_t)xdr_kbs_look_res,
+		  serve_look, proxy },
 		{ KB_PROXY_STAMP, (xdrproc_t)xdr_kbs_stamp_args,
 		  sizeof(kbs_stamp_args), (xdrproc_t)xdr_kbs_stamp_res,
 		  serve_stamp, proxy },
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -43,6 +43,10 @@
 	kb_proxy_path_t path;
 	unsigned attempts;
 	kb_result_t last;
+	/* Holder of the group as a host said that is not, or empty. */
+	kb_name_t hint;
+	/* The last attempt followed it. */
+	int hinted;
 };
 
 /* One attempt at a statement. */
@@ -244,6 +248,16 @@
 	int replica = session->path == KB_PROXY_PATH_REPLICA;
 
 	session->last = result;
+	session->hint.len = 0;
+	if (result == KB_ERR_NOT_GATE && res && res->holder.kbs_text_len &&
+	    !kb_name_is(&session->gate, kb_text_str(res->holder)) &&
+	    !session->hinted) {
+		session->hinted = 1;
+		kb_name_set(&session->hint, kb_text_str(res->holder));
+		try_run(session);
+		return;
+	}
+	session->hinted = 0;
 	if (!result || !may_retry(session, result)) {
 		finish_run(session, res, result, "the host that serves the "
 						 "target did not answer");
@@ -417,7 +431,10 @@
 	session->target.len = 0;
 	session->target.data[0] = 0;
 	session->choice.include = (kb_point_t){ 0 };
-	if (group && group->hold.known)
+	if (session->hint.len)
+		host = kb_hosts_find(&session->proxy->hosts,
+				     kb_name_str(&session->hint));
+	else if (group && group->hold.known)
 		host = kb_hosts_find(&session->proxy->hosts,
 				     kb_name_str(&group->hold.record.holder));
 	if (host)
@@ -478,6 +495,8 @@
 	session->retry_at = 0;
 	session->attempts = 0;
 	session->last = KB_OK;
+	session->hint.len = 0;
+	session->hinted = 0;
 	if (group)
 		group->used_at = now;
 	if (!caller->args.transaction)
--- a/tests/test_hold.cc
+++ b/tests/test_hold.cc
@@ -79,6 +79,7 @@
 		ops.write = on_write;
 		ops.ask = on_ask;
 		ops.inquire = on_inquire;
+		ops.tell = on_tell;
 		ops.changed = [](void *, kb_hold_t *) {};
 		for (size_t i = 0; i < count; i++) {
 			hosts.push_back(std::make_unique<Host>());
@@ -283,6 +284,19 @@
 		}
 	}
 
+	static void on_tell(void *ctx, kb_hold_t *, const kb_name_t *name)
+	{
+		Host &host = *static_cast<Host *>(ctx);
+		World &world = *host.world;
+		Host &other = *world.find(name);
+
+		if (!world.linked(world.index(host), world.index(other)))
+			return;
+		world.deliver(other, world.delay(), [&other, &world] {
+			kb_hold_look(&other.hold, world.now);
+		});
+	}
+
 	/* What spreads between hosts beside the store. */
 	void gossip(Host &host)
 	{
@@ -589,6 +603,6 @@
 		world.step();
 		gap = std::max(gap, world.now - world.served_at);
 	}
-	EXPECT_LE(gap, 1000 * MS);
+	EXPECT_LE(gap, 250 * MS);
 	EXPECT_EQ("", world.violation);
 }
