Judge reach by holders' stamps, refuse at once where none is in sight

Cause: hosts cut off from every holder stayed ready and held statements for their whole time; reads went to replicas known to lack the point.

--- a/daemon/session_host.c
+++ b/daemon/session_host.c
@@ -27,6 +27,8 @@
 	STOP_PERCENT = 85,
 	/* Changes of the settings file are looked for this often. */
 	SETTINGS_CHECK_MS = 2000,
+	/* A host that is cut off closes its callers' connections this often. */
+	LEAVE_CALLERS_MS = 2000,
 	/* Time from the last session's end until the listener closes. */
 	STOP_LINGER_MS = 300,
 	STATUS_READY = 200,
@@ -50,6 +52,8 @@
 	kb_time_t stop_begun_at;
 	kb_time_t idle_since;
 	kb_time_t checked_at;
+	/* When callers were last left to other hosts. */
+	kb_time_t left_at;
 	struct timespec changed;
 	int was_ready;
 	kb_result_t result;
@@ -166,13 +170,17 @@
 }
 
 /* Callers whose connection ends outside a transaction reach other hosts. */
-static void leave_callers_to_others(session_host_t *host)
+static void leave_callers_to_others(session_host_t *host, kb_time_t now)
 {
+	if (now - host->left_at < LEAVE_CALLERS_MS * KB_NS_PER_MS)
+		return;
+	host->left_at = now;
 	if (host->was_ready)
 		kb_log(KB_EVENT_READINESS, "ready=0 sessions=%zu",
 		       host->door.count);
 	host->was_ready = 0;
 	kb_caller_door_set_policy(&host->door, KB_DOOR_KEEP_TRANSACTIONS);
+	kb_caller_door_set_policy(&host->door, KB_DOOR_KEEP);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -188,9 +196,7 @@
 	if (host->stop_begun_at)
 		go_on_stopping(host, now);
 	else if (kb_proxy_is_cut_off(host->proxy))
-		leave_callers_to_others(host);
-	else
-		kb_caller_door_set_policy(&host->door, KB_DOOR_KEEP);
+		leave_callers_to_others(host, now);
 }
 
 static struct evhttp *serve_http(session_host_t *host,
--- a/src/follower.c
+++ b/src/follower.c
@@ -57,8 +57,6 @@
 
 	follower->calling = 0;
 	note_reached(follower, result);
-	if (!result)
-		follower->answered_at = now;
 	if (result == KB_ERR_NOT_FOUND)
 		follower->whole = 1;
 	else if (result)
--- a/src/follower.h
+++ b/src/follower.h
@@ -32,8 +32,6 @@
 	kb_time_t sent_at;
 	kb_time_t next_at;
 	kb_time_t whole_at;
-	/* Last answer of the store. */
-	kb_time_t answered_at;
 	/* Whether the last call was answered, for the log. */
 	int reached;
 } kb_follower_t;
--- a/src/pool_conn.c
+++ b/src/pool_conn.c
@@ -324,6 +324,17 @@
 	kb_pool_job_end(pool, job, &res);
 }
 
+/* The target's position goes with it, so that later reads avoid it. */
+static void refuse_to_begin(kb_link_pool_t *pool, kb_pool_job_t *job,
+			    const kb_reply_t *reply)
+{
+	kbs_run_res res;
+
+	fill_res(&res, reply);
+	res.offered = FALSE;
+	kb_pool_job_end(pool, job, &res);
+}
+
 static void take_prepared(kb_pool_conn_t *conn, const kb_reply_t *reply)
 {
 	kb_link_pool_t *pool = conn->pool;
@@ -348,8 +359,7 @@
 				   "the connection could not be prepared");
 	else if (reply->result == KB_ERR_READ_ONLY ||
 		 reply->result == KB_ERR_NOT_FRESH)
-		kb_pool_job_refuse(pool, job, reply->result,
-				   "the target refused to begin");
+		refuse_to_begin(pool, job, reply);
 	else if (job->attempts < POOL_ATTEMPTS_MAX)
 		kb_pool_job_requeue(pool, job);
 	else
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -9,8 +9,8 @@
 #include <stdlib.h>
 
 enum {
-	/* Renewals, news and pings are answered several times in this time. */
-	CUT_OFF_MS = 1200,
+	/* Holders are asked several times in this time. */
+	CUT_OFF_MS = 1500,
 };
 
 static int has_prefix(kb_str_t key, kb_str_t prefix)
@@ -258,9 +258,17 @@
 int kb_proxy_is_cut_off(const kb_proxy_t *proxy)
 {
 	kb_time_t now = kb_clock_monotonic(proxy->clock);
+	size_t configured = 0;
 
-	return proxy->hosts.count > 1 && proxy->contact_at &&
-	       now - proxy->contact_at > CUT_OFF_MS * KB_NS_PER_MS;
+	for (size_t i = 0; i < proxy->group_count; i++) {
+		const kb_proxy_group_t *group = proxy->groups[i];
+
+		configured += (size_t)group->configured;
+		if (group->configured && kb_proxy_group_silence(group, now) <=
+						 CUT_OFF_MS * KB_NS_PER_MS)
+			return 0;
+	}
+	return configured > 0;
 }
 
 int kb_proxy_is_ready(const kb_proxy_t *proxy)
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -38,8 +38,8 @@
 int kb_proxy_is_ready(const kb_proxy_t *proxy);
 
 /*
- * Whether neither the store nor another host has answered for some time:
- * callers are better served elsewhere.
+ * Whether no host that holds a group has been reached for some time: callers
+ * are better served elsewhere.
  */
 int kb_proxy_is_cut_off(const kb_proxy_t *proxy);
 
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -14,6 +14,8 @@
 	HOLD_TICK_MS = 50,
 	/* Stamps are asked for this often while the group is used. */
 	STAMP_PAUSE_MS = 250,
+	/* One of the other groups is asked about this often. */
+	IDLE_STAMP_PAUSE_MS = 250,
 	/* A group that was used within this time is used. */
 	STAMP_USED_S = 10,
 	/* Connections of a target left to other hosts' probes and gates. */
@@ -36,9 +38,9 @@
 	return NULL;
 }
 
-int kb_proxy_group_may_serve(const kb_proxy_group_t *group, kb_time_t now)
+kb_time_t kb_proxy_group_silence(const kb_proxy_group_t *group, kb_time_t now)
 {
-	return kb_hold_may_serve(&group->hold, now);
+	return now - kb_stamps_newest(&group->stamps);
 }
 
 /* 2: in the primary's data centre, 1: in its region, 0: elsewhere. */
@@ -693,6 +695,21 @@
 		kb_proxy_group_learn(call.group, &told->stamp, call.sent_at);
 }
 
+/* Groups without callers take turns: their stamps show what is reached. */
+static int may_ask_stamp(kb_proxy_group_t *group, kb_time_t now)
+{
+	kb_proxy_t *proxy = group->proxy;
+
+	if (now - group->used_at <= STAMP_USED_S * KB_NS_PER_S)
+		return 1;
+	if (proxy->groups[proxy->idle_group % proxy->group_count] != group ||
+	    now - proxy->idle_asked_at < IDLE_STAMP_PAUSE_MS * KB_NS_PER_MS)
+		return 0;
+	proxy->idle_group = (proxy->idle_group + 1) % proxy->group_count;
+	proxy->idle_asked_at = now;
+	return 1;
+}
+
 static void ask_stamp(kb_proxy_group_t *group, kb_time_t now)
 {
 	kb_proxy_t *proxy = group->proxy;
@@ -712,8 +729,7 @@
 		.done = on_stamp,
 	};
 
-	if (now - group->used_at > STAMP_USED_S * KB_NS_PER_S || !host ||
-	    host->self ||
+	if (!host || host->self || !may_ask_stamp(group, now) ||
 	    now - kb_stamps_newest(&group->stamps) <
 		    STAMP_PAUSE_MS * KB_NS_PER_MS ||
 	    now - group->stamp_asked_at < STAMP_PAUSE_MS * KB_NS_PER_MS)
--- a/src/proxy_parts.h
+++ b/src/proxy_parts.h
@@ -93,8 +93,9 @@
 	kb_time_t at;
 	/* Statements of this host that it has not answered. */
 	unsigned outstanding;
-	/* Its log lacked what a read needed, at that time. */
-	kb_time_t lagged_at;
+	/* End of its log as it said last, and when. */
+	kb_point_t position;
+	kb_time_t position_at;
 	kb_time_t failed_at;
 } kb_proxy_load_t;
 
@@ -132,8 +133,9 @@
 	kb_time_t synced_at;
 	kb_time_t sync_sent_at;
 	int syncing;
-	/* Last answer of the store or of any other host. */
-	kb_time_t contact_at;
+	/* Group without callers that is asked about next, and when. */
+	size_t idle_group;
+	kb_time_t idle_asked_at;
 	int stopping;
 	kb_time_t stop_at;
 	kb_time_t stop_begun_at;
@@ -157,8 +159,8 @@
 /* Takes what the holder said in answer to a call sent at `sent_at`. */
 void kb_proxy_group_learn(kb_proxy_group_t *group, const kbs_stamp *stamp,
 			  kb_time_t sent_at);
-/* Whether this host serves the primary's statements now. */
-int kb_proxy_group_may_serve(const kb_proxy_group_t *group, kb_time_t now);
+/* Time since the holder was last known to serve. */
+kb_time_t kb_proxy_group_silence(const kb_proxy_group_t *group, kb_time_t now);
 /* The group's hosts in the order in which they should hold it. */
 void kb_proxy_group_rank(kb_proxy_group_t *group, kb_hold_ranking_t *ranking);
 
--- a/src/proxy_reads.c
+++ b/src/proxy_reads.c
@@ -6,9 +6,13 @@
 	COST_FAR_US = 20000,
 	/* Replicas are preferred to the primary, which alone takes writes. */
 	COST_PRIMARY_US = 60000,
-	/* A target that lagged or failed just now is tried after others. */
-	LAGGED_MS = 200,
-	COST_LAGGED_US = 100000,
+	/* A log that lacked the point just now is likely to lack it still. */
+	BEHIND_MS = 150,
+	COST_BEHIND_US = 150000,
+	/* What it said longer ago tells less. */
+	BEHIND_OLD_MS = 1000,
+	COST_BEHIND_OLD_US = 30000,
+	/* A target that failed just now is tried after others. */
 	FAILED_MS = 500,
 	COST_FAILED_US = 400000,
 	/* What a gate told is halved after each of these times. */
@@ -98,8 +102,22 @@
 	return service + service * ahead / slots;
 }
 
+/* Expected loss of time if the target's log lacks what the read needs. */
+static int64_t cost_of_lag(const kb_proxy_load_t *load, kb_point_t include,
+			   kb_time_t now)
+{
+	kb_time_t age = now - load->position_at;
+
+	if (!load->position_at ||
+	    kb_point_compare(load->position, include) >= 0 ||
+	    age > BEHIND_OLD_MS * KB_NS_PER_MS)
+		return 0;
+	return age <= BEHIND_MS * KB_NS_PER_MS ? COST_BEHIND_US
+					       : COST_BEHIND_OLD_US;
+}
+
 static int64_t cost_of(kb_proxy_t *proxy, const kb_target_entry_t *target,
-		       kb_time_t now)
+		       kb_point_t include, kb_time_t now)
 {
 	const kb_proxy_load_t *load =
 		kb_proxy_load_get(proxy, kb_name_str(&target->place.target));
@@ -108,9 +126,7 @@
 	if (!load)
 		return cost;
 	cost += expected(&load->load, now - load->at, load->outstanding);
-	if (load->lagged_at &&
-	    now - load->lagged_at < LAGGED_MS * KB_NS_PER_MS)
-		cost += COST_LAGGED_US;
+	cost += cost_of_lag(load, include, now);
 	if (load->failed_at &&
 	    now - load->failed_at < FAILED_MS * KB_NS_PER_MS)
 		cost += COST_FAILED_US;
@@ -143,7 +159,7 @@
 		    target->leaving || is_primary(group, target) ||
 		    is_excluded(choice, &target->place.target))
 			continue;
-		cost = cost_of(proxy, target, now);
+		cost = cost_of(proxy, target, choice->include, now);
 		if (best && cost >= best_cost)
 			continue;
 		best = target;
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -15,6 +15,8 @@
 	CALL_SLACK_MS = 200,
 	/* Callers are asked to come back after this time without a primary. */
 	NO_PRIMARY_RETRY_MS = 500,
+	/* A group is held again by then unless this host is cut off. */
+	NO_HOLDER_MS = 2500,
 	SESSIONS_MAX = 100000,
 };
 
@@ -241,6 +243,19 @@
 	return args->transaction ? KB_ERR_ROLLED_BACK : KB_ERR_CLOSED;
 }
 
+/*
+ * Whether the group has had no holder for longer than a change of the holder
+ * and a promotion take. Callers may reach one from another host.
+ */
+static int is_hopeless(const kb_proxy_session_t *session, kb_time_t now)
+{
+	const kb_proxy_group_t *group = group_of(session);
+
+	return group && kb_stamps_newest(&group->stamps) &&
+	       kb_proxy_group_silence(group, now) >
+		       NO_HOLDER_MS * KB_NS_PER_MS;
+}
+
 static void take_result(kb_proxy_session_t *session, const kbs_run_res *res,
 			kb_result_t result)
 {
@@ -266,6 +281,11 @@
 	session->proxy->stats.retries++;
 	if (replica)
 		kb_read_choice_exclude(&session->choice, &session->target);
+	if (!replica && is_hopeless(session, now)) {
+		finish_run(session, NULL, KB_ERR_NO_PRIMARY,
+			   "no host that holds the group is reached");
+		return;
+	}
 	session->retry_at = now;
 	if (!replica || session->choice.exhausted)
 		session->retry_at += RETRY_PAUSE_MS * KB_NS_PER_MS;
@@ -311,9 +331,13 @@
 		load->load = res->load;
 		load->at = now;
 	}
+	if (res && (res->point.term || res->point.position)) {
+		load->position = kb_point_from(res->point);
+		load->position_at = now;
+	}
 	if (result == KB_ERR_NOT_FRESH)
-		load->lagged_at = now;
-	else if (result && result != KB_ERR_STATEMENT &&
+		return;
+	if (result && result != KB_ERR_STATEMENT &&
 		 result != KB_ERR_NO_STATEMENT)
 		load->failed_at = now;
 }
--- a/src/proxy_sync.c
+++ b/src/proxy_sync.c
@@ -91,8 +91,6 @@
 
 	kb_follower_enable(&proxy->follower, !from || from->self || stale);
 	kb_follower_tick(&proxy->follower);
-	if (proxy->follower.answered_at > proxy->contact_at)
-		proxy->contact_at = proxy->follower.answered_at;
 	if (proxy->syncing ||
 	    now - proxy->sync_sent_at < SYNC_PAUSE_MS * KB_NS_PER_MS)
 		return;
