Never call sent statements unsent; serve reads of a vacant group

The bytes left now decide. A majority of candidates that has granted nothing for a hold's validity shows that no commit is acknowledged; the primary's position, told after that, then bounds every read. Hosts also keep holds apart: a host with two groups more than one as near hands one over.

--- a/src/gen/kumquat_session.h
+++ b/src/gen/kumquat_session.h
@@ -78,6 +78,7 @@
 	u_quad_t term;
 	kbs_point point;
 	kbs_text primary;
+	quad_t age_us;
 };
 typedef struct kbs_stamp kbs_stamp;
 
@@ -151,6 +152,18 @@
 };
 typedef struct kbs_look_res kbs_look_res;
 
+struct kbs_granted_args {
+	kbs_text group;
+};
+typedef struct kbs_granted_args kbs_granted_args;
+
+struct kbs_granted_res {
+	bool_t known;
+	u_quad_t revision;
+	quad_t age_us;
+};
+typedef struct kbs_granted_res kbs_granted_res;
+
 struct kbs_heard_args {
 	kbs_text group;
 	kbs_text holder;
@@ -204,6 +217,8 @@
 extern  bool_t xdr_kbs_grant_res (XDR *, kbs_grant_res*);
 extern  bool_t xdr_kbs_look_args (XDR *, kbs_look_args*);
 extern  bool_t xdr_kbs_look_res (XDR *, kbs_look_res*);
+extern  bool_t xdr_kbs_granted_args (XDR *, kbs_granted_args*);
+extern  bool_t xdr_kbs_granted_res (XDR *, kbs_granted_res*);
 extern  bool_t xdr_kbs_heard_args (XDR *, kbs_heard_args*);
 extern  bool_t xdr_kbs_heard_res (XDR *, kbs_heard_res*);
 extern  bool_t xdr_kbs_stamp_args (XDR *, kbs_stamp_args*);
@@ -227,6 +242,8 @@
 extern bool_t xdr_kbs_grant_res ();
 extern bool_t xdr_kbs_look_args ();
 extern bool_t xdr_kbs_look_res ();
+extern bool_t xdr_kbs_granted_args ();
+extern bool_t xdr_kbs_granted_res ();
 extern bool_t xdr_kbs_heard_args ();
 extern bool_t xdr_kbs_heard_res ();
 extern bool_t xdr_kbs_stamp_args ();
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -69,6 +69,8 @@
 	/* Newest point that any acknowledged write has. */
 	kbs_point point;
 	kbs_text primary;
+	/* Time since that was so, in microseconds. */
+	hyper age_us;
 };
 
 struct kbs_run_res {
@@ -137,6 +139,20 @@
 	bool taken;
 };
 
+/* Asks what a host has granted to holders of a group. */
+struct kbs_granted_args {
+	kbs_text group;
+};
+
+struct kbs_granted_res {
+	/* It may tell: its own process has read the key from the store. */
+	bool known;
+	/* Highest revision of a holder that was granted a renewal. */
+	unsigned hyper revision;
+	/* Time since the last grant, in microseconds. */
+	hyper age_us;
+};
+
 /* Asks when a host last heard the holder of a group serve it. */
 struct kbs_heard_args {
 	kbs_text group;
--- a/src/gen/kumquat_session_xdr.c
+++ b/src/gen/kumquat_session_xdr.c
@@ -156,6 +156,8 @@
 		 return FALSE;
 	 if (!xdr_kbs_text (xdrs, &objp->primary))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->age_us))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -284,6 +286,30 @@
 	return TRUE;
 }
 
+bool_t
+xdr_kbs_granted_args (XDR *xdrs, kbs_granted_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_kbs_text (xdrs, &objp->group))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kbs_granted_res (XDR *xdrs, kbs_granted_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->known))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->age_us))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_kbs_heard_args (XDR *xdrs, kbs_heard_args *objp)
 {
--- a/src/hold.c
+++ b/src/hold.c
@@ -42,7 +42,7 @@
 
 void kb_hold_init(kb_hold_t *hold, const kb_hold_ops_t *ops, void *ctx,
 		  const kb_name_t *group, const kb_name_t *self,
-		  int first_start)
+		  int first_start, kb_time_t now)
 {
 	memset(hold, 0, sizeof(*hold));
 	hold->ops = ops;
@@ -50,6 +50,7 @@
 	hold->group = *group;
 	hold->self = *self;
 	hold->first_start = first_start;
+	hold->began_at = now;
 }
 
 /*
@@ -402,11 +403,23 @@
 	    !names_equal(&hold->record.holder, holder))
 		return 0;
 	hold->granted_revision = revision;
+	hold->granted_at = now;
 	if (serving)
 		hold->heard_at = now;
 	return 1;
 }
 
+int kb_hold_granted(const kb_hold_t *hold, int64_t revision, kb_time_t *since)
+{
+	if (!hold->verified || hold->role != KB_HOLD_NONE || names_self(hold) ||
+	    hold->granted_revision > revision || hold->revision > revision)
+		return 0;
+	/* An earlier process may have granted until this one began. */
+	*since = hold->granted_at > hold->began_at ? hold->granted_at
+						   : hold->began_at;
+	return 1;
+}
+
 void kb_hold_on_heard(kb_hold_t *hold, int heard, kb_time_t heard_at)
 {
 	if (heard && heard_at > hold->heard_at)
--- a/src/hold.h
+++ b/src/hold.h
@@ -129,6 +129,8 @@
 	kb_name_t self;
 	/* The first start of the whole fleet: no former holder exists. */
 	int first_start;
+	/* Start of this process. */
+	kb_time_t began_at;
 	kb_hold_role_t role;
 	/*
 	 * The key as last known. Revision 0: it does not exist, and `record`
@@ -162,8 +164,9 @@
 	kb_hold_grant_t grants[KB_HOLD_CANDIDATES_MAX * 3];
 	/* This process has read the key from the store itself. */
 	int verified;
-	/* Highest revision of a holder to whom a grant was given. */
+	/* Highest revision of a holder to whom a grant was given, and when. */
 	int64_t granted_revision;
+	kb_time_t granted_at;
 	/* Last time at which the holder was heard serving. */
 	kb_time_t heard_at;
 	kb_time_t inquired_at;
@@ -172,7 +175,7 @@
 
 void kb_hold_init(kb_hold_t *hold, const kb_hold_ops_t *ops, void *ctx,
 		  const kb_name_t *group, const kb_name_t *self,
-		  int first_start);
+		  int first_start, kb_time_t now);
 
 /* Whether this host may send to the primary and tell successes at `now`. */
 int kb_hold_may_serve(const kb_hold_t *hold, kb_time_t now);
@@ -221,6 +224,13 @@
 int kb_hold_grant(kb_hold_t *hold, const kb_name_t *holder, int64_t revision,
 		  int serving, kb_time_t now);
 
+/*
+ * What this host, a candidate of `revision`, can say against a holder: sets
+ * `*since` to the time of its last grant to any. Returns 0 if it takes the
+ * group over itself, has granted a later revision, or cannot know.
+ */
+int kb_hold_granted(const kb_hold_t *hold, int64_t revision, kb_time_t *since);
+
 /* Stops serving and hands the group to the first of `ranking` but itself. */
 void kb_hold_release(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
 		     const kb_name_t *successor, kb_time_t now);
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -39,6 +39,9 @@
 KB_EVENT(1309, LEAD_STATE, INFO, "the watch over a primary changed its state")
 KB_EVENT(1310, HOLD_STATE, INFO, "who may replace a group's primary changed")
 
+KB_EVENT(1311, GROUP_VACANT, WARN,
+	 "no host holds a group; its primary's position bounds reads")
+
 KB_EVENT(1400, MEMBER_JOINED, INFO, "host became known or returned")
 KB_EVENT(1401, MEMBER_LEAVING, INFO, "host takes no new work")
 KB_EVENT(1402, MEMBER_SUSPECTED, DEBUG, "host does not answer probes")
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -14,6 +14,8 @@
 	HOLD_TICK_MS = 50,
 	/* Stamps are asked for this often while the group is used. */
 	STAMP_PAUSE_MS = 250,
+	/* A holder that says nothing for this time is not asked alone. */
+	HOLDER_SILENT_MS = 700,
 	/* One of the other groups is asked about this often. */
 	IDLE_STAMP_PAUSE_MS = 250,
 	/* A group that was used within this time is used. */
@@ -611,7 +613,8 @@
 	group->proxy = proxy;
 	kb_name_set(&group->name, name);
 	kb_hold_init(&group->hold, &hold_ops, group, &group->name,
-		     &proxy->self.name, proxy->setup.settings->first_start);
+		     &proxy->self.name, proxy->setup.settings->first_start,
+		     kb_clock_monotonic(proxy->clock));
 	kb_lead_init(&group->lead, &lead_ops, group, &group->name);
 	kb_link_pool_init(&group->pool, &pool_ops, group, proxy->setup.linker,
 			  proxy->clock, kb_rng_next(&proxy->rng) >> 1);
@@ -670,9 +673,11 @@
 void kb_proxy_group_learn(kb_proxy_group_t *group, const kbs_stamp *stamp,
 			  kb_time_t sent_at)
 {
+	kb_time_t at = sent_at - stamp->age_us * KB_NS_PER_US;
+
 	if (!stamp->valid)
 		return;
-	kb_stamps_add(&group->stamps, stamp->term, sent_at,
+	kb_stamps_add(&group->stamps, stamp->term, at,
 		      kb_point_from(stamp->point));
 	if (stamp->term < group->primary_term)
 		return;
@@ -710,11 +715,23 @@
 	return 1;
 }
 
+/* The holder; while it is silent also the candidates in turn. */
+static const kb_name_t *stamp_source(kb_proxy_group_t *group, kb_time_t now)
+{
+	const kb_hold_set_t *set = &group->hold.record.candidates;
+
+	if (!set->count || kb_proxy_group_silence(group, now) <=
+				   HOLDER_SILENT_MS * KB_NS_PER_MS)
+		return &group->hold.record.holder;
+	group->stamp_source = (group->stamp_source + 1) % set->count;
+	return &set->hosts[group->stamp_source];
+}
+
 static void ask_stamp(kb_proxy_group_t *group, kb_time_t now)
 {
 	kb_proxy_t *proxy = group->proxy;
-	kb_host_t *host = kb_hosts_find(
-		&proxy->hosts, kb_name_str(&group->hold.record.holder));
+	kb_host_t *host = kb_hosts_find(&proxy->hosts,
+					kb_name_str(stamp_source(group, now)));
 	stamp_call_t *call;
 	kbs_stamp_args args = {
 		.group = kb_text_view(kb_name_str(&group->name)),
@@ -769,21 +786,65 @@
 	group->successor.len = 0;
 }
 
+/* Groups that a host holds as far as this one knows. */
+static size_t held_by(const kb_proxy_t *proxy, const kb_name_t *host)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < proxy->group_count; i++)
+		count += (size_t)kb_name_is(
+			&proxy->groups[i]->hold.record.holder,
+			kb_name_str(host));
+	return count;
+}
+
+/* One group is handed over at a time. */
+static int is_handing_over(const kb_proxy_t *proxy)
+{
+	for (size_t i = 0; i < proxy->group_count; i++)
+		if (proxy->groups[i]->handing_at)
+			return 1;
+	return 0;
+}
+
+/*
+ * The host that should hold the group: the nearest to its primary, and of
+ * those as near as this one another only if that holds two groups less, so
+ * that the loss of a host concerns few groups.
+ */
+static const kb_host_t *better_holder(kb_proxy_group_t *group,
+				      const kb_hold_ranking_t *ranking,
+				      kb_time_t now)
+{
+	kb_proxy_t *proxy = group->proxy;
+	const kb_target_entry_t *primary = &group->lead.primary;
+	int own = nearness(proxy, proxy->hosts.self, primary);
+	size_t held = held_by(proxy, &proxy->self.name);
+
+	for (size_t i = 0; i < ranking->count; i++) {
+		const kb_host_t *host = kb_hosts_find(
+			&proxy->hosts, kb_name_str(&ranking->hosts[i]));
+		int near = host ? nearness(proxy, host, primary) : 0;
+
+		if (!host || host->self || near < own ||
+		    !kb_proxy_host_usable(host, now))
+			continue;
+		if (near > own || held_by(proxy, &host->name) + 2 <= held)
+			return host;
+	}
+	return NULL;
+}
+
 /* Statements to a primary in another region cost their way each time. */
 static void seek_nearer(kb_proxy_group_t *group,
 			const kb_hold_ranking_t *ranking, kb_time_t now)
 {
 	kb_proxy_t *proxy = group->proxy;
-	const kb_target_entry_t *primary = &group->lead.primary;
-	const kb_host_t *best =
-		ranking->count ? kb_hosts_find(&proxy->hosts,
-					       kb_name_str(&ranking->hosts[0]))
-			       : NULL;
-
-	if (group->lead.state != KB_LEAD_SERVING || !best ||
-	    !kb_proxy_host_usable(best, now) ||
-	    nearness(proxy, best, primary) <=
-		    nearness(proxy, proxy->hosts.self, primary)) {
+	const kb_host_t *best = NULL;
+
+	if (group->lead.state == KB_LEAD_SERVING && !is_handing_over(proxy))
+		best = better_holder(group, ranking, now);
+	if (!best) {
 		group->nearer_since = 0;
 		return;
 	}
@@ -792,7 +853,8 @@
 	if (now - group->nearer_since < NEARER_S * KB_NS_PER_S)
 		return;
 	kb_log(KB_EVENT_HOLD_STATE, "group=%s nearer=%s primary=%s",
-	       group->name.data, best->name.data, primary->place.target.data);
+	       group->name.data, best->name.data,
+	       group->lead.primary.place.target.data);
 	group->handing_at = now;
 	group->successor = best->name;
 }
@@ -818,6 +880,7 @@
 	serves = group->hold.role == KB_HOLD_SERVING;
 	kb_lead_hold(&group->lead, serves, now);
 	kb_lead_tick(&group->lead, &proxy->targets, now);
+	kb_proxy_vacancy_tick(group, now);
 	if (serves) {
 		kbs_stamp stamp;
 
--- a/src/proxy_parts.h
+++ b/src/proxy_parts.h
@@ -29,6 +29,7 @@
 	KB_PROXY_STAMP = 105,
 	KB_PROXY_REACH = 106,
 	KB_PROXY_LOOK = 107,
+	KB_PROXY_GRANTED = 108,
 	/* What is due is looked for this often. */
 	KB_PROXY_TICK_MS = 20,
 	/* Time for a small call between hosts. */
@@ -46,9 +47,34 @@
 	struct kb_proxy_reach *reaches;
 	/* The group's watch over the primary asked. */
 	int for_lead;
-	int stepping_down;
+	int for_vacancy;
 } kb_proxy_probe_t;
 
+/*
+ * Shows that no host holds a group, so that its primary's position bounds
+ * every acknowledged commit.
+ */
+typedef struct kb_proxy_vacancy {
+	/* Somebody wants to know until then. */
+	kb_time_t wanted_until;
+	kb_time_t asked_at;
+	/* Candidates of the record that deny a holder since `asked_at`. */
+	int64_t revision;
+	unsigned denials;
+	kb_time_t last_grant;
+	/* Targets that are asked for their reports, and answers so far. */
+	unsigned asked;
+	unsigned answered;
+	uint64_t highest_term;
+	kb_target_report_t primary;
+	/* What was found, and the time for which it holds. */
+	int found;
+	kb_time_t found_at;
+	kb_point_t point;
+	uint64_t term;
+	uint64_t number;
+} kb_proxy_vacancy_t;
+
 /* A database group as this host takes part in it. */
 typedef struct kb_proxy_group {
 	kb_proxy_t *proxy;
@@ -65,6 +91,9 @@
 	kb_name_t primary;
 	uint64_t primary_term;
 	kb_time_t stamp_asked_at;
+	/* Candidate that was asked for a stamp last. */
+	size_t stamp_source;
+	kb_proxy_vacancy_t vacancy;
 	kb_time_t used_at;
 	kb_proxy_probe_t *probes[KB_LEAD_TARGETS_MAX];
 	size_t probe_count;
@@ -172,6 +201,14 @@
 void kb_proxy_probe_reach(kb_proxy_group_t *group, kb_rpc_request_t *request,
 			  const kbs_reach_args *args);
 
+/* proxy_vacancy.c */
+void kb_proxy_vacancy_tick(kb_proxy_group_t *group, kb_time_t now);
+/* Fills in a stamp if the group is known to have no holder. */
+void kb_proxy_vacancy_stamp(kb_proxy_group_t *group, kbs_stamp *stamp);
+/* A target answered a probe that was sent for the vacancy, or did not. */
+void kb_proxy_vacancy_on_probe(kb_proxy_group_t *group, kb_str_t target,
+			       const kb_target_report_t *report);
+
 /* proxy_gate.c */
 void kb_proxy_gate_run(kb_proxy_t *proxy, const kb_target_entry_t *target,
 		       const kbs_run_args *args, kb_run_done_fn_t *done,
--- a/src/proxy_probe.c
+++ b/src/proxy_probe.c
@@ -37,6 +37,12 @@
 	if (kind != KB_ORDER_STATUS)
 		return;
 	answer_reaches(probe, report);
+	if (probe->for_vacancy) {
+		probe->for_vacancy = 0;
+		kb_proxy_vacancy_on_probe(
+			probe->group, kb_name_str(&target->place.target),
+			report);
+	}
 	if (probe->for_lead) {
 		probe->for_lead = 0;
 		kb_lead_on_probe(&probe->group->lead,
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -130,6 +130,25 @@
 	kb_rpc_server_reply(request, &res);
 }
 
+static void serve_granted(void *ctx, kb_rpc_request_t *request, void *raw)
+{
+	kb_proxy_t *proxy = ctx;
+	const kbs_granted_args *args = raw;
+	kb_time_t now = kb_clock_monotonic(proxy->clock);
+	kb_proxy_group_t *group =
+		kb_proxy_group_find(proxy, kb_text_str(args->group));
+	kbs_granted_res res = { 0 };
+	kb_time_t since;
+
+	if (group &&
+	    kb_hold_granted(&group->hold, group->hold.revision, &since)) {
+		res.known = TRUE;
+		res.revision = (uint64_t)group->hold.revision;
+		res.age_us = (now - since) / KB_NS_PER_US;
+	}
+	kb_rpc_server_reply(request, &res);
+}
+
 static void serve_heard(void *ctx, kb_rpc_request_t *request, void *raw)
 {
 	kb_proxy_t *proxy = ctx;
@@ -160,6 +179,8 @@
 
 	if (group) {
 		kb_proxy_group_stamp(group, &res.stamp);
+		if (!res.stamp.valid)
+			kb_proxy_vacancy_stamp(group, &res.stamp);
 		res.holder = kb_text_view(
 			kb_name_str(&group->hold.record.holder));
 	}
@@ -194,6 +215,9 @@
 		{ KB_PROXY_LOOK, (xdrproc_t)xdr_kbs_look_args,
 		  sizeof(kbs_look_args), (xdrproc_t)xdr_kbs_look_res,
 		  serve_look, proxy },
+		{ KB_PROXY_GRANTED, (xdrproc_t)xdr_kbs_granted_args,
+		  sizeof(kbs_granted_args), (xdrproc_t)xdr_kbs_granted_res,
+		  serve_granted, proxy },
 		{ KB_PROXY_STAMP, (xdrproc_t)xdr_kbs_stamp_args,
 		  sizeof(kbs_stamp_args), (xdrproc_t)xdr_kbs_stamp_res,
 		  serve_stamp, proxy },
--- a/src/rpc_peer.c
+++ b/src/rpc_peer.c
@@ -52,6 +52,7 @@
 	if (peer->stream)
 		bufferevent_free(peer->stream);
 	peer->stream = NULL;
+	peer->queued = 0;
 	peer->connected = 0;
 	peer->generation++;
 	/* A callback may start calls anew or finish the peer. */
@@ -60,6 +61,21 @@
 		pending_end(peer, pending, result, NULL);
 }
 
+/*
+ * Result for calls on a connection that is given up. The loop may write to a
+ * connection before it reports that it was opened, so that only the bytes left
+ * tell whether any was sent.
+ */
+static kb_result_t lost_result(const kb_rpc_peer_t *peer)
+{
+	size_t left = peer->stream ? evbuffer_get_length(bufferevent_get_output(
+					     peer->stream))
+				   : 0;
+
+	return peer->connected || left < peer->queued ? KB_ERR_CLOSED
+						      : KB_ERR_UNREACHABLE;
+}
+
 static void on_timeout(evutil_socket_t fd, short what, void *arg)
 {
 	kb_rpc_pending_t *pending = arg;
@@ -68,7 +84,7 @@
 	(void)fd;
 	(void)what;
 	/* Bytes that wait for the connection must never be sent later. */
-	if (!peer->connected)
+	if (lost_result(peer) == KB_ERR_UNREACHABLE)
 		peer_disconnect(peer, KB_ERR_UNREACHABLE);
 	else
 		pending_end(peer, pending, KB_ERR_TIMEOUT, NULL);
@@ -186,7 +202,7 @@
 		peer->connected = 1;
 		return;
 	}
-	result = peer->connected ? KB_ERR_CLOSED : KB_ERR_UNREACHABLE;
+	result = lost_result(peer);
 	if (peer->connected) {
 		peer->counters.lost_connections++;
 		kb_log(KB_EVENT_RPC_CONNECTION_LOST, "peer=%s:%u",
@@ -235,8 +251,7 @@
 
 void kb_rpc_peer_reset(kb_rpc_peer_t *peer)
 {
-	peer_disconnect(peer, peer->connected ? KB_ERR_CLOSED
-					      : KB_ERR_UNREACHABLE);
+	peer_disconnect(peer, lost_result(peer));
 }
 
 void kb_rpc_peer_finish(kb_rpc_peer_t *peer)
@@ -254,6 +269,7 @@
 	};
 	kb_rpc_pending_t *pending;
 	kb_result_t result;
+	size_t before;
 
 	if (peer->call_count >= peer->call_limit) {
 		peer->counters.refused++;
@@ -272,11 +288,15 @@
 		result = KB_ERR_NO_MEMORY;
 		goto fail;
 	}
+	before = evbuffer_get_length(bufferevent_get_output(peer->stream));
 	result = kb_rpc_frame_write_call(bufferevent_get_output(peer->stream),
 					 peer->next_xid, call->procedure,
 					 call->encode, call->args);
 	if (result)
 		goto fail;
+	peer->queued += evbuffer_get_length(
+				bufferevent_get_output(peer->stream)) -
+			before;
 	pending->peer = peer;
 	pending->call = *call;
 	pending->xid = peer->next_xid++;
--- a/src/rpc_peer.h
+++ b/src/rpc_peer.h
@@ -50,6 +50,8 @@
 	uint16_t port;
 	struct bufferevent *stream;
 	int connected;
+	/* Bytes given to the connection since it was begun. */
+	size_t queued;
 	uint32_t next_xid;
 	size_t call_limit;
 	size_t call_count;
--- a/tests/test_hold.cc
+++ b/tests/test_hold.cc
@@ -101,7 +101,8 @@
 
 		host.generation++;
 		host.alive = true;
-		kb_hold_init(&host.hold, &ops, &host, &group, &self, first);
+		kb_hold_init(&host.hold, &ops, &host, &group, &self, first,
+			     now);
 	}
 
 	size_t index(const Host &host) const
@@ -338,6 +339,32 @@
 					    std::to_string(now / MS) + " ms";
 			serving = host->name;
 		}
+		for (auto &host : hosts)
+			if (!serving.empty() && violation.empty() &&
+			    is_vacant(host->hold))
+				violation = serving +
+					    " serves a group without holder";
+	}
+
+	/* Whether the candidates that one host knows show no holder. */
+	bool is_vacant(const kb_hold_t &view)
+	{
+		const kb_hold_set_t &set = view.record.candidates;
+		size_t denials = 0;
+
+		if (!view.revision)
+			return false;
+		for (size_t i = 0; i < set.count; i++) {
+			Host *host = find(&set.hosts[i]);
+			kb_time_t since;
+
+			if (host->alive && now >= host->frozen_until &&
+			    kb_hold_granted(&host->hold, view.revision,
+					    &since) &&
+			    now - since >= (KB_HOLD_VALID_MS + 100) * MS)
+				denials++;
+		}
+		return denials > set.count / 2;
 	}
 
 	void step()
--- a/tests/test_rpc_faults.cc
+++ b/tests/test_rpc_faults.cc
@@ -138,3 +138,31 @@
 	expect_end(call);
 	EXPECT_EQ(KB_ERR_CLOSED, call.result);
 }
+
+/* Resets the peer in the same turn of the loop in which it connects. */
+static void reset_peer(evutil_socket_t, short, void *ctx)
+{
+	kb_rpc_peer_reset(static_cast<kb_rpc_peer_t *>(ctx));
+}
+
+TEST_F(Rpc, ACallWhoseBytesWereSentIsNeverUnreachable)
+{
+	RawServer server(loop.base);
+	kb_rpc_peer_t peer;
+	ViewCall call;
+	const struct timeval at_once = { 0, 0 };
+	struct event *timer;
+
+	ASSERT_EQ(KB_OK, kb_rpc_peer_init(&peer, loop.base,
+					  KB_STR("127.0.0.1"), server.port, 4));
+	timer = evtimer_new(loop.base, reset_peer, &peer);
+	ASSERT_EQ(KB_OK, call.start(&peer));
+	evtimer_add(timer, &at_once);
+	loop.run_until([&] { return call.ended && server.closed; });
+	/* The loop wrote the call before the reset, or not at all. */
+	EXPECT_EQ(server.received.empty(),
+		  call.result == KB_ERR_UNREACHABLE);
+	EXPECT_EQ(1, call.ended);
+	event_free(timer);
+	kb_rpc_peer_finish(&peer);
+}
