State the claim that candidates can prove about a vacant group

The check now holds for the newest record; for older ones the terms of a majority of the targets decide, which the vacancy asks for after the denials.

--- a/src/proxy_vacancy.c
+++ b/src/proxy_vacancy.c
@@ -140,7 +140,11 @@
 	ask_candidates(group, now);
 }
 
-/* Whether the primary leads in the highest term that a majority knows. */
+/*
+ * Whether the primary leads in the highest term that a majority of the targets
+ * knows. Candidates cut off from the store may deny a holder that has named
+ * others since; a primary that it promoted shows in the targets' terms.
+ */
 static int primary_leads(const kb_proxy_group_t *group)
 {
 	const kb_proxy_vacancy_t *vacancy = &group->vacancy;
--- a/tests/test_hold.cc
+++ b/tests/test_hold.cc
@@ -346,13 +346,17 @@
 					    " serves a group without holder";
 	}
 
-	/* Whether the candidates that one host knows show no holder. */
+	/*
+	 * Whether the candidates show no holder to a host that knows the
+	 * newest record. An older one may have lost its majority and been
+	 * replaced unseen; then the terms of the targets decide.
+	 */
 	bool is_vacant(const kb_hold_t &view)
 	{
 		const kb_hold_set_t &set = view.record.candidates;
 		size_t denials = 0;
 
-		if (!view.revision)
+		if (!view.revision || view.revision != key_revision)
 			return false;
 		for (size_t i = 0; i < set.count; i++) {
 			Host *host = find(&set.hosts[i]);
