--- a/daemon/session_host.c
+++ b/daemon/session_host.c
@@ -223,8 +223,8 @@
 	static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
 
 	for (size_t i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++) {
-		host->signals[i] = evsignal_new(host->loop, numbers[i],
-						on_signal, host);
+		host->signals[i] =
+			evsignal_new(host->loop, numbers[i], on_signal, host);
 		if (!host->signals[i] || event_add(host->signals[i], NULL))
 			return KB_ERR_NO_MEMORY;
 	}
@@ -267,8 +267,8 @@
 	host->readiness =
 		serve_http(host, &settings->listen_readiness, on_readiness);
 	if (settings->listen_metrics.port)
-		host->metrics = serve_http(host, &settings->listen_metrics,
-					   on_metrics);
+		host->metrics =
+			serve_http(host, &settings->listen_metrics, on_metrics);
 	if (!host->readiness)
 		return KB_ERR_IO;
 	return add_events(host);
@@ -295,8 +295,8 @@
 	event_base_free(host->loop);
 }
 
-kb_result_t kb_session_host_run(const kb_settings_t *settings,
-				const char *path, kb_clock_t *clock)
+kb_result_t kb_session_host_run(const kb_settings_t *settings, const char *path,
+				kb_clock_t *clock)
 {
 	session_host_t host = {
 		.settings = settings,
--- a/src/caller_session.c
+++ b/src/caller_session.c
@@ -106,8 +106,8 @@
 
 	if (session->state != KB_TXN_NONE)
 		return 1;
-	database = session->ops->find(session->ctx,
-				      kb_name_str(&session->name));
+	database =
+		session->ops->find(session->ctx, kb_name_str(&session->name));
 	if (!database) {
 		answer_with(session, KB_ERR_NOT_FOUND,
 			    "no such database is configured");
@@ -299,8 +299,7 @@
 
 void kb_caller_session_ran(kb_caller_session_t *session, const kbs_run_res *res)
 {
-	kb_result_t result =
-		told_result(session, (kb_result_t)res->result);
+	kb_result_t result = told_result(session, (kb_result_t)res->result);
 	kbs_kind kind = session->args.kind;
 	kb_answer_t answer = {
 		.result = result,
--- a/src/hold.c
+++ b/src/hold.c
@@ -85,13 +85,12 @@
 
 kb_time_t kb_hold_valid_until(const kb_hold_t *hold)
 {
-	kb_time_t limit = hold->confirmed_at +
-			  KB_HOLD_STORE_MAX_S * KB_NS_PER_S;
+	kb_time_t limit =
+		hold->confirmed_at + KB_HOLD_STORE_MAX_S * KB_NS_PER_S;
 	kb_time_t granted = majority_time(hold, &hold->record.candidates);
-	kb_time_t wanted = hold->rewriting
-				   ? majority_time(hold,
-						   &hold->wanted.candidates)
-				   : granted;
+	kb_time_t wanted =
+		hold->rewriting ? majority_time(hold, &hold->wanted.candidates)
+				: granted;
 
 	if (wanted < granted)
 		granted = wanted;
@@ -185,11 +184,11 @@
 void kb_hold_on_key(kb_hold_t *hold, const kb_hold_record_t *record,
 		    int64_t revision, kb_time_t now)
 {
-	if (hold->known && (revision < hold->as_of ||
-			    (record && revision == hold->as_of)))
+	if (hold->known &&
+	    (revision < hold->as_of || (record && revision == hold->as_of)))
 		return;
-	if (!hold->known || (record && !names_equal(&record->holder,
-						    &hold->record.holder)))
+	if (!hold->known ||
+	    (record && !names_equal(&record->holder, &hold->record.holder)))
 		hold->heard_at = now;
 	/* A new candidate has not been asked before. */
 	if (record && is_in(&record->candidates, &hold->self) &&
@@ -260,12 +259,12 @@
 {
 	for (size_t i = 0; i < hold->grant_count; i++) {
 		const kb_hold_grant_t *grant = &hold->grants[i];
-		kb_time_t last = grant->granted ? grant->asked_at
-						: grant->since;
+		kb_time_t last =
+			grant->granted ? grant->asked_at : grant->since;
 
 		if (names_equal(&grant->candidate, host))
-			return last && now - last > KB_HOLD_MISSING_MS *
-							    KB_NS_PER_MS;
+			return last &&
+			       now - last > KB_HOLD_MISSING_MS * KB_NS_PER_MS;
 	}
 	return 0;
 }
@@ -281,8 +280,8 @@
 	record->holder = *holder;
 	set->hosts[set->count++] = *holder;
 	for (int missing = 0; missing < 2; missing++)
-		for (size_t i = 0; i < ranking->count &&
-				   set->count < KB_HOLD_CANDIDATES_MAX;
+		for (size_t i = 0;
+		     i < ranking->count && set->count < KB_HOLD_CANDIDATES_MAX;
 		     i++)
 			if (!is_in(set, &ranking->hosts[i]) &&
 			    is_missing(hold, &ranking->hosts[i], now) ==
@@ -452,9 +451,9 @@
 	if (rank >= KB_HOLD_HOSTS_MAX)
 		return;
 	if (!hold->record.holder.len)
-		patience = (KB_HOLD_FIRST_MS +
-			    (kb_time_t)rank * KB_HOLD_RANK_MS) *
-			   KB_NS_PER_MS;
+		patience =
+			(KB_HOLD_FIRST_MS + (kb_time_t)rank * KB_HOLD_RANK_MS) *
+			KB_NS_PER_MS;
 	else if (!is_in(&hold->record.candidates, &hold->self))
 		patience += KB_HOLD_UNCALLED_S * KB_NS_PER_S;
 	if (now - hold->heard_at < patience) {
@@ -550,11 +549,11 @@
 static void renew(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
 		  kb_time_t now)
 {
-	kb_time_t pause = kb_hold_valid_until(hold) >
-					  now + KB_HOLD_VALID_MS / 2 *
-							KB_NS_PER_MS
-				  ? KB_HOLD_RENEW_MS
-				  : KB_HOLD_URGENT_MS;
+	kb_time_t pause =
+		kb_hold_valid_until(hold) >
+				now + KB_HOLD_VALID_MS / 2 * KB_NS_PER_MS
+			? KB_HOLD_RENEW_MS
+			: KB_HOLD_URGENT_MS;
 
 	if (now - hold->asked_at >= pause * KB_NS_PER_MS)
 		ask_candidates(hold, now);
--- a/src/hold_record.c
+++ b/src/hold_record.c
@@ -16,12 +16,11 @@
 	json_t *json;
 	char *text;
 
-	json = json_pack("{s:s,s:b,s:b,s:o,s:o,s:b}", "holder",
-			 record->holder.data, "released", record->released,
-			 "settled", record->settled, "candidates",
-			 format_set(&record->candidates), "former",
-			 format_set(&record->former),
-			 "formerLost", record->former_lost);
+	json = json_pack(
+		"{s:s,s:b,s:b,s:o,s:o,s:b}", "holder", record->holder.data,
+		"released", record->released, "settled", record->settled,
+		"candidates", format_set(&record->candidates), "former",
+		format_set(&record->former), "formerLost", record->former_lost);
 	text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	json_decref(json);
 	return text;
@@ -35,7 +34,8 @@
 	if (!json_is_array(hosts) ||
 	    json_array_size(hosts) > KB_HOLD_CANDIDATES_MAX)
 		return KB_ERR_PROTOCOL;
-	json_array_foreach (hosts, i, name) {
+	json_array_foreach(hosts, i, name)
+	{
 		if (!json_is_string(name) ||
 		    kb_name_set(&set->hosts[i],
 				kb_str_from(json_string_value(name))))
--- a/src/lead.c
+++ b/src/lead.c
@@ -350,8 +350,8 @@
 		}
 		kb_log(KB_EVENT_PRIMARY_PROMOTED,
 		       "group=%s primary=%s term=%" PRIu64 " planned=%d",
-		       lead->group.data, probe->target.data,
-		       probe->report.term, lead->planned);
+		       lead->group.data, probe->target.data, probe->report.term,
+		       lead->planned);
 		serve(lead,
 		      kb_target_list_find(targets, kb_name_str(&probe->target)),
 		      &probe->report, now);
@@ -377,9 +377,9 @@
 	if (!lead->chosen.len) {
 		/* Statements go on until a replica is close. */
 		set_paused(lead, 0);
-		if (best && (must || best->report.lag <=
-					     KB_LEAD_CATCH_UP_MS *
-						     KB_NS_PER_MS)) {
+		if (best &&
+		    (must ||
+		     best->report.lag <= KB_LEAD_CATCH_UP_MS * KB_NS_PER_MS)) {
 			lead->chosen = best->target;
 			lead->ordered_at = now;
 			lead->lost_at = now;
@@ -517,13 +517,13 @@
 		/* Nothing was done: choose anew at once. */
 		lead->ordered_at = now - KB_LEAD_PROMOTE_MS * KB_NS_PER_MS;
 	if (result)
-		kb_log(KB_EVENT_PROMOTION_FAILED, "group=%s target=%s result=%s",
-		       lead->group.data, lead->chosen.data,
-		       kb_result_name(result));
+		kb_log(KB_EVENT_PROMOTION_FAILED,
+		       "group=%s target=%s result=%s", lead->group.data,
+		       lead->chosen.data, kb_result_name(result));
 }
 
-void kb_lead_on_reached(kb_lead_t *lead, kb_str_t target,
-			const kb_name_t *host, uint64_t term, kb_time_t now)
+void kb_lead_on_reached(kb_lead_t *lead, kb_str_t target, const kb_name_t *host,
+			uint64_t term, kb_time_t now)
 {
 	(void)now;
 	if (lead->state != KB_LEAD_DOUBTING || !lead->has_primary ||
--- a/src/lead.h
+++ b/src/lead.h
@@ -142,8 +142,8 @@
 			 kb_time_t now);
 
 /* Another host reaches the target, which is primary in `term`. */
-void kb_lead_on_reached(kb_lead_t *lead, kb_str_t target,
-			const kb_name_t *host, uint64_t term, kb_time_t now);
+void kb_lead_on_reached(kb_lead_t *lead, kb_str_t target, const kb_name_t *host,
+			uint64_t term, kb_time_t now);
 
 /* Signs from the connections to the primary. */
 void kb_lead_on_answer(kb_lead_t *lead, kb_point_t point);
--- a/src/link_pool.c
+++ b/src/link_pool.c
@@ -132,8 +132,7 @@
 	if (kb_session_values_exceed(&conn->values, args->values.values_val,
 				     args->values.values_len))
 		return 2 + (int)args->values.values_len;
-	return kb_session_values_missing(&conn->values,
-					 args->values.values_val,
+	return kb_session_values_missing(&conn->values, args->values.values_val,
 					 args->values.values_len) != NULL;
 }
 
@@ -228,8 +227,7 @@
 	while (now >= pool->hold_sending_until &&
 	       pool->ops->may_serve(pool->ctx, now) &&
 	       used_slots(pool) < send_limit(pool)) {
-		kb_pool_job_t *job =
-			choose_job(pool, now, has_idle_conn(pool));
+		kb_pool_job_t *job = choose_job(pool, now, has_idle_conn(pool));
 		kb_pool_conn_t *conn;
 
 		if (!job)
@@ -327,9 +325,9 @@
 /* A job whose time passed while it waited did not run. */
 static void expire(kb_link_pool_t *pool, kb_pool_job_t *job)
 {
-	kb_pool_conn_t *conn = job->transaction
-				       ? find_transaction(pool, job->transaction)
-				       : NULL;
+	kb_pool_conn_t *conn =
+		job->transaction ? find_transaction(pool, job->transaction)
+				 : NULL;
 
 	pool->counters.expired++;
 	unlink_job(pool, job);
@@ -405,9 +403,8 @@
 						(job->args->kind == KBS_WRITE &&
 						 !job->args->transactional)
 					? KB_ERR_UNKNOWN
-				: job->args->transactional
-					? KB_ERR_ROLLED_BACK
-					: KB_ERR_CLOSED,
+				: job->args->transactional ? KB_ERR_ROLLED_BACK
+							   : KB_ERR_CLOSED,
 				message);
 		kb_pool_conn_close(conn);
 	}
@@ -438,11 +435,11 @@
 void kb_link_pool_bind(kb_link_pool_t *pool, const kb_link_place_t *place,
 		       unsigned slots, unsigned limit)
 {
-	int moved = !kb_name_is(&pool->place.target,
-				kb_name_str(&place->target)) ||
-		    !kb_name_is(&pool->place.endpoint.address,
-				kb_name_str(&place->endpoint.address)) ||
-		    pool->place.endpoint.port != place->endpoint.port;
+	int moved =
+		!kb_name_is(&pool->place.target, kb_name_str(&place->target)) ||
+		!kb_name_is(&pool->place.endpoint.address,
+			    kb_name_str(&place->endpoint.address)) ||
+		pool->place.endpoint.port != place->endpoint.port;
 
 	pool->slots = slots;
 	pool->limit = limit;
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -177,8 +177,8 @@
 	    (!args->whole && args->revision >= (uint64_t)mirror->revision))
 		return KB_OK;
 	/* A host that has been told since needs no list of what is left. */
-	res->removed = args->whole || args->revision <
-					      (uint64_t)mirror->removed_at;
+	res->removed =
+		args->whole || args->revision < (uint64_t)mirror->removed_at;
 	res->changed.changed_val =
 		calloc(mirror->count + 1, sizeof(*res->changed.changed_val));
 	res->keys.keys_val =
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -28,7 +28,8 @@
 	/* Latest time at which the store was at most that far. */
 	kb_time_t as_of;
 	/* A key changed; `entry` is NULL if it was removed. */
-	void (*changed)(void *ctx, kb_str_t key, const kb_mirror_entry_t *entry);
+	void (*changed)(void *ctx, kb_str_t key,
+			const kb_mirror_entry_t *entry);
 	void *ctx;
 } kb_mirror_t;
 
--- a/src/platform_view.h
+++ b/src/platform_view.h
@@ -44,8 +44,8 @@
 	 * (nothing was done) or KB_ERR_UNKNOWN.
 	 */
 	kb_result_t (*promote)(kb_platform_view_t *view,
-			       const kb_link_place_t *place,
-			       kb_str_t holder, int64_t token,
+			       const kb_link_place_t *place, kb_str_t holder,
+			       int64_t token,
 			       void (*done)(void *ctx, kb_result_t result),
 			       void *ctx);
 } kb_platform_view_ops_t;
--- a/src/pool_conn.c
+++ b/src/pool_conn.c
@@ -58,9 +58,9 @@
 static kb_str_t shape_name(const kbs_run_args *args, char *buffer)
 {
 	kb_str_t shape = kb_text_str(args->shape);
-	int len = snprintf(buffer, SHAPE_NAME_BYTES, "%c%.*s",
-			   args->kind == KBS_READ ? 'r' : 'w',
-			   KB_STR_ARG(shape));
+	int len =
+		snprintf(buffer, SHAPE_NAME_BYTES, "%c%.*s",
+			 args->kind == KBS_READ ? 'r' : 'w', KB_STR_ARG(shape));
 
 	if (len < 0 || len >= SHAPE_NAME_BYTES)
 		return KB_STR("");
@@ -176,8 +176,7 @@
 	kb_order_t order;
 
 	choose_order(conn, &order, name);
-	if (!pool->ops->may_serve(pool->ctx,
-				  kb_clock_monotonic(pool->clock))) {
+	if (!pool->ops->may_serve(pool->ctx, kb_clock_monotonic(pool->clock))) {
 		int pinned = conn->transaction != 0;
 
 		if (pinned) {
@@ -239,9 +238,9 @@
 					     kb_text_str(conn->setting->value));
 	case KB_ORDER_PREPARE_READ:
 	case KB_ORDER_PREPARE_WRITE:
-		return kb_session_values_set(
-			&conn->shapes, shape_name(args_of(conn), name),
-			kb_text_str(args_of(conn)->shape));
+		return kb_session_values_set(&conn->shapes,
+					     shape_name(args_of(conn), name),
+					     kb_text_str(args_of(conn)->shape));
 	default:
 		conn->begun = 1;
 		conn->transaction = ++conn->pool->next_transaction;
@@ -366,9 +365,8 @@
 		kb_pool_job_refuse(pool, job, KB_ERR_OVERLOADED,
 				   "the connection could not be prepared");
 	if (reply->result == KB_ERR_OVERLOADED)
-		pool->hold_sending_until =
-			kb_clock_monotonic(pool->clock) +
-			POOL_BUSY_PAUSE_MS * KB_NS_PER_MS;
+		pool->hold_sending_until = kb_clock_monotonic(pool->clock) +
+					   POOL_BUSY_PAUSE_MS * KB_NS_PER_MS;
 	if (reply->state == KB_TXN_NONE && !conn->transaction &&
 	    (reply->result == KB_ERR_READ_ONLY ||
 	     reply->result == KB_ERR_NOT_FRESH ||
@@ -453,8 +451,8 @@
 	pool->conns = conn;
 	pool->conn_count++;
 	enter(conn, KB_POOL_CONN_OPENING);
-	conn->link = kb_link_open(pool->linker, &pool->place, &link_events,
-				  conn);
+	conn->link =
+		kb_link_open(pool->linker, &pool->place, &link_events, conn);
 	if (!conn->link) {
 		free_conn(conn);
 		return KB_ERR_NO_MEMORY;
@@ -518,10 +516,10 @@
 	kb_link_pool_t *pool = conn->pool;
 	kb_time_t lost_at = conn->sent_at + kb_link_pool_silence(pool);
 	kb_pool_job_t *job = conn->job;
-	int is_final = job->offered &&
-		       (job->args->kind == KBS_COMMIT ||
-			(job->args->kind == KBS_WRITE &&
-			 !job->args->transactional));
+	int is_final =
+		job->offered &&
+		(job->args->kind == KBS_COMMIT ||
+		 (job->args->kind == KBS_WRITE && !job->args->transactional));
 
 	if (now >= lost_at && !conn->silent) {
 		conn->silent = 1;
--- a/src/presence.c
+++ b/src/presence.c
@@ -28,8 +28,8 @@
 static void next_call(kb_presence_t *presence, kb_time_t pause_ms)
 {
 	presence->calling = 0;
-	presence->next_at = kb_clock_monotonic(presence->clock) +
-			    pause_ms * KB_NS_PER_MS;
+	presence->next_at =
+		kb_clock_monotonic(presence->clock) + pause_ms * KB_NS_PER_MS;
 }
 
 static void on_leased(void *ctx, kb_result_t result, int64_t lease,
@@ -53,8 +53,8 @@
 	(void)ttl;
 	if (result == KB_ERR_NOT_FOUND)
 		presence->lease = 0;
-	next_call(presence, result ? KB_PRESENCE_RETRY_MS
-				   : KB_PRESENCE_KEEP_MS);
+	next_call(presence,
+		  result ? KB_PRESENCE_RETRY_MS : KB_PRESENCE_KEEP_MS);
 }
 
 static void on_written(void *ctx, kb_result_t result,
@@ -65,22 +65,20 @@
 	(void)written;
 	if (result == KB_ERR_NOT_FOUND)
 		presence->lease = 0;
-	presence->written = !result && presence->wrote_leaving ==
-					       presence->leaving;
-	next_call(presence, result ? KB_PRESENCE_RETRY_MS
-				   : KB_PRESENCE_KEEP_MS);
+	presence->written =
+		!result && presence->wrote_leaving == presence->leaving;
+	next_call(presence,
+		  result ? KB_PRESENCE_RETRY_MS : KB_PRESENCE_KEEP_MS);
 }
 
 static kb_result_t write_key(kb_presence_t *presence)
 {
 	const kb_host_place_t *place = &presence->place;
-	json_t *json = json_pack("{s:s,s:s,s:i,s:s,s:s,s:b}", "name",
-				 place->name.data, "address",
-				 place->endpoint.address.data, "port",
-				 place->endpoint.port, "dataCentre",
-				 place->data_centre.data, "region",
-				 place->region.data, "leaving",
-				 presence->leaving);
+	json_t *json = json_pack(
+		"{s:s,s:s,s:i,s:s,s:s,s:b}", "name", place->name.data,
+		"address", place->endpoint.address.data, "port",
+		place->endpoint.port, "dataCentre", place->data_centre.data,
+		"region", place->region.data, "leaving", presence->leaving);
 	char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	kb_store_write_t write = {
 		.key = kb_name_str(&presence->key),
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -125,11 +125,11 @@
 	(void)what;
 	event_add(proxy->tick, &pause);
 	kb_proxy_sync_tick(proxy, now);
-	kb_presence_tick(&proxy->presence,
-			 !proxy->mirror.revision ||
-				 kb_mirror_find(
-					 &proxy->mirror,
-					 kb_name_str(&proxy->presence.key)));
+	kb_presence_tick(
+		&proxy->presence,
+		!proxy->mirror.revision ||
+			kb_mirror_find(&proxy->mirror,
+				       kb_name_str(&proxy->presence.key)));
 	kb_proxy_hosts_tick(proxy, now);
 	for (size_t i = 0; i < proxy->group_count; i++)
 		kb_proxy_group_tick(proxy->groups[i], now);
@@ -309,8 +309,8 @@
 static void write_pool(struct evbuffer *out, const char *name,
 		       const kb_link_pool_t *pool, uint64_t value)
 {
-	kb_metrics_text_value(out, name, "target",
-			      pool->place.target.data, (double)value);
+	kb_metrics_text_value(out, name, "target", pool->place.target.data,
+			      (double)value);
 }
 
 static void write_pools(kb_proxy_t *proxy, struct evbuffer *out,
@@ -329,9 +329,9 @@
 
 		if (pool->place.target.len)
 			write_pool(out, name, pool,
-				   *(const uint64_t
-					     *)((const char *)&pool->counters +
-						offset));
+				   *(const uint64_t *)((const char *)&pool
+							       ->counters +
+						       offset));
 	}
 }
 
@@ -345,8 +345,9 @@
 			       "Version of the configuration in force.");
 	kb_metrics_text_value(out, "configuration_version", NULL, NULL,
 			      (double)proxy->databases.version);
-	kb_metrics_text_family(out, "hold_serving", "gauge",
-			       "Whether this host may serve a group's primary.");
+	kb_metrics_text_family(
+		out, "hold_serving", "gauge",
+		"Whether this host may serve a group's primary.");
 	for (size_t i = 0; i < proxy->group_count; i++)
 		kb_metrics_text_value(
 			out, "hold_serving", "group",
--- a/src/proxy_gate.c
+++ b/src/proxy_gate.c
@@ -70,8 +70,8 @@
 {
 	const kb_group_limits_t *limits = kb_databases_group(
 		&proxy->databases, kb_name_str(&target->place.group));
-	unsigned share = limits ? limits->connections * GATE_SHARE_PERCENT / 100
-				: 0;
+	unsigned share =
+		limits ? limits->connections * GATE_SHARE_PERCENT / 100 : 0;
 
 	return share > GATE_CONNECTIONS_MIN ? share : GATE_CONNECTIONS_MIN;
 }
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -304,8 +304,8 @@
 		grant_call_t *call;
 		kbs_heard_args args = {
 			.group = kb_text_view(kb_name_str(&group->name)),
-			.holder = kb_text_view(
-				kb_name_str(&hold->record.holder)),
+			.holder =
+				kb_text_view(kb_name_str(&hold->record.holder)),
 		};
 		kb_rpc_call_t rpc = {
 			.procedure = KB_PROXY_HEARD,
@@ -367,8 +367,10 @@
 static void hold_changed(void *ctx, kb_hold_t *hold)
 {
 	static const char *const roles[] = {
-		[KB_HOLD_NONE] = "none",       [KB_HOLD_TAKING] = "taking",
-		[KB_HOLD_WAITING] = "waiting", [KB_HOLD_SERVING] = "serving",
+		[KB_HOLD_NONE] = "none",
+		[KB_HOLD_TAKING] = "taking",
+		[KB_HOLD_WAITING] = "waiting",
+		[KB_HOLD_SERVING] = "serving",
 		[KB_HOLD_RELEASING] = "releasing",
 	};
 	kb_proxy_group_t *group = ctx;
@@ -468,8 +470,8 @@
 
 	kb_proxy_group_rank(group, &ranking);
 	for (size_t i = 0; i < ranking.count && asked < REACH_HOSTS; i++) {
-		kb_host_t *host = kb_hosts_find(
-			&proxy->hosts, kb_name_str(&ranking.hosts[i]));
+		kb_host_t *host = kb_hosts_find(&proxy->hosts,
+						kb_name_str(&ranking.hosts[i]));
 		reach_call_t *call;
 		kbs_reach_args args = {
 			.group = kb_text_view(kb_name_str(&group->name)),
@@ -637,9 +639,8 @@
 	kb_proxy_group_t *group;
 	kb_hold_record_t record;
 
-	group = kb_proxy_group_get(proxy,
-				   (kb_str_t){ key.data + prefix.len,
-					       key.len - prefix.len });
+	group = kb_proxy_group_get(proxy, (kb_str_t){ key.data + prefix.len,
+						      key.len - prefix.len });
 	if (!group)
 		return;
 	if (!entry) {
@@ -666,8 +667,7 @@
 	stamp->valid = TRUE;
 	stamp->term = lead->term;
 	stamp->point = kb_point_to(lead->newest);
-	stamp->primary =
-		kb_text_view(kb_name_str(&lead->primary.place.target));
+	stamp->primary = kb_text_view(kb_name_str(&lead->primary.place.target));
 }
 
 void kb_proxy_group_learn(kb_proxy_group_t *group, const kbs_stamp *stamp,
@@ -764,8 +764,8 @@
 }
 
 /* Ends this host's hold in good order. */
-static void hand_over(kb_proxy_group_t *group,
-		      const kb_hold_ranking_t *ranking, kb_time_t now)
+static void hand_over(kb_proxy_group_t *group, const kb_hold_ranking_t *ranking,
+		      kb_time_t now)
 {
 	kb_time_t spent = now - group->handing_at;
 
--- a/src/proxy_hosts.c
+++ b/src/proxy_hosts.c
@@ -69,7 +69,6 @@
 	host->unlisted_at = 0;
 }
 
-
 static void on_pinged(void *ctx, kb_result_t result, void *res)
 {
 	kb_host_t *host = ctx;
--- a/src/proxy_probe.c
+++ b/src/proxy_probe.c
@@ -27,9 +27,8 @@
 	}
 }
 
-static void on_done(void *ctx, kb_target_probe_t *target,
-		    kb_order_kind_t kind, kb_result_t result,
-		    const kb_target_report_t *report)
+static void on_done(void *ctx, kb_target_probe_t *target, kb_order_kind_t kind,
+		    kb_result_t result, const kb_target_report_t *report)
 {
 	kb_proxy_probe_t *probe = ctx;
 	kb_time_t now = kb_clock_monotonic(probe->group->proxy->clock);
@@ -39,9 +38,9 @@
 	answer_reaches(probe, report);
 	if (probe->for_vacancy) {
 		probe->for_vacancy = 0;
-		kb_proxy_vacancy_on_probe(
-			probe->group, kb_name_str(&target->place.target),
-			report);
+		kb_proxy_vacancy_on_probe(probe->group,
+					  kb_name_str(&target->place.target),
+					  report);
 	}
 	if (probe->for_lead) {
 		probe->for_lead = 0;
--- a/src/proxy_reads.c
+++ b/src/proxy_reads.c
@@ -91,8 +91,8 @@
 static int64_t expected(const kbs_load *load, kb_time_t age,
 			unsigned outstanding)
 {
-	int64_t service = load->service_us > 0 ? load->service_us
-					       : DEFAULT_SERVICE_US;
+	int64_t service =
+		load->service_us > 0 ? load->service_us : DEFAULT_SERVICE_US;
 	int64_t slots = load->slots ? load->slots : 1;
 	int64_t halvings = age / (LOAD_HALF_MS * KB_NS_PER_MS);
 	int64_t told = ((int64_t)load->waiting + load->running) >>
@@ -127,8 +127,7 @@
 		return cost;
 	cost += expected(&load->load, now - load->at, load->outstanding);
 	cost += cost_of_lag(load, include, now);
-	if (load->failed_at &&
-	    now - load->failed_at < FAILED_MS * KB_NS_PER_MS)
+	if (load->failed_at && now - load->failed_at < FAILED_MS * KB_NS_PER_MS)
 		cost += COST_FAILED_US;
 	return cost;
 }
@@ -147,9 +146,8 @@
 	choice->exhausted = 1;
 	if (!kb_stamps_include(&group->stamps, choice->bound, &aged))
 		return NULL;
-	choice->include = kb_point_compare(aged, choice->own) >= 0
-				  ? aged
-				  : choice->own;
+	choice->include =
+		kb_point_compare(aged, choice->own) >= 0 ? aged : choice->own;
 	for (size_t i = 0; i < proxy->targets.count; i++) {
 		const kb_target_entry_t *target = &proxy->targets.entries[i];
 		int64_t cost;
@@ -165,8 +163,8 @@
 		best = target;
 		best_cost = cost;
 	}
-	primary_cost = COST_PRIMARY_US + expected(&group->load,
-						  now - group->load_at, 0);
+	primary_cost = COST_PRIMARY_US +
+		       expected(&group->load, now - group->load_at, 0);
 	if (!best || (primary_cost < best_cost && !choice->excluded_count))
 		return NULL;
 	choice->exhausted = 0;
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -46,8 +46,8 @@
 	}
 	res.result = args->transaction ? KB_ERR_ROLLED_BACK : KB_ERR_NOT_GATE;
 	if (group)
-		res.holder = kb_text_view(
-			kb_name_str(&group->hold.record.holder));
+		res.holder =
+			kb_text_view(kb_name_str(&group->hold.record.holder));
 	done(ctx, &res);
 }
 
@@ -61,8 +61,8 @@
 static void on_ran(void *ctx, const kbs_run_res *res)
 {
 	run_request_t run = *(run_request_t *)ctx;
-	kb_proxy_group_t *group = kb_proxy_group_find(
-		run.proxy, kb_text_str(run.args->group));
+	kb_proxy_group_t *group =
+		kb_proxy_group_find(run.proxy, kb_text_str(run.args->group));
 	kbs_run_res told = *res;
 
 	free(ctx);
@@ -108,12 +108,12 @@
 	kb_name_t holder;
 
 	if (group && !kb_name_set(&holder, kb_text_str(args->holder)))
-		res.granted = kb_hold_grant(&group->hold, &holder,
-					    (int64_t)args->revision,
-					    args->serving,
-					    kb_clock_monotonic(proxy->clock))
-				      ? TRUE
-				      : FALSE;
+		res.granted =
+			kb_hold_grant(&group->hold, &holder,
+				      (int64_t)args->revision, args->serving,
+				      kb_clock_monotonic(proxy->clock))
+				? TRUE
+				: FALSE;
 	kb_rpc_server_reply(request, &res);
 }
 
@@ -158,14 +158,14 @@
 		kb_proxy_group_find(proxy, kb_text_str(args->group));
 	kbs_heard_res res = { .age_us = -1 };
 
-	if (group && kb_name_is(&group->hold.record.holder,
-				kb_text_str(args->holder))) {
+	if (group &&
+	    kb_name_is(&group->hold.record.holder, kb_text_str(args->holder))) {
 		if (kb_name_is(&proxy->self.name, kb_text_str(args->holder)))
 			res.age_us =
 				kb_hold_is_live(&group->hold, now) ? 0 : -1;
 		else
-			res.age_us = (now - group->hold.heard_at) /
-				     KB_NS_PER_US;
+			res.age_us =
+				(now - group->hold.heard_at) / KB_NS_PER_US;
 	}
 	kb_rpc_server_reply(request, &res);
 }
@@ -181,8 +181,8 @@
 		kb_proxy_group_stamp(group, &res.stamp);
 		if (!res.stamp.valid)
 			kb_proxy_vacancy_stamp(group, &res.stamp);
-		res.holder = kb_text_view(
-			kb_name_str(&group->hold.record.holder));
+		res.holder =
+			kb_text_view(kb_name_str(&group->hold.record.holder));
 	}
 	kb_rpc_server_reply(request, &res);
 }
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -176,9 +176,8 @@
 		kb_log(KB_EVENT_REQUEST_FAILED,
 		       "id=%.*s group=%.*s kind=%d txn=%" PRIu64
 		       " result=%s last=%s attempts=%u target=%s gate=%s"
-		       " ms=%" PRId64 " timeout_ms=%" PRId64
-		       " include=%" PRIu64 ".%" PRIu64 " stamp_age_ms=%" PRId64
-		       " offered=%d",
+		       " ms=%" PRId64 " timeout_ms=%" PRId64 " include=%" PRIu64
+		       ".%" PRIu64 " stamp_age_ms=%" PRId64 " offered=%d",
 		       KB_STR_ARG(kb_text_str(session->session.args.id)),
 		       KB_STR_ARG(kb_text_str(session->session.args.group)),
 		       (int)session->session.args.kind,
@@ -190,8 +189,7 @@
 		       session->session.database.timeout / KB_NS_PER_MS,
 		       session->choice.include.term,
 		       session->choice.include.position,
-		       session->choice.stamp_age / KB_NS_PER_MS,
-		       res->offered);
+		       session->choice.stamp_age / KB_NS_PER_MS, res->offered);
 	kb_caller_session_ran(&session->session, res);
 }
 
@@ -252,8 +250,7 @@
 	const kb_proxy_group_t *group = group_of(session);
 
 	return group && kb_stamps_newest(&group->stamps) &&
-	       kb_proxy_group_silence(group, now) >
-		       NO_HOLDER_MS * KB_NS_PER_MS;
+	       kb_proxy_group_silence(group, now) > NO_HOLDER_MS * KB_NS_PER_MS;
 }
 
 static void take_result(kb_proxy_session_t *session, const kbs_run_res *res,
@@ -274,8 +271,9 @@
 	}
 	session->hinted = 0;
 	if (!result || !may_retry(session, result)) {
-		finish_run(session, res, result, "the host that serves the "
-						 "target did not answer");
+		finish_run(session, res, result,
+			   "the host that serves the "
+			   "target did not answer");
 		return;
 	}
 	session->proxy->stats.retries++;
@@ -291,9 +289,8 @@
 		session->retry_at += RETRY_PAUSE_MS * KB_NS_PER_MS;
 	if (session->retry_at + RETRY_MIN_MS * KB_NS_PER_MS >
 	    session->deadline) {
-		finish_run(session,
-			   res && result != KB_ERR_CLOSED ? res : NULL, result,
-			   "no target could serve it in time");
+		finish_run(session, res && result != KB_ERR_CLOSED ? res : NULL,
+			   result, "no target could serve it in time");
 		return;
 	}
 	if (session->retry_at <= now) {
@@ -338,7 +335,7 @@
 	if (result == KB_ERR_NOT_FRESH)
 		return;
 	if (result && result != KB_ERR_STATEMENT &&
-		 result != KB_ERR_NO_STATEMENT)
+	    result != KB_ERR_NO_STATEMENT)
 		load->failed_at = now;
 }
 
@@ -379,7 +376,8 @@
 	kb_host_t *host;
 
 	if (result) {
-		host = kb_hosts_find(&proxy->hosts, kb_name_str(&attempt->host));
+		host = kb_hosts_find(&proxy->hosts,
+				     kb_name_str(&attempt->host));
 		if (host)
 			kb_proxy_host_failed(proxy, host, result);
 	}
@@ -416,10 +414,9 @@
 	args->target = kb_text_view(kb_name_str(&session->target));
 	args->include = kb_point_to(session->choice.include);
 	args->time_left_us = left / KB_NS_PER_US;
-	args->objective_left_us =
-		(session->session.database.objective - session->spent -
-		 (now - session->began_at)) /
-		KB_NS_PER_US;
+	args->objective_left_us = (session->session.database.objective -
+				   session->spent - (now - session->began_at)) /
+				  KB_NS_PER_US;
 	args->idle_limit_us = proxy->databases.txn_idle / KB_NS_PER_US;
 	attempt->session = session;
 	attempt->number = session->number;
@@ -543,8 +540,7 @@
 	kb_proxy_session_t *session;
 	kb_result_t result;
 
-	if (!proxy->databases.version ||
-	    proxy->session_count >= SESSIONS_MAX) {
+	if (!proxy->databases.version || proxy->session_count >= SESSIONS_MAX) {
 		proxy->stats.sessions_refused++;
 		return KB_ERR_OVERLOADED;
 	}
@@ -558,8 +554,9 @@
 					session, database);
 	if (result) {
 		proxy->stats.sessions_refused++;
-		kb_log(KB_EVENT_SESSION_REFUSED, "database=%.*s version=%" PRIu64,
-		       KB_STR_ARG(database), proxy->databases.version);
+		kb_log(KB_EVENT_SESSION_REFUSED,
+		       "database=%.*s version=%" PRIu64, KB_STR_ARG(database),
+		       proxy->databases.version);
 		free(session);
 		return result;
 	}
--- a/src/proxy_stats.c
+++ b/src/proxy_stats.c
@@ -6,9 +6,9 @@
 #include <string.h>
 
 /* Upper bounds of the latency buckets in seconds; the last takes the rest. */
-static const double bounds[] = { 0,    0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
-				 0.1,  0.2,   0.3,   0.5,   0.8,  1,	2,
-				 5,    1e6 };
+static const double bounds[] = { 0,    0.001, 0.002, 0.005, 0.01, 0.02,
+				 0.05, 0.1,   0.2,   0.3,   0.5,  0.8,
+				 1,    2,     5,     1e6 };
 
 #define BUCKETS (sizeof(bounds) / sizeof(bounds[0]) - 1)
 
@@ -69,9 +69,9 @@
 					name, path_names[path], bounds[i + 1],
 					sum);
 		}
-		evbuffer_add_printf(
-			out, "%s_bucket{path=\"%s\",le=\"+Inf\"} %.0f\n",
-			name, path_names[path], sum);
+		evbuffer_add_printf(out,
+				    "%s_bucket{path=\"%s\",le=\"+Inf\"} %.0f\n",
+				    name, path_names[path], sum);
 		evbuffer_add_printf(out, "%s_count{path=\"%s\"} %.0f\n", name,
 				    path_names[path], sum);
 	}
@@ -83,17 +83,16 @@
 			       "Statements by result.");
 	for (size_t i = 0; i < KB_PROXY_STATS_RESULTS_MAX; i++)
 		if (stats->results[i])
-			kb_metrics_text_value(
-				out, "statements_total", "result",
-				kb_result_name((kb_result_t)i),
-				(double)stats->results[i]);
+			kb_metrics_text_value(out, "statements_total", "result",
+					      kb_result_name((kb_result_t)i),
+					      (double)stats->results[i]);
 	write_latency(stats, out);
 	kb_metrics_text_counter(out, "attempts_total",
 				"Statements sent to a gate.", stats->attempts);
 	kb_metrics_text_counter(out, "retries_total",
 				"Statements sent once more.", stats->retries);
-	kb_metrics_text_counter(out, "sessions_total",
-				"Sessions opened.", stats->sessions);
+	kb_metrics_text_counter(out, "sessions_total", "Sessions opened.",
+				stats->sessions);
 	kb_metrics_text_counter(out, "sessions_refused_total",
 				"Sessions refused.", stats->sessions_refused);
 	kb_metrics_text_counter(out, "host_calls_total",
--- a/src/proxy_vacancy.c
+++ b/src/proxy_vacancy.c
@@ -58,8 +58,7 @@
 	if (age < valid)
 		return;
 	vacancy->denials++;
-	if (vacancy->denials ==
-		    group->hold.record.candidates.count / 2 + 1 &&
+	if (vacancy->denials == group->hold.record.candidates.count / 2 + 1 &&
 	    !vacancy->asked)
 		probe_targets(group);
 }
--- a/src/rpc_peer.c
+++ b/src/rpc_peer.c
@@ -294,9 +294,9 @@
 					 call->encode, call->args);
 	if (result)
 		goto fail;
-	peer->queued += evbuffer_get_length(
-				bufferevent_get_output(peer->stream)) -
-			before;
+	peer->queued +=
+		evbuffer_get_length(bufferevent_get_output(peer->stream)) -
+		before;
 	pending->peer = peer;
 	pending->call = *call;
 	pending->xid = peer->next_xid++;
--- a/src/stamps.c
+++ b/src/stamps.c
@@ -21,8 +21,8 @@
 		stamps->term = term;
 		stamps->count = 0;
 	}
-	if (stamps->count && at < kb_stamps_newest(stamps) +
-					  KB_STAMPS_SPACING_MS * KB_NS_PER_MS)
+	if (stamps->count &&
+	    at < kb_stamps_newest(stamps) + KB_STAMPS_SPACING_MS * KB_NS_PER_MS)
 		return;
 	if (stamps->count == KB_STAMPS_MAX) {
 		stamps->first = (stamps->first + 1) % KB_STAMPS_MAX;
--- a/src/target_list.c
+++ b/src/target_list.c
@@ -34,8 +34,8 @@
 		return KB_OK;
 	}
 	if (list->count == list->capacity) {
-		entries = reallocarray(list->entries, capacity,
-				       sizeof(*entries));
+		entries =
+			reallocarray(list->entries, capacity, sizeof(*entries));
 		if (!entries)
 			return KB_ERR_NO_MEMORY;
 		list->entries = entries;
--- a/src/target_probe.c
+++ b/src/target_probe.c
@@ -107,8 +107,8 @@
 	}
 	if (probe->link)
 		return;
-	probe->link = kb_link_open(probe->linker, &probe->place, &link_events,
-				   probe);
+	probe->link =
+		kb_link_open(probe->linker, &probe->place, &link_events, probe);
 	if (!probe->link)
 		end(probe, KB_ERR_UNREACHABLE, NULL);
 }
--- a/tests/fake_config.h
+++ b/tests/fake_config.h
@@ -181,8 +181,9 @@
 };
 
 inline const kb_store_ops_t FakeStore::ops = {
-	FakeStore::get, FakeStore::put, FakeStore::remove, nullptr, nullptr,
-	nullptr,	nullptr,	nullptr,	   FakeStore::cancel,
+	FakeStore::get, FakeStore::put, FakeStore::remove,
+	nullptr,	nullptr,	nullptr,
+	nullptr,	nullptr,	FakeStore::cancel,
 };
 
 /* Resources in memory, all in force on two of three hosts. */
--- a/tests/test_hold.cc
+++ b/tests/test_hold.cc
@@ -72,7 +72,7 @@
 	kb_hold_ops_t ops{};
 
 	World(size_t count, uint64_t seed, Broken how = Broken::NOTHING)
-		: broken(how)
+	    : broken(how)
 	{
 		kb_rng_init(&rng, seed);
 		ops.read = on_read;
@@ -159,8 +159,8 @@
 			bool ok = world.reaches_store(host);
 			bool found = world.exists;
 			kb_hold_record_t seen = world.record;
-			int64_t revision = found ? world.key_revision
-						 : world.revision;
+			int64_t revision =
+				found ? world.key_revision : world.revision;
 
 			world.deliver(host, world.delay(), [=, &host, &world] {
 				kb_hold_on_read(&host.hold, sent_at,
@@ -189,8 +189,7 @@
 			late = (kb_time_t)(1 + world.below(4)) * KB_NS_PER_S;
 		world.after(world.delay() + late, [=, &host, &world] {
 			bool reached = late || world.reaches_store(host);
-			int64_t present =
-				world.exists ? world.key_revision : 0;
+			int64_t present = world.exists ? world.key_revision : 0;
 			bool done = reached && present == expected;
 			int64_t revision;
 
@@ -203,12 +202,11 @@
 			if (late)
 				return;
 			world.deliver(host, world.delay(), [=, &host, &world] {
-				kb_hold_on_written(
-					&host.hold, number,
-					!reached ? KB_ERR_UNKNOWN
-					: done	 ? KB_OK
-						 : KB_ERR_CONFLICT,
-					revision, world.now);
+				kb_hold_on_written(&host.hold, number,
+						   !reached ? KB_ERR_UNKNOWN
+						   : done   ? KB_OK
+							    : KB_ERR_CONFLICT,
+						   revision, world.now);
 			});
 		});
 	}
@@ -240,8 +238,9 @@
 			int64_t told = revision;
 
 			if (world.broken == Broken::GRANTS_OLD)
-				told = std::max({ told, other.hold.revision,
-						  other.hold.granted_revision });
+				told = std::max(
+					{ told, other.hold.revision,
+					  other.hold.granted_revision });
 			int granted = kb_hold_grant(&other.hold, &self, told,
 						    live, world.now);
 
@@ -270,8 +269,8 @@
 		World &world = *host.world;
 
 		for (size_t i = 0; i < hold->record.candidates.count; i++) {
-			Host *other = world.find(
-				&hold->record.candidates.hosts[i]);
+			Host *other =
+				world.find(&hold->record.candidates.hosts[i]);
 
 			if (other == &host ||
 			    !world.linked(world.index(host),
@@ -330,7 +329,8 @@
 		std::string serving;
 
 		for (auto &host : hosts) {
-			if (!host->alive || !kb_hold_may_serve(&host->hold, now))
+			if (!host->alive ||
+			    !kb_hold_may_serve(&host->hold, now))
 				continue;
 			served_at = now;
 			if (!serving.empty() && violation.empty())
@@ -404,8 +404,8 @@
 		switch (below(8)) {
 		case 0:
 			host.alive = false;
-			host.down_until = now + (kb_time_t)(300 + below(4000)) *
-							MS;
+			host.down_until =
+				now + (kb_time_t)(300 + below(4000)) * MS;
 			break;
 		case 1:
 			host.frozen_until =
--- a/tests/test_rpc_faults.cc
+++ b/tests/test_rpc_faults.cc
@@ -153,15 +153,14 @@
 	const struct timeval at_once = { 0, 0 };
 	struct event *timer;
 
-	ASSERT_EQ(KB_OK, kb_rpc_peer_init(&peer, loop.base,
-					  KB_STR("127.0.0.1"), server.port, 4));
+	ASSERT_EQ(KB_OK, kb_rpc_peer_init(&peer, loop.base, KB_STR("127.0.0.1"),
+					  server.port, 4));
 	timer = evtimer_new(loop.base, reset_peer, &peer);
 	ASSERT_EQ(KB_OK, call.start(&peer));
 	evtimer_add(timer, &at_once);
 	loop.run_until([&] { return call.ended && server.closed; });
 	/* The loop wrote the call before the reset, or not at all. */
-	EXPECT_EQ(server.received.empty(),
-		  call.result == KB_ERR_UNREACHABLE);
+	EXPECT_EQ(server.received.empty(), call.result == KB_ERR_UNREACHABLE);
 	EXPECT_EQ(1, call.ended);
 	event_free(timer);
 	kb_rpc_peer_finish(&peer);
