--- a/src/follower.c
+++ b/src/follower.c
@@ -50,6 +50,19 @@
 	       follower->mirror->revision);
 }
 
+/* Many hosts that wait for the store must not call it all at once. */
+static kb_time_t retry_pause(kb_follower_t *follower)
+{
+	kb_time_t limit = KB_FOLLOWER_RETRY_MS;
+
+	if (follower->patient)
+		limit <<= follower->failures;
+	if (limit < KB_FOLLOWER_RETRY_MAX_MS)
+		follower->failures++;
+	return limit / 2 +
+	       (kb_time_t)kb_rng_below(&follower->rng, (uint64_t)limit / 2);
+}
+
 static void on_answer(kb_follower_t *follower, kb_result_t result)
 {
 	kb_time_t now = kb_clock_monotonic(follower->clock);
@@ -60,9 +73,9 @@
 	if (result == KB_ERR_NOT_FOUND)
 		follower->whole = 1;
 	else if (result)
-		pause = KB_FOLLOWER_RETRY_MS / 2 +
-			(kb_time_t)kb_rng_below(&follower->rng,
-						KB_FOLLOWER_RETRY_MS / 2);
+		pause = retry_pause(follower);
+	if (!result)
+		follower->failures = 0;
 	follower->next_at = now + pause * KB_NS_PER_MS;
 }
 
--- a/src/follower.h
+++ b/src/follower.h
@@ -13,6 +13,8 @@
 	KB_FOLLOWER_PAUSE_MS = 250,
 	/* Pause after a call that failed; half of it is random. */
 	KB_FOLLOWER_RETRY_MS = 400,
+	/* Greatest pause of a host that is no reader; it doubles each time. */
+	KB_FOLLOWER_RETRY_MAX_MS = 3200,
 	/* A deletion missed by a faulty poll is found by a whole read. */
 	KB_FOLLOWER_WHOLE_S = 20,
 };
@@ -24,6 +26,9 @@
 	kb_clock_t *clock;
 	kb_rng_t rng;
 	int enabled;
+	/* Others read the store for this host once it answers again. */
+	int patient;
+	unsigned failures;
 	/* Keys below this prefix are followed. */
 	kb_str_t prefix;
 	int calling;
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -128,6 +128,8 @@
 
 struct kbs_grant_res {
 	bool granted;
+	/* Time since this host reached the store itself, in microseconds. */
+	hyper store_age_us;
 };
 
 /* The store's key of a group names the receiver now. */
--- a/src/hold.c
+++ b/src/hold.c
@@ -7,10 +7,14 @@
 	CALL_TIMEOUT_MS = 600,
 	/* The set of candidates is not rewritten more often. */
 	REWRITE_PAUSE_MS = 1000,
+	/* The same before the host serves. */
+	REWRITE_WAITING_MS = 300,
 	/* Time for answers of other hosts that were asked about the holder. */
 	INQUIRY_MS = 100,
 	/* Pause after a write that took a group over in vain. */
 	TAKE_PAUSE_MS = 300,
+	/* The same if the store was not reached or did not answer. */
+	STORELESS_PAUSE_MS = 600,
 };
 
 static int names_equal(const kb_name_t *a, const kb_name_t *b)
@@ -263,30 +267,50 @@
 			grant->granted ? grant->asked_at : grant->since;
 
 		if (names_equal(&grant->candidate, host))
-			return last &&
-			       now - last > KB_HOLD_MISSING_MS * KB_NS_PER_MS;
+			return grant->storeless ||
+			       (last && now - last > KB_HOLD_MISSING_MS *
+							     KB_NS_PER_MS);
 	}
 	return 0;
 }
 
-/* Names the first hosts of the ranking; those that do not answer last. */
+static int is_ranked(const kb_hold_ranking_t *ranking, const kb_name_t *host)
+{
+	for (size_t i = 0; i < ranking->count; i++)
+		if (names_equal(&ranking->hosts[i], host))
+			return 1;
+	return 0;
+}
+
+static void add_host(kb_hold_set_t *set, const kb_name_t *host)
+{
+	if (set->count < KB_HOLD_CANDIDATES_MAX && !is_in(set, host))
+		set->hosts[set->count++] = *host;
+}
+
+/*
+ * Names the present candidates that answer, then the first hosts of the
+ * ranking; those that do not answer last.
+ */
 static void make_record(const kb_hold_t *hold, kb_hold_record_t *record,
 			const kb_name_t *holder,
 			const kb_hold_ranking_t *ranking, kb_time_t now)
 {
+	const kb_hold_set_t *present = &hold->record.candidates;
 	kb_hold_set_t *set = &record->candidates;
 
 	memset(record, 0, sizeof(*record));
 	record->holder = *holder;
-	set->hosts[set->count++] = *holder;
+	add_host(set, holder);
+	for (size_t i = 0; names_self(hold) && i < present->count; i++)
+		if (is_ranked(ranking, &present->hosts[i]) &&
+		    !is_missing(hold, &present->hosts[i], now))
+			add_host(set, &present->hosts[i]);
 	for (int missing = 0; missing < 2; missing++)
-		for (size_t i = 0;
-		     i < ranking->count && set->count < KB_HOLD_CANDIDATES_MAX;
-		     i++)
-			if (!is_in(set, &ranking->hosts[i]) &&
-			    is_missing(hold, &ranking->hosts[i], now) ==
-				    missing)
-				set->hosts[set->count++] = ranking->hosts[i];
+		for (size_t i = 0; i < ranking->count; i++)
+			if (is_missing(hold, &ranking->hosts[i], now) ==
+			    missing)
+				add_host(set, &ranking->hosts[i]);
 }
 
 /* Notes whose grants the holder that served last may have had. */
@@ -328,7 +352,10 @@
 		return;
 	if (result || (hold->known && revision <= hold->as_of)) {
 		if (hold->role == KB_HOLD_TAKING) {
-			hold->heard_at += TAKE_PAUSE_MS * KB_NS_PER_MS;
+			hold->heard_at += (result == KB_ERR_CONFLICT
+						   ? TAKE_PAUSE_MS
+						   : STORELESS_PAUSE_MS) *
+					  KB_NS_PER_MS;
 			set_role(hold, KB_HOLD_NONE);
 		}
 		begin_read(hold, now);
@@ -349,6 +376,15 @@
 	}
 }
 
+void kb_hold_on_store_age(kb_hold_t *hold, const kb_name_t *candidate,
+			  kb_time_t age)
+{
+	for (size_t i = 0; i < hold->grant_count; i++)
+		if (names_equal(&hold->grants[i].candidate, candidate))
+			hold->grants[i].storeless =
+				age > KB_HOLD_STORELESS_MS * KB_NS_PER_MS;
+}
+
 void kb_hold_on_grant(kb_hold_t *hold, const kb_name_t *candidate,
 		      kb_time_t asked_at, int granted, kb_time_t now)
 {
@@ -394,7 +430,11 @@
 		begin_read(hold, now);
 		return 0;
 	}
-	if (hold->role != KB_HOLD_NONE || names_self(hold) ||
+	/* The sender's write is later than that of this host. */
+	if (revision > hold->revision && hold->role != KB_HOLD_TAKING)
+		lose(hold);
+	if (hold->role != KB_HOLD_NONE ||
+	    (names_self(hold) && revision <= hold->revision) ||
 	    revision < hold->granted_revision)
 		return 0;
 	/* A later write than the sender knows of names another host. */
@@ -517,10 +557,13 @@
 	int settles = hold->role == KB_HOLD_WAITING && !hold->record.settled &&
 		      now >= hold->serve_at && now < kb_hold_valid_until(hold);
 
+	kb_time_t pause = hold->role == KB_HOLD_SERVING ? REWRITE_PAUSE_MS
+							: REWRITE_WAITING_MS;
+
 	if (hold->rewriting &&
 	    now - hold->wrote_at < CALL_TIMEOUT_MS * KB_NS_PER_MS)
 		return;
-	if (!settles && now - hold->wrote_at < REWRITE_PAUSE_MS * KB_NS_PER_MS)
+	if (!settles && now - hold->wrote_at < pause * KB_NS_PER_MS)
 		return;
 	make_record(hold, &wanted, &hold->self, ranking, now);
 	wanted.settled = hold->record.settled || settles;
--- a/src/hold.h
+++ b/src/hold.h
@@ -27,8 +27,10 @@
 	KB_HOLD_FIRST_MS = 600,
 	/* Further patience of a host that is no candidate. */
 	KB_HOLD_UNCALLED_S = 5,
+	/* A candidate without the store for this time is replaced. */
+	KB_HOLD_STORELESS_MS = 3500,
 	/* A candidate that has granted nothing for this time is replaced. */
-	KB_HOLD_MISSING_MS = 1500,
+	KB_HOLD_MISSING_MS = 700,
 	/* Before the end of its validity nothing is begun any more. */
 	KB_HOLD_MARGIN_MS = 50,
 };
@@ -101,6 +103,8 @@
 	int granted;
 	/* Since when it is asked. */
 	kb_time_t since;
+	/* It has not reached the store for some time: others go before it. */
+	int storeless;
 } kb_hold_grant_t;
 
 /* Live hosts in the order in which they should hold the group. */
@@ -214,6 +218,10 @@
 void kb_hold_on_grant(kb_hold_t *hold, const kb_name_t *candidate,
 		      kb_time_t asked_at, int granted, kb_time_t now);
 
+/* A candidate last reached the store `age` ago. */
+void kb_hold_on_store_age(kb_hold_t *hold, const kb_name_t *candidate,
+			  kb_time_t age);
+
 /* The key names this host, as another one says: reads it. */
 void kb_hold_look(kb_hold_t *hold, kb_time_t now);
 
--- a/src/hosts.h
+++ b/src/hosts.h
@@ -30,6 +30,7 @@
 	kb_time_t suspect_until;
 	/* Replies at the last look, and since when there was no other. */
 	uint64_t replies_seen;
+	kb_time_t replied_at;
 	kb_time_t quiet_since;
 	int pinging;
 	/* Connection to it; unused for this host. */
--- a/src/presence.c
+++ b/src/presence.c
@@ -39,6 +39,7 @@
 
 	(void)ttl;
 	if (!result) {
+		presence->reached_at = kb_clock_monotonic(presence->clock);
 		presence->lease = lease;
 		presence->written = 0;
 	}
@@ -53,6 +54,8 @@
 	(void)ttl;
 	if (result == KB_ERR_NOT_FOUND)
 		presence->lease = 0;
+	if (!result)
+		presence->reached_at = kb_clock_monotonic(presence->clock);
 	next_call(presence,
 		  result ? KB_PRESENCE_RETRY_MS : KB_PRESENCE_KEEP_MS);
 }
--- a/src/presence.h
+++ b/src/presence.h
@@ -27,6 +27,8 @@
 	/* The key was written under the lease. */
 	int written;
 	int calling;
+	/* Last answer of the store. */
+	kb_time_t reached_at;
 	int leaving;
 	/* What the last write told of that. */
 	int wrote_leaving;
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -26,6 +26,8 @@
 	/* A planned hand-over lets open transactions end within this time. */
 	HAND_OVER_FINISH_MS = 500,
 	HAND_OVER_MS = 800,
+	/* A host that answered within this time is reached. */
+	ANSWERS_MS = 1500,
 	/* A group moves to a host nearer to its primary after this time. */
 	NEARER_S = 3,
 	/* Hosts that are asked whether they reach a primary. */
@@ -78,6 +80,9 @@
 
 typedef struct ranked {
 	const kb_host_t *host;
+	/* The store still names it, and it has answered lately. */
+	int listed;
+	int answers;
 	int near;
 	uint64_t score;
 } ranked_t;
@@ -87,6 +92,10 @@
 	const ranked_t *x = a;
 	const ranked_t *y = b;
 
+	if (x->listed != y->listed)
+		return y->listed - x->listed;
+	if (x->answers != y->answers)
+		return y->answers - x->answers;
 	if (x->near != y->near)
 		return y->near - x->near;
 	return x->score < y->score ? 1 : x->score > y->score ? -1 : 0;
@@ -96,6 +105,7 @@
 {
 	const kb_hosts_t *hosts = &group->proxy->hosts;
 	const kb_target_entry_t *primary = claimed_primary(group);
+	kb_time_t now = kb_clock_monotonic(group->proxy->clock);
 	ranked_t ranked[KB_HOLD_HOSTS_MAX];
 	size_t count = 0;
 
@@ -105,6 +115,10 @@
 		if (!host->live || host->leaving)
 			continue;
 		ranked[count].host = host;
+		ranked[count].listed = !host->unlisted_at;
+		ranked[count].answers =
+			host->self || now - host->replied_at <
+					      ANSWERS_MS * KB_NS_PER_MS;
 		ranked[count].near = nearness(group->proxy, host, primary);
 		ranked[count++].score = kb_rendezvous_score(
 			kb_name_str(&host->name), kb_name_str(&group->name));
@@ -240,6 +254,9 @@
 	const kbs_grant_res *granted = res;
 
 	free(ctx);
+	if (!result)
+		kb_hold_on_store_age(&call.group->hold, &call.candidate,
+				     granted->store_age_us * KB_NS_PER_US);
 	if (!result)
 		kb_hold_on_grant(&call.group->hold, &call.candidate,
 				 call.asked_at, granted->granted,
--- a/src/proxy_hosts.c
+++ b/src/proxy_hosts.c
@@ -109,6 +109,8 @@
 	kb_time_t quiet;
 
 	if (!peer->call_count || host->replies_seen != peer->counters.replies) {
+		if (host->replies_seen != peer->counters.replies)
+			host->replied_at = now;
 		host->replies_seen = peer->counters.replies;
 		host->quiet_since = now;
 		return;
--- a/src/proxy_parts.h
+++ b/src/proxy_parts.h
@@ -162,6 +162,9 @@
 	kb_time_t synced_at;
 	kb_time_t sync_sent_at;
 	int syncing;
+	/* Reader that is asked, and since when. */
+	size_t reader_rank;
+	kb_time_t reader_at;
 	/* Group without callers that is asked about next, and when. */
 	size_t idle_group;
 	kb_time_t idle_asked_at;
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -114,6 +114,9 @@
 				      kb_clock_monotonic(proxy->clock))
 				? TRUE
 				: FALSE;
+	res.store_age_us = (kb_clock_monotonic(proxy->clock) -
+			    proxy->presence.reached_at) /
+			   KB_NS_PER_US;
 	kb_rpc_server_reply(request, &res);
 }
 
--- a/src/proxy_sync.c
+++ b/src/proxy_sync.c
@@ -7,30 +7,55 @@
 enum {
 	/* Other hosts are asked for changes this often. */
 	SYNC_PAUSE_MS = 250,
-	/* Without fresh news for this time a host reads the store itself. */
-	SYNC_STALE_MS = 700,
+	/* Without fresh news for this time the next reader is asked. */
+	SYNC_STALE_MS = 600,
+	/* And after this time a host reads the store itself. */
+	SYNC_DIRECT_MS = 1000,
 	/* News of the store that are older than this are not fresh. */
 	SYNC_AGE_MAX_MS = 1200,
+	/* Hosts that read the store for all others. */
+	SYNC_READERS = 2,
+	/* The first reader is asked again after this time. */
+	SYNC_RETURN_S = 10,
 };
 
-/* The host that reads the store for the others. */
-static kb_host_t *reader(kb_proxy_t *proxy, kb_time_t now)
+/* The host of rank `rank` among those that read the store for others. */
+static kb_host_t *reader(kb_proxy_t *proxy, size_t rank, kb_time_t now)
 {
-	kb_host_t *best = NULL;
-	uint64_t best_score = 0;
+	kb_host_t *found[SYNC_READERS] = { NULL };
+	uint64_t scores[SYNC_READERS] = { 0 };
 
 	for (size_t i = 0; i < proxy->hosts.count; i++) {
 		kb_host_t *host = proxy->hosts.hosts[i];
 		uint64_t score = kb_rendezvous_score(kb_name_str(&host->name),
 						     KB_STR("store reader"));
+		size_t place = SYNC_READERS;
 
-		if (!kb_proxy_host_usable(host, now) ||
-		    (best && score <= best_score))
+		if (!kb_proxy_host_usable(host, now))
 			continue;
-		best = host;
-		best_score = score;
+		while (place && (!found[place - 1] || score > scores[place - 1]))
+			place--;
+		for (size_t j = SYNC_READERS - 1; j > place; j--) {
+			found[j] = found[j - 1];
+			scores[j] = scores[j - 1];
+		}
+		if (place < SYNC_READERS) {
+			found[place] = host;
+			scores[place] = score;
+		}
 	}
-	return best;
+	return found[rank];
+}
+
+static int is_reader(kb_proxy_t *proxy, kb_time_t now)
+{
+	for (size_t rank = 0; rank < SYNC_READERS; rank++) {
+		const kb_host_t *host = reader(proxy, rank, now);
+
+		if (host && host->self)
+			return 1;
+	}
+	return 0;
 }
 
 static kb_host_t *any_host(kb_proxy_t *proxy, kb_time_t now)
@@ -84,19 +109,36 @@
 	proxy->syncing = !kb_rpc_peer_call(peer, &rpc);
 }
 
+/* Goes on to the next reader while there is no fresh news. */
+static void choose_reader(kb_proxy_t *proxy, kb_time_t now, kb_time_t silence)
+{
+	if (silence > SYNC_STALE_MS * KB_NS_PER_MS)
+		proxy->reader_rank = (proxy->reader_rank + 1) % SYNC_READERS;
+	else if (now - proxy->reader_at > SYNC_RETURN_S * KB_NS_PER_S)
+		proxy->reader_rank = 0;
+	else
+		return;
+	proxy->reader_at = now;
+}
+
 void kb_proxy_sync_tick(kb_proxy_t *proxy, kb_time_t now)
 {
-	kb_host_t *from = reader(proxy, now);
-	int stale = now - proxy->synced_at > SYNC_STALE_MS * KB_NS_PER_MS;
+	kb_time_t silence = now - proxy->synced_at;
+	int reads = is_reader(proxy, now);
+	kb_host_t *from;
 
-	kb_follower_enable(&proxy->follower, !from || from->self || stale);
+	proxy->follower.patient = !reads;
+	kb_follower_enable(&proxy->follower,
+			   reads || silence > SYNC_DIRECT_MS * KB_NS_PER_MS);
 	kb_follower_tick(&proxy->follower);
 	if (proxy->syncing ||
 	    now - proxy->sync_sent_at < SYNC_PAUSE_MS * KB_NS_PER_MS)
 		return;
-	if (from && from->self && proxy->follower.reached)
+	if (reads && proxy->follower.reached)
 		return;
-	if (!from || from->self || stale)
+	choose_reader(proxy, now, silence);
+	from = reader(proxy, proxy->reader_rank, now);
+	if (!from || from->self || silence > SYNC_DIRECT_MS * KB_NS_PER_MS)
 		from = any_host(proxy, now);
 	if (from)
 		sync_with(proxy, &from->peer, now);
