--- a/src/lead.c
+++ b/src/lead.c
@@ -373,6 +373,9 @@
 
 	probe_all(lead, targets, now - KB_LEAD_PROBE_PAUSE_MS * KB_NS_PER_MS,
 		  now, &answered);
+	/* What replicas told before the change may be out of date. */
+	if (recent < lead->since)
+		recent = lead->since;
 	best = newest_replica(lead, targets, recent);
 	if (!lead->chosen.len) {
 		/* Statements go on until a replica is close. */
--- a/src/link_pool.c
+++ b/src/link_pool.c
@@ -158,6 +158,14 @@
 	return best;
 }
 
+/* Whether no statement of an open transaction runs; it may have ended. */
+static int is_free(const kb_link_pool_t *pool, uint64_t transaction)
+{
+	const kb_pool_conn_t *conn = find_transaction(pool, transaction);
+
+	return !conn || conn->state == KB_POOL_CONN_PINNED;
+}
+
 /* The next job that may be sent; a pause lets open transactions go on. */
 static kb_pool_job_t *choose_job(const kb_link_pool_t *pool, kb_time_t now,
 				 int has_idle)
@@ -165,7 +173,8 @@
 	kb_pool_job_t *best = NULL;
 
 	for (kb_pool_job_t *job = pool->jobs; job; job = job->next) {
-		if (!job->transaction && (pool->paused || !has_idle))
+		if (job->transaction ? !is_free(pool, job->transaction)
+				     : pool->paused || !has_idle)
 			continue;
 		if (!best || is_before(job, best, now))
 			best = job;
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -76,7 +76,7 @@
 		       int64_t revision)
 {
 	kb_mirror_entry_t *entry = find(mirror, key);
-	kb_str_t held;
+	kb_str_t held = { NULL, 0 };
 
 	if (entry && entry->revision >= revision)
 		return KB_OK;
@@ -97,10 +97,12 @@
 
 static void drop(kb_mirror_t *mirror, kb_mirror_entry_t *entry)
 {
+	size_t after = (size_t)(mirror->entries + mirror->count - entry) - 1;
 	kb_mirror_entry_t old = *entry;
 
 	mirror->removed_at = mirror->revision;
-	*entry = mirror->entries[--mirror->count];
+	memmove(entry, entry + 1, after * sizeof(*entry));
+	mirror->count--;
 	mirror->changed(mirror->ctx, old.key, NULL);
 	finish_entry(&old);
 }
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -170,7 +170,7 @@
 	int64_t revision = range ? range->revision : 0;
 
 	free(ctx);
-	if (!result && range->count) {
+	if (!result && range && range->count) {
 		revision = range->entries[0].revision;
 		found = &record;
 		result = kb_hold_record_parse(&record, range->entries[0].value);
--- /dev/null
+++ b/tests/fake_linker.h
@@ -0,0 +1,185 @@
+#ifndef KB_TESTS_FAKE_LINKER_H
+#define KB_TESTS_FAKE_LINKER_H
+
+#include "link_pool.h"
+#include "pool_conn.h"
+#include "rng.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+/* A clock that a test sets. */
+struct FakeTime {
+	kb_clock_t base;
+	kb_time_t now = KB_NS_PER_S;
+
+	FakeTime()
+	{
+		static const kb_clock_ops_t ops = {
+			[](kb_clock_t *clock) {
+				return reinterpret_cast<FakeTime *>(clock)->now;
+			},
+			[](kb_clock_t *) { return (kb_time_t)0; },
+		};
+
+		base.ops = &ops;
+	}
+};
+
+/* A connection whose other end is the test. */
+struct FakeLink {
+	kb_link_t base;
+	struct FakeLinker *linker;
+	bool closed = false;
+	/* Orders sent and not answered: kind and text. */
+	bool waiting = false;
+	kb_order_kind_t kind = KB_ORDER_STATUS;
+	std::string id, name, body;
+	kb_point_t include{};
+	/* What the target holds for this connection. */
+	bool in_transaction = false;
+};
+
+struct FakeLinker {
+	kb_linker_t base;
+	std::vector<FakeLink *> links;
+	/* Every order, as "link:kind:id". */
+	std::vector<std::string> sent;
+
+	FakeLinker()
+	{
+		static const kb_linker_ops_t ops = { open };
+
+		base.ops = &ops;
+	}
+
+	~FakeLinker()
+	{
+		for (FakeLink *link : links)
+			delete link;
+	}
+
+	static kb_link_t *open(kb_linker_t *base, const kb_link_place_t *,
+			       const kb_link_events_t *events, void *ctx)
+	{
+		static const kb_link_ops_t ops = { send, close };
+		auto *linker = reinterpret_cast<FakeLinker *>(base);
+		auto *link = new FakeLink();
+
+		link->base = { &ops, events, ctx };
+		link->linker = linker;
+		linker->links.push_back(link);
+		return &link->base;
+	}
+
+	static kb_result_t send(kb_link_t *base, const kb_order_t *order)
+	{
+		auto *link = reinterpret_cast<FakeLink *>(base);
+
+		link->waiting = true;
+		link->kind = order->kind;
+		link->id = std::string(order->id.data, order->id.len);
+		link->name = std::string(order->name.data, order->name.len);
+		link->body = std::string(order->body.data, order->body.len);
+		link->include = order->include;
+		link->linker->sent.push_back(std::to_string(order->kind) + ":" +
+					     link->id);
+		return KB_OK;
+	}
+
+	static void close(kb_link_t *base)
+	{
+		reinterpret_cast<FakeLink *>(base)->closed = true;
+	}
+
+	void opened(FakeLink *link, kb_result_t result = KB_OK)
+	{
+		if (result)
+			link->closed = true;
+		link->base.events->opened(link->base.ctx, result, { 1, 1 });
+	}
+
+	void lose(FakeLink *link)
+	{
+		link->closed = true;
+		link->base.events->lost(link->base.ctx, KB_ERR_CLOSED);
+	}
+
+	/* Answers as a target does. */
+	void answer(FakeLink *link, kb_result_t result = KB_OK,
+		    kb_point_t point = { 1, 1 })
+	{
+		kb_reply_t reply = {};
+
+		link->waiting = false;
+		if (!result && (link->kind == KB_ORDER_BEGIN ||
+				link->kind == KB_ORDER_BEGIN_READ_ONLY))
+			link->in_transaction = true;
+		if (link->kind == KB_ORDER_ROLLBACK ||
+		    (!result && link->kind == KB_ORDER_COMMIT))
+			link->in_transaction = false;
+		reply.result = result;
+		reply.message = KB_STR("");
+		reply.signature = KB_STR("mark");
+		reply.point = point;
+		reply.state = !link->in_transaction ? KB_TXN_NONE
+			      : result && result != KB_ERR_OVERLOADED
+				      ? KB_TXN_FAILED
+				      : KB_TXN_OPEN;
+		link->base.events->answered(link->base.ctx, &reply);
+	}
+
+	size_t open_count() const
+	{
+		size_t count = 0;
+
+		for (const FakeLink *link : links)
+			count += !link->closed;
+		return count;
+	}
+};
+
+/* A statement and how it ended. */
+struct Statement {
+	kbs_run_args args{};
+	std::string id;
+	int ended = 0;
+	kb_result_t result = KB_OK;
+	uint64_t transaction = 0;
+	bool offered = false;
+	std::vector<kbs_value> values;
+
+	explicit Statement(kbs_kind kind = KBS_READ, const char *name = "id")
+	    : id(name)
+	{
+		args.kind = kind;
+		args.id = kb_text_view(kb_str_from(id.c_str()));
+		args.body = kb_text_view(KB_STR("1a4"));
+		args.time_left_us = 800000;
+		args.objective_left_us = 500000;
+		args.idle_limit_us = 3000000;
+	}
+
+	Statement(const Statement &) = delete;
+
+	void set(const char *name, const char *value)
+	{
+		values.push_back({ kb_text_view(kb_str_from(name)),
+				   kb_text_view(kb_str_from(value)) });
+		args.values.values_len = (u_int)values.size();
+		args.values.values_val = values.data();
+	}
+
+	static void done(void *ctx, const kbs_run_res *res)
+	{
+		auto *statement = static_cast<Statement *>(ctx);
+
+		statement->ended++;
+		statement->result = (kb_result_t)res->result;
+		statement->transaction = res->transaction;
+		statement->offered = res->offered;
+	}
+};
+
+#endif
--- /dev/null
+++ b/tests/test_link_pool.cc
@@ -0,0 +1,511 @@
+#include "fake_linker.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+
+namespace
+{
+
+constexpr kb_time_t MS = KB_NS_PER_MS;
+
+/* A pool before a target that the test plays. */
+class LinkPool : public ::testing::Test
+{
+      protected:
+	FakeTime time;
+	FakeLinker linker;
+	kb_link_pool_t pool;
+	bool serves = true;
+	int silent = 0;
+	int lost = 0;
+
+	LinkPool()
+	{
+		static const kb_link_pool_ops_t ops = { may_serve, sign };
+		kb_link_place_t place = {};
+
+		kb_link_pool_init(&pool, &ops, this, &linker.base, &time.base,
+				  1000);
+		kb_name_set(&place.target, KB_STR("t1"));
+		kb_name_set(&place.endpoint.address, KB_STR("127.0.0.1"));
+		place.endpoint.port = 1;
+		kb_link_pool_bind(&pool, &place, 2, 4);
+	}
+
+	~LinkPool() override
+	{
+		kb_link_pool_finish(&pool);
+	}
+
+	void run(Statement &statement)
+	{
+		kb_link_pool_run(&pool, &statement.args, Statement::done,
+				 &statement);
+	}
+
+	void open_all()
+	{
+		for (size_t i = 0; i < linker.links.size(); i++)
+			if (!linker.links[i]->closed &&
+			    !linker.links[i]->waiting && !opened[i]) {
+				opened[i] = true;
+				linker.opened(linker.links[i]);
+			}
+	}
+
+	/* Opens connections and answers until nothing waits. */
+	void serve_all()
+	{
+		for (int i = 0; i < 100; i++) {
+			open_all();
+			for (size_t j = 0; j < linker.links.size(); j++)
+				if (linker.links[j]->waiting &&
+				    !linker.links[j]->closed)
+					linker.answer(linker.links[j]);
+		}
+	}
+
+	FakeLink *link_with(const std::string &id)
+	{
+		for (FakeLink *link : linker.links)
+			if (!link->closed && link->waiting && link->id == id)
+				return link;
+		return nullptr;
+	}
+
+	void pass(kb_time_t duration)
+	{
+		time.now += duration;
+		kb_link_pool_tick(&pool);
+	}
+
+	std::map<size_t, bool> opened;
+
+      private:
+	static int may_serve(void *ctx, kb_time_t)
+	{
+		return static_cast<LinkPool *>(ctx)->serves;
+	}
+
+	static void sign(void *ctx, kb_target_sign_t sign, kb_point_t)
+	{
+		auto *test = static_cast<LinkPool *>(ctx);
+
+		test->silent += sign == KB_SIGN_SILENT;
+		test->lost += sign == KB_SIGN_LOST;
+	}
+};
+
+} // namespace
+
+TEST_F(LinkPool, ConnectionsAndStatementsStayWithinTheirLimits)
+{
+	std::vector<std::unique_ptr<Statement>> many;
+
+	for (int i = 0; i < 40; i++) {
+		many.push_back(std::make_unique<Statement>());
+		run(*many.back());
+		open_all();
+		EXPECT_LE(linker.open_count(), 4u);
+		size_t waiting = 0;
+		for (FakeLink *link : linker.links)
+			waiting += link->waiting && !link->closed;
+		EXPECT_LE(waiting, 2u + POOL_EXTRA_SENT);
+	}
+	serve_all();
+	for (auto &statement : many)
+		EXPECT_EQ(1, statement->ended);
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+TEST_F(LinkPool, ATransactionKeepsItsConnectionToItself)
+{
+	Statement first(KBS_READ, "a"), other(KBS_READ, "b"),
+		second(KBS_WRITE, "c"), commit(KBS_COMMIT, "d");
+
+	first.args.transactional = TRUE;
+	run(first);
+	serve_all();
+	ASSERT_NE(0u, first.transaction);
+	FakeLink *pinned = nullptr;
+	for (FakeLink *link : linker.links)
+		if (link->in_transaction)
+			pinned = link;
+	ASSERT_NE(nullptr, pinned);
+	run(other);
+	open_all();
+	ASSERT_NE(nullptr, link_with("b"));
+	EXPECT_NE(pinned, link_with("b"));
+	second.args.transactional = TRUE;
+	second.args.transaction = first.transaction;
+	run(second);
+	EXPECT_EQ(pinned, link_with("c"));
+	serve_all();
+	commit.args.transactional = TRUE;
+	commit.args.transaction = second.transaction;
+	run(commit);
+	EXPECT_EQ(pinned, link_with("d"));
+	serve_all();
+	EXPECT_EQ(KB_OK, commit.result);
+	EXPECT_EQ(0u, commit.transaction);
+	/* Nobody finds it any more. */
+	Statement late(KBS_READ, "e");
+	late.args.transactional = TRUE;
+	late.args.transaction = first.transaction;
+	run(late);
+	EXPECT_EQ(KB_ERR_ROLLED_BACK, late.result);
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+TEST_F(LinkPool, ValuesAreSetOrResetBeforeAStatement)
+{
+	Statement with(KBS_READ, "a"), without(KBS_READ, "b"),
+		again(KBS_READ, "c");
+
+	with.set("zone", "a");
+	again.set("zone", "b");
+	run(with);
+	open_all();
+	EXPECT_EQ(KB_ORDER_SET, linker.links[0]->kind);
+	serve_all();
+	linker.sent.clear();
+	run(without);
+	EXPECT_EQ(KB_ORDER_RESET, linker.links[0]->kind);
+	serve_all();
+	run(again);
+	EXPECT_EQ(KB_ORDER_SET, linker.links[0]->kind);
+	EXPECT_EQ("b", linker.links[0]->body);
+	serve_all();
+	EXPECT_EQ(1, again.ended);
+	EXPECT_EQ(1u, linker.links.size());
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+TEST_F(LinkPool, AShapeIsPreparedOnceOnEachConnection)
+{
+	for (int i = 0; i < 3; i++) {
+		Statement statement(KBS_WRITE);
+
+		statement.args.shape = kb_text_view(KB_STR("q2c"));
+		run(statement);
+		open_all();
+		EXPECT_EQ(i ? KB_ORDER_WRITE : KB_ORDER_PREPARE_WRITE,
+			  linker.links[0]->kind);
+		serve_all();
+		EXPECT_EQ(KB_OK, statement.result);
+		EXPECT_EQ("wq2c", linker.links[0]->name);
+	}
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+TEST_F(LinkPool, ALostConnectionEndsByWhatWasSent)
+{
+	struct {
+		const char *name;
+		kbs_kind kind;
+		bool transactional;
+		/* Orders that are answered before the loss. */
+		int answers;
+		kb_result_t result;
+	} cases[] = {
+		{ "read", KBS_READ, false, 0, KB_ERR_CLOSED },
+		{ "write", KBS_WRITE, false, 0, KB_ERR_UNKNOWN },
+		{ "write in a transaction", KBS_WRITE, true, 1,
+		  KB_ERR_ROLLED_BACK },
+		{ "commit", KBS_COMMIT, true, 1, KB_ERR_UNKNOWN },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		Statement statement(c.kind, c.name);
+
+		statement.args.transactional = c.transactional;
+		run(statement);
+		open_all();
+		for (int i = 0; i < c.answers; i++)
+			linker.answer(linker.links.back());
+		ASSERT_NE(nullptr, link_with(c.name));
+		linker.lose(link_with(c.name));
+		EXPECT_EQ(1, statement.ended);
+		EXPECT_EQ(c.result, statement.result);
+	}
+	EXPECT_EQ(4, lost);
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+TEST_F(LinkPool, AStatementThatWasNotSentWaitsForAnotherConnection)
+{
+	Statement statement(KBS_WRITE, "w");
+
+	statement.set("zone", "a");
+	run(statement);
+	open_all();
+	/* The connection is lost while its value is being set. */
+	linker.lose(linker.links[0]);
+	EXPECT_EQ(0, statement.ended);
+	serve_all();
+	EXPECT_EQ(1, statement.ended);
+	EXPECT_EQ(KB_OK, statement.result);
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+TEST_F(LinkPool, ABusyTargetIsAskedAgainLater)
+{
+	Statement statement(KBS_WRITE, "w");
+
+	run(statement);
+	open_all();
+	linker.answer(link_with("w"), KB_ERR_OVERLOADED);
+	EXPECT_EQ(0, statement.ended);
+	EXPECT_EQ(nullptr, link_with("w"));
+	pass(POOL_BUSY_PAUSE_MS * MS);
+	ASSERT_NE(nullptr, link_with("w"));
+	linker.answer(link_with("w"));
+	EXPECT_EQ(KB_OK, statement.result);
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+TEST_F(LinkPool, TimeEndsEachStatementAsItShould)
+{
+	struct {
+		const char *name;
+		kbs_kind kind;
+		bool transactional;
+		kb_time_t after;
+		kb_result_t result;
+	} cases[] = {
+		{ "r", KBS_READ, false, 300 * MS, KB_ERR_CLOSED },
+		{ "w", KBS_WRITE, false, 800 * MS, KB_ERR_UNKNOWN },
+		{ "t", KBS_READ, true, 300 * MS, KB_ERR_ROLLED_BACK },
+		{ "c", KBS_COMMIT, true, 800 * MS, KB_ERR_UNKNOWN },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		Statement statement(c.kind, c.name);
+		kb_time_t began = time.now;
+
+		statement.args.transactional = c.transactional;
+		run(statement);
+		open_all();
+		if (c.transactional)
+			linker.answer(linker.links.back());
+		ASSERT_NE(nullptr, link_with(c.name));
+		while (!statement.ended && time.now < began + 2000 * MS)
+			pass(10 * MS);
+		EXPECT_EQ(c.result, statement.result);
+		EXPECT_LE(time.now - began, c.after + 20 * MS);
+		EXPECT_GE(time.now - began, c.after - 100 * MS);
+		/* What it left behind is given up in time. */
+		pass(1200 * MS);
+		pass(1200 * MS);
+	}
+	EXPECT_EQ(4, silent);
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+TEST_F(LinkPool, ASilentStatementNoLongerUsesItsSlot)
+{
+	std::vector<std::unique_ptr<Statement>> writes;
+
+	for (int i = 0; i < 4; i++) {
+		writes.push_back(std::make_unique<Statement>(
+			KBS_WRITE, std::to_string(i).c_str()));
+		run(*writes.back());
+		open_all();
+	}
+	EXPECT_EQ(nullptr, link_with("3"));
+	pass(260 * MS);
+	open_all();
+	EXPECT_NE(nullptr, link_with("3"));
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+TEST_F(LinkPool, WhatCannotBeServedInTimeIsRefusedAtOnce)
+{
+	std::vector<std::unique_ptr<Statement>> many;
+	int refused = 0;
+
+	pool.service = 50 * MS;
+	for (int i = 0; i < 60; i++) {
+		many.push_back(std::make_unique<Statement>());
+		run(*many.back());
+		refused += many.back()->ended;
+		if (many.back()->ended) {
+			EXPECT_EQ(KB_ERR_OVERLOADED, many.back()->result);
+		}
+	}
+	/* 800 ms of 50 ms each on two slots. */
+	EXPECT_NEAR(28, refused, 4);
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+TEST_F(LinkPool, OrderIsByObjectiveClassAndOpenTransactions)
+{
+	Statement late(KBS_READ, "late"), low(KBS_READ, "low"),
+		high(KBS_READ, "high"),
+		blockers[3] = { Statement(KBS_READ, "x"),
+				Statement(KBS_READ, "y"),
+				Statement(KBS_READ, "z") };
+
+	late.args.objective_left_us = -1000;
+	late.args.priority = 0;
+	low.args.priority = 2;
+	high.args.priority = 1;
+	for (Statement &blocker : blockers) {
+		run(blocker);
+		open_all();
+	}
+	run(late);
+	run(low);
+	run(high);
+	linker.sent.clear();
+	serve_all();
+	std::vector<std::string> order;
+	for (const std::string &sent : linker.sent)
+		for (const char *id : { "late", "low", "high" })
+			if (sent == std::to_string(KB_ORDER_READ) + ":" + id)
+				order.push_back(id);
+	EXPECT_EQ((std::vector<std::string>{ "high", "low", "late" }), order);
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+TEST_F(LinkPool, ASuccessAfterTheHoldEndedIsNotTold)
+{
+	Statement write(KBS_WRITE, "w"), read(KBS_READ, "r");
+
+	run(write);
+	run(read);
+	open_all();
+	serves = false;
+	linker.answer(link_with("w"));
+	linker.answer(link_with("r"));
+	EXPECT_EQ(KB_ERR_UNKNOWN, write.result);
+	EXPECT_EQ(KB_ERR_CLOSED, read.result);
+	Statement late(KBS_WRITE, "late");
+	run(late);
+	EXPECT_EQ(nullptr, link_with("late"));
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+TEST_F(LinkPool, AnotherPrimaryTakesWhatWaitsAndNothingThatWasSent)
+{
+	Statement sent(KBS_WRITE, "a"), more(KBS_WRITE, "b"),
+		third(KBS_WRITE, "c"), waits(KBS_WRITE, "d");
+	kb_link_place_t place = pool.place;
+
+	run(sent);
+	open_all();
+	run(more);
+	open_all();
+	run(third);
+	open_all();
+	run(waits);
+	kb_name_set(&place.target, KB_STR("t2"));
+	kb_link_pool_bind(&pool, &place, 2, 4);
+	EXPECT_EQ(KB_ERR_UNKNOWN, sent.result);
+	EXPECT_EQ(0, waits.ended);
+	serve_all();
+	EXPECT_EQ(KB_OK, waits.result);
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+TEST_F(LinkPool, ATransactionThatRestsTooLongIsEnded)
+{
+	Statement first(KBS_WRITE, "a");
+
+	first.args.transactional = TRUE;
+	run(first);
+	serve_all();
+	pass(2900 * MS);
+	EXPECT_EQ(1u, linker.open_count());
+	pass(200 * MS);
+	EXPECT_EQ(0u, linker.open_count());
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+/*
+ * Random statements, losses and silences: each statement ends once, no
+ * connection carries two transactions, and no write is sent twice.
+ */
+TEST_F(LinkPool, RandomFaultsBreakNoPromise)
+{
+	for (uint64_t seed = 1; seed <= 150; seed++) {
+		std::vector<std::unique_ptr<Statement>> all;
+		std::map<std::string, int> writes;
+		kb_rng_t rng;
+
+		kb_rng_init(&rng, seed);
+		linker.sent.clear();
+		for (int i = 0; i < 200; i++) {
+			auto kind =
+				kb_rng_below(&rng, 3) ? KBS_READ : KBS_WRITE;
+			uint64_t open = 0;
+
+			for (auto &s : all)
+				if (s->transaction &&
+				    kb_rng_below(&rng, 4) == 0)
+					open = s->transaction;
+			all.push_back(std::make_unique<Statement>(
+				kind,
+				(std::to_string(seed) + "." + std::to_string(i))
+					.c_str()));
+			all.back()->args.transactional =
+				open || kb_rng_below(&rng, 4) == 0;
+			all.back()->args.transaction = open;
+			if (open && kb_rng_below(&rng, 3) == 0)
+				all.back()->args.kind = KBS_COMMIT;
+			run(*all.back());
+			open_all();
+			for (size_t j = 0; j < linker.links.size(); j++) {
+				FakeLink *link = linker.links[j];
+
+				if (link->closed || !link->waiting)
+					continue;
+				switch (kb_rng_below(&rng, 8)) {
+				case 0:
+					linker.lose(link);
+					break;
+				case 1:
+					linker.answer(link, KB_ERR_OVERLOADED);
+					break;
+				case 2:
+				case 3:
+					break;
+				default:
+					linker.answer(link);
+					break;
+				}
+			}
+			EXPECT_LE(linker.open_count(), 4u) << seed;
+			pass((kb_time_t)kb_rng_below(&rng, 40) * MS);
+		}
+		for (int i = 0; i < 500; i++)
+			pass(20 * MS);
+		for (auto &s : all)
+			EXPECT_EQ(1, s->ended) << seed << " " << s->id;
+		for (const std::string &sent : linker.sent)
+			if (sent.rfind(std::to_string(KB_ORDER_WRITE) + ":",
+				       0) == 0)
+				writes[sent]++;
+		for (const auto &write : writes)
+			EXPECT_LE(write.second, POOL_ATTEMPTS_MAX) << seed;
+	}
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
--- /dev/null
+++ b/tests/test_mirror.cc
@@ -0,0 +1,143 @@
+#include "mirror.h"
+
+#include "text.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+struct Mirror {
+	kb_mirror_t mirror{};
+	std::map<std::string, std::string> seen;
+
+	Mirror()
+	{
+		mirror.changed = [](void *ctx, kb_str_t key,
+				    const kb_mirror_entry_t *entry) {
+			auto *self = static_cast<Mirror *>(ctx);
+			std::string name(key.data, key.len);
+
+			if (entry)
+				self->seen[name] = std::string(
+					entry->value.data, entry->value.len);
+			else
+				self->seen.erase(name);
+		};
+		mirror.ctx = this;
+	}
+
+	~Mirror()
+	{
+		kb_mirror_finish(&mirror);
+	}
+
+	static kb_store_entry_t entry(const char *key, const char *value,
+				      int64_t revision)
+	{
+		kb_store_entry_t entry = {};
+
+		entry.key = kb_str_from(key);
+		entry.value = kb_str_from(value ? value : "");
+		entry.revision = revision;
+		entry.deleted = !value;
+		return entry;
+	}
+
+	void replace(std::vector<kb_store_entry_t> entries, int64_t revision)
+	{
+		kb_store_range_t range = { revision, entries.size(),
+					   entries.data() };
+
+		EXPECT_EQ(KB_OK, kb_mirror_replace(&mirror, &range, 1));
+	}
+
+	void change(std::vector<kb_store_entry_t> entries, int64_t revision)
+	{
+		kb_store_range_t range = { revision, entries.size(),
+					   entries.data() };
+
+		EXPECT_EQ(KB_OK, kb_mirror_change(&mirror, &range, 2));
+	}
+
+	void learn_from(const Mirror &other)
+	{
+		kbs_sync_args args = {};
+		kbs_sync_res res;
+
+		args.revision = (uint64_t)mirror.revision;
+		args.whole = mirror.revision ? FALSE : TRUE;
+		ASSERT_EQ(KB_OK,
+			  kb_mirror_tell(&other.mirror, &args, &res, 10));
+		EXPECT_EQ(KB_OK, kb_mirror_learn(&mirror, &res, 10));
+		kb_mirror_tell_finish(&res);
+	}
+};
+
+} // namespace
+
+TEST(Mirror, NeverGoesBack)
+{
+	Mirror m;
+
+	m.replace({ Mirror::entry("a", "new", 8) }, 9);
+	/* A stale read shows an older state. */
+	m.replace({ Mirror::entry("a", "old", 3) }, 5);
+	m.change({ Mirror::entry("a", nullptr, 4) }, 6);
+	EXPECT_EQ("new", m.seen["a"]);
+	/* Pages are not one moment: a later change may be shown already. */
+	m.replace({}, 7);
+	EXPECT_EQ(9, m.mirror.revision);
+	m.change({ Mirror::entry("a", nullptr, 10) }, 10);
+	EXPECT_EQ(0u, m.seen.count("a"));
+}
+
+TEST(Mirror, AWholeReadRemovesWhatIsGone)
+{
+	Mirror m;
+
+	m.replace({ Mirror::entry("a", "1", 2), Mirror::entry("b", "1", 3) },
+		  3);
+	m.replace({ Mirror::entry("b", "2", 5) }, 6);
+	EXPECT_EQ((std::map<std::string, std::string>{ { "b", "2" } }), m.seen);
+}
+
+TEST(Mirror, HostsLearnFromEachOther)
+{
+	Mirror a, b;
+
+	a.replace({ Mirror::entry("a", "1", 2), Mirror::entry("b", "1", 3) },
+		  3);
+	b.learn_from(a);
+	EXPECT_EQ(a.seen, b.seen);
+	a.change({ Mirror::entry("a", "2", 4) }, 4);
+	b.learn_from(a);
+	EXPECT_EQ(a.seen, b.seen);
+	a.change({ Mirror::entry("b", nullptr, 5) }, 5);
+	b.learn_from(a);
+	EXPECT_EQ(a.seen, b.seen);
+	/* One that knows less teaches nothing. */
+	Mirror empty;
+	b.learn_from(empty);
+	EXPECT_EQ(a.seen, b.seen);
+}
+
+TEST(Mirror, ChangesAreToldWithoutTheListOfKeys)
+{
+	Mirror a;
+	kbs_sync_args args = {};
+	kbs_sync_res res;
+
+	a.replace({ Mirror::entry("a", "1", 2), Mirror::entry("b", "1", 3) },
+		  3);
+	a.change({ Mirror::entry("a", "2", 4) }, 4);
+	args.revision = 3;
+	ASSERT_EQ(KB_OK, kb_mirror_tell(&a.mirror, &args, &res, 10));
+	EXPECT_EQ(1u, res.changed.changed_len);
+	EXPECT_EQ(0u, res.keys.keys_len);
+	EXPECT_FALSE(res.removed);
+	kb_mirror_tell_finish(&res);
+}
