--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,376 @@
+#!/usr/bin/env python3
+"""Fault soak: real hosts before stand-ins, with every answer judged.
+
+Starts hosts (processes of the daemon) on the loopback, keeps callers of all
+three kinds busy, brings faults about in an order that the seed decides, and
+checks at the end that no acknowledged write is lost or doubled, none that was
+said not to have run took effect, and that no read missed what it had to show.
+
+Usage: soak.py DAEMON [--seconds N] [--seed N] [--hosts N] [--faults LIST]
+"""
+import argparse
+import asyncio
+import os
+import random
+import signal
+import socket
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from standin import Platform  # noqa: E402
+
+PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY"}
+FAULTS = ["kill-host", "stop-host", "freeze-host", "kill-primary",
+          "freeze-primary", "store-down", "kill-all", "config"]
+SETTINGS = """[host]
+name = {name}
+data_centre = z1
+region = r1
+[listen]
+sessions = 127.0.0.1:{sessions}
+readiness = 127.0.0.1:{readiness}
+hosts = 127.0.0.1:{hosts}
+[fleet]
+first_start = {first}
+[data_centres]
+z1 = r1
+[store]
+address = 127.0.0.1:{store}
+[orders]
+address = 127.0.0.1:{store}
+[drain]
+grace = 6s
+"""
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Host:
+    """One process of the daemon."""
+
+    def __init__(self, number, daemon, store_port, folder):
+        self.name, self.daemon, self.folder = f"h{number}", daemon, folder
+        self.ports = {p: free_port()
+                      for p in ("sessions", "readiness", "hosts")}
+        self.store_port = store_port
+        self.process = None
+
+    async def start(self, first):
+        path = os.path.join(self.folder, f"{self.name}.ini")
+        with open(path, "w", encoding="ascii") as settings:
+            settings.write(SETTINGS.format(
+                name=self.name, first=str(first).lower(),
+                store=self.store_port, **self.ports))
+        log = open(os.path.join(self.folder, f"{self.name}.log"), "ab")
+        self.process = await asyncio.create_subprocess_exec(
+            self.daemon, "--config", path, stdout=log, stderr=log)
+
+    def signal(self, number):
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+
+class Records:
+    """What callers were told, to be held against what targets did."""
+
+    def __init__(self):
+        self.acked = {}
+        self.denied = {}
+        self.counts = {}
+        self.broken = []
+        self.last_write = time.monotonic()
+        self.gap = 0.0
+
+    def count(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def note_ack(self, group, ident, at):
+        self.acked.setdefault(group, {})[ident] = at
+        self.gap = max(self.gap, at - self.last_write)
+        self.last_write = at
+
+
+class Caller:
+    """A session that reads and writes until it is stopped."""
+
+    def __init__(self, soak, number, group, kind):
+        self.soak, self.number = soak, number
+        self.group, self.kind = group, kind
+        self.random = random.Random(f"{soak.seed}/{number}")
+        self.own = None
+
+    async def run(self):
+        while not self.soak.stopped:
+            host = self.random.choice(self.soak.hosts)
+            try:
+                await self.session(host)
+            except (OSError, asyncio.IncompleteReadError,
+                    asyncio.TimeoutError, ValueError):
+                self.soak.records.count("cut")
+            await asyncio.sleep(0.05)
+
+    async def session(self, host):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", host.ports["sessions"])
+        self.own = []
+        try:
+            writer.write(
+                f"START {self.group}-{self.kind} u{self.number}\r\n".encode())
+            line = await asyncio.wait_for(reader.readline(), 3)
+            if not line.startswith(b"READY"):
+                return
+            for _ in range(self.random.randrange(5, 60)):
+                if self.soak.stopped:
+                    return
+                await self.operation(reader, writer)
+                await asyncio.sleep(self.random.uniform(0, 0.05))
+            writer.write(b"BYE\r\n")
+        finally:
+            writer.close()
+
+    async def ask(self, reader, writer, ident, text):
+        writer.write(f"QUERY {ident} {text}\r\n".encode())
+        error = signature = None
+        while True:
+            line = await asyncio.wait_for(reader.readline(), 8)
+            if not line.endswith(b"\n"):
+                raise asyncio.IncompleteReadError(line, None)
+            word, rest = (line.decode().strip() + " ").split(" ", 1)
+            if word == "ERR":
+                error = rest.split(" ")[0]
+            elif word == "DONE":
+                signature = rest.strip()
+            elif word == "READY":
+                return error, signature, rest.split(" ")[0]
+
+    def ident(self):
+        self.soak.idents += 1
+        return f"{self.soak.seed}x{self.number}x{self.soak.idents}"
+
+    async def operation(self, reader, writer):
+        kind = self.random.random()
+        if kind < 0.3:
+            await self.write(reader, writer)
+        elif kind < 0.45:
+            await self.transaction(reader, writer)
+        else:
+            await self.read(reader, writer)
+
+    async def write(self, reader, writer):
+        ident = self.ident()
+        records = self.soak.records
+        error, signature, _ = await self.ask(
+            reader, writer, ident, f"WRITE item {ident}")
+        records.count(f"write {error or 'ok'}")
+        if not error:
+            records.note_ack(self.group, ident, time.monotonic())
+            self.own.append(ident)
+        elif error in PROMISES:
+            records.denied.setdefault(self.group, set()).add(ident)
+
+    async def transaction(self, reader, writer):
+        idents = [self.ident() for _ in range(self.random.randrange(1, 4))]
+        records = self.soak.records
+        await self.ask(reader, writer, "b" + idents[0], "BEGIN")
+        error = None
+        for ident in idents:
+            error, _, state = await self.ask(
+                reader, writer, ident, f"WRITE item {ident}")
+            if error:
+                break
+            await asyncio.sleep(self.random.uniform(0, 0.02))
+        if error:
+            records.count(f"txn {error}")
+            if state != "I":
+                await self.ask(reader, writer, "r" + idents[0], "ROLLBACK")
+            records.denied.setdefault(self.group, set()).update(idents)
+            return
+        error, _, _ = await self.ask(
+            reader, writer, "c" + idents[0], "COMMIT")
+        records.count(f"txn {error or 'ok'}")
+        if not error:
+            for ident in idents:
+                records.note_ack(self.group, ident, time.monotonic())
+            self.own.extend(idents)
+        elif error in PROMISES:
+            records.denied.setdefault(self.group, set()).update(idents)
+
+    async def read(self, reader, writer):
+        records = self.soak.records
+        began = time.monotonic()
+        ident = self.ident()
+        error, signature, _ = await self.ask(
+            reader, writer, ident, "READ item")
+        records.count(f"read {error or 'ok'}")
+        if not error:
+            self.judge(signature, ident, began)
+
+    def judge(self, signature, ident, began):
+        """Holds a read against what its target's log had to include."""
+        group = self.soak.platform.groups[self.group]
+        name, point, echoed = signature.split("/")
+        if echoed != ident:
+            self.soak.records.broken.append(f"another answer for {ident}")
+        number = int(point.split(".")[1])
+        age = {"primary": 0, "bounded_staleness": 1.5,
+               "read_your_writes": 2.5}[self.kind]
+        target = next(t for t in group.targets if t.name == name)
+        held = {i for e in target.log if e[1] <= number for i in e[2]}
+        needed = {i for i, at in
+                  self.soak.records.acked.get(self.group, {}).items()
+                  if at < began - age}
+        if self.kind == "read_your_writes":
+            needed.update(self.own)
+        missing = needed - held - group.rolled_back
+        if missing:
+            self.soak.records.broken.append(
+                f"stale read {ident} of {self.kind} at {name}: "
+                f"{len(missing)} missing, as {sorted(missing)[0]}")
+
+
+class Soak:
+    def __init__(self, options):
+        self.options, self.seed = options, options.seed
+        self.random = random.Random(options.seed)
+        self.platform = Platform(["ga", "gb"])
+        self.records = Records()
+        self.hosts = []
+        self.stopped = False
+        self.idents = 0
+        self.folder = tempfile.mkdtemp(prefix="soak-")
+
+    async def restart(self, host, delay):
+        await host.process.wait()
+        await asyncio.sleep(delay)
+        await host.start(False)
+
+    async def fault(self, name):
+        host = self.random.choice(self.hosts)
+        group = self.random.choice(list(self.platform.groups.values()))
+        primary = max(group.targets,
+                      key=lambda t: (t.role == "primary", t.term))
+        print(f"fault {name} host={host.name} primary={primary.name}",
+              flush=True)
+        if name == "kill-host":
+            host.signal(signal.SIGKILL)
+            await self.restart(host, 0.5)
+        elif name == "stop-host":
+            host.signal(signal.SIGTERM)
+            await self.restart(host, 0.5)
+        elif name == "freeze-host":
+            host.signal(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.3, 3))
+            host.signal(signal.SIGCONT)
+        elif name == "kill-primary":
+            group.alive[primary.name] = False
+            await primary.crash()
+            await asyncio.sleep(4)
+            group.alive[primary.name] = True
+            await primary.start()
+        elif name == "freeze-primary":
+            primary.frozen.clear()
+            await asyncio.sleep(self.random.uniform(0.2, 0.8))
+            primary.frozen.set()
+        elif name == "store-down":
+            self.platform.store.down = True
+            await asyncio.sleep(self.random.uniform(1, 6))
+            self.platform.store.down = False
+        elif name == "kill-all":
+            for each in self.hosts:
+                each.signal(signal.SIGKILL)
+            await asyncio.gather(*(self.restart(h, 0.5) for h in self.hosts))
+        elif name == "config":
+            self.platform.configure(int(time.time() * 1000))
+
+    async def run(self):
+        await self.platform.start()
+        self.hosts = [Host(i, self.options.daemon, self.platform.port,
+                           self.folder) for i in range(self.options.hosts)]
+        await asyncio.gather(*(h.start(True) for h in self.hosts))
+        await asyncio.sleep(3)
+        callers = [Caller(self, i, group, kind) for i, (group, kind) in
+                   enumerate((g, k) for g in self.platform.groups for k in
+                             ("primary", "bounded_staleness",
+                              "read_your_writes") for _ in range(3))]
+        tasks = [asyncio.create_task(c.run()) for c in callers]
+        self.records.last_write = time.monotonic()
+        until = time.monotonic() + self.options.seconds
+        while time.monotonic() < until:
+            await asyncio.sleep(self.random.uniform(0.5, 2.5))
+            await self.fault(self.random.choice(self.options.faults))
+        await asyncio.sleep(4)
+        await self.expect_service()
+        self.stopped = True
+        await asyncio.wait(tasks, timeout=15)
+        for host in self.hosts:
+            host.signal(signal.SIGTERM)
+        await asyncio.gather(*(h.process.wait() for h in self.hosts))
+        return self.report()
+
+    async def expect_service(self):
+        before = sum(len(a) for a in self.records.acked.values())
+        await asyncio.sleep(3)
+        after = sum(len(a) for a in self.records.acked.values())
+        if after <= before:
+            self.records.broken.append("no write is served after the faults")
+
+    def judge_writes(self):
+        for name, group in self.platform.groups.items():
+            leader = max(group.targets,
+                         key=lambda t: (t.role == "primary", t.term))
+            ran = [i for e in leader.log for i in e[2]]
+            if len(ran) != len(set(ran)):
+                self.records.broken.append(f"a write of {name} ran twice")
+            lost = set(self.records.acked.get(name, {})) - set(ran) \
+                - group.rolled_back
+            if lost:
+                self.records.broken.append(
+                    f"{len(lost)} acknowledged writes of {name} are lost")
+            kept = self.records.denied.get(name, set()) & set(ran)
+            if kept:
+                self.records.broken.append(
+                    f"{len(kept)} writes of {name} ran though denied, as "
+                    f"{sorted(kept)[0]}")
+            if group.tokens != sorted(group.tokens):
+                self.records.broken.append(f"a token of {name} fell")
+
+    def report(self):
+        self.judge_writes()
+        for what in sorted(self.records.counts):
+            print(f"{what}: {self.records.counts[what]}")
+        for name, group in self.platform.groups.items():
+            print(f"{name}: promotions {group.promotions}, rolled back "
+                  f"{len(group.rolled_back)}")
+        print(f"store calls {self.platform.store.calls}, longest time "
+              f"without an acknowledged write {self.records.gap:.1f} s")
+        for broken in self.records.broken[:20]:
+            print(f"BROKEN {broken}")
+        print(f"logs are in {self.folder}" if self.records.broken
+              else "every promise held")
+        return 1 if self.records.broken else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("daemon")
+    parser.add_argument("--seconds", type=float, default=60)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--hosts", type=int, default=5)
+    parser.add_argument("--faults", type=lambda t: t.split(","),
+                        default=FAULTS)
+    options = parser.parse_args()
+    unknown = set(options.faults) - set(FAULTS)
+    if unknown:
+        parser.error(f"unknown fault {sorted(unknown)[0]}; known: "
+                     + ", ".join(FAULTS))
+    sys.exit(asyncio.run(Soak(options).run()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/standin.py
@@ -0,0 +1,426 @@
+"""Stand-ins of the platform for the soak: its store, its orders, its targets.
+
+They speak the platform's published protocols on the loopback and keep what
+they saw, so that the soak can judge every answer. Nothing here is part of the
+product.
+"""
+import asyncio
+import base64
+import json
+import time
+from urllib.parse import parse_qs, unquote, urlsplit
+
+
+class Store:
+    """A key-value store with conditions, leases and waiting reads."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 1
+        self.events = []
+        self.leases = {}
+        self.next_lease = 100
+        self.changed = asyncio.Event()
+        self.down = False
+        self.calls = 0
+
+    def note(self, key, item):
+        event = dict(item) if item else {
+            "key": key, "revision": self.revision, "deleted": True}
+        self.events.append((self.revision, key, event))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        created = self.items.get(key, {}).get("created", self.revision)
+        self.items[key] = {
+            "key": key, "value": base64.b64encode(value).decode(),
+            "revision": self.revision, "created": created, "lease": lease}
+        self.note(key, self.items[key])
+
+    def remove(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self.note(key, None)
+
+    def expire(self):
+        now = time.monotonic()
+        for lease, (ttl, until) in list(self.leases.items()):
+            if until < now:
+                self.end_lease(lease)
+
+    def end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [k for k, i in self.items.items() if i["lease"] == lease]:
+            self.remove(key)
+
+    async def watch(self, prefix, after, wait):
+        until = time.monotonic() + wait
+        while True:
+            found = [e for r, k, e in self.events
+                     if r > after and k.startswith(prefix)]
+            left = until - time.monotonic()
+            if found or left <= 0:
+                return {"events": found, "current_rev": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    def txn(self, body):
+        for row in body["expect"]:
+            item = self.items.get(row["key"], {"revision": 0})
+            if item["revision"] != row["revision"]:
+                return 412, {"items": []}
+        for row in body["writes"]:
+            if row["lease"] and row["lease"] not in self.leases:
+                return 404, {}
+        for row in body["writes"]:
+            self.put(row["key"], base64.b64decode(row["value"]), row["lease"])
+        for key in body["remove"]:
+            self.remove(key)
+        return 200, {"revision": self.revision}
+
+    async def serve(self, method, path, body):
+        self.calls += 1
+        if self.down:
+            return 503, {}
+        self.expire()
+        url = urlsplit(path)
+        query = {k: v[0] for k, v in
+                 parse_qs(url.query, keep_blank_values=True).items()}
+        if url.path == "/v1/kv-range":
+            prefix = query.get("prefix", "")
+            items = [i for k, i in sorted(self.items.items())
+                     if k.startswith(prefix) and k > query.get("after", "")]
+            return 200, {"items": items[:500], "has_more": len(items) > 500,
+                         "current_rev": self.revision}
+        if url.path == "/v1/kv-watch":
+            return 200, await self.watch(
+                query.get("prefix", ""), int(query["after"]),
+                int(query["wait_ms"]) / 1000)
+        if url.path == "/v1/kv-txn":
+            return self.txn(body)
+        if url.path == "/v1/kv-lease":
+            self.next_lease += 1
+            ttl = body["ttl_ms"]
+            self.leases[self.next_lease] = (
+                ttl, time.monotonic() + ttl / 1000)
+            return 200, {"lease": self.next_lease, "ttl_ms": ttl}
+        lease = int(unquote(url.path.rsplit("/", 1)[1]))
+        if lease not in self.leases:
+            return 404, {}
+        if method == "DELETE":
+            self.end_lease(lease)
+            return 200, {}
+        ttl = self.leases[lease][0]
+        self.leases[lease] = (ttl, time.monotonic() + ttl / 1000)
+        return 200, {"ttl_ms": ttl}
+
+
+class Target:
+    """One copy of a database that speaks the line protocol."""
+
+    SLOT_S = 0.004
+    LAG_S = 0.02
+
+    def __init__(self, group, name, slots=2):
+        self.group, self.name = group, name
+        self.role, self.term = "replica", 1
+        self.log = []
+        self.applied = 0
+        self.slots = asyncio.Semaphore(slots)
+        self.server = None
+        self.port = 0
+        self.frozen = asyncio.Event()
+        self.frozen.set()
+        self.conns = set()
+        self.faults = []
+
+    def position(self):
+        if not self.applied:
+            return "1.0"
+        term, number = self.log[self.applied - 1][:2]
+        return f"{term}.{number}"
+
+    def has(self, point):
+        term, number = (int(p) for p in point.split("."))
+        if number == 0:
+            return True
+        return any(e[0] == term and e[1] == number
+                   for e in self.log[:self.applied])
+
+    async def start(self):
+        self.server = await asyncio.start_server(
+            self.serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def crash(self):
+        self.server.close()
+        for writer in list(self.conns):
+            writer.transport.abort()
+        self.conns.clear()
+
+    async def serve(self, reader, writer):
+        self.conns.add(writer)
+        try:
+            await self.session(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError, OSError,
+                asyncio.CancelledError):
+            pass
+        finally:
+            self.conns.discard(writer)
+            writer.close()
+
+    async def session(self, reader, writer):
+        line = (await reader.readline()).decode().split()
+        if not line or line[1] != self.group.name or (
+                len(line) > 3 and line[3] != self.name):
+            writer.write(b"ERR WRONGNODE other\r\n")
+            return
+        txn = None
+        prepared = {}
+        writer.write(f"READY I {self.position()}\r\n".encode())
+        while True:
+            raw = await reader.readline()
+            if not raw:
+                return
+            await self.frozen.wait()
+            _, ident, text = raw.decode().rstrip("\r\n").split(" ", 2)
+            rows, error, txn = await self.run(ident, text, txn, prepared)
+            state = "I" if txn is None else "E" if txn.get("failed") else "T"
+            out = "".join(f"ROW {row}\r\n" for row in rows)
+            if error:
+                out += f"ERR {error} {self.name}\r\n"
+            else:
+                point = self.position()
+                out += f"DONE {self.name}/{point}/{ident}\r\n"
+            writer.write(
+                (out + f"READY {state} {self.position()}\r\n").encode())
+            await writer.drain()
+
+    async def run(self, ident, text, txn, prepared):
+        words = text.split(" ")
+        if words[0] == "AFTER":
+            if not self.has(words[1]):
+                return [], "LAGGING", txn
+            words = words[2:]
+        verb = words[0]
+        if verb == "BEGIN":
+            if self.role != "primary" and len(words) == 1:
+                return [], "READONLY", txn
+            return [], None, {"writes": [], "plain": len(words) == 1}
+        if verb == "ROLLBACK":
+            return [], None, None
+        if verb == "PREPARE":
+            prepared[words[1]] = words[2]
+            return [], None, txn
+        if verb in ("SET", "RESET", "DEALLOC"):
+            if verb == "RESET":
+                prepared.clear()
+            return [], None, txn
+        if verb == "STATUS":
+            return [f"{self.role} {self.term} {self.position()} 0 0 0 "
+                    f"{len(self.conns)}"], None, txn
+        if verb == "STEPDOWN":
+            if int(words[1]) > self.term:
+                self.role, self.term = "replica", int(words[1])
+            return [f"{self.role} {self.term} {self.position()} 0 0 0 "
+                    f"{len(self.conns)}"], None, txn
+        if verb == "EXEC":
+            verb = prepared.get(words[1])
+            words = words[1:]
+            if not verb:
+                return [], "NOSTMT", txn
+        async with self.slots:
+            await asyncio.sleep(self.SLOT_S)
+            return self.work(ident, verb, words[1:], txn)
+
+    def work(self, ident, verb, words, txn):
+        plain = txn is None or txn["plain"]
+        if self.role != "primary" and (
+                verb == "WRITE" or (txn and plain and txn["writes"])
+                or (txn and plain and verb != "COMMIT")):
+            if txn:
+                txn["failed"] = True
+            return [], "READONLY", txn
+        if verb == "READ":
+            return ["value"], None, txn
+        if verb == "WRITE":
+            if txn is None:
+                self.commit([ident])
+                return [], None, None
+            txn["writes"].append(ident)
+            return [], None, txn
+        if txn is None:
+            return [], "MALFORMED", txn
+        self.commit(txn["writes"])
+        return [], None, None
+
+    def commit(self, idents):
+        if not idents:
+            return
+        number = self.log[-1][1] + 1 if self.log else 1
+        self.log.append((self.term, number, tuple(idents)))
+        self.applied = len(self.log)
+        self.group.replicate(self, len(self.log))
+
+
+class Group:
+    """Copies of one database and the order to promote one of them."""
+
+    PROMOTE_S = 0.3
+
+    def __init__(self, name, store):
+        self.name, self.store = name, store
+        self.targets = [Target(self, f"{name}-{i}") for i in "abc"]
+        self.targets[0].role = "primary"
+        self.alive = {t.name: True for t in self.targets}
+        self.rolled_back = set()
+        self.promotions = 0
+        self.tokens = []
+
+    def replicate(self, source, length):
+        loop = asyncio.get_running_loop()
+        for target in self.targets:
+            if target is not source:
+                loop.call_later(target.LAG_S, self.deliver, source, target,
+                                length)
+
+    def deliver(self, source, target, length):
+        if not (self.alive[source.name] and self.alive[target.name]):
+            return
+        if source.term < target.term or target.role == "primary":
+            return
+        target.term = source.term
+        if len(target.log) < length:
+            target.log = source.log[:length]
+            target.applied = len(target.log)
+
+    def catch_up(self):
+        leader = max(self.targets, key=lambda t: t.term
+                     if t.role == "primary" else 0)
+        for target in self.targets:
+            if target is not leader and self.alive[target.name] and \
+                    self.alive[leader.name] and leader.term >= target.term:
+                target.role, target.term = "replica", leader.term
+                target.log = list(leader.log)
+                target.applied = len(target.log)
+
+    async def promote(self, ident, token):
+        self.tokens.append(token)
+        target = next((t for t in self.targets if t.name == ident), None)
+        if not target or not self.alive[ident]:
+            return 409
+        if target.role == "primary":
+            return 200
+        asyncio.get_running_loop().call_later(
+            self.PROMOTE_S, self.take_over, target)
+        return 200
+
+    def take_over(self, target):
+        if not self.alive[target.name] or target.role == "primary":
+            return
+        self.promotions += 1
+        term = max(t.term for t in self.targets) + 1
+        for other in self.targets:
+            for entry in other.log[len(target.log):]:
+                self.rolled_back.update(entry[2])
+        target.role, target.term = "primary", term
+        for other in self.targets:
+            if other is not target and self.alive[other.name]:
+                other.log = list(target.log)
+                other.applied = len(other.log)
+                other.role, other.term = "replica", term
+
+    def beat(self):
+        for target in self.targets:
+            key = f"servers/{target.name}"
+            if not self.alive[target.name]:
+                self.store.remove(key)
+                continue
+            value = json.dumps({
+                "service": self.name,
+                "address": f"127.0.0.1:{target.port}", "zone": "z1",
+                "version": "v1", "slots": 2, "state": "ready", "cold_ms": 0,
+                "db_role": target.role, "seq": 1, "born": 1}).encode()
+            present = self.store.items.get(key)
+            if not present or base64.b64decode(present["value"]) != value:
+                self.store.put(key, value)
+
+
+class Platform:
+    """The store and the orders behind one HTTP server."""
+
+    def __init__(self, group_names):
+        self.store = Store()
+        self.groups = {n: Group(n, self.store) for n in group_names}
+        self.port = 0
+
+    async def start(self):
+        server = await asyncio.start_server(self.http, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        for group in self.groups.values():
+            for target in group.targets:
+                await target.start()
+        self.configure(1)
+        asyncio.get_running_loop().create_task(self.beat())
+
+    def configure(self, version):
+        routes = []
+        for name in self.groups:
+            for kind, age in (("primary", None), ("bounded_staleness", 1500),
+                              ("read_your_writes", 2500)):
+                route = {"name": f"r-{name}-{kind}",
+                         "host": f"{name}-{kind}", "prefix": "/",
+                         "type": kind, "timeout_ms": 1000,
+                         "target_latency_ms": 500, "priority": 1,
+                         "service": name, "attempts": 2}
+                if age:
+                    route["max_staleness_ms"] = age
+                routes.append(route)
+        self.store.put("op/config", json.dumps({
+            "version": version, "routes": routes,
+            "services": [{"name": n, "max_conns": 16, "sync_replicas": 0}
+                         for n in self.groups],
+            "limits": {"tx_idle_ms": 3000}}).encode())
+
+    async def beat(self):
+        while True:
+            for group in self.groups.values():
+                group.catch_up()
+                group.beat()
+            await asyncio.sleep(0.2)
+
+    async def http(self, reader, writer):
+        try:
+            while await self.request(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError,
+                asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def request(self, reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        method, path, _ = head[0].split(" ")
+        headers = dict(h.lower().split(": ", 1) for h in head[1:] if h)
+        length = int(headers.get("content-length", 0))
+        body = json.loads(await reader.readexactly(length) or b"{}") \
+            if length else {}
+        if path == "/promotion":
+            group = self.groups[body["service"]]
+            status = await group.promote(
+                body["id"],
+                int(headers["x-kumquatbridge-fencing-token"]))
+            answer = {}
+        else:
+            status, answer = await self.store.serve(method, path, body)
+        text = json.dumps(answer).encode()
+        writer.write(
+            f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
+        await writer.drain()
+        return True
