--- a/src/hold.c
+++ b/src/hold.c
@@ -450,8 +450,11 @@
 
 int kb_hold_granted(const kb_hold_t *hold, int64_t revision, kb_time_t *since)
 {
-	if (!hold->verified || hold->role != KB_HOLD_NONE || names_self(hold) ||
-	    hold->granted_revision > revision || hold->revision > revision)
+	/* A host whose write has no answer yet does not serve yet either. */
+	if (!hold->verified ||
+	    (hold->role != KB_HOLD_NONE && hold->role != KB_HOLD_TAKING) ||
+	    names_self(hold) || hold->granted_revision > revision ||
+	    hold->revision > revision)
 		return 0;
 	/* An earlier process may have granted until this one began. */
 	*since = hold->granted_at > hold->began_at ? hold->granted_at
--- a/src/hold.h
+++ b/src/hold.h
@@ -234,7 +234,7 @@
 
 /*
  * What this host, a candidate of `revision`, can say against a holder: sets
- * `*since` to the time of its last grant to any. Returns 0 if it takes the
+ * `*since` to the time of its last grant to any. Returns 0 if it has taken the
  * group over itself, has granted a later revision, or cannot know.
  */
 int kb_hold_granted(const kb_hold_t *hold, int64_t revision, kb_time_t *since);
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -718,18 +718,14 @@
 }
 
 /* Groups without callers take turns: their stamps show what is reached. */
-static int may_ask_stamp(kb_proxy_group_t *group, kb_time_t now)
+static int may_ask_stamp(const kb_proxy_group_t *group, kb_time_t now)
 {
-	kb_proxy_t *proxy = group->proxy;
+	const kb_proxy_t *proxy = group->proxy;
+	size_t turn = (size_t)(now / (IDLE_STAMP_PAUSE_MS * KB_NS_PER_MS)) %
+		      proxy->group_count;
 
-	if (now - group->used_at <= STAMP_USED_S * KB_NS_PER_S)
-		return 1;
-	if (proxy->groups[proxy->idle_group % proxy->group_count] != group ||
-	    now - proxy->idle_asked_at < IDLE_STAMP_PAUSE_MS * KB_NS_PER_MS)
-		return 0;
-	proxy->idle_group = (proxy->idle_group + 1) % proxy->group_count;
-	proxy->idle_asked_at = now;
-	return 1;
+	return now - group->used_at <= STAMP_USED_S * KB_NS_PER_S ||
+	       proxy->groups[turn] == group;
 }
 
 /* The holder; while it is silent also the candidates in turn. */
--- a/src/proxy_parts.h
+++ b/src/proxy_parts.h
@@ -165,9 +165,6 @@
 	/* Reader that is asked, and since when. */
 	size_t reader_rank;
 	kb_time_t reader_at;
-	/* Group without callers that is asked about next, and when. */
-	size_t idle_group;
-	kb_time_t idle_asked_at;
 	int stopping;
 	kb_time_t stop_at;
 	kb_time_t stop_begun_at;
--- a/src/proxy_vacancy.c
+++ b/src/proxy_vacancy.c
@@ -132,7 +132,7 @@
 {
 	kb_proxy_vacancy_t *vacancy = &group->vacancy;
 
-	if (now > vacancy->wanted_until || group->hold.role != KB_HOLD_NONE ||
+	if (now > vacancy->wanted_until || group->hold.role > KB_HOLD_TAKING ||
 	    !group->hold.revision || !group->primary.len ||
 	    now - vacancy->asked_at < VACANCY_PAUSE_MS * KB_NS_PER_MS)
 		return;
