--- a/src/proxy_vacancy.c
+++ b/src/proxy_vacancy.c
@@ -12,6 +12,8 @@
 	VACANCY_WANTED_MS = 1000,
 	/* Reserve beyond the validity of the last grant. */
 	VACANCY_MARGIN_MS = 100,
+	/* One that comes after this time is logged as a new one. */
+	VACANCY_NEW_S = 2,
 	/* What was shown is told for this time. */
 	VACANCY_TOLD_MS = 600,
 };
@@ -158,7 +160,7 @@
 			       const kb_target_report_t *report)
 {
 	kb_proxy_vacancy_t *vacancy = &group->vacancy;
-	int was_found = vacancy->found;
+	kb_time_t before = vacancy->found_at;
 
 	if (!report || !vacancy->asked)
 		return;
@@ -167,13 +169,13 @@
 		vacancy->highest_term = report->term;
 	if (kb_name_is(&group->primary, target))
 		vacancy->primary = *report;
-	vacancy->found = primary_leads(group);
-	if (!vacancy->found)
+	if (!primary_leads(group))
 		return;
+	vacancy->found = 1;
 	vacancy->found_at = vacancy->asked_at;
 	vacancy->point = vacancy->primary.received;
 	vacancy->term = vacancy->primary.term;
-	if (!was_found)
+	if (vacancy->asked_at - before > VACANCY_NEW_S * KB_NS_PER_S)
 		kb_log(KB_EVENT_GROUP_VACANT,
 		       "group=%s revision=%" PRId64 " primary=%s term=%" PRIu64
 		       " position=%" PRIu64,
