--- a/src/proxy_reads.c
+++ b/src/proxy_reads.c
@@ -7,11 +7,11 @@
 	/* Replicas are preferred to the primary, which alone takes writes. */
 	COST_PRIMARY_US = 60000,
 	/* A log that lacked the point just now is likely to lack it still. */
-	BEHIND_MS = 150,
-	COST_BEHIND_US = 150000,
-	/* What it said longer ago tells less. */
-	BEHIND_OLD_MS = 1000,
-	COST_BEHIND_OLD_US = 30000,
+	BEHIND_MS = 100,
+	/* What the holder told of its queue counts for this time. */
+	QUEUE_KNOWN_MS = 500,
+	/* Part of a read's time for which it waits for replicas. */
+	WAIT_PERCENT = 60,
 	/* A target that failed just now is tried after others. */
 	FAILED_MS = 500,
 	COST_FAILED_US = 400000,
@@ -102,22 +102,17 @@
 	return service + service * ahead / slots;
 }
 
-/* Expected loss of time if the target's log lacks what the read needs. */
-static int64_t cost_of_lag(const kb_proxy_load_t *load, kb_point_t include,
-			   kb_time_t now)
+/* Whether the target said just now that its log lacks the point. */
+static int is_behind(const kb_proxy_load_t *load, kb_point_t include,
+		     kb_time_t now)
 {
-	kb_time_t age = now - load->position_at;
-
-	if (!load->position_at ||
-	    kb_point_compare(load->position, include) >= 0 ||
-	    age > BEHIND_OLD_MS * KB_NS_PER_MS)
-		return 0;
-	return age <= BEHIND_MS * KB_NS_PER_MS ? COST_BEHIND_US
-					       : COST_BEHIND_OLD_US;
+	return load && load->position_at &&
+	       now - load->position_at <= BEHIND_MS * KB_NS_PER_MS &&
+	       kb_point_compare(load->position, include) < 0;
 }
 
 static int64_t cost_of(kb_proxy_t *proxy, const kb_target_entry_t *target,
-		       kb_point_t include, kb_time_t now)
+		       kb_time_t now)
 {
 	const kb_proxy_load_t *load =
 		kb_proxy_load_get(proxy, kb_name_str(&target->place.target));
@@ -126,7 +121,6 @@
 	if (!load)
 		return cost;
 	cost += expected(&load->load, now - load->at, load->outstanding);
-	cost += cost_of_lag(load, include, now);
 	if (load->failed_at && now - load->failed_at < FAILED_MS * KB_NS_PER_MS)
 		cost += COST_FAILED_US;
 	return cost;
@@ -144,6 +138,7 @@
 
 	choice->stamp_age = now - kb_stamps_newest(&group->stamps);
 	choice->exhausted = 1;
+	choice->behind = 0;
 	if (!kb_stamps_include(&group->stamps, choice->bound, &aged))
 		return NULL;
 	choice->include =
@@ -157,7 +152,14 @@
 		    target->leaving || is_primary(group, target) ||
 		    is_excluded(choice, &target->place.target))
 			continue;
-		cost = cost_of(proxy, target, choice->include, now);
+		if (is_behind(
+			    kb_proxy_load_get(
+				    proxy, kb_name_str(&target->place.target)),
+			    choice->include, now)) {
+			choice->behind = 1;
+			continue;
+		}
+		cost = cost_of(proxy, target, now);
 		if (best && cost >= best_cost)
 			continue;
 		best = target;
@@ -170,3 +172,17 @@
 	choice->exhausted = 0;
 	return best;
 }
+
+int kb_read_choice_waits(const kb_read_choice_t *choice,
+			 const kb_proxy_group_t *group,
+			 const kb_database_t *database, kb_time_t now)
+{
+	kb_time_t time = database->objective < database->timeout
+				 ? database->objective
+				 : database->timeout;
+
+	return choice->behind && group->load.waiting >= group->load.slots &&
+	       group->load.slots &&
+	       now - group->load_at <= QUEUE_KNOWN_MS * KB_NS_PER_MS &&
+	       now - choice->began_at < time * WAIT_PERCENT / 100;
+}
--- a/src/proxy_reads.h
+++ b/src/proxy_reads.h
@@ -25,6 +25,8 @@
 	kb_name_t excluded[KB_READ_CHOICE_EXCLUDED_MAX];
 	/* Every target was tried. */
 	int exhausted;
+	/* Replicas were passed over since their logs are known to lack it. */
+	int behind;
 } kb_read_choice_t;
 
 void kb_read_choice_init(kb_read_choice_t *choice,
@@ -45,6 +47,14 @@
 					     kb_proxy_t *proxy,
 					     kb_proxy_group_t *group);
 
+/*
+ * Whether the read should wait for replicas that are behind rather than join
+ * the queue of a primary that cannot keep up.
+ */
+int kb_read_choice_waits(const kb_read_choice_t *choice,
+			 const kb_proxy_group_t *group,
+			 const kb_database_t *database, kb_time_t now);
+
 KB_END_DECLS
 
 #endif
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -476,6 +476,15 @@
 	if (target)
 		host = kb_proxy_gate_host(proxy, target,
 					  kb_clock_monotonic(proxy->clock));
+	if (!target && group &&
+	    kb_read_choice_waits(&session->choice, group,
+				 &session->session.database,
+				 kb_clock_monotonic(proxy->clock))) {
+		session->path = KB_PROXY_PATH_REPLICA;
+		session->retry_at = kb_clock_monotonic(proxy->clock) +
+				    RETRY_PAUSE_MS * KB_NS_PER_MS;
+		return;
+	}
 	if (!target || !host) {
 		try_primary(session);
 		return;
