--- /dev/null
+++ b/tests/test_proxy_reads.cc
@@ -0,0 +1,215 @@
+#include "proxy_reads.h"
+
+#include <gtest/gtest.h>
+#include <memory>
+#include <string>
+
+namespace
+{
+
+constexpr kb_time_t MS = KB_NS_PER_MS;
+
+/* What one host knows of a group of three targets in two regions. */
+class Reads : public ::testing::Test
+{
+      protected:
+	struct Clock {
+		kb_clock_t base;
+		kb_time_t now = 100 * KB_NS_PER_S;
+	} clock;
+	kb_settings_t settings{};
+	std::unique_ptr<kb_proxy_t> proxy = std::make_unique<kb_proxy_t>();
+	std::unique_ptr<kb_proxy_group_t> group =
+		std::make_unique<kb_proxy_group_t>();
+	kb_database_t database{};
+	kb_read_choice_t choice{};
+
+	Reads()
+	{
+		static const kb_clock_ops_t ops = {
+			[](kb_clock_t *clock) {
+				return reinterpret_cast<Clock *>(clock)->now;
+			},
+			[](kb_clock_t *) { return (kb_time_t)0; },
+		};
+
+		clock.base.ops = &ops;
+		*proxy = {};
+		*group = {};
+		proxy->clock = &clock.base;
+		proxy->setup.settings = &settings;
+		place("near", "home");
+		place("far", "away");
+		kb_name_set(&proxy->self.data_centre, KB_STR("near"));
+		kb_name_set(&proxy->self.region, KB_STR("home"));
+		kb_name_set(&group->name, KB_STR("g"));
+		kb_name_set(&group->primary, KB_STR("p"));
+		add("p", "near");
+		add("n", "near");
+		add("f", "far");
+		database.rule = KB_READ_OWN;
+		database.max_age = 1500 * MS;
+		database.timeout = 1000 * MS;
+		database.objective = 500 * MS;
+		stamp(1000 * MS, 40);
+		stamp(100 * MS, 50);
+		begin();
+	}
+
+	~Reads() override
+	{
+		kb_target_list_finish(&proxy->targets);
+		free(proxy->loads);
+	}
+
+	void place(const char *centre, const char *region)
+	{
+		kb_settings_place_t *place =
+			&settings.places[settings.place_count++];
+
+		kb_name_set(&place->data_centre, kb_str_from(centre));
+		kb_name_set(&place->region, kb_str_from(region));
+	}
+
+	void add(const char *name, const char *centre, bool leaving = false)
+	{
+		kb_target_entry_t entry = {};
+
+		kb_name_set(&entry.place.group, KB_STR("g"));
+		kb_name_set(&entry.place.target, kb_str_from(name));
+		kb_name_set(&entry.data_centre, kb_str_from(centre));
+		entry.leaving = leaving;
+		kb_target_list_put(&proxy->targets, &entry);
+	}
+
+	void stamp(kb_time_t age, uint64_t position)
+	{
+		kb_stamps_add(&group->stamps, 1, clock.now - age,
+			      { 1, position });
+	}
+
+	void begin(kb_point_t own = {})
+	{
+		kb_read_choice_init(&choice, &database, own, clock.now);
+	}
+
+	std::string next()
+	{
+		const kb_target_entry_t *target =
+			kb_read_choice_next(&choice, proxy.get(), group.get());
+
+		return target ? target->place.target.data : "";
+	}
+
+	kb_proxy_load_t *load(const char *name)
+	{
+		return kb_proxy_load_get(proxy.get(), kb_str_from(name));
+	}
+
+	void at(const char *name, uint64_t position, kb_time_t age)
+	{
+		load(name)->position = { 1, position };
+		load(name)->position_at = clock.now - age;
+	}
+
+	void queue(unsigned waiting)
+	{
+		group->load.waiting = waiting;
+		group->load.slots = 2;
+		group->load.service_us = 10000;
+		group->load_at = clock.now;
+	}
+};
+
+} // namespace
+
+TEST_F(Reads, TheNearestReplicaServesWithTheOldestPointAllowed)
+{
+	EXPECT_EQ("n", next());
+	EXPECT_EQ(40u, choice.include.position);
+}
+
+TEST_F(Reads, ASessionSeesItsOwnCommits)
+{
+	begin({ 1, 45 });
+	EXPECT_EQ("n", next());
+	EXPECT_EQ(45u, choice.include.position);
+	database.rule = KB_READ_AGED;
+	begin({ 1, 45 });
+	next();
+	EXPECT_EQ(40u, choice.include.position);
+}
+
+TEST_F(Reads, WithoutAYoungStampThePrimaryMustServe)
+{
+	clock.now += 1500 * MS;
+	begin();
+	EXPECT_EQ("", next());
+	EXPECT_TRUE(choice.exhausted);
+}
+
+TEST_F(Reads, AReplicaThatIsDeafIsPassedOverForAnother)
+{
+	at("n", 30, 20 * MS);
+	EXPECT_EQ("f", next());
+	/* What it said some time ago proves nothing any more. */
+	at("n", 30, 200 * MS);
+	begin();
+	EXPECT_EQ("n", next());
+	at("n", 40, 20 * MS);
+	begin();
+	EXPECT_EQ("n", next());
+}
+
+TEST_F(Reads, ATargetThatLeavesOrWasTriedIsLeftOut)
+{
+	kb_name_t tried;
+
+	add("n", "near", true);
+	EXPECT_EQ("f", next());
+	kb_name_set(&tried, KB_STR("f"));
+	kb_read_choice_exclude(&choice, &tried);
+	EXPECT_EQ("", next());
+	kb_read_choice_restart(&choice);
+	EXPECT_EQ("f", next());
+}
+
+TEST_F(Reads, ALoadedReplicaGivesWayToAFarOne)
+{
+	load("n")->load = { 12, 2, 2, 14000 };
+	load("n")->at = clock.now;
+	EXPECT_EQ("f", next());
+	load("n")->load.waiting = 0;
+	EXPECT_EQ("n", next());
+	/* Statements on their way count as well. */
+	load("n")->outstanding = 10;
+	EXPECT_EQ("f", next());
+}
+
+TEST_F(Reads, AllReplicasFarBehindLeaveTheRestToThePrimaryOnlyIfItCanServe)
+{
+	struct {
+		const char *name;
+		bool behind;
+		unsigned waiting;
+		kb_time_t spent;
+		int waits;
+	} cases[] = {
+		{ "primary free", true, 0, 0, 0 },
+		{ "primary busy", true, 5, 0, 1 },
+		{ "not behind", false, 5, 0, 0 },
+		{ "long enough", true, 5, 310 * MS, 0 },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		queue(c.waiting);
+		at("n", c.behind ? 30 : 60, 10 * MS);
+		at("f", c.behind ? 30 : 60, 10 * MS);
+		begin();
+		next();
+		EXPECT_EQ(c.waits,
+			  kb_read_choice_waits(&choice, group.get(), &database,
+					       clock.now + c.spent));
+	}
+}
