--- a/src/hold.c
+++ b/src/hold.c
@@ -268,8 +268,8 @@
 
 		if (names_equal(&grant->candidate, host))
 			return grant->storeless ||
-			       (last && now - last > KB_HOLD_MISSING_MS *
-							     KB_NS_PER_MS);
+			       (last &&
+				now - last > KB_HOLD_MISSING_MS * KB_NS_PER_MS);
 	}
 	return 0;
 }
@@ -619,7 +619,9 @@
 		return;
 	switch (hold->role) {
 	case KB_HOLD_NONE:
-		if (names_self(hold) || !hold->verified)
+		if (names_self(hold) ||
+		    (!hold->verified &&
+		     is_in(&hold->record.candidates, &hold->self)))
 			begin_read(hold, now);
 		else
 			watch_holder(hold, ranking, now);
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -117,8 +117,8 @@
 		ranked[count].host = host;
 		ranked[count].listed = !host->unlisted_at;
 		ranked[count].answers =
-			host->self || now - host->replied_at <
-					      ANSWERS_MS * KB_NS_PER_MS;
+			host->self ||
+			now - host->replied_at < ANSWERS_MS * KB_NS_PER_MS;
 		ranked[count].near = nearness(group->proxy, host, primary);
 		ranked[count++].score = kb_rendezvous_score(
 			kb_name_str(&host->name), kb_name_str(&group->name));
@@ -728,16 +728,68 @@
 	       proxy->groups[turn] == group;
 }
 
-/* The holder; while it is silent also the candidates in turn. */
+/* The host of this region that asks a holder in another one for the rest. */
+static const kb_host_t *stamp_relay(const kb_proxy_group_t *group,
+				    kb_time_t now)
+{
+	const kb_hosts_t *hosts = &group->proxy->hosts;
+	const kb_host_t *best = NULL;
+	uint64_t best_score = 0;
+
+	for (size_t i = 0; i < hosts->count; i++) {
+		const kb_host_t *host = hosts->hosts[i];
+		uint64_t score = kb_rendezvous_score(kb_name_str(&host->name),
+						     kb_name_str(&group->name));
+
+		if (!kb_proxy_host_usable(host, now) ||
+		    !kb_name_is(&host->region,
+				kb_name_str(&group->proxy->self.region)) ||
+		    (best && score <= best_score))
+			continue;
+		best = host;
+		best_score = score;
+	}
+	return best;
+}
+
+/*
+ * The holder, or the relay of this region if the holder is in another one.
+ * While stamps stay away the candidates are asked in turn.
+ */
 static const kb_name_t *stamp_source(kb_proxy_group_t *group, kb_time_t now)
 {
 	const kb_hold_set_t *set = &group->hold.record.candidates;
+	const kb_name_t *holder = &group->hold.record.holder;
+	const kb_host_t *host =
+		kb_hosts_find(&group->proxy->hosts, kb_name_str(holder));
+	const kb_host_t *relay;
+
+	if (set->count && kb_proxy_group_silence(group, now) >
+				  HOLDER_SILENT_MS * KB_NS_PER_MS) {
+		group->stamp_source = (group->stamp_source + 1) % set->count;
+		return &set->hosts[group->stamp_source];
+	}
+	if (!host ||
+	    kb_name_is(&host->region, kb_name_str(&group->proxy->self.region)))
+		return holder;
+	relay = stamp_relay(group, now);
+	return relay && !relay->self ? &relay->name : holder;
+}
 
-	if (!set->count || kb_proxy_group_silence(group, now) <=
-				   HOLDER_SILENT_MS * KB_NS_PER_MS)
-		return &group->hold.record.holder;
-	group->stamp_source = (group->stamp_source + 1) % set->count;
-	return &set->hosts[group->stamp_source];
+void kb_proxy_group_relay(kb_proxy_group_t *group, kbs_stamp *stamp)
+{
+	kb_time_t now = kb_clock_monotonic(group->proxy->clock);
+	const kb_stamp_t *newest = kb_stamps_last(&group->stamps);
+
+	/* What others need is kept up to date here. */
+	group->used_at = now;
+	if (!newest || now - newest->at > HOLDER_SILENT_MS * KB_NS_PER_MS)
+		return;
+	stamp->valid = TRUE;
+	stamp->term = group->stamps.term;
+	stamp->point = kb_point_to(newest->point);
+	stamp->primary = kb_text_view(kb_name_str(&group->primary));
+	stamp->age_us = (now - newest->at) / KB_NS_PER_US;
 }
 
 static void ask_stamp(kb_proxy_group_t *group, kb_time_t now)
--- a/src/proxy_parts.h
+++ b/src/proxy_parts.h
@@ -185,6 +185,8 @@
 			   const kb_mirror_entry_t *entry);
 /* What this host can say of the group's primary now. */
 void kb_proxy_group_stamp(kb_proxy_group_t *group, kbs_stamp *stamp);
+/* Tells another host of this region the newest stamp known here. */
+void kb_proxy_group_relay(kb_proxy_group_t *group, kbs_stamp *stamp);
 /* Takes what the holder said in answer to a call sent at `sent_at`. */
 void kb_proxy_group_learn(kb_proxy_group_t *group, const kbs_stamp *stamp,
 			  kb_time_t sent_at);
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -182,6 +182,8 @@
 
 	if (group) {
 		kb_proxy_group_stamp(group, &res.stamp);
+		if (!res.stamp.valid)
+			kb_proxy_group_relay(group, &res.stamp);
 		if (!res.stamp.valid)
 			kb_proxy_vacancy_stamp(group, &res.stamp);
 		res.holder =
--- a/src/proxy_sync.c
+++ b/src/proxy_sync.c
@@ -33,7 +33,8 @@
 
 		if (!kb_proxy_host_usable(host, now))
 			continue;
-		while (place && (!found[place - 1] || score > scores[place - 1]))
+		while (place &&
+		       (!found[place - 1] || score > scores[place - 1]))
 			place--;
 		for (size_t j = SYNC_READERS - 1; j > place; j--) {
 			found[j] = found[j - 1];
--- a/src/stamps.c
+++ b/src/stamps.c
@@ -5,9 +5,16 @@
 	return &stamps->ring[(stamps->first + i) % KB_STAMPS_MAX];
 }
 
+const kb_stamp_t *kb_stamps_last(const kb_stamps_t *stamps)
+{
+	return stamps->count ? stamp_at(stamps, stamps->count - 1) : NULL;
+}
+
 kb_time_t kb_stamps_newest(const kb_stamps_t *stamps)
 {
-	return stamps->count ? stamp_at(stamps, stamps->count - 1)->at : 0;
+	const kb_stamp_t *last = kb_stamps_last(stamps);
+
+	return last ? last->at : 0;
 }
 
 void kb_stamps_add(kb_stamps_t *stamps, uint64_t term, kb_time_t at,
--- a/src/stamps.h
+++ b/src/stamps.h
@@ -41,6 +41,9 @@
 int kb_stamps_include(const kb_stamps_t *stamps, kb_time_t bound,
 		      kb_point_t *point);
 
+/* Returns the newest stamp, or NULL. */
+const kb_stamp_t *kb_stamps_last(const kb_stamps_t *stamps);
+
 /* Returns the time of the newest stamp, or 0. */
 kb_time_t kb_stamps_newest(const kb_stamps_t *stamps);
 
