--- a/daemon/session_host.c
+++ b/daemon/session_host.c
@@ -100,7 +100,7 @@
 	host->stop_begun_at = now;
 	kb_log(KB_EVENT_STOP_REQUESTED, "grace_ms=%lld",
 	       (long long)(grace / KB_NS_PER_MS));
-	kb_proxy_stop(host->proxy, now + grace * STOP_PERCENT / 100);
+	kb_proxy_stop(host->proxy);
 }
 
 static void reload(session_host_t *host)
--- a/src/lead.c
+++ b/src/lead.c
@@ -526,9 +526,8 @@
 }
 
 void kb_lead_on_reached(kb_lead_t *lead, kb_str_t target, const kb_name_t *host,
-			uint64_t term, kb_time_t now)
+			uint64_t term)
 {
-	(void)now;
 	if (lead->state != KB_LEAD_DOUBTING || !lead->has_primary ||
 	    !kb_name_is(&lead->primary.place.target, target) ||
 	    term < lead->term)
--- a/src/lead.h
+++ b/src/lead.h
@@ -143,7 +143,7 @@
 
 /* Another host reaches the target, which is primary in `term`. */
 void kb_lead_on_reached(kb_lead_t *lead, kb_str_t target, const kb_name_t *host,
-			uint64_t term, kb_time_t now);
+			uint64_t term);
 
 /* Signs from the connections to the primary. */
 void kb_lead_on_answer(kb_lead_t *lead, kb_point_t point);
--- a/src/link.h
+++ b/src/link.h
@@ -22,8 +22,6 @@
 	KB_ORDER_PREPARE_WRITE,
 	KB_ORDER_RESET,
 	KB_ORDER_STATUS,
-	/* Lets a replica receive nothing of terms below `term`. */
-	KB_ORDER_FENCE,
 	/* Makes a primary of a term below `term` a replica. */
 	KB_ORDER_STEP_DOWN,
 } kb_order_kind_t;
@@ -71,7 +69,7 @@
 	kb_txn_state_t state;
 	/* End of the target's log, or zero if it did not say. */
 	kb_point_t point;
-	/* Answer to KB_ORDER_STATUS, _FENCE and _STEP_DOWN. */
+	/* Answer to KB_ORDER_STATUS and KB_ORDER_STEP_DOWN. */
 	kb_target_report_t report;
 } kb_reply_t;
 
--- a/src/link_pool.c
+++ b/src/link_pool.c
@@ -255,12 +255,10 @@
 }
 
 static void end_transaction(kb_link_pool_t *pool, kb_pool_conn_t *conn,
-			    const kbs_run_args *args, kb_run_done_fn_t *done,
-			    void *ctx)
+			    kb_run_done_fn_t *done, void *ctx)
 {
 	kbs_run_res res = { .result = KB_OK };
 
-	(void)args;
 	if (conn && conn->state == KB_POOL_CONN_PINNED) {
 		kb_pool_conn_roll_back(conn);
 	} else if (conn) {
@@ -295,7 +293,7 @@
 	if (args->transaction)
 		conn = find_transaction(pool, args->transaction);
 	if (args->kind == KBS_ROLLBACK) {
-		end_transaction(pool, conn, args, done, ctx);
+		end_transaction(pool, conn, done, ctx);
 		kb_link_pool_dispatch(pool);
 		return;
 	}
--- a/src/pool_conn.c
+++ b/src/pool_conn.c
@@ -1,14 +1,13 @@
 #include "pool_conn.h"
 
 #include "log.h"
+#include "pool_order.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 
 enum {
 	/* Weight of the newest service time: one part in eight. */
 	SERVICE_WEIGHT = 8,
-	SHAPE_NAME_BYTES = 300,
 };
 
 static const kbs_run_args *args_of(const kb_pool_conn_t *conn)
@@ -54,84 +53,6 @@
 	free_conn(conn);
 }
 
-/* Name under which a shape is prepared, the same on every connection. */
-static kb_str_t shape_name(const kbs_run_args *args, char *buffer)
-{
-	kb_str_t shape = kb_text_str(args->shape);
-	int len =
-		snprintf(buffer, SHAPE_NAME_BYTES, "%c%.*s",
-			 args->kind == KBS_READ ? 'r' : 'w', KB_STR_ARG(shape));
-
-	if (len < 0 || len >= SHAPE_NAME_BYTES)
-		return KB_STR("");
-	return (kb_str_t){ buffer, (size_t)len };
-}
-
-static kb_order_kind_t own_kind(kbs_kind kind)
-{
-	switch (kind) {
-	case KBS_READ:
-		return KB_ORDER_READ;
-	case KBS_WRITE:
-		return KB_ORDER_WRITE;
-	default:
-		return KB_ORDER_COMMIT;
-	}
-}
-
-/* Chooses what the connection needs next to run its job. */
-static void choose_order(kb_pool_conn_t *conn, kb_order_t *order, char *name)
-{
-	const kbs_run_args *args = args_of(conn);
-	const kbs_value *missing;
-
-	memset(order, 0, sizeof(*order));
-	order->id = KB_STR("");
-	order->name = KB_STR("");
-	order->body = KB_STR("");
-	conn->setting = NULL;
-	if (!conn->begun &&
-	    kb_session_values_exceed(&conn->values, args->values.values_val,
-				     args->values.values_len)) {
-		order->kind = KB_ORDER_RESET;
-		return;
-	}
-	missing = kb_session_values_missing(&conn->values,
-					    args->values.values_val,
-					    args->values.values_len);
-	if (missing) {
-		order->kind = KB_ORDER_SET;
-		order->name = kb_text_str(missing->name);
-		order->body = kb_text_str(missing->value);
-		conn->setting = missing;
-		return;
-	}
-	if (args->shape.kbs_text_len) {
-		kb_str_t prepared = shape_name(args, name);
-
-		order->name = prepared;
-		if (!kb_session_values_get(&conn->shapes, prepared)) {
-			order->kind = args->kind == KBS_READ
-					      ? KB_ORDER_PREPARE_READ
-					      : KB_ORDER_PREPARE_WRITE;
-			order->body = kb_text_str(args->shape);
-			return;
-		}
-	}
-	if (args->transactional && !conn->begun) {
-		order->kind = args->read_only ? KB_ORDER_BEGIN_READ_ONLY
-					      : KB_ORDER_BEGIN;
-		order->name = KB_STR("");
-		order->include = kb_point_from(args->include);
-		return;
-	}
-	order->kind = own_kind(args->kind);
-	order->id = kb_text_str(args->id);
-	order->body = kb_text_str(args->body);
-	if (!args->transactional && args->kind == KBS_READ)
-		order->include = kb_point_from(args->include);
-}
-
 void kb_pool_conn_fail(kb_pool_conn_t *conn, kb_result_t result,
 		       const char *message)
 {
@@ -172,10 +93,10 @@
 static void send_next(kb_pool_conn_t *conn)
 {
 	kb_link_pool_t *pool = conn->pool;
-	char name[SHAPE_NAME_BYTES];
+	char name[KB_POOL_SHAPE_NAME_BYTES];
 	kb_order_t order;
 
-	choose_order(conn, &order, name);
+	kb_pool_order_choose(conn, &order, name);
 	if (!pool->ops->may_serve(pool->ctx, kb_clock_monotonic(pool->clock))) {
 		int pinned = conn->transaction != 0;
 
@@ -224,7 +145,7 @@
 /* A preparing order succeeded: notes what the connection has now. */
 static kb_result_t note_prepared(kb_pool_conn_t *conn)
 {
-	char name[SHAPE_NAME_BYTES];
+	char name[KB_POOL_SHAPE_NAME_BYTES];
 
 	switch (conn->sent_kind) {
 	case KB_ORDER_RESET:
@@ -238,9 +159,9 @@
 					     kb_text_str(conn->setting->value));
 	case KB_ORDER_PREPARE_READ:
 	case KB_ORDER_PREPARE_WRITE:
-		return kb_session_values_set(&conn->shapes,
-					     shape_name(args_of(conn), name),
-					     kb_text_str(args_of(conn)->shape));
+		return kb_session_values_set(
+			&conn->shapes, kb_pool_shape_name(args_of(conn), name),
+			kb_text_str(args_of(conn)->shape));
 	default:
 		conn->begun = 1;
 		conn->transaction = ++conn->pool->next_transaction;
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -179,7 +179,6 @@
 
 	randombytes_buf(&seed, sizeof(seed));
 	kb_rng_init(&proxy->rng, seed);
-	proxy->started_at = kb_clock_monotonic(proxy->clock);
 	proxy->self.name = settings->host;
 	proxy->self.endpoint = settings->listen_hosts;
 	proxy->self.data_centre = settings->data_centre;
@@ -277,22 +276,16 @@
 	       proxy->targets.count && !kb_proxy_is_cut_off(proxy);
 }
 
-void kb_proxy_stop(kb_proxy_t *proxy, kb_time_t deadline)
+void kb_proxy_stop(kb_proxy_t *proxy)
 {
 	if (proxy->stopping)
 		return;
 	proxy->stopping = 1;
 	proxy->stop_begun_at = kb_clock_monotonic(proxy->clock);
-	proxy->stop_at = deadline;
 	proxy->hosts.self->leaving = 1;
 	kb_presence_leave(&proxy->presence);
 }
 
-int kb_proxy_is_stopping(const kb_proxy_t *proxy)
-{
-	return proxy->stopping;
-}
-
 int kb_proxy_is_idle(const kb_proxy_t *proxy)
 {
 	for (size_t i = 0; i < proxy->gate_count; i++)
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -43,11 +43,10 @@
  */
 int kb_proxy_is_cut_off(const kb_proxy_t *proxy);
 
-/* Begins a planned stop that ends at `deadline` at the latest. */
-void kb_proxy_stop(kb_proxy_t *proxy, kb_time_t deadline);
+/* Begins a planned stop: duties go to other hosts, work in flight ends. */
+void kb_proxy_stop(kb_proxy_t *proxy);
 
-/* Whether a planned stop has begun, and whether all work has ended. */
-int kb_proxy_is_stopping(const kb_proxy_t *proxy);
+/* Whether all work of a planned stop has ended. */
 int kb_proxy_is_idle(const kb_proxy_t *proxy);
 
 /* Takes other seeds over from settings that were read again. */
--- /dev/null
+++ b/src/proxy_hold.c
@@ -0,0 +1,290 @@
+#include "proxy_parts.h"
+
+#include "hold_record.h"
+#include "log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum {
+	KEY_MAX_BYTES = 160,
+};
+
+static void hold_key(const kb_proxy_group_t *group, char *key)
+{
+	snprintf(key, KEY_MAX_BYTES, "%s%s", KB_PROXY_HOLD_PREFIX,
+		 group->name.data);
+}
+
+/* A host that is about to serve a group loses no time. */
+static void wake_if_beginning(kb_proxy_group_t *group)
+{
+	if (group->hold.role == KB_HOLD_WAITING ||
+	    group->lead.state == KB_LEAD_FINDING)
+		kb_proxy_wake(group->proxy);
+}
+
+/* A call to the store for a hold. */
+typedef struct hold_call {
+	kb_proxy_group_t *group;
+	kb_time_t sent_at;
+	uint64_t number;
+} hold_call_t;
+
+static hold_call_t *new_hold_call(kb_proxy_group_t *group)
+{
+	hold_call_t *call = calloc(1, sizeof(*call));
+
+	if (call)
+		call->group = group;
+	group->proxy->stats.store_calls++;
+	return call;
+}
+
+static void on_hold_read(void *ctx, kb_result_t result,
+			 const kb_store_range_t *range)
+{
+	hold_call_t call = *(hold_call_t *)ctx;
+	kb_time_t now = kb_clock_monotonic(call.group->proxy->clock);
+	kb_hold_record_t record;
+	const kb_hold_record_t *found = NULL;
+	int64_t revision = range ? range->revision : 0;
+
+	free(ctx);
+	if (!result && range && range->count) {
+		revision = range->entries[0].revision;
+		found = &record;
+		result = kb_hold_record_parse(&record, range->entries[0].value);
+		if (result)
+			kb_log(KB_EVENT_STORE_ENTRY_MALFORMED,
+			       "group=%s revision=%" PRId64,
+			       call.group->name.data, revision);
+	}
+	kb_hold_on_read(&call.group->hold, call.sent_at, result, found,
+			revision, now);
+	wake_if_beginning(call.group);
+}
+
+static void hold_read(void *ctx, kb_hold_t *hold, kb_time_t sent_at)
+{
+	kb_proxy_group_t *group = ctx;
+	kb_store_t *store = group->proxy->setup.store;
+	hold_call_t *call = new_hold_call(group);
+	char key[KEY_MAX_BYTES];
+	kb_store_keys_t keys;
+
+	(void)hold;
+	if (!call)
+		return;
+	call->sent_at = sent_at;
+	hold_key(group, key);
+	keys = (kb_store_keys_t){ .key = kb_str_from(key) };
+	if (store->ops->get(store, &keys, on_hold_read, call))
+		free(call);
+}
+
+static void on_hold_written(void *ctx, kb_result_t result,
+			    const kb_store_written_t *written)
+{
+	hold_call_t call = *(hold_call_t *)ctx;
+	kb_time_t now = kb_clock_monotonic(call.group->proxy->clock);
+
+	free(ctx);
+	kb_log(KB_EVENT_HOLD_STATE,
+	       "group=%s write=%" PRIu64 " result=%s revision=%" PRId64,
+	       call.group->name.data, call.number, kb_result_name(result),
+	       written ? written->revision : 0);
+	kb_hold_on_written(&call.group->hold, call.number, result,
+			   written ? written->revision : 0, now);
+	wake_if_beginning(call.group);
+}
+
+static void hold_write(void *ctx, kb_hold_t *hold,
+		       const kb_hold_record_t *record, int64_t expected,
+		       uint64_t number)
+{
+	kb_proxy_group_t *group = ctx;
+	kb_store_t *store = group->proxy->setup.store;
+	hold_call_t *call = new_hold_call(group);
+	char *text = kb_hold_record_format(record);
+	char key[KEY_MAX_BYTES];
+	kb_store_write_t write;
+
+	(void)hold;
+	hold_key(group, key);
+	write = (kb_store_write_t){ .key = kb_str_from(key),
+				    .value = kb_str_from(text),
+				    .expected = expected };
+	if (call)
+		call->number = number;
+	if (!call || !text ||
+	    store->ops->put(store, &write, on_hold_written, call))
+		free(call);
+	free(text);
+}
+
+typedef struct grant_call {
+	kb_proxy_group_t *group;
+	kb_name_t candidate;
+	kb_time_t asked_at;
+} grant_call_t;
+
+static void on_granted(void *ctx, kb_result_t result, void *res)
+{
+	grant_call_t call = *(grant_call_t *)ctx;
+	const kbs_grant_res *granted = res;
+
+	free(ctx);
+	if (!result)
+		kb_hold_on_store_age(&call.group->hold, &call.candidate,
+				     granted->store_age_us * KB_NS_PER_US);
+	if (!result)
+		kb_hold_on_grant(&call.group->hold, &call.candidate,
+				 call.asked_at, granted->granted,
+				 kb_clock_monotonic(call.group->proxy->clock));
+	wake_if_beginning(call.group);
+}
+
+static void hold_ask(void *ctx, kb_hold_t *hold, const kb_name_t *candidate,
+		     kb_time_t asked_at)
+{
+	kb_proxy_group_t *group = ctx;
+	kb_proxy_t *proxy = group->proxy;
+	kb_host_t *host = kb_hosts_find(&proxy->hosts, kb_name_str(candidate));
+	grant_call_t *call = host ? calloc(1, sizeof(*call)) : NULL;
+	kbs_grant_args args = {
+		.group = kb_text_view(kb_name_str(&group->name)),
+		.holder = kb_text_view(kb_name_str(&proxy->self.name)),
+		.revision = (uint64_t)hold->revision,
+		.serving = kb_hold_is_live(hold, asked_at),
+	};
+	kb_rpc_call_t rpc = {
+		.procedure = KB_PROXY_GRANT,
+		.encode = (xdrproc_t)xdr_kbs_grant_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_kbs_grant_res,
+		.res_size = sizeof(kbs_grant_res),
+		.timeout = KB_PROXY_CALL_MS * KB_NS_PER_MS,
+		.done = on_granted,
+		.ctx = call,
+	};
+
+	if (!call)
+		return;
+	call->group = group;
+	call->candidate = *candidate;
+	call->asked_at = asked_at;
+	proxy->stats.host_calls++;
+	if (kb_rpc_peer_call(&host->peer, &rpc))
+		free(call);
+}
+
+static void on_heard(void *ctx, kb_result_t result, void *res)
+{
+	grant_call_t call = *(grant_call_t *)ctx;
+	const kbs_heard_res *heard = res;
+
+	free(ctx);
+	if (!result)
+		kb_hold_on_heard(&call.group->hold, heard->age_us >= 0,
+				 call.asked_at - heard->age_us * KB_NS_PER_US);
+}
+
+static void hold_inquire(void *ctx, kb_hold_t *hold)
+{
+	kb_proxy_group_t *group = ctx;
+	kb_proxy_t *proxy = group->proxy;
+
+	for (size_t i = 0; i < hold->record.candidates.count; i++) {
+		kb_host_t *host = kb_hosts_find(
+			&proxy->hosts,
+			kb_name_str(&hold->record.candidates.hosts[i]));
+		grant_call_t *call;
+		kbs_heard_args args = {
+			.group = kb_text_view(kb_name_str(&group->name)),
+			.holder =
+				kb_text_view(kb_name_str(&hold->record.holder)),
+		};
+		kb_rpc_call_t rpc = {
+			.procedure = KB_PROXY_HEARD,
+			.encode = (xdrproc_t)xdr_kbs_heard_args,
+			.args = &args,
+			.decode = (xdrproc_t)xdr_kbs_heard_res,
+			.res_size = sizeof(kbs_heard_res),
+			.timeout = KB_PROXY_CALL_MS * KB_NS_PER_MS,
+			.done = on_heard,
+		};
+
+		if (!host || host->self)
+			continue;
+		call = calloc(1, sizeof(*call));
+		if (!call)
+			continue;
+		call->group = group;
+		call->asked_at = kb_clock_monotonic(proxy->clock);
+		rpc.ctx = call;
+		proxy->stats.host_calls++;
+		if (kb_rpc_peer_call(&host->peer, &rpc))
+			free(call);
+	}
+}
+
+static void on_looked(void *ctx, kb_result_t result, void *res)
+{
+	/* A host that was not told learns it from the others. */
+	(void)ctx;
+	(void)result;
+	(void)res;
+}
+
+static void hold_tell(void *ctx, kb_hold_t *hold, const kb_name_t *name)
+{
+	kb_proxy_group_t *group = ctx;
+	kb_proxy_t *proxy = group->proxy;
+	kb_host_t *host = kb_hosts_find(&proxy->hosts, kb_name_str(name));
+	kbs_look_args args = {
+		.group = kb_text_view(kb_name_str(&group->name)),
+	};
+	kb_rpc_call_t rpc = {
+		.procedure = KB_PROXY_LOOK,
+		.encode = (xdrproc_t)xdr_kbs_look_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_kbs_look_res,
+		.res_size = sizeof(kbs_look_res),
+		.timeout = KB_PROXY_CALL_MS * KB_NS_PER_MS,
+		.done = on_looked,
+	};
+
+	(void)hold;
+	if (!host || host->self)
+		return;
+	proxy->stats.host_calls++;
+	kb_rpc_peer_call(&host->peer, &rpc);
+}
+
+static void hold_changed(void *ctx, kb_hold_t *hold)
+{
+	static const char *const roles[] = {
+		[KB_HOLD_NONE] = "none",
+		[KB_HOLD_TAKING] = "taking",
+		[KB_HOLD_WAITING] = "waiting",
+		[KB_HOLD_SERVING] = "serving",
+		[KB_HOLD_RELEASING] = "releasing",
+	};
+	kb_proxy_group_t *group = ctx;
+
+	kb_log(KB_EVENT_HOLD_STATE,
+	       "group=%s role=%s holder=%s revision=%" PRId64 " released=%d",
+	       group->name.data, roles[hold->role], hold->record.holder.data,
+	       hold->revision, hold->record.released);
+}
+
+const kb_hold_ops_t kb_proxy_hold_ops = {
+	.read = hold_read,
+	.write = hold_write,
+	.ask = hold_ask,
+	.inquire = hold_inquire,
+	.tell = hold_tell,
+	.changed = hold_changed,
+};
--- /dev/null
+++ b/src/proxy_lead.c
@@ -0,0 +1,192 @@
+#include "proxy_parts.h"
+
+#include <stdlib.h>
+
+enum {
+	/* Connections of a target left to other hosts' probes and gates. */
+	SPARE_CONNECTIONS = 3,
+	SPARE_CONNECTIONS_MIN = 2,
+	/* Hosts that are asked whether they reach a primary. */
+	REACH_HOSTS = 4,
+};
+
+static void lead_probe(void *ctx, const kb_target_entry_t *target)
+{
+	kb_proxy_group_t *group = ctx;
+	kb_proxy_probe_t *probe = kb_proxy_probe_get(group, target);
+
+	if (!probe)
+		return;
+	probe->for_lead = 1;
+	kb_target_probe_send(&probe->probe, KB_ORDER_STATUS, 0);
+}
+
+static void lead_step_down(void *ctx, const kb_target_entry_t *target,
+			   uint64_t term)
+{
+	kb_proxy_probe_t *probe = kb_proxy_probe_get(ctx, target);
+
+	if (probe)
+		kb_target_probe_send(&probe->probe, KB_ORDER_STEP_DOWN, term);
+}
+
+typedef struct promote_call {
+	kb_proxy_group_t *group;
+	kb_name_t target;
+} promote_call_t;
+
+static void on_promoted(void *ctx, kb_result_t result)
+{
+	promote_call_t call = *(promote_call_t *)ctx;
+
+	free(ctx);
+	kb_lead_on_promoted(&call.group->lead, kb_name_str(&call.target),
+			    result,
+			    kb_clock_monotonic(call.group->proxy->clock));
+}
+
+static void lead_promote(void *ctx, const kb_target_entry_t *target)
+{
+	kb_proxy_group_t *group = ctx;
+	kb_platform_view_t *view = group->proxy->setup.view;
+	promote_call_t *call = calloc(1, sizeof(*call));
+
+	if (!call)
+		return;
+	call->group = group;
+	call->target = target->place.target;
+	if (view->ops->promote(view, &target->place,
+			       kb_name_str(&group->proxy->self.name),
+			       group->hold.token, on_promoted, call))
+		free(call);
+}
+
+typedef struct reach_call {
+	kb_proxy_group_t *group;
+	kb_name_t host;
+	kb_name_t target;
+} reach_call_t;
+
+static void on_reached(void *ctx, kb_result_t result, void *res)
+{
+	reach_call_t call = *(reach_call_t *)ctx;
+	const kbs_reach_res *reach = res;
+
+	free(ctx);
+	if (!result && reach->reached && reach->primary)
+		kb_lead_on_reached(&call.group->lead, kb_name_str(&call.target),
+				   &call.host, reach->term);
+}
+
+static void lead_inquire(void *ctx, const kb_target_entry_t *target)
+{
+	kb_proxy_group_t *group = ctx;
+	kb_proxy_t *proxy = group->proxy;
+	kb_time_t now = kb_clock_monotonic(proxy->clock);
+	kb_hold_ranking_t ranking;
+	size_t asked = 0;
+
+	kb_proxy_group_rank(group, &ranking);
+	for (size_t i = 0; i < ranking.count && asked < REACH_HOSTS; i++) {
+		kb_host_t *host = kb_hosts_find(&proxy->hosts,
+						kb_name_str(&ranking.hosts[i]));
+		reach_call_t *call;
+		kbs_reach_args args = {
+			.group = kb_text_view(kb_name_str(&group->name)),
+			.target = kb_text_view(
+				kb_name_str(&target->place.target)),
+		};
+		kb_rpc_call_t rpc = {
+			.procedure = KB_PROXY_REACH,
+			.encode = (xdrproc_t)xdr_kbs_reach_args,
+			.args = &args,
+			.decode = (xdrproc_t)xdr_kbs_reach_res,
+			.res_size = sizeof(kbs_reach_res),
+			.timeout = KB_PROXY_CALL_MS * KB_NS_PER_MS,
+			.done = on_reached,
+		};
+
+		if (!host || host->self || !kb_proxy_host_usable(host, now))
+			continue;
+		call = calloc(1, sizeof(*call));
+		if (!call)
+			continue;
+		call->group = group;
+		call->host = host->name;
+		call->target = target->place.target;
+		rpc.ctx = call;
+		asked++;
+		proxy->stats.host_calls++;
+		if (kb_rpc_peer_call(&host->peer, &rpc))
+			free(call);
+	}
+}
+
+static void lead_hand_over(void *ctx, const kb_name_t *host)
+{
+	kb_proxy_group_t *group = ctx;
+	kb_hold_ranking_t ranking;
+
+	kb_proxy_group_rank(group, &ranking);
+	kb_hold_release(&group->hold, &ranking, host,
+			kb_clock_monotonic(group->proxy->clock));
+}
+
+static void lead_bind(void *ctx, const kb_target_entry_t *primary)
+{
+	static const kb_link_place_t nowhere;
+	kb_proxy_group_t *group = ctx;
+	unsigned limit = SPARE_CONNECTIONS_MIN;
+
+	if (!primary) {
+		kb_link_pool_bind(&group->pool, &nowhere, 1, 0);
+		return;
+	}
+	if (group->connections > SPARE_CONNECTIONS + limit)
+		limit = group->connections - SPARE_CONNECTIONS;
+	kb_link_pool_bind(&group->pool, &primary->place, primary->slots, limit);
+}
+
+static void lead_pause(void *ctx, int paused)
+{
+	kb_proxy_group_t *group = ctx;
+
+	group->pool.paused = paused;
+}
+
+static void lead_abort(void *ctx)
+{
+	kb_proxy_group_t *group = ctx;
+
+	kb_link_pool_abort_transactions(&group->pool);
+}
+
+static unsigned lead_active(void *ctx)
+{
+	kb_proxy_group_t *group = ctx;
+
+	return kb_link_pool_active(&group->pool);
+}
+
+static kb_time_t lead_hold_left(void *ctx)
+{
+	kb_proxy_group_t *group = ctx;
+	kb_time_t now = kb_clock_monotonic(group->proxy->clock);
+
+	if (group->hold.role != KB_HOLD_SERVING)
+		return 0;
+	return kb_hold_valid_until(&group->hold) - now;
+}
+
+const kb_lead_ops_t kb_proxy_lead_ops = {
+	.probe = lead_probe,
+	.step_down = lead_step_down,
+	.promote = lead_promote,
+	.inquire = lead_inquire,
+	.hand_over = lead_hand_over,
+	.bind = lead_bind,
+	.pause = lead_pause,
+	.abort = lead_abort,
+	.active = lead_active,
+	.hold_left = lead_hold_left,
+};
--- a/src/proxy_parts.h
+++ b/src/proxy_parts.h
@@ -156,8 +156,6 @@
 	kb_proxy_load_t *loads;
 	size_t load_count;
 	struct event *tick;
-	kb_time_t started_at;
-	kb_time_t tick_at;
 	/* Last answer of another host that follows the store closely. */
 	kb_time_t synced_at;
 	kb_time_t sync_sent_at;
@@ -166,7 +164,6 @@
 	size_t reader_rank;
 	kb_time_t reader_at;
 	int stopping;
-	kb_time_t stop_at;
 	kb_time_t stop_begun_at;
 	kb_proxy_session_t *sessions;
 	size_t session_count;
@@ -195,6 +192,25 @@
 /* The group's hosts in the order in which they should hold it. */
 void kb_proxy_group_rank(kb_proxy_group_t *group, kb_hold_ranking_t *ranking);
 
+/* proxy_hold.c, proxy_lead.c: what holds and watches order. */
+extern const kb_hold_ops_t kb_proxy_hold_ops;
+extern const kb_lead_ops_t kb_proxy_lead_ops;
+
+/* proxy_rank.c */
+/* 2: in the primary's data centre, 1: in its region, 0: elsewhere. */
+int kb_proxy_nearness(const kb_proxy_t *proxy, const kb_host_t *host,
+		      const kb_target_entry_t *primary);
+/* Hands the group to a host that should rather hold it, if there is one. */
+void kb_proxy_group_seek_holder(kb_proxy_group_t *group,
+				const kb_hold_ranking_t *ranking,
+				kb_time_t now);
+/* Goes on with a hand-over that has begun. */
+void kb_proxy_group_hand_over(kb_proxy_group_t *group,
+			      const kb_hold_ranking_t *ranking, kb_time_t now);
+
+/* proxy_stamp.c */
+void kb_proxy_group_ask_stamp(kb_proxy_group_t *group, kb_time_t now);
+
 /* proxy_probe.c */
 kb_proxy_probe_t *kb_proxy_probe_get(kb_proxy_group_t *group,
 				     const kb_target_entry_t *target);
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -277,6 +277,13 @@
 		return;
 	}
 	session->proxy->stats.retries++;
+	if (session->attempts == 1)
+		kb_log(KB_EVENT_REQUEST_RETRIED,
+		       "id=%.*s result=%s target=%s gate=%s ms=%" PRId64,
+		       KB_STR_ARG(kb_text_str(session->session.args.id)),
+		       kb_result_name(result), session->target.data,
+		       session->gate.data,
+		       (now - session->began_at) / KB_NS_PER_MS);
 	if (replica)
 		kb_read_choice_exclude(&session->choice, &session->target);
 	if (!replica && is_hopeless(session, now)) {
--- /dev/null
+++ b/src/proxy_stamp.c
@@ -0,0 +1,172 @@
+#include "proxy_parts.h"
+
+#include "rendezvous.h"
+
+#include <stdlib.h>
+
+enum {
+	/* Stamps are asked for this often while the group is used. */
+	STAMP_PAUSE_MS = 250,
+	/* A holder that says nothing for this time is not asked alone. */
+	HOLDER_SILENT_MS = 700,
+	/* One of the other groups is asked about this often. */
+	IDLE_STAMP_PAUSE_MS = 250,
+	/* A group that was used within this time is used. */
+	STAMP_USED_S = 10,
+};
+
+void kb_proxy_group_stamp(kb_proxy_group_t *group, kbs_stamp *stamp)
+{
+	kb_time_t now = kb_clock_monotonic(group->proxy->clock);
+	const kb_lead_t *lead = &group->lead;
+
+	memset(stamp, 0, sizeof(*stamp));
+	if (!kb_hold_may_serve(&group->hold, now) || !lead->has_primary ||
+	    lead->state == KB_LEAD_IDLE || lead->state == KB_LEAD_FINDING)
+		return;
+	stamp->valid = TRUE;
+	stamp->term = lead->term;
+	stamp->point = kb_point_to(lead->newest);
+	stamp->primary = kb_text_view(kb_name_str(&lead->primary.place.target));
+}
+
+void kb_proxy_group_learn(kb_proxy_group_t *group, const kbs_stamp *stamp,
+			  kb_time_t sent_at)
+{
+	kb_time_t at = sent_at - stamp->age_us * KB_NS_PER_US;
+
+	if (!stamp->valid)
+		return;
+	kb_stamps_add(&group->stamps, stamp->term, at,
+		      kb_point_from(stamp->point));
+	if (stamp->term < group->primary_term)
+		return;
+	group->primary_term = stamp->term;
+	kb_name_set(&group->primary, kb_text_str(stamp->primary));
+}
+
+typedef struct stamp_call {
+	kb_proxy_group_t *group;
+	kb_time_t sent_at;
+} stamp_call_t;
+
+static void on_stamp(void *ctx, kb_result_t result, void *res)
+{
+	stamp_call_t call = *(stamp_call_t *)ctx;
+	const kbs_stamp_res *told = res;
+
+	free(ctx);
+	if (!result)
+		kb_proxy_group_learn(call.group, &told->stamp, call.sent_at);
+}
+
+/* Groups without callers take turns: their stamps show what is reached. */
+static int may_ask_stamp(const kb_proxy_group_t *group, kb_time_t now)
+{
+	const kb_proxy_t *proxy = group->proxy;
+	size_t turn = (size_t)(now / (IDLE_STAMP_PAUSE_MS * KB_NS_PER_MS)) %
+		      proxy->group_count;
+
+	return now - group->used_at <= STAMP_USED_S * KB_NS_PER_S ||
+	       proxy->groups[turn] == group;
+}
+
+/* The host of this region that asks a holder in another one for the rest. */
+static const kb_host_t *stamp_relay(const kb_proxy_group_t *group,
+				    kb_time_t now)
+{
+	const kb_hosts_t *hosts = &group->proxy->hosts;
+	const kb_host_t *best = NULL;
+	uint64_t best_score = 0;
+
+	for (size_t i = 0; i < hosts->count; i++) {
+		const kb_host_t *host = hosts->hosts[i];
+		uint64_t score = kb_rendezvous_score(kb_name_str(&host->name),
+						     kb_name_str(&group->name));
+
+		if (!kb_proxy_host_usable(host, now) ||
+		    !kb_name_is(&host->region,
+				kb_name_str(&group->proxy->self.region)) ||
+		    (best && score <= best_score))
+			continue;
+		best = host;
+		best_score = score;
+	}
+	return best;
+}
+
+/*
+ * The holder, or the relay of this region if the holder is in another one.
+ * While stamps stay away the candidates are asked in turn.
+ */
+static const kb_name_t *stamp_source(kb_proxy_group_t *group, kb_time_t now)
+{
+	const kb_hold_set_t *set = &group->hold.record.candidates;
+	const kb_name_t *holder = &group->hold.record.holder;
+	const kb_host_t *host =
+		kb_hosts_find(&group->proxy->hosts, kb_name_str(holder));
+	const kb_host_t *relay;
+
+	if (set->count && kb_proxy_group_silence(group, now) >
+				  HOLDER_SILENT_MS * KB_NS_PER_MS) {
+		group->stamp_source = (group->stamp_source + 1) % set->count;
+		return &set->hosts[group->stamp_source];
+	}
+	if (!host ||
+	    kb_name_is(&host->region, kb_name_str(&group->proxy->self.region)))
+		return holder;
+	relay = stamp_relay(group, now);
+	return relay && !relay->self ? &relay->name : holder;
+}
+
+void kb_proxy_group_relay(kb_proxy_group_t *group, kbs_stamp *stamp)
+{
+	kb_time_t now = kb_clock_monotonic(group->proxy->clock);
+	const kb_stamp_t *newest = kb_stamps_last(&group->stamps);
+
+	/* What others need is kept up to date here. */
+	group->used_at = now;
+	if (!newest || now - newest->at > HOLDER_SILENT_MS * KB_NS_PER_MS)
+		return;
+	stamp->valid = TRUE;
+	stamp->term = group->stamps.term;
+	stamp->point = kb_point_to(newest->point);
+	stamp->primary = kb_text_view(kb_name_str(&group->primary));
+	stamp->age_us = (now - newest->at) / KB_NS_PER_US;
+}
+
+void kb_proxy_group_ask_stamp(kb_proxy_group_t *group, kb_time_t now)
+{
+	kb_proxy_t *proxy = group->proxy;
+	kb_host_t *host = kb_hosts_find(&proxy->hosts,
+					kb_name_str(stamp_source(group, now)));
+	stamp_call_t *call;
+	kbs_stamp_args args = {
+		.group = kb_text_view(kb_name_str(&group->name)),
+	};
+	kb_rpc_call_t rpc = {
+		.procedure = KB_PROXY_STAMP,
+		.encode = (xdrproc_t)xdr_kbs_stamp_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_kbs_stamp_res,
+		.res_size = sizeof(kbs_stamp_res),
+		.timeout = KB_PROXY_CALL_MS * KB_NS_PER_MS,
+		.done = on_stamp,
+	};
+
+	if (!host || host->self || !may_ask_stamp(group, now) ||
+	    now - kb_stamps_newest(&group->stamps) <
+		    STAMP_PAUSE_MS * KB_NS_PER_MS ||
+	    now - group->stamp_asked_at < STAMP_PAUSE_MS * KB_NS_PER_MS)
+		return;
+	call = calloc(1, sizeof(*call));
+	if (!call)
+		return;
+	group->stamp_asked_at = now;
+	call->group = group;
+	call->sent_at = now;
+	rpc.ctx = call;
+	proxy->stats.host_calls++;
+	if (kb_rpc_peer_call(&host->peer, &rpc))
+		free(call);
+}
--- a/src/proxy_vacancy.c
+++ b/src/proxy_vacancy.c
@@ -22,7 +22,6 @@
 typedef struct granted_call {
 	kb_proxy_group_t *group;
 	uint64_t number;
-	kb_time_t asked_at;
 } granted_call_t;
 
 /* A majority denies a holder: the targets tell who leads, and how far. */
@@ -78,7 +77,7 @@
 		deny(call.group, told->age_us * KB_NS_PER_US);
 }
 
-static void ask(kb_proxy_group_t *group, kb_host_t *host, kb_time_t now)
+static void ask(kb_proxy_group_t *group, kb_host_t *host)
 {
 	granted_call_t *call = calloc(1, sizeof(*call));
 	kbs_granted_args args = {
@@ -99,7 +98,6 @@
 		return;
 	call->group = group;
 	call->number = group->vacancy.number;
-	call->asked_at = now;
 	group->proxy->stats.host_calls++;
 	if (kb_rpc_peer_call(&host->peer, &rpc))
 		free(call);
@@ -123,7 +121,7 @@
 		if (!host)
 			continue;
 		if (!host->self)
-			ask(group, host, now);
+			ask(group, host);
 		else if (kb_hold_granted(&group->hold, vacancy->revision,
 					 &since))
 			deny(group, now - since);
--- a/tests/test_lead.cc
+++ b/tests/test_lead.cc
@@ -187,7 +187,7 @@
 				    kb_str_from(watch.reached_by.c_str()));
 			kb_lead_on_reached(&watch.lead,
 					   { name.data(), name.size() }, &host,
-					   1, watch.now);
+					   1);
 		});
 	}
 
