--- /dev/null
+++ b/src/hold_tick.c
@@ -0,0 +1,289 @@
+#include "hold_internal.h"
+
+#include <string.h>
+
+enum {
+	/* Calls without an answer are repeated after this time. */
+	CALL_TIMEOUT_MS = 600,
+	/* The set of candidates is not rewritten more often. */
+	REWRITE_PAUSE_MS = 1000,
+	/* The same before the host serves. */
+	REWRITE_WAITING_MS = 300,
+	/* Time for answers of other hosts that were asked about the holder. */
+	INQUIRY_MS = 100,
+};
+
+/* Whether a host that is asked has granted nothing for some time. */
+static int is_missing(const kb_hold_t *hold, const kb_name_t *host,
+		      kb_time_t now)
+{
+	for (size_t i = 0; i < hold->grant_count; i++) {
+		const kb_hold_grant_t *grant = &hold->grants[i];
+		kb_time_t last =
+			grant->granted ? grant->asked_at : grant->since;
+
+		if (kb_hold_names_equal(&grant->candidate, host))
+			return grant->storeless ||
+			       (last &&
+				now - last > KB_HOLD_MISSING_MS * KB_NS_PER_MS);
+	}
+	return 0;
+}
+
+static int is_ranked(const kb_hold_ranking_t *ranking, const kb_name_t *host)
+{
+	for (size_t i = 0; i < ranking->count; i++)
+		if (kb_hold_names_equal(&ranking->hosts[i], host))
+			return 1;
+	return 0;
+}
+
+static void add_host(kb_hold_set_t *set, const kb_name_t *host)
+{
+	if (set->count < KB_HOLD_CANDIDATES_MAX && !kb_hold_set_has(set, host))
+		set->hosts[set->count++] = *host;
+}
+
+/*
+ * Names the present candidates that answer, then the first hosts of the
+ * ranking; those that do not answer last.
+ */
+static void make_record(const kb_hold_t *hold, kb_hold_record_t *record,
+			const kb_name_t *holder,
+			const kb_hold_ranking_t *ranking, kb_time_t now)
+{
+	const kb_hold_set_t *present = &hold->record.candidates;
+	kb_hold_set_t *set = &record->candidates;
+
+	memset(record, 0, sizeof(*record));
+	record->holder = *holder;
+	add_host(set, holder);
+	for (size_t i = 0; kb_hold_names_self(hold) && i < present->count; i++)
+		if (is_ranked(ranking, &present->hosts[i]) &&
+		    !is_missing(hold, &present->hosts[i], now))
+			add_host(set, &present->hosts[i]);
+	for (int missing = 0; missing < 2; missing++)
+		for (size_t i = 0; i < ranking->count; i++)
+			if (is_missing(hold, &ranking->hosts[i], now) ==
+			    missing)
+				add_host(set, &ranking->hosts[i]);
+}
+
+/* Notes whose grants the holder that served last may have had. */
+static void keep_former(kb_hold_record_t *record,
+			const kb_hold_record_t *replaced)
+{
+	if (replaced->settled) {
+		record->former = replaced->candidates;
+		return;
+	}
+	record->former = replaced->former;
+	record->former_lost = replaced->former_lost;
+	record->released = replaced->released;
+}
+
+static void take(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
+		 kb_time_t now)
+{
+	make_record(hold, &hold->wanted, &hold->self, ranking, now);
+	keep_former(&hold->wanted, &hold->record);
+	if (!hold->record.holder.len && !hold->first_start)
+		hold->wanted.former_lost = 1;
+	kb_hold_set_role(hold, KB_HOLD_TAKING);
+	kb_hold_begin_write(hold, now);
+}
+
+static size_t rank_of(const kb_hold_ranking_t *ranking, const kb_name_t *self,
+		      const kb_name_t *holder)
+{
+	size_t rank = 0;
+
+	for (size_t i = 0; i < ranking->count; i++) {
+		if (kb_hold_names_equal(&ranking->hosts[i], self))
+			return rank;
+		if (!kb_hold_names_equal(&ranking->hosts[i], holder))
+			rank++;
+	}
+	return KB_HOLD_HOSTS_MAX;
+}
+
+/* Takes the group over once its holder has been silent for long enough. */
+static void watch_holder(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
+			 kb_time_t now)
+{
+	size_t rank = rank_of(ranking, &hold->self, &hold->record.holder);
+	kb_time_t patience =
+		(KB_HOLD_SUSPECT_MS + (kb_time_t)rank * KB_HOLD_RANK_MS) *
+		KB_NS_PER_MS;
+
+	if (rank >= KB_HOLD_HOSTS_MAX)
+		return;
+	if (!hold->record.holder.len)
+		patience =
+			(KB_HOLD_FIRST_MS + (kb_time_t)rank * KB_HOLD_RANK_MS) *
+			KB_NS_PER_MS;
+	else if (!kb_hold_set_has(&hold->record.candidates, &hold->self))
+		patience += KB_HOLD_UNCALLED_S * KB_NS_PER_S;
+	if (now - hold->heard_at < patience) {
+		hold->inquiring = 0;
+		return;
+	}
+	if (!hold->record.holder.len) {
+		take(hold, ranking, now);
+		return;
+	}
+	if (!hold->inquiring) {
+		hold->inquiring = 1;
+		hold->inquired_at = now;
+		hold->ops->inquire(hold->ctx, hold);
+		return;
+	}
+	if (now - hold->inquired_at < INQUIRY_MS * KB_NS_PER_MS)
+		return;
+	hold->inquiring = 0;
+	take(hold, ranking, now);
+}
+
+static void ask_candidates(kb_hold_t *hold, kb_time_t now)
+{
+	hold->asked_at = now;
+	for (size_t i = 0; i < hold->grant_count; i++) {
+		if (!hold->grants[i].since)
+			hold->grants[i].since = now;
+		hold->ops->ask(hold->ctx, hold, &hold->grants[i].candidate,
+			       now);
+	}
+}
+
+static int same_set(const kb_hold_set_t *a, const kb_hold_set_t *b)
+{
+	if (a->count != b->count)
+		return 0;
+	for (size_t i = 0; i < a->count; i++)
+		if (!kb_hold_set_has(b, &a->hosts[i]))
+			return 0;
+	return 1;
+}
+
+/*
+ * Whether the wanted candidates grant renewals already, so that naming them
+ * does not interrupt the service; or there is none to interrupt.
+ */
+static int is_prepared(const kb_hold_t *hold, kb_time_t now)
+{
+	kb_time_t recent = now - KB_HOLD_VALID_MS / 2 * KB_NS_PER_MS;
+
+	return kb_hold_majority_time(hold, &hold->wanted.candidates) >=
+		       recent ||
+	       kb_hold_valid_until(hold) <= now;
+}
+
+/* Names the present hosts as candidates, and settles the hold when it may. */
+static void rewrite(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
+		    kb_time_t now)
+{
+	kb_hold_record_t wanted;
+	int settles = hold->role == KB_HOLD_WAITING && !hold->record.settled &&
+		      now >= hold->serve_at && now < kb_hold_valid_until(hold);
+
+	kb_time_t pause = hold->role == KB_HOLD_SERVING ? REWRITE_PAUSE_MS
+							: REWRITE_WAITING_MS;
+
+	if (hold->rewriting &&
+	    now - hold->wrote_at < CALL_TIMEOUT_MS * KB_NS_PER_MS)
+		return;
+	if (!settles && now - hold->wrote_at < pause * KB_NS_PER_MS)
+		return;
+	make_record(hold, &wanted, &hold->self, ranking, now);
+	wanted.settled = hold->record.settled || settles;
+	if (!wanted.settled)
+		keep_former(&wanted, &hold->record);
+	if (!hold->rewriting && hold->revision &&
+	    wanted.settled == hold->record.settled &&
+	    same_set(&wanted.candidates, &hold->record.candidates)) {
+		hold->preparing = 0;
+		return;
+	}
+	/* A write without an answer may still take effect: repeat it. */
+	if (!hold->rewriting || settles)
+		hold->wanted = wanted;
+	if (!hold->rewriting && !settles && !is_prepared(hold, now)) {
+		hold->preparing = 1;
+		kb_hold_set_grants(hold);
+		return;
+	}
+	hold->preparing = 0;
+	hold->rewriting = 1;
+	kb_hold_set_grants(hold);
+	kb_hold_begin_write(hold, now);
+}
+
+static void renew(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
+		  kb_time_t now)
+{
+	kb_time_t pause =
+		kb_hold_valid_until(hold) >
+				now + KB_HOLD_VALID_MS / 2 * KB_NS_PER_MS
+			? KB_HOLD_RENEW_MS
+			: KB_HOLD_URGENT_MS;
+
+	if (now - hold->asked_at >= pause * KB_NS_PER_MS)
+		ask_candidates(hold, now);
+	if (!hold->confirmed ||
+	    now - hold->confirmed_at >= KB_HOLD_STORE_CHECK_S * KB_NS_PER_S)
+		kb_hold_begin_read(hold, now);
+	rewrite(hold, ranking, now);
+	if (hold->role == KB_HOLD_WAITING && hold->record.settled &&
+	    now + KB_HOLD_MARGIN_MS * KB_NS_PER_MS < kb_hold_valid_until(hold))
+		kb_hold_set_role(hold, KB_HOLD_SERVING);
+}
+
+void kb_hold_tick(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
+		  kb_time_t now)
+{
+	if (!hold->known)
+		return;
+	switch (hold->role) {
+	case KB_HOLD_NONE:
+		if (kb_hold_names_self(hold) ||
+		    (!hold->verified &&
+		     kb_hold_set_has(&hold->record.candidates, &hold->self)))
+			kb_hold_begin_read(hold, now);
+		else
+			watch_holder(hold, ranking, now);
+		break;
+	case KB_HOLD_TAKING:
+		if (now - hold->wrote_at > 2 * CALL_TIMEOUT_MS * KB_NS_PER_MS)
+			kb_hold_on_written(hold, hold->write_number,
+					   KB_ERR_UNKNOWN, 0, now);
+		break;
+	case KB_HOLD_RELEASING:
+		if (now - hold->wrote_at > CALL_TIMEOUT_MS * KB_NS_PER_MS)
+			kb_hold_begin_write(hold, now);
+		break;
+	default:
+		renew(hold, ranking, now);
+		break;
+	}
+}
+
+void kb_hold_release(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
+		     const kb_name_t *successor, kb_time_t now)
+{
+	const kb_name_t *next = successor;
+
+	if (hold->role != KB_HOLD_SERVING && hold->role != KB_HOLD_WAITING)
+		return;
+	for (size_t i = 0; !next && i < ranking->count; i++)
+		if (!kb_hold_names_equal(&ranking->hosts[i], &hold->self))
+			next = &ranking->hosts[i];
+	if (!next)
+		return;
+	make_record(hold, &hold->wanted, next, ranking, now);
+	keep_former(&hold->wanted, &hold->record);
+	if (hold->role == KB_HOLD_SERVING)
+		hold->wanted.released = 1;
+	hold->rewriting = 0;
+	kb_hold_set_role(hold, KB_HOLD_RELEASING);
+	kb_hold_begin_write(hold, now);
+}
--- a/src/lead.c
+++ b/src/lead.c
@@ -1,4 +1,4 @@
-#include "lead.h"
+#include "lead_internal.h"
 
 #include "log.h"
 
@@ -19,7 +19,7 @@
 	lead->group = *group;
 }
 
-static void set_paused(kb_lead_t *lead, int paused)
+void kb_lead_set_paused(kb_lead_t *lead, int paused)
 {
 	if (lead->paused == paused)
 		return;
@@ -27,7 +27,7 @@
 	lead->ops->pause(lead->ctx, paused);
 }
 
-static void enter(kb_lead_t *lead, kb_lead_state_t state, kb_time_t now)
+void kb_lead_enter(kb_lead_t *lead, kb_lead_state_t state, kb_time_t now)
 {
 	if (lead->state == state)
 		return;
@@ -41,7 +41,8 @@
 	lead->state = state;
 	lead->since = now;
 	lead->inquired = 0;
-	set_paused(lead, state != KB_LEAD_SERVING && state != KB_LEAD_DOUBTING);
+	kb_lead_set_paused(lead, state != KB_LEAD_SERVING &&
+					 state != KB_LEAD_DOUBTING);
 }
 
 int kb_lead_serves(const kb_lead_t *lead)
@@ -62,11 +63,11 @@
 	lead->replaced.len = 0;
 	lead->planned = 0;
 	lead->lost_at = now;
-	enter(lead, holds ? KB_LEAD_FINDING : KB_LEAD_IDLE, now);
+	kb_lead_enter(lead, holds ? KB_LEAD_FINDING : KB_LEAD_IDLE, now);
 	lead->ops->bind(lead->ctx, NULL);
 }
 
-static kb_lead_probe_t *probe_of(kb_lead_t *lead, kb_str_t target)
+kb_lead_probe_t *kb_lead_probe_of(kb_lead_t *lead, kb_str_t target)
 {
 	for (size_t i = 0; i < lead->probe_count; i++)
 		if (kb_name_is(&lead->probes[i].target, target))
@@ -90,7 +91,7 @@
 
 		if (!kb_name_is(&entry->place.group,
 				kb_name_str(&lead->group)) ||
-		    probe_of(lead, kb_name_str(&entry->place.target)) ||
+		    kb_lead_probe_of(lead, kb_name_str(&entry->place.target)) ||
 		    lead->probe_count == KB_LEAD_TARGETS_MAX)
 			continue;
 		probe = &lead->probes[lead->probe_count++];
@@ -99,8 +100,8 @@
 	}
 }
 
-static void send_probe(kb_lead_t *lead, kb_lead_probe_t *probe,
-		       const kb_target_entry_t *entry, kb_time_t now)
+void kb_lead_send_probe(kb_lead_t *lead, kb_lead_probe_t *probe,
+			const kb_target_entry_t *entry, kb_time_t now)
 {
 	if (probe->waiting &&
 	    now - probe->sent_at < KB_LEAD_PROBE_TIMEOUT_MS * KB_NS_PER_MS)
@@ -130,8 +131,8 @@
 }
 
 /* Probes the targets that have not answered since `after`. */
-static size_t probe_all(kb_lead_t *lead, const kb_target_list_t *targets,
-			kb_time_t after, kb_time_t now, size_t *answered)
+size_t kb_lead_probe_all(kb_lead_t *lead, const kb_target_list_t *targets,
+			 kb_time_t after, kb_time_t now, size_t *answered)
 {
 	size_t missing = 0;
 
@@ -144,16 +145,17 @@
 			continue;
 		}
 		missing++;
-		send_probe(lead, probe,
-			   kb_target_list_find(targets,
-					       kb_name_str(&probe->target)),
-			   now);
+		kb_lead_send_probe(
+			lead, probe,
+			kb_target_list_find(targets,
+					    kb_name_str(&probe->target)),
+			now);
 	}
 	return missing;
 }
 
-static void serve(kb_lead_t *lead, const kb_target_entry_t *primary,
-		  const kb_target_report_t *report, kb_time_t now)
+void kb_lead_serve(kb_lead_t *lead, const kb_target_entry_t *primary,
+		   const kb_target_report_t *report, kb_time_t now)
 {
 	lead->primary = *primary;
 	lead->has_primary = 1;
@@ -169,20 +171,7 @@
 	       report->received.position,
 	       lead->lost_at ? (now - lead->lost_at) / KB_NS_PER_MS : 0);
 	lead->lost_at = 0;
-	enter(lead, KB_LEAD_SERVING, now);
-}
-
-static void begin_promotion(kb_lead_t *lead, kb_time_t now)
-{
-	lead->chosen.len = 0;
-	lead->ordered = 0;
-	if (!lead->lost_at)
-		lead->lost_at = now;
-	for (size_t i = 0; i < lead->probe_count; i++)
-		lead->probes[i].rejected = 0;
-	enter(lead, KB_LEAD_PROMOTING, now);
-	lead->ops->abort(lead->ctx);
-	lead->ops->bind(lead->ctx, NULL);
+	kb_lead_enter(lead, KB_LEAD_SERVING, now);
 }
 
 static void tick_finding(kb_lead_t *lead, const kb_target_list_t *targets,
@@ -191,7 +180,8 @@
 	const kb_lead_probe_t *best = NULL;
 	uint64_t highest = 0;
 	size_t answered;
-	size_t missing = probe_all(lead, targets, lead->since, now, &answered);
+	size_t missing =
+		kb_lead_probe_all(lead, targets, lead->since, now, &answered);
 	kb_time_t spent = now - lead->since;
 
 	for (size_t i = 0; i < lead->probe_count; i++) {
@@ -208,35 +198,37 @@
 	if (best && best->report.term >= highest &&
 	    best->report.term >= lead->term &&
 	    (!missing || spent >= KB_LEAD_FIND_MS * KB_NS_PER_MS)) {
-		serve(lead,
-		      kb_target_list_find(targets, kb_name_str(&best->target)),
-		      &best->report, now);
+		kb_lead_serve(lead,
+			      kb_target_list_find(targets,
+						  kb_name_str(&best->target)),
+			      &best->report, now);
 		return;
 	}
 	if (answered && spent >= KB_LEAD_LEADERLESS_MS * KB_NS_PER_MS &&
 	    (!missing || spent >= KB_LEAD_SILENT_MS * KB_NS_PER_MS))
-		begin_promotion(lead, now);
+		kb_lead_begin_promotion(lead, now);
 }
 
 static void tick_doubting(kb_lead_t *lead, const kb_target_list_t *targets,
 			  kb_time_t now)
 {
-	kb_lead_probe_t *probe =
-		probe_of(lead, kb_name_str(&lead->primary.place.target));
+	kb_lead_probe_t *probe = kb_lead_probe_of(
+		lead, kb_name_str(&lead->primary.place.target));
 	kb_time_t spent = now - lead->since;
 	kb_time_t limit;
 
 	if (!probe) {
 		/* Its entry is gone; the connections decide. */
 		if (spent >= KB_LEAD_SILENT_MS * KB_NS_PER_MS)
-			begin_promotion(lead, now);
+			kb_lead_begin_promotion(lead, now);
 		return;
 	}
-	send_probe(lead, probe,
-		   entry_of(lead, targets, &lead->primary.place.target), now);
+	kb_lead_send_probe(lead, probe,
+			   entry_of(lead, targets, &lead->primary.place.target),
+			   now);
 	if (probe->failed_at <= lead->since)
 		return;
-	set_paused(lead, 1);
+	kb_lead_set_paused(lead, 1);
 	if (!lead->inquired) {
 		lead->inquired = 1;
 		lead->ops->inquire(lead->ctx, &lead->primary);
@@ -248,187 +240,8 @@
 		       " refused=%d silent_ms=%" PRId64,
 		       lead->group.data, lead->primary.place.target.data,
 		       lead->term, probe->refused, spent / KB_NS_PER_MS);
-		begin_promotion(lead, now);
-	}
-}
-
-/* The target with the newest log that may become primary, or NULL. */
-static kb_lead_probe_t *newest_replica(kb_lead_t *lead,
-				       const kb_target_list_t *targets,
-				       kb_time_t after)
-{
-	kb_lead_probe_t *best = NULL;
-
-	for (size_t i = 0; i < lead->probe_count; i++) {
-		kb_lead_probe_t *probe = &lead->probes[i];
-		const kb_target_entry_t *entry = kb_target_list_find(
-			targets, kb_name_str(&probe->target));
-		int is_old = lead->has_primary &&
-			     kb_name_is(&lead->primary.place.target,
-					kb_name_str(&probe->target));
-
-		if (probe->rejected || probe->answered_at <= after || is_old ||
-		    !entry || entry->leaving)
-			continue;
-		if (!best || kb_point_compare(probe->report.received,
-					      best->report.received) > 0)
-			best = probe;
-	}
-	return best;
-}
-
-static void order(kb_lead_t *lead, const kb_target_list_t *targets,
-		  kb_lead_probe_t *probe, kb_time_t now)
-{
-	const kb_target_entry_t *entry =
-		kb_target_list_find(targets, kb_name_str(&probe->target));
-
-	if (lead->ops->hold_left(lead->ctx) <
-	    KB_LEAD_HOLD_LEFT_MS * KB_NS_PER_MS)
-		return;
-	lead->chosen = probe->target;
-	lead->ordered = 1;
-	lead->ordered_at = now;
-	lead->promotions++;
-	kb_log(KB_EVENT_PROMOTE_SENT,
-	       "group=%s target=%s received=%" PRIu64 ".%" PRIu64
-	       " newest=%" PRIu64 ".%" PRIu64 " planned=%d",
-	       lead->group.data, probe->target.data,
-	       probe->report.received.term, probe->report.received.position,
-	       lead->newest.term, lead->newest.position, lead->planned);
-	lead->ops->promote(lead->ctx, entry);
-}
-
-static void tick_polling(kb_lead_t *lead, const kb_target_list_t *targets,
-			 kb_time_t now)
-{
-	kb_lead_probe_t *best;
-	size_t answered;
-	size_t missing = probe_all(lead, targets, lead->since, now, &answered);
-	kb_time_t spent = now - lead->since;
-	int has_all = missing <= (lead->has_primary ? 1u : 0u);
-
-	if (!has_all && spent < KB_LEAD_POLL_MS * KB_NS_PER_MS)
-		return;
-	best = newest_replica(lead, targets, lead->since);
-	if (!best) {
-		if (spent >= KB_LEAD_PROMOTE_MS * KB_NS_PER_MS) {
-			enter(lead, KB_LEAD_FINDING, now);
-			lead->has_primary = 0;
-		}
-		return;
-	}
-	if (lead->durable && !has_all &&
-	    (!lead->newest.term ||
-	     kb_point_compare(best->report.received, lead->newest) < 0))
-		return;
-	order(lead, targets, best, now);
-}
-
-static void tick_promoting(kb_lead_t *lead, const kb_target_list_t *targets,
-			   kb_time_t now)
-{
-	kb_lead_probe_t *probe;
-
-	if (!lead->ordered) {
-		tick_polling(lead, targets, now);
-		return;
-	}
-	probe = probe_of(lead, kb_name_str(&lead->chosen));
-	if (!probe || probe->rejected ||
-	    now - lead->ordered_at > KB_LEAD_PROMOTE_MS * KB_NS_PER_MS) {
-		lead->ordered = 0;
-		lead->since = now;
-		return;
-	}
-	if (probe->answered_at > lead->ordered_at && probe->report.is_primary &&
-	    probe->report.term >= lead->term) {
-		if (lead->has_primary) {
-			lead->replaced = lead->primary.place.target;
-			lead->replaced_at = now;
-			lead->stepped_at = 0;
-		}
-		kb_log(KB_EVENT_PRIMARY_PROMOTED,
-		       "group=%s primary=%s term=%" PRIu64 " planned=%d",
-		       lead->group.data, probe->target.data, probe->report.term,
-		       lead->planned);
-		serve(lead,
-		      kb_target_list_find(targets, kb_name_str(&probe->target)),
-		      &probe->report, now);
-		return;
-	}
-	send_probe(lead, probe,
-		   kb_target_list_find(targets, kb_name_str(&probe->target)),
-		   now);
-}
-
-static void tick_replacing(kb_lead_t *lead, const kb_target_list_t *targets,
-			   kb_time_t now)
-{
-	kb_time_t spent = now - lead->since;
-	int must = spent >= KB_LEAD_PLANNED_MAX_MS * KB_NS_PER_MS;
-	kb_time_t recent = now - KB_LEAD_CATCH_UP_MS * KB_NS_PER_MS;
-	kb_lead_probe_t *best;
-	size_t answered;
-
-	probe_all(lead, targets, now - KB_LEAD_PROBE_PAUSE_MS * KB_NS_PER_MS,
-		  now, &answered);
-	/* What replicas told before the change may be out of date. */
-	if (recent < lead->since)
-		recent = lead->since;
-	best = newest_replica(lead, targets, recent);
-	if (!lead->chosen.len) {
-		/* Statements go on until a replica is close. */
-		set_paused(lead, 0);
-		if (best &&
-		    (must ||
-		     best->report.lag <= KB_LEAD_CATCH_UP_MS * KB_NS_PER_MS)) {
-			lead->chosen = best->target;
-			lead->ordered_at = now;
-			lead->lost_at = now;
-			set_paused(lead, 1);
-		}
-		return;
-	}
-	spent = now - lead->ordered_at;
-	if (lead->ops->active(lead->ctx)) {
-		if (spent >= KB_LEAD_FINISH_MS * KB_NS_PER_MS)
-			lead->ops->abort(lead->ctx);
-		if (spent < 2 * KB_LEAD_FINISH_MS * KB_NS_PER_MS)
-			return;
-	}
-	if (best &&
-	    (kb_point_compare(best->report.received, lead->newest) >= 0 ||
-	     (must && spent >= 2 * KB_LEAD_FINISH_MS * KB_NS_PER_MS))) {
-		lead->planned = 1;
-		lead->chosen.len = 0;
-		begin_promotion(lead, now);
-		order(lead, targets, best, now);
-		return;
-	}
-	if (spent >= 2 * KB_LEAD_FINISH_MS * KB_NS_PER_MS && !must) {
-		/* It did not catch up: let statements go on and try again. */
-		lead->chosen.len = 0;
-		set_paused(lead, 0);
-	}
-}
-
-/* Tells a replaced primary that it leads no more. */
-static void tick_replaced(kb_lead_t *lead, const kb_target_list_t *targets,
-			  kb_time_t now)
-{
-	const kb_target_entry_t *entry;
-
-	if (!lead->replaced.len || now - lead->stepped_at < KB_NS_PER_S)
-		return;
-	entry = kb_target_list_find(targets, kb_name_str(&lead->replaced));
-	if (!entry ||
-	    now - lead->replaced_at > KB_LEAD_STEP_DOWN_S * KB_NS_PER_S) {
-		lead->replaced.len = 0;
-		return;
+		kb_lead_begin_promotion(lead, now);
 	}
-	lead->stepped_at = now;
-	lead->ops->step_down(lead->ctx, entry, lead->term);
 }
 
 static void follow_primary(kb_lead_t *lead, const kb_target_list_t *targets)
@@ -457,29 +270,29 @@
 	case KB_LEAD_SERVING:
 		if (lead->primary.leaving) {
 			lead->chosen.len = 0;
-			enter(lead, KB_LEAD_REPLACING, now);
-			tick_replacing(lead, targets, now);
+			kb_lead_enter(lead, KB_LEAD_REPLACING, now);
+			kb_lead_tick_replacing(lead, targets, now);
 		}
 		break;
 	case KB_LEAD_DOUBTING:
 		tick_doubting(lead, targets, now);
 		break;
 	case KB_LEAD_REPLACING:
-		tick_replacing(lead, targets, now);
+		kb_lead_tick_replacing(lead, targets, now);
 		break;
 	case KB_LEAD_PROMOTING:
-		tick_promoting(lead, targets, now);
+		kb_lead_tick_promoting(lead, targets, now);
 		break;
 	default:
 		break;
 	}
-	tick_replaced(lead, targets, now);
+	kb_lead_tick_replaced(lead, targets, now);
 }
 
 void kb_lead_on_probe(kb_lead_t *lead, kb_str_t target, kb_result_t result,
 		      const kb_target_report_t *report, kb_time_t now)
 {
-	kb_lead_probe_t *probe = probe_of(lead, target);
+	kb_lead_probe_t *probe = kb_lead_probe_of(lead, target);
 	int is_primary = lead->has_primary &&
 			 kb_name_is(&lead->primary.place.target, target);
 
@@ -499,17 +312,17 @@
 		return;
 	if (!result && !report->is_primary) {
 		lead->lost_at = lead->lost_at ? lead->lost_at : now;
-		enter(lead, KB_LEAD_FINDING, now);
+		kb_lead_enter(lead, KB_LEAD_FINDING, now);
 		return;
 	}
-	enter(lead, KB_LEAD_SERVING, now);
-	set_paused(lead, 0);
+	kb_lead_enter(lead, KB_LEAD_SERVING, now);
+	kb_lead_set_paused(lead, 0);
 }
 
 void kb_lead_on_promoted(kb_lead_t *lead, kb_str_t target, kb_result_t result,
 			 kb_time_t now)
 {
-	kb_lead_probe_t *probe = probe_of(lead, target);
+	kb_lead_probe_t *probe = kb_lead_probe_of(lead, target);
 
 	if (!probe || lead->state != KB_LEAD_PROMOTING ||
 	    !kb_name_is(&lead->chosen, target))
@@ -551,11 +364,12 @@
 		return;
 	if (read_only) {
 		lead->lost_at = now;
-		enter(lead, KB_LEAD_FINDING, now);
+		kb_lead_enter(lead, KB_LEAD_FINDING, now);
 		return;
 	}
-	probe = probe_of(lead, kb_name_str(&lead->primary.place.target));
+	probe = kb_lead_probe_of(lead,
+				 kb_name_str(&lead->primary.place.target));
 	if (probe)
 		probe->failed_at = 0;
-	enter(lead, KB_LEAD_DOUBTING, now);
+	kb_lead_enter(lead, KB_LEAD_DOUBTING, now);
 }
--- a/src/proxy_rank.c
+++ b/src/proxy_rank.c
@@ -15,7 +15,7 @@
 
 /* 2: in the primary's data centre, 1: in its region, 0: elsewhere. */
 int kb_proxy_nearness(const kb_proxy_t *proxy, const kb_host_t *host,
-		    const kb_target_entry_t *primary)
+		      const kb_target_entry_t *primary)
 {
 	const kb_settings_t *settings = proxy->setup.settings;
 
@@ -85,7 +85,8 @@
 		ranked[count].answers =
 			host->self ||
 			now - host->replied_at < ANSWERS_MS * KB_NS_PER_MS;
-		ranked[count].near = kb_proxy_nearness(group->proxy, host, primary);
+		ranked[count].near =
+			kb_proxy_nearness(group->proxy, host, primary);
 		ranked[count++].score = kb_rendezvous_score(
 			kb_name_str(&host->name), kb_name_str(&group->name));
 	}
@@ -95,10 +96,9 @@
 		ranking->hosts[i] = ranked[i].host->name;
 }
 
-
 /* Ends this host's hold in good order. */
-void kb_proxy_group_hand_over(kb_proxy_group_t *group, const kb_hold_ranking_t *ranking,
-		      kb_time_t now)
+void kb_proxy_group_hand_over(kb_proxy_group_t *group,
+			      const kb_hold_ranking_t *ranking, kb_time_t now)
 {
 	kb_time_t spent = now - group->handing_at;
 
@@ -170,7 +170,7 @@
 
 /* Statements to a primary in another region cost their way each time. */
 void kb_proxy_group_seek_holder(kb_proxy_group_t *group,
-			const kb_hold_ranking_t *ranking, kb_time_t now)
+				const kb_hold_ranking_t *ranking, kb_time_t now)
 {
 	kb_proxy_t *proxy = group->proxy;
 	const kb_host_t *best = NULL;
