--- a/src/link_pool.c
+++ b/src/link_pool.c
@@ -1,4 +1,4 @@
-#include "pool_conn.h"
+#include "pool_queue.h"
 
 #include <stdlib.h>
 
@@ -77,37 +77,6 @@
 	return job;
 }
 
-static kb_pool_conn_t *find_transaction(const kb_link_pool_t *pool,
-					uint64_t transaction)
-{
-	kb_pool_conn_t *conn = pool->conns;
-
-	while (conn && conn->transaction != transaction)
-		conn = conn->next;
-	return conn;
-}
-
-/*
- * Whether `a` is served before `b`: what can still meet its objective, then
- * by class with open transactions one class up, then the earliest objective.
- */
-static int is_before(const kb_pool_job_t *a, const kb_pool_job_t *b,
-		     kb_time_t now)
-{
-	int a_late = a->objective < now;
-	int b_late = b->objective < now;
-	int a_class = (int)a->args->priority - (a->transaction != 0);
-	int b_class = (int)b->args->priority - (b->transaction != 0);
-
-	if (a_late != b_late)
-		return b_late;
-	if (a_class != b_class)
-		return a_class < b_class;
-	if (a->objective != b->objective)
-		return a->objective < b->objective;
-	return a->number < b->number;
-}
-
 static unsigned used_slots(const kb_link_pool_t *pool)
 {
 	unsigned used = 0;
@@ -143,7 +112,7 @@
 	int best_cost = 0;
 
 	if (job->transaction)
-		return find_transaction(pool, job->transaction);
+		return kb_pool_find_transaction(pool, job->transaction);
 	for (kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next) {
 		int cost;
 
@@ -158,30 +127,6 @@
 	return best;
 }
 
-/* Whether no statement of an open transaction runs; it may have ended. */
-static int is_free(const kb_link_pool_t *pool, uint64_t transaction)
-{
-	const kb_pool_conn_t *conn = find_transaction(pool, transaction);
-
-	return !conn || conn->state == KB_POOL_CONN_PINNED;
-}
-
-/* The next job that may be sent; a pause lets open transactions go on. */
-static kb_pool_job_t *choose_job(const kb_link_pool_t *pool, kb_time_t now,
-				 int has_idle)
-{
-	kb_pool_job_t *best = NULL;
-
-	for (kb_pool_job_t *job = pool->jobs; job; job = job->next) {
-		if (job->transaction ? !is_free(pool, job->transaction)
-				     : pool->paused || !has_idle)
-			continue;
-		if (!best || is_before(job, best, now))
-			best = job;
-	}
-	return best;
-}
-
 static int has_idle_conn(const kb_link_pool_t *pool)
 {
 	for (const kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next)
@@ -236,7 +181,8 @@
 	while (now >= pool->hold_sending_until &&
 	       pool->ops->may_serve(pool->ctx, now) &&
 	       used_slots(pool) < send_limit(pool)) {
-		kb_pool_job_t *job = choose_job(pool, now, has_idle_conn(pool));
+		kb_pool_job_t *job =
+			kb_pool_choose_job(pool, now, has_idle_conn(pool));
 		kb_pool_conn_t *conn;
 
 		if (!job)
@@ -270,19 +216,6 @@
 	done(ctx, &res);
 }
 
-/* Time until a new job would have been served. */
-static kb_time_t expected_wait(const kb_link_pool_t *pool,
-			       const kb_pool_job_t *job, kb_time_t now)
-{
-	unsigned slots = pool->slots ? pool->slots : 1;
-	unsigned ahead = 0;
-
-	for (const kb_pool_job_t *other = pool->jobs; other;
-	     other = other->next)
-		ahead += (unsigned)is_before(other, job, now);
-	return pool->service * (kb_time_t)(ahead + 1) / (kb_time_t)slots;
-}
-
 void kb_link_pool_run(kb_link_pool_t *pool, const kbs_run_args *args,
 		      kb_run_done_fn_t *done, void *ctx)
 {
@@ -291,7 +224,7 @@
 	kb_pool_job_t *job;
 
 	if (args->transaction)
-		conn = find_transaction(pool, args->transaction);
+		conn = kb_pool_find_transaction(pool, args->transaction);
 	if (args->kind == KBS_ROLLBACK) {
 		end_transaction(pool, conn, done, ctx);
 		kb_link_pool_dispatch(pool);
@@ -319,7 +252,7 @@
 	}
 	if (!args->transaction &&
 	    (pool->job_count >= POOL_JOBS_MAX ||
-	     now + expected_wait(pool, job, now) > job->deadline)) {
+	     now + kb_pool_expected_wait(pool, job, now) > job->deadline)) {
 		pool->counters.refused++;
 		kb_pool_job_refuse(pool, job, KB_ERR_OVERLOADED,
 				   "the target cannot serve it in time");
@@ -333,8 +266,9 @@
 static void expire(kb_link_pool_t *pool, kb_pool_job_t *job)
 {
 	kb_pool_conn_t *conn =
-		job->transaction ? find_transaction(pool, job->transaction)
-				 : NULL;
+		job->transaction
+			? kb_pool_find_transaction(pool, job->transaction)
+			: NULL;
 
 	pool->counters.expired++;
 	unlink_job(pool, job);
--- /dev/null
+++ b/src/pool_queue.c
@@ -0,0 +1,70 @@
+#include "pool_queue.h"
+
+kb_pool_conn_t *kb_pool_find_transaction(const kb_link_pool_t *pool,
+					 uint64_t transaction)
+{
+	kb_pool_conn_t *conn = pool->conns;
+
+	while (conn && conn->transaction != transaction)
+		conn = conn->next;
+	return conn;
+}
+
+/*
+ * Whether `a` is served before `b`: what can still meet its objective, then
+ * by class with open transactions one class up, then the earliest objective.
+ */
+static int is_before(const kb_pool_job_t *a, const kb_pool_job_t *b,
+		     kb_time_t now)
+{
+	int a_late = a->objective < now;
+	int b_late = b->objective < now;
+	int a_class = (int)a->args->priority - (a->transaction != 0);
+	int b_class = (int)b->args->priority - (b->transaction != 0);
+
+	if (a_late != b_late)
+		return b_late;
+	if (a_class != b_class)
+		return a_class < b_class;
+	if (a->objective != b->objective)
+		return a->objective < b->objective;
+	return a->number < b->number;
+}
+
+/* Whether no statement of an open transaction runs; it may have ended. */
+static int is_free(const kb_link_pool_t *pool, uint64_t transaction)
+{
+	const kb_pool_conn_t *conn =
+		kb_pool_find_transaction(pool, transaction);
+
+	return !conn || conn->state == KB_POOL_CONN_PINNED;
+}
+
+/* The next job that may be sent; a pause lets open transactions go on. */
+kb_pool_job_t *kb_pool_choose_job(const kb_link_pool_t *pool, kb_time_t now,
+				  int has_idle)
+{
+	kb_pool_job_t *best = NULL;
+
+	for (kb_pool_job_t *job = pool->jobs; job; job = job->next) {
+		if (job->transaction ? !is_free(pool, job->transaction)
+				     : pool->paused || !has_idle)
+			continue;
+		if (!best || is_before(job, best, now))
+			best = job;
+	}
+	return best;
+}
+
+/* Time until a new job would have been served. */
+kb_time_t kb_pool_expected_wait(const kb_link_pool_t *pool,
+				const kb_pool_job_t *job, kb_time_t now)
+{
+	unsigned slots = pool->slots ? pool->slots : 1;
+	unsigned ahead = 0;
+
+	for (const kb_pool_job_t *other = pool->jobs; other;
+	     other = other->next)
+		ahead += (unsigned)is_before(other, job, now);
+	return pool->service * (kb_time_t)(ahead + 1) / (kb_time_t)slots;
+}
--- /dev/null
+++ b/src/pool_queue.h
@@ -0,0 +1,25 @@
+#ifndef KB_POOL_QUEUE_H
+#define KB_POOL_QUEUE_H
+
+#include "pool_conn.h"
+
+KB_BEGIN_DECLS
+
+/* Returns the connection that an open transaction holds, or NULL. */
+kb_pool_conn_t *kb_pool_find_transaction(const kb_link_pool_t *pool,
+					 uint64_t transaction);
+
+/*
+ * Returns the next job that may be sent, or NULL; a pause lets open
+ * transactions go on, and without an idle connection only they can.
+ */
+kb_pool_job_t *kb_pool_choose_job(const kb_link_pool_t *pool, kb_time_t now,
+				  int has_idle);
+
+/* Returns the time until a new job would have been served. */
+kb_time_t kb_pool_expected_wait(const kb_link_pool_t *pool,
+				const kb_pool_job_t *job, kb_time_t now);
+
+KB_END_DECLS
+
+#endif
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -1,70 +1,15 @@
-#include "proxy_parts.h"
+#include "proxy_statement.h"
 
 #include "log.h"
-#include "proxy_reads.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 
 enum {
-	/* Pause before a statement that found no primary is tried again. */
-	RETRY_PAUSE_MS = 30,
-	/* A retry that would begin later than this before the end is none. */
-	RETRY_MIN_MS = 20,
-	/* Time for the answer on its way from the gate. */
-	CALL_SLACK_MS = 200,
-	/* Callers are asked to come back after this time without a primary. */
-	NO_PRIMARY_RETRY_MS = 500,
-	/* A group is held again by then unless this host is cut off. */
-	NO_HOLDER_MS = 2500,
 	SESSIONS_MAX = 100000,
 };
 
-struct kb_proxy_session {
-	kb_proxy_t *proxy;
-	kb_proxy_session_t *next;
-	kb_proxy_session_t *prev;
-	kb_caller_session_t session;
-	kb_proxy_answer_fn_t *answer;
-	void *ctx;
-	/* Attempts that have not ended, of this statement or of earlier. */
-	unsigned outstanding;
-	int closed;
-	/* Host and target at which the open transaction runs. */
-	kb_name_t gate;
-	kb_name_t target;
-	/* The statement that runs. */
-	uint64_t number;
-	kb_time_t began_at;
-	kb_time_t deadline;
-	/* Time that the transaction has spent in statements. */
-	kb_time_t spent;
-	/* When to try again, or 0. */
-	kb_time_t retry_at;
-	kb_read_choice_t choice;
-	kb_proxy_path_t path;
-	unsigned attempts;
-	kb_result_t last;
-	/* Holder of the group as a host said that is not, or empty. */
-	kb_name_t hint;
-	/* The last attempt followed it. */
-	int hinted;
-};
-
-/* One attempt at a statement. */
-typedef struct attempt {
-	kb_proxy_session_t *session;
-	uint64_t number;
-	kb_name_t group;
-	kb_name_t host;
-	kb_name_t target;
-	kb_time_t sent_at;
-	kbs_kind kind;
-} attempt_t;
-
-static void try_run(kb_proxy_session_t *session);
-
-static void free_session(kb_proxy_session_t *session)
+void kb_proxy_session_free(kb_proxy_session_t *session)
 {
 	kb_proxy_t *proxy = session->proxy;
 
@@ -79,63 +24,13 @@
 	free(session);
 }
 
-static kb_proxy_group_t *group_of(const kb_proxy_session_t *session)
-{
-	return kb_proxy_group_find(session->proxy,
-				   kb_text_str(session->session.args.group));
-}
-
-/* Tells a gate to roll a transaction back; nothing waits for its answer. */
-static void on_rolled_back(void *ctx, kb_result_t result, void *res)
-{
-	(void)ctx;
-	(void)result;
-	(void)res;
-}
-
-static void on_rolled_back_here(void *ctx, const kbs_run_res *res)
-{
-	(void)ctx;
-	(void)res;
-}
-
-static void roll_back_at(kb_proxy_t *proxy, const kb_name_t *group,
-			 const kb_name_t *gate, const kb_name_t *target,
-			 uint64_t transaction)
-{
-	kb_host_t *host = kb_hosts_find(&proxy->hosts, kb_name_str(gate));
-	kbs_run_args args = {
-		.group = kb_text_view(kb_name_str(group)),
-		.target = kb_text_view(kb_name_str(target)),
-		.kind = KBS_ROLLBACK,
-		.transactional = TRUE,
-		.transaction = transaction,
-	};
-	kb_rpc_call_t rpc = {
-		.procedure = KB_PROXY_RUN,
-		.encode = (xdrproc_t)xdr_kbs_run_args,
-		.args = &args,
-		.decode = (xdrproc_t)xdr_kbs_run_res,
-		.res_size = sizeof(kbs_run_res),
-		.timeout = KB_NS_PER_S,
-		.done = on_rolled_back,
-	};
-
-	if (!host)
-		return;
-	/* If the call is lost, the gate ends the transaction when it rests. */
-	if (host->self)
-		kb_proxy_run_here(proxy, &args, on_rolled_back_here, NULL);
-	else
-		kb_rpc_peer_call(&host->peer, &rpc);
-}
-
 static void session_roll_back(void *ctx, kb_caller_session_t *caller)
 {
 	kb_proxy_session_t *session = ctx;
 
-	roll_back_at(session->proxy, &caller->database.group, &session->gate,
-		     &session->target, caller->transaction);
+	kb_proxy_roll_back_at(session->proxy, &caller->database.group,
+			      &session->gate, &session->target,
+			      caller->transaction);
 }
 
 static const kb_database_t *session_find(void *ctx, kb_str_t name)
@@ -155,376 +50,11 @@
 		session->answer(session->ctx, answer);
 }
 
-/* Ends the statement; `res` may be NULL if no gate answered. */
-static void finish_run(kb_proxy_session_t *session, const kbs_run_res *res,
-		       kb_result_t result, const char *message)
-{
-	kb_time_t now = kb_clock_monotonic(session->proxy->clock);
-	kbs_run_res none = { .result = (int)result,
-			     .message = kb_text_view(kb_str_from(message)) };
-
-	session->number++;
-	session->retry_at = 0;
-	session->spent += now - session->began_at;
-	if (!res) {
-		none.retry_us = NO_PRIMARY_RETRY_MS * 1000;
-		res = &none;
-	}
-	kb_proxy_stats_add(&session->proxy->stats, session->path,
-			   (kb_result_t)res->result, now - session->began_at);
-	if (res->result)
-		kb_log(KB_EVENT_REQUEST_FAILED,
-		       "id=%.*s group=%.*s kind=%d txn=%" PRIu64
-		       " result=%s last=%s attempts=%u target=%s gate=%s"
-		       " ms=%" PRId64 " timeout_ms=%" PRId64 " include=%" PRIu64
-		       ".%" PRIu64 " stamp_age_ms=%" PRId64 " offered=%d",
-		       KB_STR_ARG(kb_text_str(session->session.args.id)),
-		       KB_STR_ARG(kb_text_str(session->session.args.group)),
-		       (int)session->session.args.kind,
-		       (uint64_t)session->session.args.transaction,
-		       kb_result_name((kb_result_t)res->result),
-		       kb_result_name(session->last), session->attempts,
-		       session->target.data, session->gate.data,
-		       (now - session->began_at) / KB_NS_PER_MS,
-		       session->session.database.timeout / KB_NS_PER_MS,
-		       session->choice.include.term,
-		       session->choice.include.position,
-		       session->choice.stamp_age / KB_NS_PER_MS, res->offered);
-	kb_caller_session_ran(&session->session, res);
-}
-
-/* Whether the statement may go elsewhere after `result`: it left nothing. */
-static int may_retry(const kb_proxy_session_t *session, kb_result_t result)
-{
-	const kbs_run_args *args = &session->session.args;
-
-	if (args->transaction)
-		return 0;
-	switch (result) {
-	case KB_ERR_NOT_GATE:
-	case KB_ERR_UNREACHABLE:
-	case KB_ERR_NO_PRIMARY:
-	case KB_ERR_READ_ONLY:
-	case KB_ERR_DRAINING:
-	case KB_ERR_WRONG_TARGET:
-	case KB_ERR_NOT_FRESH:
-		return 1;
-	case KB_ERR_OVERLOADED:
-	case KB_ERR_DEADLINE:
-		return session->path == KB_PROXY_PATH_REPLICA;
-	case KB_ERR_CLOSED:
-	case KB_ERR_TIMEOUT:
-	case KB_ERR_PROTOCOL:
-	case KB_ERR_ROLLED_BACK:
-		/* A first statement of a transaction leaves nothing either. */
-		return args->kind == KBS_READ ||
-		       (args->transactional && args->kind != KBS_COMMIT);
-	default:
-		return 0;
-	}
-}
-
-/* Result if the call to the gate failed. */
-static kb_result_t call_result(const kb_proxy_session_t *session,
-			       kb_result_t result)
-{
-	const kbs_run_args *args = &session->session.args;
-	int sent = result == KB_ERR_CLOSED || result == KB_ERR_TIMEOUT ||
-		   result == KB_ERR_PROTOCOL;
-
-	if (!sent)
-		return args->transaction ? KB_ERR_ROLLED_BACK
-					 : KB_ERR_UNREACHABLE;
-	if (args->kind == KBS_COMMIT ||
-	    (args->kind == KBS_WRITE && !args->transactional))
-		return KB_ERR_UNKNOWN;
-	return args->transaction ? KB_ERR_ROLLED_BACK : KB_ERR_CLOSED;
-}
-
-/*
- * Whether the group has had no holder for longer than a change of the holder
- * and a promotion take. Callers may reach one from another host.
- */
-static int is_hopeless(const kb_proxy_session_t *session, kb_time_t now)
-{
-	const kb_proxy_group_t *group = group_of(session);
-
-	return group && kb_stamps_newest(&group->stamps) &&
-	       kb_proxy_group_silence(group, now) > NO_HOLDER_MS * KB_NS_PER_MS;
-}
-
-static void take_result(kb_proxy_session_t *session, const kbs_run_res *res,
-			kb_result_t result)
-{
-	kb_time_t now = kb_clock_monotonic(session->proxy->clock);
-	int replica = session->path == KB_PROXY_PATH_REPLICA;
-
-	session->last = result;
-	session->hint.len = 0;
-	if (result == KB_ERR_NOT_GATE && res && res->holder.kbs_text_len &&
-	    !kb_name_is(&session->gate, kb_text_str(res->holder)) &&
-	    !session->hinted) {
-		session->hinted = 1;
-		kb_name_set(&session->hint, kb_text_str(res->holder));
-		try_run(session);
-		return;
-	}
-	session->hinted = 0;
-	if (!result || !may_retry(session, result)) {
-		finish_run(session, res, result,
-			   "the host that serves the "
-			   "target did not answer");
-		return;
-	}
-	session->proxy->stats.retries++;
-	if (session->attempts == 1)
-		kb_log(KB_EVENT_REQUEST_RETRIED,
-		       "id=%.*s result=%s target=%s gate=%s ms=%" PRId64,
-		       KB_STR_ARG(kb_text_str(session->session.args.id)),
-		       kb_result_name(result), session->target.data,
-		       session->gate.data,
-		       (now - session->began_at) / KB_NS_PER_MS);
-	if (replica)
-		kb_read_choice_exclude(&session->choice, &session->target);
-	if (!replica && is_hopeless(session, now)) {
-		finish_run(session, NULL, KB_ERR_NO_PRIMARY,
-			   "no host that holds the group is reached");
-		return;
-	}
-	session->retry_at = now;
-	if (!replica || session->choice.exhausted)
-		session->retry_at += RETRY_PAUSE_MS * KB_NS_PER_MS;
-	if (session->retry_at + RETRY_MIN_MS * KB_NS_PER_MS >
-	    session->deadline) {
-		finish_run(session, res && result != KB_ERR_CLOSED ? res : NULL,
-			   result, "no target could serve it in time");
-		return;
-	}
-	if (session->retry_at <= now) {
-		session->retry_at = 0;
-		try_run(session);
-	}
-}
-
-/* What an answer tells of the target and the group, whoever waits. */
-static void learn(kb_proxy_t *proxy, const attempt_t *attempt,
-		  const kbs_run_res *res, kb_result_t result)
-{
-	kb_time_t now = kb_clock_monotonic(proxy->clock);
-	kb_proxy_group_t *group =
-		kb_proxy_group_find(proxy, kb_name_str(&attempt->group));
-	kb_proxy_load_t *load;
-
-	if (!attempt->target.len) {
-		if (group && res) {
-			kb_proxy_group_learn(group, &res->stamp,
-					     attempt->sent_at);
-			if (res->load.slots) {
-				group->load = res->load;
-				group->load_at = now;
-			}
-		}
-		return;
-	}
-	load = kb_proxy_load_get(proxy, kb_name_str(&attempt->target));
-	if (!load)
-		return;
-	if (load->outstanding)
-		load->outstanding--;
-	if (res && res->load.slots) {
-		load->load = res->load;
-		load->at = now;
-	}
-	if (res && (res->point.term || res->point.position)) {
-		load->position = kb_point_from(res->point);
-		load->position_at = now;
-	}
-	if (result == KB_ERR_NOT_FRESH)
-		return;
-	if (result && result != KB_ERR_STATEMENT &&
-	    result != KB_ERR_NO_STATEMENT)
-		load->failed_at = now;
-}
-
-static void end_attempt(attempt_t *attempt, kb_result_t failure,
-			const kbs_run_res *res)
-{
-	kb_proxy_session_t *session = attempt->session;
-	kb_proxy_t *proxy = session->proxy;
-	attempt_t ended = *attempt;
-	kb_result_t result = res ? (kb_result_t)res->result : failure;
-
-	free(attempt);
-	session->outstanding--;
-	learn(proxy, &ended, res, result);
-	if (session->number != ended.number || session->closed) {
-		/* Nobody waits: what it opened is rolled back. */
-		if (res && res->transaction && ended.kind != KBS_COMMIT)
-			roll_back_at(proxy, &ended.group, &ended.host,
-				     &ended.target, res->transaction);
-		if (session->closed && !session->outstanding)
-			free_session(session);
-		return;
-	}
-	if (!res)
-		result = call_result(session, failure);
-	take_result(session, res, result);
-}
-
-static void on_ran_here(void *ctx, const kbs_run_res *res)
-{
-	end_attempt(ctx, KB_OK, res);
-}
-
-static void on_ran_there(void *ctx, kb_result_t result, void *res)
-{
-	attempt_t *attempt = ctx;
-	kb_proxy_t *proxy = attempt->session->proxy;
-	kb_host_t *host;
-
-	if (result) {
-		host = kb_hosts_find(&proxy->hosts,
-				     kb_name_str(&attempt->host));
-		if (host)
-			kb_proxy_host_failed(proxy, host, result);
-	}
-	end_attempt(attempt, result, res);
-}
-
-static void send_attempt(kb_proxy_session_t *session, kb_host_t *host)
-{
-	kb_proxy_t *proxy = session->proxy;
-	kbs_run_args *args = &session->session.args;
-	kb_time_t now = kb_clock_monotonic(proxy->clock);
-	kb_time_t left = session->deadline - now;
-	attempt_t *attempt = calloc(1, sizeof(*attempt));
-	kb_proxy_load_t *load = NULL;
-	kb_rpc_call_t rpc = {
-		.procedure = KB_PROXY_RUN,
-		.encode = (xdrproc_t)xdr_kbs_run_args,
-		.args = args,
-		.decode = (xdrproc_t)xdr_kbs_run_res,
-		.res_size = sizeof(kbs_run_res),
-		.timeout = left + CALL_SLACK_MS * KB_NS_PER_MS,
-		.done = on_ran_there,
-		.ctx = attempt,
-	};
-	kb_result_t result;
-
-	if (!attempt) {
-		finish_run(session, NULL, KB_ERR_OVERLOADED, "memory is short");
-		return;
-	}
-	session->gate = host->name;
-	session->attempts++;
-	proxy->stats.attempts++;
-	args->target = kb_text_view(kb_name_str(&session->target));
-	args->include = kb_point_to(session->choice.include);
-	args->time_left_us = left / KB_NS_PER_US;
-	args->objective_left_us = (session->session.database.objective -
-				   session->spent - (now - session->began_at)) /
-				  KB_NS_PER_US;
-	args->idle_limit_us = proxy->databases.txn_idle / KB_NS_PER_US;
-	attempt->session = session;
-	attempt->number = session->number;
-	attempt->group = session->session.database.group;
-	attempt->host = host->name;
-	attempt->target = session->target;
-	attempt->sent_at = now;
-	attempt->kind = args->kind;
-	if (session->target.len)
-		load = kb_proxy_load_get(proxy, kb_name_str(&session->target));
-	if (load)
-		load->outstanding++;
-	session->outstanding++;
-	if (host->self) {
-		kb_proxy_run_here(proxy, args, on_ran_here, attempt);
-		return;
-	}
-	proxy->stats.host_calls++;
-	result = kb_rpc_peer_call(&host->peer, &rpc);
-	if (result) {
-		kb_proxy_host_failed(proxy, host, result);
-		end_attempt(attempt, KB_ERR_UNREACHABLE, NULL);
-	}
-}
-
-/* Sends the statement to the host that holds the group. */
-static void try_primary(kb_proxy_session_t *session)
-{
-	kb_proxy_group_t *group = group_of(session);
-	kb_host_t *host = NULL;
-
-	session->path = KB_PROXY_PATH_PRIMARY;
-	session->target.len = 0;
-	session->target.data[0] = 0;
-	session->choice.include = (kb_point_t){ 0 };
-	if (session->hint.len)
-		host = kb_hosts_find(&session->proxy->hosts,
-				     kb_name_str(&session->hint));
-	else if (group && group->hold.known)
-		host = kb_hosts_find(&session->proxy->hosts,
-				     kb_name_str(&group->hold.record.holder));
-	if (host)
-		send_attempt(session, host);
-	else
-		take_result(session, NULL, KB_ERR_NO_PRIMARY);
-}
-
-static void try_read(kb_proxy_session_t *session)
-{
-	kb_proxy_t *proxy = session->proxy;
-	kb_proxy_group_t *group = group_of(session);
-	const kb_target_entry_t *target = NULL;
-	kb_host_t *host = NULL;
-
-	if (group)
-		target = kb_read_choice_next(&session->choice, proxy, group);
-	if (target)
-		host = kb_proxy_gate_host(proxy, target,
-					  kb_clock_monotonic(proxy->clock));
-	if (!target && group &&
-	    kb_read_choice_waits(&session->choice, group,
-				 &session->session.database,
-				 kb_clock_monotonic(proxy->clock))) {
-		session->path = KB_PROXY_PATH_REPLICA;
-		session->retry_at = kb_clock_monotonic(proxy->clock) +
-				    RETRY_PAUSE_MS * KB_NS_PER_MS;
-		return;
-	}
-	if (!target || !host) {
-		try_primary(session);
-		return;
-	}
-	session->path = KB_PROXY_PATH_REPLICA;
-	session->target = target->place.target;
-	send_attempt(session, host);
-}
-
-static void try_run(kb_proxy_session_t *session)
-{
-	const kbs_run_args *args = &session->session.args;
-	kb_host_t *host;
-
-	if (args->transaction) {
-		host = kb_hosts_find(&session->proxy->hosts,
-				     kb_name_str(&session->gate));
-		if (host)
-			send_attempt(session, host);
-		else
-			take_result(session, NULL, KB_ERR_ROLLED_BACK);
-	} else if (kb_caller_session_needs_primary(&session->session)) {
-		try_primary(session);
-	} else {
-		try_read(session);
-	}
-}
-
 static void session_run(void *ctx, kb_caller_session_t *caller)
 {
 	kb_proxy_session_t *session = ctx;
 	kb_time_t now = kb_clock_monotonic(session->proxy->clock);
-	kb_proxy_group_t *group = group_of(session);
+	kb_proxy_group_t *group = kb_proxy_session_group(session);
 
 	session->number++;
 	session->began_at = now;
@@ -539,7 +69,7 @@
 	if (!caller->args.transaction)
 		kb_read_choice_init(&session->choice, &caller->database,
 				    caller->committed, now);
-	try_run(session);
+	kb_proxy_statement_try(session);
 }
 
 static const kb_caller_session_ops_t session_ops = {
@@ -591,7 +121,7 @@
 	session->closed = 1;
 	session->retry_at = 0;
 	if (!session->outstanding)
-		free_session(session);
+		kb_proxy_session_free(session);
 }
 
 void kb_proxy_session_query(kb_proxy_session_t *session,
@@ -616,7 +146,7 @@
 			session->retry_at = 0;
 			if (session->choice.exhausted)
 				kb_read_choice_restart(&session->choice);
-			try_run(session);
+			kb_proxy_statement_try(session);
 		}
 		session = next;
 	}
