Free loops only after the connections that still wait in them

Cause: a connection that is freed while a deferred callback of it is due keeps its memory and its socket until the callback had its turn; the loop was freed before. Ruled out: callbacks of freed objects (the callbacks are cleared when the connection is freed, as the test asserts). Before: Loop.ConnectionsFreedWithACallbackDue... fails, with the same five kinds of allocation reported.

--- a/daemon/session_host.c
+++ b/daemon/session_host.c
@@ -1,9 +1,10 @@
 #include "session_host.h"
 
 #include "caller_door.h"
-#include "platform_catalog.h"
 #include "http_server.h"
 #include "log.h"
+#include "loop.h"
+#include "platform_catalog.h"
 #include "platform_store.h"
 #include "proxy.h"
 #include "target_link.h"
@@ -292,7 +293,7 @@
 		kb_platform_catalog_finish(&host->catalog);
 	if (host->store.base.ops)
 		kb_platform_store_finish(&host->store);
-	event_base_free(host->loop);
+	kb_loop_free(host->loop);
 }
 
 kb_result_t kb_session_host_run(const kb_settings_t *settings, const char *path,
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -2,6 +2,7 @@
 
 #include "daemon_metrics.h"
 #include "log.h"
+#include "loop.h"
 
 #include <event2/event.h>
 #include <inttypes.h>
@@ -343,7 +344,6 @@
 	free_event(daemon->signals[1]);
 	free_event(daemon->drain_timer);
 	free_event(daemon->update_timer);
-	if (daemon->loop)
-		event_base_free(daemon->loop);
+	kb_loop_free(daemon->loop);
 	free(daemon);
 }
