Rank hosts when a decision needs it; join repeated calls and look-ups

Cause: each host ranked all hosts for every group 50 times a second, and the readers of the store up to three times a tick, though the ranking is used only once a holder is silent, when candidates are compared, and by the holder to find a nearer host. docs/CAPACITY.md names it as a limit. Ruled out: keeping a ranking and renewing it by change; answers of hosts age by time, so that it would be renewed as often. The hold asks for the ranking through its vtable now. The holder compares its candidates, and looks for a nearer host, ten times a second.

On the way, with no change of what is done: one function starts calls of other hosts, one compares prefixes, one finds a data centre's region; what was counted and never told, or never used, is gone.

--- a/src/hold.h
+++ b/src/hold.h
@@ -73,6 +73,12 @@
 
 typedef struct kb_hold kb_hold_t;
 
+/* Live hosts in the order in which they should hold the group. */
+typedef struct kb_hold_ranking {
+	size_t count;
+	kb_name_t hosts[KB_HOLD_HOSTS_MAX];
+} kb_hold_ranking_t;
+
 /* Each op may fail by not answering; it is tried again. */
 typedef struct kb_hold_ops {
 	/* Reads the key; kb_hold_on_read() follows with `sent_at`. */
@@ -93,6 +99,8 @@
 	void (*tell)(void *ctx, kb_hold_t *hold, const kb_name_t *host);
 	/* The role or the holder changed. */
 	void (*changed)(void *ctx, kb_hold_t *hold);
+	/* Fills in the order of hosts; asked for when a decision needs it. */
+	void (*rank)(void *ctx, kb_hold_t *hold, kb_hold_ranking_t *ranking);
 } kb_hold_ops_t;
 
 /* Time of the last renewal that a candidate granted. */
@@ -107,12 +115,6 @@
 	int storeless;
 } kb_hold_grant_t;
 
-/* Live hosts in the order in which they should hold the group. */
-typedef struct kb_hold_ranking {
-	size_t count;
-	kb_name_t hosts[KB_HOLD_HOSTS_MAX];
-} kb_hold_ranking_t;
-
 /*
  * Decides which host sends to a group's primary and replaces it: the one that
  * the group's key in the store names. It serves only while its renewals are
@@ -158,6 +160,8 @@
 	int reading;
 	kb_time_t wrote_at;
 	uint64_t write_number;
+	/* Last time at which the candidates were compared with the ranking. */
+	kb_time_t compared_at;
 	/* New candidates are asked before a write names them. */
 	int preparing;
 	/* That write waits for its answer. */
@@ -194,8 +198,7 @@
 kb_time_t kb_hold_valid_until(const kb_hold_t *hold);
 
 /* Carries out what is due at `now`. */
-void kb_hold_tick(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
-		  kb_time_t now);
+void kb_hold_tick(kb_hold_t *hold, kb_time_t now);
 
 /*
  * The key as a read or a peer shows it. `revision` is that of the key, or of
@@ -239,9 +242,12 @@
  */
 int kb_hold_granted(const kb_hold_t *hold, int64_t revision, kb_time_t *since);
 
-/* Stops serving and hands the group to the first of `ranking` but itself. */
-void kb_hold_release(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
-		     const kb_name_t *successor, kb_time_t now);
+/*
+ * Stops serving and hands the group to `successor`, or if that is NULL to the
+ * first host of the ranking but this one.
+ */
+void kb_hold_release(kb_hold_t *hold, const kb_name_t *successor,
+		     kb_time_t now);
 
 KB_END_DECLS
 
--- a/src/hold_tick.c
+++ b/src/hold_tick.c
@@ -9,6 +9,8 @@
 	REWRITE_PAUSE_MS = 1000,
 	/* The same before the host serves. */
 	REWRITE_WAITING_MS = 300,
+	/* The candidates are compared with the ranking this often. */
+	COMPARE_PAUSE_MS = 100,
 	/* Time for answers of other hosts that were asked about the holder. */
 	INQUIRY_MS = 100,
 };
@@ -107,29 +109,41 @@
 	return KB_HOLD_HOSTS_MAX;
 }
 
+/* Silence of the holder after which this host takes the group over. */
+static kb_time_t patience(const kb_hold_t *hold, size_t rank)
+{
+	kb_time_t ms =
+		hold->record.holder.len ? KB_HOLD_SUSPECT_MS : KB_HOLD_FIRST_MS;
+
+	ms += (kb_time_t)rank * KB_HOLD_RANK_MS;
+	if (hold->record.holder.len &&
+	    !kb_hold_set_has(&hold->record.candidates, &hold->self))
+		ms += KB_HOLD_UNCALLED_S * KB_NS_PER_S / KB_NS_PER_MS;
+	return ms * KB_NS_PER_MS;
+}
+
 /* Takes the group over once its holder has been silent for long enough. */
-static void watch_holder(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
-			 kb_time_t now)
+static void watch_holder(kb_hold_t *hold, kb_time_t now)
 {
-	size_t rank = rank_of(ranking, &hold->self, &hold->record.holder);
-	kb_time_t patience =
-		(KB_HOLD_SUSPECT_MS + (kb_time_t)rank * KB_HOLD_RANK_MS) *
-		KB_NS_PER_MS;
+	kb_time_t silence = now - hold->heard_at;
+	kb_hold_ranking_t ranking;
+	size_t rank;
 
+	/* Nobody ranks the hosts for a group that is well. */
+	if (silence < patience(hold, 0)) {
+		hold->inquiring = 0;
+		return;
+	}
+	hold->ops->rank(hold->ctx, hold, &ranking);
+	rank = rank_of(&ranking, &hold->self, &hold->record.holder);
 	if (rank >= KB_HOLD_HOSTS_MAX)
 		return;
-	if (!hold->record.holder.len)
-		patience =
-			(KB_HOLD_FIRST_MS + (kb_time_t)rank * KB_HOLD_RANK_MS) *
-			KB_NS_PER_MS;
-	else if (!kb_hold_set_has(&hold->record.candidates, &hold->self))
-		patience += KB_HOLD_UNCALLED_S * KB_NS_PER_S;
-	if (now - hold->heard_at < patience) {
+	if (silence < patience(hold, rank)) {
 		hold->inquiring = 0;
 		return;
 	}
 	if (!hold->record.holder.len) {
-		take(hold, ranking, now);
+		take(hold, &ranking, now);
 		return;
 	}
 	if (!hold->inquiring) {
@@ -141,7 +155,7 @@
 	if (now - hold->inquired_at < INQUIRY_MS * KB_NS_PER_MS)
 		return;
 	hold->inquiring = 0;
-	take(hold, ranking, now);
+	take(hold, &ranking, now);
 }
 
 static void ask_candidates(kb_hold_t *hold, kb_time_t now)
@@ -179,9 +193,9 @@
 }
 
 /* Names the present hosts as candidates, and settles the hold when it may. */
-static void rewrite(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
-		    kb_time_t now)
+static void rewrite(kb_hold_t *hold, kb_time_t now)
 {
+	kb_hold_ranking_t ranking;
 	kb_hold_record_t wanted;
 	int settles = hold->role == KB_HOLD_WAITING && !hold->record.settled &&
 		      now >= hold->serve_at && now < kb_hold_valid_until(hold);
@@ -192,9 +206,13 @@
 	if (hold->rewriting &&
 	    now - hold->wrote_at < CALL_TIMEOUT_MS * KB_NS_PER_MS)
 		return;
-	if (!settles && now - hold->wrote_at < pause * KB_NS_PER_MS)
+	if (!settles &&
+	    (now - hold->wrote_at < pause * KB_NS_PER_MS ||
+	     now - hold->compared_at < COMPARE_PAUSE_MS * KB_NS_PER_MS))
 		return;
-	make_record(hold, &wanted, &hold->self, ranking, now);
+	hold->compared_at = now;
+	hold->ops->rank(hold->ctx, hold, &ranking);
+	make_record(hold, &wanted, &hold->self, &ranking, now);
 	wanted.settled = hold->record.settled || settles;
 	if (!wanted.settled)
 		keep_former(&wanted, &hold->record);
@@ -218,8 +236,7 @@
 	kb_hold_begin_write(hold, now);
 }
 
-static void renew(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
-		  kb_time_t now)
+static void renew(kb_hold_t *hold, kb_time_t now)
 {
 	kb_time_t pause =
 		kb_hold_valid_until(hold) >
@@ -232,14 +249,13 @@
 	if (!hold->confirmed ||
 	    now - hold->confirmed_at >= KB_HOLD_STORE_CHECK_S * KB_NS_PER_S)
 		kb_hold_begin_read(hold, now);
-	rewrite(hold, ranking, now);
+	rewrite(hold, now);
 	if (hold->role == KB_HOLD_WAITING && hold->record.settled &&
 	    now + KB_HOLD_MARGIN_MS * KB_NS_PER_MS < kb_hold_valid_until(hold))
 		kb_hold_set_role(hold, KB_HOLD_SERVING);
 }
 
-void kb_hold_tick(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
-		  kb_time_t now)
+void kb_hold_tick(kb_hold_t *hold, kb_time_t now)
 {
 	if (!hold->known)
 		return;
@@ -250,7 +266,7 @@
 		     kb_hold_set_has(&hold->record.candidates, &hold->self)))
 			kb_hold_begin_read(hold, now);
 		else
-			watch_holder(hold, ranking, now);
+			watch_holder(hold, now);
 		break;
 	case KB_HOLD_TAKING:
 		if (now - hold->wrote_at > 2 * CALL_TIMEOUT_MS * KB_NS_PER_MS)
@@ -262,24 +278,25 @@
 			kb_hold_begin_write(hold, now);
 		break;
 	default:
-		renew(hold, ranking, now);
+		renew(hold, now);
 		break;
 	}
 }
 
-void kb_hold_release(kb_hold_t *hold, const kb_hold_ranking_t *ranking,
-		     const kb_name_t *successor, kb_time_t now)
+void kb_hold_release(kb_hold_t *hold, const kb_name_t *successor, kb_time_t now)
 {
 	const kb_name_t *next = successor;
+	kb_hold_ranking_t ranking;
 
 	if (hold->role != KB_HOLD_SERVING && hold->role != KB_HOLD_WAITING)
 		return;
-	for (size_t i = 0; !next && i < ranking->count; i++)
-		if (!kb_hold_names_equal(&ranking->hosts[i], &hold->self))
-			next = &ranking->hosts[i];
+	hold->ops->rank(hold->ctx, hold, &ranking);
+	for (size_t i = 0; !next && i < ranking.count; i++)
+		if (!kb_hold_names_equal(&ranking.hosts[i], &hold->self))
+			next = &ranking.hosts[i];
 	if (!next)
 		return;
-	make_record(hold, &hold->wanted, next, ranking, now);
+	make_record(hold, &hold->wanted, next, &ranking, now);
 	keep_former(&hold->wanted, &hold->record);
 	if (hold->role == KB_HOLD_SERVING)
 		hold->wanted.released = 1;
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -13,12 +13,6 @@
 	CUT_OFF_MS = 1500,
 };
 
-static int has_prefix(kb_str_t key, kb_str_t prefix)
-{
-	return key.len > prefix.len &&
-	       !memcmp(key.data, prefix.data, prefix.len);
-}
-
 /* Takes a version of the configuration over; it never goes back. */
 static void use_databases(kb_proxy_t *proxy, kb_databases_t *databases)
 {
@@ -95,11 +89,11 @@
 	kb_proxy_t *proxy = ctx;
 	kb_platform_view_t *view = proxy->setup.view;
 
-	if (has_prefix(key, KB_STR(KB_PRESENCE_PREFIX))) {
+	if (kb_str_extends(key, KB_STR(KB_PRESENCE_PREFIX))) {
 		kb_proxy_host_on_key(proxy, key, entry);
 		return;
 	}
-	if (has_prefix(key, KB_STR(KB_PROXY_HOLD_PREFIX))) {
+	if (kb_str_extends(key, KB_STR(KB_PROXY_HOLD_PREFIX))) {
 		kb_proxy_group_on_key(proxy, key, entry);
 		return;
 	}
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -103,21 +103,19 @@
 void kb_proxy_group_tick(kb_proxy_group_t *group, kb_time_t now)
 {
 	kb_proxy_t *proxy = group->proxy;
-	kb_hold_ranking_t ranking;
 	int serves;
 
-	kb_proxy_group_rank(group, &ranking);
 	if (proxy->mirror.revision && !group->hold.known && group->configured)
 		kb_hold_on_key(&group->hold, NULL, proxy->mirror.revision, now);
 	if (!proxy->stopping || group->hold.role != KB_HOLD_NONE)
-		kb_hold_tick(&group->hold, &ranking, now);
+		kb_hold_tick(&group->hold, now);
 	if (proxy->stopping && !group->handing_at)
 		group->handing_at = now;
 	serves = group->hold.role == KB_HOLD_SERVING;
 	if (serves && !group->handing_at)
-		kb_proxy_group_seek_holder(group, &ranking, now);
+		kb_proxy_group_seek_holder(group, now);
 	if (group->handing_at)
-		kb_proxy_group_hand_over(group, &ranking, now);
+		kb_proxy_group_hand_over(group, now);
 	serves = group->hold.role == KB_HOLD_SERVING;
 	kb_lead_hold(&group->lead, serves, now);
 	kb_lead_tick(&group->lead, &proxy->targets, now);
--- a/src/proxy_hold.c
+++ b/src/proxy_hold.c
@@ -38,7 +38,6 @@
 
 	if (call)
 		call->group = group;
-	group->proxy->stats.store_calls++;
 	return call;
 }
 
@@ -175,9 +174,7 @@
 	call->group = group;
 	call->candidate = *candidate;
 	call->asked_at = asked_at;
-	proxy->stats.host_calls++;
-	if (kb_rpc_peer_call(&host->peer, &rpc))
-		free(call);
+	kb_proxy_host_call(proxy, host, &rpc);
 }
 
 static void on_heard(void *ctx, kb_result_t result, void *res)
@@ -224,9 +221,7 @@
 		call->group = group;
 		call->asked_at = kb_clock_monotonic(proxy->clock);
 		rpc.ctx = call;
-		proxy->stats.host_calls++;
-		if (kb_rpc_peer_call(&host->peer, &rpc))
-			free(call);
+		kb_proxy_host_call(proxy, host, &rpc);
 	}
 }
 
@@ -259,8 +254,7 @@
 	(void)hold;
 	if (!host || host->self)
 		return;
-	proxy->stats.host_calls++;
-	kb_rpc_peer_call(&host->peer, &rpc);
+	kb_proxy_host_call(proxy, host, &rpc);
 }
 
 static void hold_changed(void *ctx, kb_hold_t *hold)
@@ -280,6 +274,12 @@
 	       hold->revision, hold->record.released);
 }
 
+static void hold_rank(void *ctx, kb_hold_t *hold, kb_hold_ranking_t *ranking)
+{
+	(void)hold;
+	kb_proxy_group_rank(ctx, ranking);
+}
+
 const kb_hold_ops_t kb_proxy_hold_ops = {
 	.read = hold_read,
 	.write = hold_write,
@@ -287,4 +287,5 @@
 	.inquire = hold_inquire,
 	.tell = hold_tell,
 	.changed = hold_changed,
+	.rank = hold_rank,
 };
--- a/src/proxy_hosts.c
+++ b/src/proxy_hosts.c
@@ -1,6 +1,9 @@
 #include "proxy_parts.h"
 
 #include "log.h"
+#include "rpc_frame.h"
+
+#include <stdlib.h>
 
 enum {
 	/* A host whose calls fail gets no duty for this time. */
@@ -78,11 +81,15 @@
 	host->pinging = 0;
 }
 
-static bool_t xdr_nothing(XDR *xdr, void *nothing)
+kb_result_t kb_proxy_host_call(kb_proxy_t *proxy, kb_host_t *host,
+			       const kb_rpc_call_t *call)
 {
-	(void)xdr;
-	(void)nothing;
-	return TRUE;
+	kb_result_t result = kb_rpc_peer_call(&host->peer, call);
+
+	proxy->stats.host_calls++;
+	if (result)
+		free(call->ctx);
+	return result;
 }
 
 static void ping(kb_host_t *host)
@@ -90,9 +97,9 @@
 	char nothing = 0;
 	kb_rpc_call_t rpc = {
 		.procedure = KB_PROXY_PING,
-		.encode = (xdrproc_t)xdr_nothing,
+		.encode = kb_rpc_frame_xdr_empty,
 		.args = &nothing,
-		.decode = (xdrproc_t)xdr_nothing,
+		.decode = kb_rpc_frame_xdr_empty,
 		.res_size = sizeof(nothing),
 		.timeout = KB_NS_PER_S,
 		.done = on_pinged,
@@ -125,6 +132,7 @@
 		return;
 	}
 	if (quiet >= QUIET_MS * KB_NS_PER_MS && !host->pinging) {
+		proxy->stats.host_calls++;
 		ping(host);
 	} else if (quiet >= (QUIET_MS + PING_TIMEOUT_MS) * KB_NS_PER_MS) {
 		kb_proxy_host_failed(proxy, host, KB_ERR_TIMEOUT);
--- a/src/proxy_lead.c
+++ b/src/proxy_lead.c
@@ -116,19 +116,15 @@
 		call->target = target->place.target;
 		rpc.ctx = call;
 		asked++;
-		proxy->stats.host_calls++;
-		if (kb_rpc_peer_call(&host->peer, &rpc))
-			free(call);
+		kb_proxy_host_call(proxy, host, &rpc);
 	}
 }
 
 static void lead_hand_over(void *ctx, const kb_name_t *host)
 {
 	kb_proxy_group_t *group = ctx;
-	kb_hold_ranking_t ranking;
 
-	kb_proxy_group_rank(group, &ranking);
-	kb_hold_release(&group->hold, &ranking, host,
+	kb_hold_release(&group->hold, host,
 			kb_clock_monotonic(group->proxy->clock));
 }
 
--- a/src/proxy_parts.h
+++ b/src/proxy_parts.h
@@ -61,14 +61,12 @@
 	/* Candidates of the record that deny a holder since `asked_at`. */
 	int64_t revision;
 	unsigned denials;
-	kb_time_t last_grant;
 	/* Targets that are asked for their reports, and answers so far. */
 	unsigned asked;
 	unsigned answered;
 	uint64_t highest_term;
 	kb_target_report_t primary;
-	/* What was found, and the time for which it holds. */
-	int found;
+	/* What was found, and the time for which it holds; 0 for nothing. */
 	kb_time_t found_at;
 	kb_point_t point;
 	uint64_t term;
@@ -100,8 +98,10 @@
 	/* A planned hand-over to another host has begun then, or 0. */
 	kb_time_t handing_at;
 	kb_name_t successor;
-	/* Since when another host is nearer to the primary, or 0. */
+	/* Since when another host should rather hold it, or 0. */
 	kb_time_t nearer_since;
+	/* Last time at which one was sought. */
+	kb_time_t sought_at;
 	/* In the configuration in force. */
 	int configured;
 	unsigned connections;
@@ -189,24 +189,20 @@
 			  kb_time_t sent_at);
 /* Time since the holder was last known to serve. */
 kb_time_t kb_proxy_group_silence(const kb_proxy_group_t *group, kb_time_t now);
-/* The group's hosts in the order in which they should hold it. */
-void kb_proxy_group_rank(kb_proxy_group_t *group, kb_hold_ranking_t *ranking);
-
 /* proxy_hold.c, proxy_lead.c: what holds and watches order. */
 extern const kb_hold_ops_t kb_proxy_hold_ops;
 extern const kb_lead_ops_t kb_proxy_lead_ops;
 
 /* proxy_rank.c */
+/* The group's hosts in the order in which they should hold it. */
+void kb_proxy_group_rank(kb_proxy_group_t *group, kb_hold_ranking_t *ranking);
 /* 2: in the primary's data centre, 1: in its region, 0: elsewhere. */
 int kb_proxy_nearness(const kb_proxy_t *proxy, const kb_host_t *host,
 		      const kb_target_entry_t *primary);
 /* Hands the group to a host that should rather hold it, if there is one. */
-void kb_proxy_group_seek_holder(kb_proxy_group_t *group,
-				const kb_hold_ranking_t *ranking,
-				kb_time_t now);
+void kb_proxy_group_seek_holder(kb_proxy_group_t *group, kb_time_t now);
 /* Goes on with a hand-over that has begun. */
-void kb_proxy_group_hand_over(kb_proxy_group_t *group,
-			      const kb_hold_ranking_t *ranking, kb_time_t now);
+void kb_proxy_group_hand_over(kb_proxy_group_t *group, kb_time_t now);
 
 /* proxy_stamp.c */
 void kb_proxy_group_ask_stamp(kb_proxy_group_t *group, kb_time_t now);
@@ -245,6 +241,12 @@
 int kb_proxy_host_usable(const kb_host_t *host, kb_time_t now);
 void kb_proxy_host_failed(kb_proxy_t *proxy, kb_host_t *host,
 			  kb_result_t result);
+/*
+ * Starts a call of another host. The callback frees `ctx` of the call; if it
+ * cannot be started it is freed here, and nothing is called.
+ */
+kb_result_t kb_proxy_host_call(kb_proxy_t *proxy, kb_host_t *host,
+			       const kb_rpc_call_t *call);
 
 /* proxy_rpc.c */
 kb_result_t kb_proxy_serve(kb_proxy_t *proxy);
--- a/src/proxy_rank.c
+++ b/src/proxy_rank.c
@@ -11,25 +11,23 @@
 	ANSWERS_MS = 1500,
 	/* A group moves to a host nearer to its primary after this time. */
 	NEARER_S = 3,
+	/* Such a host is sought this often. */
+	SEEK_PAUSE_MS = 100,
 };
 
 /* 2: in the primary's data centre, 1: in its region, 0: elsewhere. */
 int kb_proxy_nearness(const kb_proxy_t *proxy, const kb_host_t *host,
 		      const kb_target_entry_t *primary)
 {
-	const kb_settings_t *settings = proxy->setup.settings;
+	kb_str_t region;
 
 	if (!primary)
 		return 0;
 	if (kb_name_is(&host->data_centre, kb_name_str(&primary->data_centre)))
 		return 2;
-	for (size_t i = 0; i < settings->place_count; i++)
-		if (kb_name_is(&settings->places[i].data_centre,
-			       kb_name_str(&primary->data_centre)))
-			return kb_name_is(
-				&host->region,
-				kb_name_str(&settings->places[i].region));
-	return 0;
+	region = kb_settings_region(proxy->setup.settings,
+				    &primary->data_centre);
+	return region.len && kb_name_is(&host->region, region);
 }
 
 static const kb_target_entry_t *claimed_primary(const kb_proxy_group_t *group)
@@ -97,8 +95,7 @@
 }
 
 /* Ends this host's hold in good order. */
-void kb_proxy_group_hand_over(kb_proxy_group_t *group,
-			      const kb_hold_ranking_t *ranking, kb_time_t now)
+void kb_proxy_group_hand_over(kb_proxy_group_t *group, kb_time_t now)
 {
 	kb_time_t spent = now - group->handing_at;
 
@@ -114,7 +111,7 @@
 		if (spent < HAND_OVER_MS * KB_NS_PER_MS)
 			return;
 	}
-	kb_hold_release(&group->hold, ranking,
+	kb_hold_release(&group->hold,
 			group->successor.len ? &group->successor : NULL, now);
 	group->successor.len = 0;
 }
@@ -145,18 +142,18 @@
  * those as near as this one another only if that holds two groups less, so
  * that the loss of a host concerns few groups.
  */
-static const kb_host_t *better_holder(kb_proxy_group_t *group,
-				      const kb_hold_ranking_t *ranking,
-				      kb_time_t now)
+static const kb_host_t *better_holder(kb_proxy_group_t *group, kb_time_t now)
 {
 	kb_proxy_t *proxy = group->proxy;
 	const kb_target_entry_t *primary = &group->lead.primary;
 	int own = kb_proxy_nearness(proxy, proxy->hosts.self, primary);
 	size_t held = held_by(proxy, &proxy->self.name);
+	kb_hold_ranking_t ranking;
 
-	for (size_t i = 0; i < ranking->count; i++) {
+	kb_proxy_group_rank(group, &ranking);
+	for (size_t i = 0; i < ranking.count; i++) {
 		const kb_host_t *host = kb_hosts_find(
-			&proxy->hosts, kb_name_str(&ranking->hosts[i]));
+			&proxy->hosts, kb_name_str(&ranking.hosts[i]));
 		int near = host ? kb_proxy_nearness(proxy, host, primary) : 0;
 
 		if (!host || host->self || near < own ||
@@ -169,14 +166,16 @@
 }
 
 /* Statements to a primary in another region cost their way each time. */
-void kb_proxy_group_seek_holder(kb_proxy_group_t *group,
-				const kb_hold_ranking_t *ranking, kb_time_t now)
+void kb_proxy_group_seek_holder(kb_proxy_group_t *group, kb_time_t now)
 {
 	kb_proxy_t *proxy = group->proxy;
 	const kb_host_t *best = NULL;
 
+	if (now - group->sought_at < SEEK_PAUSE_MS * KB_NS_PER_MS)
+		return;
+	group->sought_at = now;
 	if (group->lead.state == KB_LEAD_SERVING && !is_handing_over(proxy))
-		best = better_holder(group, ranking, now);
+		best = better_holder(group, now);
 	if (!best) {
 		group->nearer_since = 0;
 		return;
--- a/src/proxy_reads.c
+++ b/src/proxy_reads.c
@@ -66,22 +66,11 @@
 	return target->claims_primary;
 }
 
-static kb_str_t region_of(const kb_proxy_t *proxy, const kb_name_t *centre)
-{
-	const kb_settings_t *settings = proxy->setup.settings;
-
-	for (size_t i = 0; i < settings->place_count; i++)
-		if (kb_name_is(&settings->places[i].data_centre,
-			       kb_name_str(centre)))
-			return kb_name_str(&settings->places[i].region);
-	return KB_STR("");
-}
-
 static int64_t distance(const kb_proxy_t *proxy, const kb_name_t *centre)
 {
 	if (kb_name_is(centre, kb_name_str(&proxy->self.data_centre)))
 		return 0;
-	if (kb_str_equal(region_of(proxy, centre),
+	if (kb_str_equal(kb_settings_region(proxy->setup.settings, centre),
 			 kb_name_str(&proxy->self.region)))
 		return COST_NEAR_US;
 	return COST_FAR_US;
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -1,16 +1,10 @@
 #include "proxy_parts.h"
 
 #include "log.h"
+#include "rpc_frame.h"
 
 #include <stdlib.h>
 
-static bool_t xdr_nothing(XDR *xdr, void *nothing)
-{
-	(void)xdr;
-	(void)nothing;
-	return TRUE;
-}
-
 static void serve_ping(void *ctx, kb_rpc_request_t *request, void *args)
 {
 	char nothing = 0;
@@ -203,8 +197,8 @@
 kb_result_t kb_proxy_serve(kb_proxy_t *proxy)
 {
 	const kb_rpc_procedure_t procedures[] = {
-		{ KB_PROXY_PING, (xdrproc_t)xdr_nothing, sizeof(int),
-		  (xdrproc_t)xdr_nothing, serve_ping, proxy },
+		{ KB_PROXY_PING, kb_rpc_frame_xdr_empty, sizeof(char),
+		  kb_rpc_frame_xdr_empty, serve_ping, proxy },
 		{ KB_PROXY_RUN, (xdrproc_t)xdr_kbs_run_args,
 		  sizeof(kbs_run_args), (xdrproc_t)xdr_kbs_run_res, serve_run,
 		  proxy },
--- a/src/proxy_stamp.c
+++ b/src/proxy_stamp.c
@@ -166,7 +166,5 @@
 	call->group = group;
 	call->sent_at = now;
 	rpc.ctx = call;
-	proxy->stats.host_calls++;
-	if (kb_rpc_peer_call(&host->peer, &rpc))
-		free(call);
+	kb_proxy_host_call(proxy, host, &rpc);
 }
--- a/src/proxy_statement.c
+++ b/src/proxy_statement.c
@@ -35,7 +35,6 @@
 				   kb_text_str(session->session.args.group));
 }
 
-/* Tells a gate to roll a transaction back; nothing waits for its answer. */
 static void on_rolled_back(void *ctx, kb_result_t result, void *res)
 {
 	(void)ctx;
--- a/src/proxy_sync.c
+++ b/src/proxy_sync.c
@@ -19,12 +19,18 @@
 	SYNC_RETURN_S = 10,
 };
 
-/* The host of rank `rank` among those that read the store for others. */
-static kb_host_t *reader(kb_proxy_t *proxy, size_t rank, kb_time_t now)
+/* Hosts that read the store for others, the first one first; or NULL. */
+typedef struct readers {
+	kb_host_t *hosts[SYNC_READERS];
+} readers_t;
+
+static void find_readers(const kb_proxy_t *proxy, kb_time_t now,
+			 readers_t *readers)
 {
-	kb_host_t *found[SYNC_READERS] = { NULL };
+	kb_host_t **found = readers->hosts;
 	uint64_t scores[SYNC_READERS] = { 0 };
 
+	memset(readers, 0, sizeof(*readers));
 	for (size_t i = 0; i < proxy->hosts.count; i++) {
 		kb_host_t *host = proxy->hosts.hosts[i];
 		uint64_t score = kb_rendezvous_score(kb_name_str(&host->name),
@@ -45,17 +51,13 @@
 			scores[place] = score;
 		}
 	}
-	return found[rank];
 }
 
-static int is_reader(kb_proxy_t *proxy, kb_time_t now)
+static int includes_self(const readers_t *readers)
 {
-	for (size_t rank = 0; rank < SYNC_READERS; rank++) {
-		const kb_host_t *host = reader(proxy, rank, now);
-
-		if (host && host->self)
+	for (size_t rank = 0; rank < SYNC_READERS; rank++)
+		if (readers->hosts[rank] && readers->hosts[rank]->self)
 			return 1;
-	}
 	return 0;
 }
 
@@ -125,9 +127,12 @@
 void kb_proxy_sync_tick(kb_proxy_t *proxy, kb_time_t now)
 {
 	kb_time_t silence = now - proxy->synced_at;
-	int reads = is_reader(proxy, now);
+	readers_t readers;
 	kb_host_t *from;
+	int reads;
 
+	find_readers(proxy, now, &readers);
+	reads = includes_self(&readers);
 	proxy->follower.patient = !reads;
 	kb_follower_enable(&proxy->follower,
 			   reads || silence > SYNC_DIRECT_MS * KB_NS_PER_MS);
@@ -138,7 +143,7 @@
 	if (reads && proxy->follower.reached)
 		return;
 	choose_reader(proxy, now, silence);
-	from = reader(proxy, proxy->reader_rank, now);
+	from = readers.hosts[proxy->reader_rank];
 	if (!from || from->self || silence > SYNC_DIRECT_MS * KB_NS_PER_MS)
 		from = any_host(proxy, now);
 	if (from)
--- a/src/proxy_vacancy.c
+++ b/src/proxy_vacancy.c
@@ -98,9 +98,7 @@
 		return;
 	call->group = group;
 	call->number = group->vacancy.number;
-	group->proxy->stats.host_calls++;
-	if (kb_rpc_peer_call(&host->peer, &rpc))
-		free(call);
+	kb_proxy_host_call(group->proxy, host, &rpc);
 }
 
 static void ask_candidates(kb_proxy_group_t *group, kb_time_t now)
@@ -169,7 +167,6 @@
 		vacancy->primary = *report;
 	if (!primary_leads(group))
 		return;
-	vacancy->found = 1;
 	vacancy->found_at = vacancy->asked_at;
 	vacancy->point = vacancy->primary.received;
 	vacancy->term = vacancy->primary.term;
@@ -187,7 +184,7 @@
 	kb_time_t now = kb_clock_monotonic(group->proxy->clock);
 
 	vacancy->wanted_until = now + VACANCY_WANTED_MS * KB_NS_PER_MS;
-	if (!vacancy->found ||
+	if (!vacancy->found_at ||
 	    now - vacancy->found_at > VACANCY_TOLD_MS * KB_NS_PER_MS ||
 	    vacancy->revision != group->hold.revision)
 		return;
--- a/src/settings.c
+++ b/src/settings.c
@@ -182,3 +182,13 @@
 {
 	free(settings);
 }
+
+kb_str_t kb_settings_region(const kb_settings_t *settings,
+			    const kb_name_t *data_centre)
+{
+	for (size_t i = 0; i < settings->place_count; i++)
+		if (kb_name_is(&settings->places[i].data_centre,
+			       kb_name_str(data_centre)))
+			return kb_name_str(&settings->places[i].region);
+	return KB_STR("");
+}
--- a/src/settings.h
+++ b/src/settings.h
@@ -108,6 +108,10 @@
 	char trace_path[KB_SETTINGS_PATH_MAX_BYTES];
 };
 
+/* Region of a data centre, or an empty string for one that is not named. */
+kb_str_t kb_settings_region(const kb_settings_t *settings,
+			    const kb_name_t *data_centre);
+
 /* Parses "ADDRESS:PORT" or "[ADDRESS]:PORT" with an IP number. */
 kb_result_t kb_endpoint_parse(kb_str_t text, kb_endpoint_t *endpoint);
 
--- a/src/str.c
+++ b/src/str.c
@@ -5,6 +5,12 @@
 	return a.len == b.len && (!a.len || !memcmp(a.data, b.data, a.len));
 }
 
+int kb_str_extends(kb_str_t s, kb_str_t prefix)
+{
+	return s.len > prefix.len &&
+	       (!prefix.len || !memcmp(s.data, prefix.data, prefix.len));
+}
+
 int kb_str_compare(kb_str_t a, kb_str_t b)
 {
 	size_t len = a.len < b.len ? a.len : b.len;
--- a/src/str.h
+++ b/src/str.h
@@ -38,6 +38,9 @@
 /* Returns non-zero if both strings hold the same bytes. */
 int kb_str_equal(kb_str_t a, kb_str_t b);
 
+/* Whether `s` begins with `prefix` and goes on after it. */
+int kb_str_extends(kb_str_t s, kb_str_t prefix);
+
 /* Compares bytes; returns a value below, equal to or above 0. */
 int kb_str_compare(kb_str_t a, kb_str_t b);
 
--- a/tests/test_hold.cc
+++ b/tests/test_hold.cc
@@ -81,6 +81,7 @@
 		ops.inquire = on_inquire;
 		ops.tell = on_tell;
 		ops.changed = [](void *, kb_hold_t *) {};
+		ops.rank = rank;
 		for (size_t i = 0; i < count; i++) {
 			hosts.push_back(std::make_unique<Host>());
 			hosts[i]->world = this;
@@ -305,20 +306,24 @@
 		kb_hold_on_key(&host.hold, &record, key_revision, now);
 	}
 
-	void tick_host(Host &host)
+	/* All hosts that run, in one order. */
+	static void rank(void *ctx, kb_hold_t *, kb_hold_ranking_t *ranking)
 	{
-		kb_hold_ranking_t ranking{};
-
-		for (auto &other : hosts)
+		ranking->count = 0;
+		for (auto &other : static_cast<Host *>(ctx)->world->hosts)
 			if (other->alive)
-				ranking.hosts[ranking.count++] =
+				ranking->hosts[ranking->count++] =
 					name_of(other->name);
+	}
+
+	void tick_host(Host &host)
+	{
 		if (!host.hold.known && reaches_store(host) && !exists)
 			kb_hold_on_key(&host.hold, nullptr, revision, now);
 		/* A host that starts reads the whole store first. */
 		if (!host.hold.known || below(25) == 0)
 			gossip(host);
-		kb_hold_tick(&host.hold, &ranking, now);
+		kb_hold_tick(&host.hold, now);
 		if (broken == Broken::NO_WAIT &&
 		    host.hold.role == KB_HOLD_WAITING)
 			host.hold.serve_at = now;
@@ -618,16 +623,12 @@
 TEST(Hold, AReleaseMovesTheGroupWithoutWaiting)
 {
 	World world(5, 7);
-	kb_hold_ranking_t ranking{};
 	kb_time_t gap = 0;
 
 	world.run(4 * KB_NS_PER_S);
-	for (auto &host : world.hosts)
-		ranking.hosts[ranking.count++] = name_of(host->name);
 	for (auto &host : world.hosts)
 		if (host->hold.role == KB_HOLD_SERVING) {
-			kb_hold_release(&host->hold, &ranking, nullptr,
-					world.now);
+			kb_hold_release(&host->hold, nullptr, world.now);
 			break;
 		}
 	for (int i = 0; i < 200; i++) {
--- a/tests/test_loop.cc
+++ b/tests/test_loop.cc
@@ -26,12 +26,13 @@
 
 		EXPECT_EQ(0, socketpair(AF_UNIX, SOCK_STREAM, 0, sockets));
 		evutil_make_socket_nonblocking(sockets[0]);
-		stream = bufferevent_socket_new(loop, sockets[0],
-						BEV_OPT_CLOSE_ON_FREE |
-							BEV_OPT_DEFER_CALLBACKS);
+		stream = bufferevent_socket_new(
+			loop, sockets[0],
+			BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 		bufferevent_setcb(stream, on_read, nullptr, nullptr, &calls);
 		bufferevent_enable(stream, EV_READ);
-		bufferevent_trigger(stream, EV_READ, BEV_TRIG_IGNORE_WATERMARKS);
+		bufferevent_trigger(stream, EV_READ,
+				    BEV_TRIG_IGNORE_WATERMARKS);
 		bufferevent_free(stream);
 	}
 
--- a/tests/test_settings.cc
+++ b/tests/test_settings.cc
@@ -65,6 +65,20 @@
 	EXPECT_EQ(1u, settings->caller_count);
 }
 
+TEST_F(Settings, RegionsOfDataCentresAreFound)
+{
+	kb_name_t centre;
+
+	ASSERT_EQ(KB_OK, load(std::string(complete) + "[data_centres]\n"
+						      "dc2 = r2\n"))
+		<< faults;
+	kb_name_set(&centre, KB_STR("dc2"));
+	EXPECT_TRUE(kb_str_equal(KB_STR("r2"),
+				 kb_settings_region(settings, &centre)));
+	kb_name_set(&centre, KB_STR("dc3"));
+	EXPECT_EQ(0u, kb_settings_region(settings, &centre).len);
+}
+
 TEST_F(Settings, FaultTable)
 {
 	const struct {
