Keep closed connections of a pool until the calls in progress have returned

Cause: whoever is told the end of a statement, or a sign, may roll a transaction back or unbind the pool, and thereby free the connection that the news came from, or the next one of a loop. A caller that left while its statement was silent let give_up() read freed memory. A trial build with the address sanitizer named the place. Ruled out: libevent's reference counts, whose assertion was only where the damage showed. Conclusion: a closed connection keeps its memory until the next tick of its pool, and every step after a call out does nothing to a closed one.

--- a/src/link_pool.c
+++ b/src/link_pool.c
@@ -305,17 +305,17 @@
 	kb_pool_conn_t *conn;
 	kb_time_t next;
 
+	kb_pool_conn_free_closed(pool);
 	/* What ends may start statements, which wait until all is done. */
 	pool->dispatching = 1;
 	next = expire_jobs(pool, now);
-	conn = pool->conns;
-	while (conn) {
-		kb_pool_conn_t *following = conn->next;
-		kb_time_t at = kb_pool_conn_tick(conn, now);
+	for (conn = pool->conns; conn; conn = conn->next) {
+		kb_time_t at = KB_TIME_NEVER;
 
+		if (conn->state != KB_POOL_CONN_CLOSED)
+			at = kb_pool_conn_tick(conn, now);
 		if (at < next)
 			next = at;
-		conn = following;
 	}
 	pool->dispatching = 0;
 	kb_link_pool_dispatch(pool);
@@ -371,6 +371,7 @@
 	pool->dispatching = 1;
 	close_conns(pool, "this host stops");
 	kb_link_pool_refuse_waiting(pool, KB_ERR_DRAINING, "this host stops");
+	kb_pool_conn_free_closed(pool);
 }
 
 void kb_link_pool_bind(kb_link_pool_t *pool, const kb_link_place_t *place,
@@ -397,12 +398,8 @@
 
 void kb_link_pool_abort_transactions(kb_link_pool_t *pool)
 {
-	kb_pool_conn_t *conn = pool->conns;
-
 	pool->dispatching = 1;
-	while (conn) {
-		kb_pool_conn_t *next = conn->next;
-
+	for (kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next) {
 		if (conn->transaction && conn->state == KB_POOL_CONN_PINNED) {
 			kb_pool_conn_roll_back(conn);
 		} else if (conn->transaction && conn->job &&
@@ -411,7 +408,6 @@
 					  "the primary is being replaced");
 			kb_pool_conn_close(conn);
 		}
-		conn = next;
 	}
 	pool->dispatching = 0;
 	kb_link_pool_dispatch(pool);
@@ -419,15 +415,9 @@
 
 void kb_link_pool_close_idle(kb_link_pool_t *pool)
 {
-	kb_pool_conn_t *conn = pool->conns;
-
-	while (conn) {
-		kb_pool_conn_t *next = conn->next;
-
+	for (kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next)
 		if (conn->state == KB_POOL_CONN_IDLE)
 			kb_pool_conn_close(conn);
-		conn = next;
-	}
 }
 
 unsigned kb_link_pool_active(const kb_link_pool_t *pool)
--- a/src/link_pool.h
+++ b/src/link_pool.h
@@ -59,6 +59,8 @@
 	/* Nothing but open transactions goes on. */
 	int paused;
 	kb_pool_conn_t *conns;
+	/* Closed connections that calls in progress may still look at. */
+	kb_pool_conn_t *closed;
 	unsigned conn_count;
 	kb_pool_job_t *jobs;
 	unsigned job_count;
--- a/src/pool_conn.c
+++ b/src/pool_conn.c
@@ -23,6 +23,8 @@
 
 static void enter(kb_pool_conn_t *conn, kb_pool_conn_state_t state)
 {
+	if (conn->state == KB_POOL_CONN_CLOSED)
+		return;
 	conn->state = state;
 	conn->since = kb_clock_monotonic(conn->pool->clock);
 	conn->silent = 0;
@@ -38,19 +40,29 @@
 	conn->pool->conn_count--;
 }
 
-static void free_conn(kb_pool_conn_t *conn)
+void kb_pool_conn_close(kb_pool_conn_t *conn)
 {
+	if (conn->state == KB_POOL_CONN_CLOSED)
+		return;
+	if (conn->link)
+		kb_link_close(conn->link);
+	conn->link = NULL;
 	unlink_conn(conn);
-	kb_session_values_finish(&conn->values);
-	kb_session_values_finish(&conn->shapes);
-	free(conn);
+	enter(conn, KB_POOL_CONN_CLOSED);
+	conn->next_closed = conn->pool->closed;
+	conn->pool->closed = conn;
 }
 
-void kb_pool_conn_close(kb_pool_conn_t *conn)
+void kb_pool_conn_free_closed(kb_link_pool_t *pool)
 {
-	if (conn->link)
-		kb_link_close(conn->link);
-	free_conn(conn);
+	kb_pool_conn_t *conn;
+
+	while ((conn = pool->closed)) {
+		pool->closed = conn->next_closed;
+		kb_session_values_finish(&conn->values);
+		kb_session_values_finish(&conn->shapes);
+		free(conn);
+	}
 }
 
 void kb_pool_conn_fail(kb_pool_conn_t *conn, kb_result_t result,
@@ -184,6 +196,8 @@
 /* Returns the connection to the pool, or ends its failed transaction. */
 static void release(kb_pool_conn_t *conn, kb_txn_state_t state)
 {
+	if (conn->state == KB_POOL_CONN_CLOSED)
+		return;
 	if (state == KB_TXN_NONE) {
 		conn->transaction = 0;
 		conn->begun = 0;
@@ -271,9 +285,9 @@
 		send_next(conn);
 		return;
 	}
+	conn->job = NULL;
 	if (reply->result == KB_ERR_READ_ONLY)
 		pool->ops->sign(pool->ctx, KB_SIGN_READ_ONLY, reply->point);
-	conn->job = NULL;
 	if (conn->transaction)
 		kb_pool_job_refuse(pool, job, KB_ERR_ROLLED_BACK,
 				   "the connection could not be prepared");
@@ -315,7 +329,7 @@
 	pool->counters.open_failed++;
 	pool->hold_opening_until = now + POOL_REFUSED_PAUSE_MS * KB_NS_PER_MS;
 	conn->link = NULL;
-	free_conn(conn);
+	kb_pool_conn_close(conn);
 	if (result != KB_ERR_TOO_MANY)
 		pool->ops->sign(pool->ctx, KB_SIGN_LOST, (kb_point_t){ 0 });
 	kb_link_pool_dispatch(pool);
@@ -327,6 +341,8 @@
 	kb_link_pool_t *pool = conn->pool;
 
 	pool->ops->sign(pool->ctx, KB_SIGN_ANSWERED, reply->point);
+	if (conn->state == KB_POOL_CONN_CLOSED)
+		return;
 	if (conn->state == KB_POOL_CONN_ABANDONED) {
 		if (conn->sent_kind == KB_ORDER_ROLLBACK || !conn->begun)
 			release(conn, reply->state);
@@ -350,7 +366,7 @@
 	pool->counters.lost++;
 	conn->link = NULL;
 	lose_job(conn, "the connection to the target was lost");
-	free_conn(conn);
+	kb_pool_conn_close(conn);
 	pool->ops->sign(pool->ctx, KB_SIGN_LOST, (kb_point_t){ 0 });
 	kb_link_pool_dispatch(pool);
 }
@@ -375,7 +391,7 @@
 	conn->link =
 		kb_link_open(pool->linker, &pool->place, &link_events, conn);
 	if (!conn->link) {
-		free_conn(conn);
+		kb_pool_conn_close(conn);
 		return KB_ERR_NO_MEMORY;
 	}
 	return KB_OK;
@@ -396,6 +412,8 @@
 			     .name = { "", 0 },
 			     .body = { "", 0 } };
 
+	if (conn->state == KB_POOL_CONN_CLOSED)
+		return;
 	conn->transaction = 0;
 	if (kb_link_send(conn->link, &order)) {
 		kb_pool_conn_close(conn);
@@ -446,6 +464,8 @@
 		conn->silent = 1;
 		pool->counters.silent++;
 		pool->ops->sign(pool->ctx, KB_SIGN_SILENT, (kb_point_t){ 0 });
+		if (conn->state == KB_POOL_CONN_CLOSED)
+			return KB_TIME_NEVER;
 	}
 	if (now >= job->deadline || (conn->silent && !is_final)) {
 		give_up(conn);
--- a/src/pool_conn.h
+++ b/src/pool_conn.h
@@ -56,10 +56,18 @@
 	KB_POOL_CONN_PINNED,
 	/* Waits for an answer that nobody waits for. */
 	KB_POOL_CONN_ABANDONED,
+	/* It is no longer one of the pool's. */
+	KB_POOL_CONN_CLOSED,
 } kb_pool_conn_state_t;
 
+/*
+ * A connection of a pool. Whoever is told of an answer or a sign may close any
+ * connection of the pool, also the one that the news came from: its memory,
+ * and `next`, stay until the next kb_link_pool_tick().
+ */
 struct kb_pool_conn {
 	kb_pool_conn_t *next;
+	kb_pool_conn_t *next_closed;
 	kb_link_pool_t *pool;
 	kb_link_t *link;
 	kb_pool_conn_state_t state;
@@ -84,9 +92,12 @@
 /* Begins to open a connection. Returns KB_ERR_NO_MEMORY. */
 kb_result_t kb_pool_conn_open(kb_link_pool_t *pool);
 
-/* Closes a connection; its job must have been ended. */
+/* Closes a connection unless it is closed; its job must have been ended. */
 void kb_pool_conn_close(kb_pool_conn_t *conn);
 
+/* Frees what was closed. No call about one of them may be in progress. */
+void kb_pool_conn_free_closed(kb_link_pool_t *pool);
+
 /* Gives `job` to a connection that is idle or pinned by its transaction. */
 void kb_pool_conn_start(kb_pool_conn_t *conn, kb_pool_job_t *job);
 
--- a/tests/fake_linker.h
+++ b/tests/fake_linker.h
@@ -5,6 +5,7 @@
 #include "pool_conn.h"
 #include "rng.h"
 
+#include <gtest/gtest.h>
 #include <functional>
 #include <string>
 #include <vector>
@@ -90,7 +91,10 @@
 
 	static void close(kb_link_t *base)
 	{
-		reinterpret_cast<FakeLink *>(base)->closed = true;
+		auto *link = reinterpret_cast<FakeLink *>(base);
+
+		EXPECT_FALSE(link->closed) << "a connection was closed twice";
+		link->closed = true;
 	}
 
 	void opened(FakeLink *link, kb_result_t result = KB_OK)
@@ -149,6 +153,8 @@
 	uint64_t transaction = 0;
 	bool offered = false;
 	std::vector<kbs_value> values;
+	/* What its caller does once it has ended. */
+	std::function<void()> then;
 
 	explicit Statement(kbs_kind kind = KBS_READ, const char *name = "id")
 	    : id(name)
@@ -179,6 +185,8 @@
 		statement->result = (kb_result_t)res->result;
 		statement->transaction = res->transaction;
 		statement->offered = res->offered;
+		if (statement->then)
+			statement->then();
 	}
 };
 
--- a/tests/test_link_pool.cc
+++ b/tests/test_link_pool.cc
@@ -66,6 +66,14 @@
 		}
 	}
 
+	/* A caller that leaves rolls its transaction back. */
+	void roll_back(uint64_t transaction)
+	{
+		rollbacks.push_back(std::make_unique<Statement>(KBS_ROLLBACK));
+		rollbacks.back()->args.transaction = transaction;
+		run(*rollbacks.back());
+	}
+
 	FakeLink *link_with(const std::string &id)
 	{
 		for (FakeLink *link : linker.links)
@@ -81,6 +89,9 @@
 	}
 
 	std::map<size_t, bool> opened;
+	std::vector<std::unique_ptr<Statement>> rollbacks;
+	/* What the watch over the primary does at a sign. */
+	std::function<void()> at_sign;
 
       private:
 	static int may_serve(void *ctx, kb_time_t)
@@ -94,6 +105,8 @@
 
 		test->silent += sign == KB_SIGN_SILENT;
 		test->lost += sign == KB_SIGN_LOST;
+		if (test->at_sign)
+			test->at_sign();
 	}
 };
 
@@ -439,6 +452,62 @@
 	kb_link_pool_finish(&pool);
 }
 
+TEST_F(LinkPool, ACallerThatLeavesAtTheEndOfItsStatementHarmsNothing)
+{
+	Statement first(KBS_READ, "a"), second(KBS_READ, "b"), other;
+
+	first.args.transactional = TRUE;
+	run(first);
+	serve_all();
+	ASSERT_NE(0u, first.transaction);
+	second.args.transactional = TRUE;
+	second.args.transaction = first.transaction;
+	second.then = [&] { roll_back(first.transaction); };
+	run(second);
+	pass(400 * MS);
+	EXPECT_EQ(1, second.ended);
+	EXPECT_EQ(KB_ERR_ROLLED_BACK, second.result);
+	EXPECT_EQ(1, rollbacks[0]->ended);
+	EXPECT_EQ(0u, linker.open_count());
+	run(other);
+	serve_all();
+	EXPECT_EQ(KB_OK, other.result);
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
+/* The watch may unbind a pool at any sign, in the middle of an answer. */
+TEST_F(LinkPool, APoolUnboundAtASignEndsEachStatementOnce)
+{
+	for (int round = 0; round < 6; round++) {
+		Statement read(KBS_READ, "r"), write(KBS_WRITE, "w");
+		kb_link_place_t place = pool.place;
+		kb_link_place_t nowhere = {};
+
+		write.args.transactional = TRUE;
+		run(read);
+		run(write);
+		open_all();
+		at_sign = [&] {
+			at_sign = nullptr;
+			kb_link_pool_bind(&pool, &nowhere, 1, 0);
+		};
+		if (round == 0)
+			pass(300 * MS);
+		else if (round == 1)
+			linker.lose(link_with("r"));
+		else
+			linker.answer(linker.links.back(),
+				      round < 4 ? KB_OK : KB_ERR_READ_ONLY);
+		EXPECT_EQ(0u, linker.open_count()) << round;
+		at_sign = nullptr;
+		pass(1000 * MS);
+		EXPECT_EQ(1, read.ended) << round;
+		EXPECT_EQ(1, write.ended) << round;
+		kb_link_pool_bind(&pool, &place, 2, 4);
+	}
+}
+
 /*
  * Random statements, losses and silences: each statement ends once, no
  * connection carries two transactions, and no write is sent twice.
@@ -470,6 +539,10 @@
 			all.back()->args.transaction = open;
 			if (open && kb_rng_below(&rng, 3) == 0)
 				all.back()->args.kind = KBS_COMMIT;
+			if (open && kb_rng_below(&rng, 3) == 0)
+				all.back()->then = [this, open] {
+					roll_back(open);
+				};
 			run(*all.back());
 			open_all();
 			for (size_t j = 0; j < linker.links.size(); j++) {
