Let a new holder wait only while the former one could still serve

Cause: a new holder waited 0.9 s from the moment at which a majority of the former candidates granted its renewals, though they had granted nothing to the former holder since it died; and a host whose own write to take the group had no answer yet granted nothing until that timed out. After an outage of the store in which the holder died, the group was served 1.6 s after the store's return. Ruled out: a shorter validity (renewals would cost more, and a slow host would lose groups); taking over sooner (a holder that pauses is not lost). A candidate now tells for how long it has granted nothing to any other host. The wait ends 0.9 s after the latest such grant of the best majority. A host that learns of a later revision gives its own write up: the write was on an earlier one.

--- a/src/gen/kumquat_session.h
+++ b/src/gen/kumquat_session.h
@@ -139,6 +139,7 @@
 
 struct kbs_grant_res {
 	bool_t granted;
+	quad_t quiet_us;
 	quad_t store_age_us;
 };
 typedef struct kbs_grant_res kbs_grant_res;
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -128,6 +128,8 @@
 
 struct kbs_grant_res {
 	bool granted;
+	/* Time without a grant to any other host, in microseconds. */
+	hyper quiet_us;
 	/* Time since this host reached the store itself, in microseconds. */
 	hyper store_age_us;
 };
--- a/src/gen/kumquat_session_xdr.c
+++ b/src/gen/kumquat_session_xdr.c
@@ -263,6 +263,8 @@
 
 	 if (!xdr_bool (xdrs, &objp->granted))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->quiet_us))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->store_age_us))
 		 return FALSE;
 	return TRUE;
--- a/src/hold.c
+++ b/src/hold.c
@@ -174,14 +174,16 @@
 			 ++hold->write_number);
 }
 
-/* The key names another host now. */
+/*
+ * The key names another host now. A write of this host that has no answer yet
+ * was on an earlier revision: it has been replaced or cannot take effect.
+ */
 static void lose(kb_hold_t *hold)
 {
 	hold->confirmed = 0;
 	hold->preparing = 0;
 	hold->rewriting = 0;
-	if (hold->role != KB_HOLD_TAKING)
-		kb_hold_set_role(hold, KB_HOLD_NONE);
+	kb_hold_set_role(hold, KB_HOLD_NONE);
 }
 
 void kb_hold_on_key(kb_hold_t *hold, const kb_hold_record_t *record,
@@ -305,8 +307,50 @@
 				age > KB_HOLD_STORELESS_MS * KB_NS_PER_MS;
 }
 
+/* When a former candidate granted a renewal to another host at the latest. */
+static kb_time_t others_until(const kb_hold_t *hold, const kb_name_t *former)
+{
+	if (kb_hold_names_equal(former, &hold->self))
+		return hold->granted_at > hold->began_at ? hold->granted_at
+							 : hold->began_at;
+	for (size_t i = 0; i < hold->grant_count; i++)
+		if (hold->grants[i].granted &&
+		    kb_hold_names_equal(&hold->grants[i].candidate, former))
+			return hold->grants[i].others_until;
+	return KB_TIME_NEVER;
+}
+
+/*
+ * The former holder needs grants of a majority of its candidates. Once a
+ * majority of them grants this host's renewals, one of these would have had to
+ * grant it the last one.
+ */
+static void shorten_wait(kb_hold_t *hold)
+{
+	const kb_hold_set_t *former = &hold->record.former;
+	kb_time_t times[KB_HOLD_CANDIDATES_MAX];
+	kb_time_t end;
+
+	if (!former->count)
+		return;
+	for (size_t i = 0; i < former->count; i++) {
+		kb_time_t at = others_until(hold, &former->hosts[i]);
+		size_t place = i;
+
+		for (; place && times[place - 1] > at; place--)
+			times[place] = times[place - 1];
+		times[place] = at;
+	}
+	if (times[former->count / 2] == KB_TIME_NEVER)
+		return;
+	end = times[former->count / 2] + KB_HOLD_VALID_MS * KB_NS_PER_MS;
+	if (end < hold->serve_at)
+		hold->serve_at = end;
+}
+
 void kb_hold_on_grant(kb_hold_t *hold, const kb_name_t *candidate,
-		      kb_time_t asked_at, int granted, kb_time_t now)
+		      kb_time_t asked_at, int granted, kb_time_t quiet,
+		      kb_time_t now)
 {
 	for (size_t i = 0; i < hold->grant_count; i++) {
 		kb_hold_grant_t *grant = &hold->grants[i];
@@ -317,6 +361,7 @@
 		if (!grant->granted || asked_at > grant->asked_at)
 			grant->asked_at = asked_at;
 		grant->granted = 1;
+		grant->others_until = now - quiet;
 	}
 	if (hold->role == KB_HOLD_WAITING && !hold->former_stopped && granted &&
 	    hold->record.former.count &&
@@ -326,11 +371,8 @@
 		hold->serve_at = now;
 	}
 	if (hold->role == KB_HOLD_WAITING && !hold->former_stopped &&
-	    !hold->record.former_lost &&
-	    kb_hold_majority_time(hold, &hold->record.former)) {
-		hold->former_stopped = 1;
-		hold->serve_at = now + KB_HOLD_VALID_MS * KB_NS_PER_MS;
-	}
+	    !hold->record.former_lost)
+		shorten_wait(hold);
 }
 
 void kb_hold_look(kb_hold_t *hold, kb_time_t now)
@@ -351,7 +393,7 @@
 		return 0;
 	}
 	/* The sender's write is later than that of this host. */
-	if (revision > hold->revision && hold->role != KB_HOLD_TAKING)
+	if (revision > hold->revision)
 		lose(hold);
 	if (hold->role != KB_HOLD_NONE ||
 	    (kb_hold_names_self(hold) && revision <= hold->revision) ||
@@ -361,6 +403,10 @@
 	if (hold->known && hold->revision > revision &&
 	    !kb_hold_names_equal(&hold->record.holder, holder))
 		return 0;
+	if (!kb_hold_names_equal(&hold->granted_to, holder)) {
+		hold->granted_others_at = hold->granted_at;
+		hold->granted_to = *holder;
+	}
 	hold->granted_revision = revision;
 	hold->granted_at = now;
 	if (serving)
@@ -368,6 +414,13 @@
 	return 1;
 }
 
+kb_time_t kb_hold_quiet(const kb_hold_t *hold, kb_time_t now)
+{
+	return now - (hold->granted_others_at > hold->began_at
+			      ? hold->granted_others_at
+			      : hold->began_at);
+}
+
 int kb_hold_granted(const kb_hold_t *hold, int64_t revision, kb_time_t *since)
 {
 	/* A host whose write has no answer yet does not serve yet either. */
--- a/src/hold.h
+++ b/src/hold.h
@@ -109,6 +109,8 @@
 	/* Sending of the last renewal that it granted. */
 	kb_time_t asked_at;
 	int granted;
+	/* It had granted nothing to another host since then, at the latest. */
+	kb_time_t others_until;
 	/* Since when it is asked. */
 	kb_time_t since;
 	/* It has not reached the store for some time: others go before it. */
@@ -122,11 +124,11 @@
  * candidates in the key granted, and for KB_HOLD_STORE_MAX_S at most since the
  * store last showed the key unchanged. A candidate grants nothing to a holder
  * of an earlier revision than it granted before. A host that takes the group
- * over by a write on the revision that it knows waits until KB_HOLD_VALID_MS
- * after a majority of the former candidates granted its own renewals, or
- * KB_HOLD_STORE_MAX_S after the write. Then it writes that no former holder may
- * serve (`settled`), and serves once that is confirmed. All times are of one
- * clock that counts suspension.
+ * over by a write on the revision that it knows waits until a majority of the
+ * former candidates grants its own renewals and had granted none to others for
+ * KB_HOLD_VALID_MS, or KB_HOLD_STORE_MAX_S after the write. Then it writes that
+ * no former holder may serve (`settled`), and serves once that is confirmed.
+ * All times are of one clock that counts suspension.
  */
 struct kb_hold {
 	const kb_hold_ops_t *ops;
@@ -175,6 +177,9 @@
 	/* Highest revision of a holder to whom a grant was given, and when. */
 	int64_t granted_revision;
 	kb_time_t granted_at;
+	/* The host that it was given to, and the last grant to another one. */
+	kb_name_t granted_to;
+	kb_time_t granted_others_at;
 	/* Last time at which the holder was heard serving. */
 	kb_time_t heard_at;
 	kb_time_t inquired_at;
@@ -217,9 +222,13 @@
 void kb_hold_on_written(kb_hold_t *hold, uint64_t number, kb_result_t result,
 			int64_t revision, kb_time_t now);
 
-/* A candidate's answer to the renewal that was sent at `asked_at`. */
+/*
+ * A candidate's answer to the renewal that was sent at `asked_at`. When it
+ * granted it, it had granted nothing to any other host for `quiet`.
+ */
 void kb_hold_on_grant(kb_hold_t *hold, const kb_name_t *candidate,
-		      kb_time_t asked_at, int granted, kb_time_t now);
+		      kb_time_t asked_at, int granted, kb_time_t quiet,
+		      kb_time_t now);
 
 /* A candidate last reached the store `age` ago. */
 void kb_hold_on_store_age(kb_hold_t *hold, const kb_name_t *candidate,
@@ -235,6 +244,13 @@
 int kb_hold_grant(kb_hold_t *hold, const kb_name_t *holder, int64_t revision,
 		  int serving, kb_time_t now);
 
+/*
+ * Time for which this host has granted nothing to any host but the one that it
+ * granted a renewal last. An earlier process may have granted until this one
+ * began.
+ */
+kb_time_t kb_hold_quiet(const kb_hold_t *hold, kb_time_t now);
+
 /*
  * What this host, a candidate of `revision`, can say against a holder: sets
  * `*since` to the time of its last grant to any. Returns 0 if it has taken the
--- a/src/proxy_hold.c
+++ b/src/proxy_hold.c
@@ -141,6 +141,7 @@
 	if (!result)
 		kb_hold_on_grant(&call.group->hold, &call.candidate,
 				 call.asked_at, granted->granted,
+				 granted->quiet_us * KB_NS_PER_US,
 				 kb_clock_monotonic(call.group->proxy->clock));
 	wake_if_beginning(call.group);
 }
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -108,6 +108,10 @@
 				      kb_clock_monotonic(proxy->clock))
 				? TRUE
 				: FALSE;
+	if (res.granted)
+		res.quiet_us = kb_hold_quiet(&group->hold,
+					     kb_clock_monotonic(proxy->clock)) /
+			       KB_NS_PER_US;
 	res.store_age_us = (kb_clock_monotonic(proxy->clock) -
 			    proxy->presence.reached_at) /
 			   KB_NS_PER_US;
--- a/tests/test_hold.cc
+++ b/tests/test_hold.cc
@@ -33,6 +33,8 @@
 	ONE_GRANT,
 	/* A candidate grants to holders of earlier revisions too. */
 	GRANTS_OLD,
+	/* A candidate claims that it granted nothing to others lately. */
+	CLAIMS_QUIET,
 };
 
 /* A store with one key, hosts that may take the group over, and faults. */
@@ -64,6 +66,8 @@
 	int64_t revision = 10;
 	int64_t key_revision = 0;
 	bool store_down = false;
+	/* A store that is not reached answers writes never, not with errors. */
+	bool store_silent = false;
 	int lost_percent = 0;
 	std::map<std::pair<size_t, size_t>, bool> cuts;
 	std::multimap<kb_time_t, std::function<void()>> events;
@@ -200,7 +204,7 @@
 				world.key_revision = ++world.revision;
 			}
 			revision = world.revision;
-			if (late)
+			if (late || (!reached && world.store_silent))
 				return;
 			world.deliver(host, world.delay(), [=, &host, &world] {
 				kb_hold_on_written(&host.hold, number,
@@ -244,13 +248,17 @@
 					  other.hold.granted_revision });
 			int granted = kb_hold_grant(&other.hold, &self, told,
 						    live, world.now);
+			kb_time_t quiet =
+				world.broken == Broken::CLAIMS_QUIET
+					? KB_NS_PER_S
+					: kb_hold_quiet(&other.hold, world.now);
 
 			if (!world.linked(world.index(host),
 					  world.index(other)))
 				return;
 			world.deliver(host, world.delay(), [=, &host, &world] {
 				kb_hold_on_grant(&host.hold, &from, asked_at,
-						 granted, world.now);
+						 granted, quiet, world.now);
 				if (world.broken == Broken::ONE_GRANT)
 					for (size_t i = 0;
 					     i < host.hold.grant_count; i++)
@@ -259,7 +267,7 @@
 							&host.hold.grants[i]
 								 .candidate,
 							asked_at, granted,
-							world.now);
+							quiet, world.now);
 			});
 		});
 	}
@@ -509,7 +517,8 @@
 
 TEST(Hold, EveryBrokenRuleIsFound)
 {
-	for (Broken broken : { Broken::NO_WAIT, Broken::ONE_GRANT }) {
+	for (Broken broken :
+	     { Broken::NO_WAIT, Broken::ONE_GRANT, Broken::CLAIMS_QUIET }) {
 		bool found = false;
 
 		for (uint64_t seed = 1; seed <= 400 && !found; seed++)
@@ -569,6 +578,55 @@
 	}
 }
 
+/* Ends the host that serves; returns the time of its end. */
+static kb_time_t end_holder(World &world)
+{
+	for (auto &host : world.hosts)
+		if (host->hold.role == KB_HOLD_SERVING) {
+			host->alive = false;
+			host->down_until = KB_TIME_NEVER;
+		}
+	return world.now;
+}
+
+/* Time until a host serves the group, after `since`. */
+static kb_time_t gap_after(World &world, kb_time_t since)
+{
+	while (world.served_at <= since && world.now - since < 60 * KB_NS_PER_S)
+		world.step();
+	return world.served_at - since;
+}
+
+TEST(Hold, ANewHolderWaitsNoLongerThanTheFormerCouldServe)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		World world(7, seed);
+		kb_time_t died;
+
+		world.run(4 * KB_NS_PER_S);
+		died = end_holder(world);
+		EXPECT_LE(gap_after(world, died), (KB_HOLD_VALID_MS + 350) * MS)
+			<< seed;
+	}
+}
+
+TEST(Hold, AGroupWhoseHolderDiedInAStoreOutageIsServedOnceThatEnds)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		World world(7, seed);
+		kb_time_t back;
+
+		world.run(4 * KB_NS_PER_S);
+		world.store_down = true;
+		world.store_silent = true;
+		end_holder(world);
+		world.run(6 * KB_NS_PER_S);
+		world.store_down = false;
+		back = world.now;
+		EXPECT_LE(gap_after(world, back), 1000 * MS) << seed;
+	}
+}
+
 TEST(Hold, IsServedAgainAfterEveryHostRestarts)
 {
 	for (uint64_t seed = 1; seed <= 50; seed++) {
