Refuse at once while nobody serves a group; send its callers elsewhere

A host that reaches no holder kept the sessions that it refused. Ruled out: the connection time-out of 0.3 s to the lost host, which is not what held them. A stamp now tells whether it came from a holder. 2.5 s after the last service, or after another holder was named, statements for the primary are refused without an attempt at a host that does not answer; stamps, which are asked of the candidates in turn, find a holder that returns.

--- a/src/caller_session.h
+++ b/src/caller_session.h
@@ -41,6 +41,8 @@
 	kb_str_t message;
 	/* Time until a retry may succeed, or 0. */
 	kb_time_t retry;
+	/* This host reaches no holder of the group; another host may. */
+	int elsewhere;
 	size_t row_count;
 	const kbs_text *rows;
 	/* The target's mark, or empty if no target was asked. */
--- a/src/gen/kumquat_session.h
+++ b/src/gen/kumquat_session.h
@@ -75,6 +75,7 @@
 
 struct kbs_stamp {
 	bool_t valid;
+	bool_t vacant;
 	u_quad_t term;
 	kbs_point point;
 	kbs_text primary;
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -64,6 +64,8 @@
 /* What a host that holds a group knows of its primary. */
 struct kbs_stamp {
 	bool valid;
+	/* No host serves the group: it bounds commits, and shows no holder. */
+	bool vacant;
 	/* Term in which the primary leads. */
 	unsigned hyper term;
 	/* Newest point that any acknowledged write has. */
--- a/src/gen/kumquat_session_xdr.c
+++ b/src/gen/kumquat_session_xdr.c
@@ -150,6 +150,8 @@
 
 	 if (!xdr_bool (xdrs, &objp->valid))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->vacant))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
 		 return FALSE;
 	 if (!xdr_kbs_point (xdrs, &objp->point))
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -18,6 +18,14 @@
 	return now - kb_stamps_newest(&group->stamps);
 }
 
+kb_time_t kb_proxy_group_unserved(const kb_proxy_group_t *group, kb_time_t now)
+{
+	if (!group->served_at)
+		return 0;
+	return now - (group->served_at > group->record_at ? group->served_at
+							  : group->record_at);
+}
+
 static int pool_may_serve(void *ctx, kb_time_t now)
 {
 	kb_proxy_group_t *group = ctx;
--- a/src/proxy_hold.c
+++ b/src/proxy_hold.c
@@ -269,6 +269,10 @@
 	};
 	kb_proxy_group_t *group = ctx;
 
+	if (group->record_revision != hold->revision) {
+		group->record_revision = hold->revision;
+		group->record_at = kb_clock_monotonic(group->proxy->clock);
+	}
 	kb_log(KB_EVENT_HOLD_STATE,
 	       "group=%s role=%s holder=%s revision=%" PRId64 " released=%d",
 	       group->name.data, roles[hold->role], hold->record.holder.data,
--- a/src/proxy_parts.h
+++ b/src/proxy_parts.h
@@ -88,6 +88,11 @@
 	/* Primary as the holder told last. */
 	kb_name_t primary;
 	uint64_t primary_term;
+	/* Last time at which a host is known to have served it, or 0. */
+	kb_time_t served_at;
+	/* Revision of the hold's record, and when it was learnt. */
+	int64_t record_revision;
+	kb_time_t record_at;
 	kb_time_t stamp_asked_at;
 	/* Candidate that was asked for a stamp last. */
 	size_t stamp_source;
@@ -187,8 +192,15 @@
 /* Takes what the holder said in answer to a call sent at `sent_at`. */
 void kb_proxy_group_learn(kb_proxy_group_t *group, const kbs_stamp *stamp,
 			  kb_time_t sent_at);
-/* Time since the holder was last known to serve. */
+/* Time since anything was last known of the newest commits. */
 kb_time_t kb_proxy_group_silence(const kb_proxy_group_t *group, kb_time_t now);
+/*
+ * Time since the group was last known to be served, or had another holder
+ * named; 0 if it never was.
+ */
+kb_time_t kb_proxy_group_unserved(const kb_proxy_group_t *group, kb_time_t now);
+/* Whether candidates show that no host serves the group. */
+int kb_proxy_group_is_vacant(const kb_proxy_group_t *group, kb_time_t now);
 /* proxy_hold.c, proxy_lead.c: what holds and watches order. */
 extern const kb_hold_ops_t kb_proxy_hold_ops;
 extern const kb_lead_ops_t kb_proxy_lead_ops;
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -43,11 +43,17 @@
 static void session_answer(void *ctx, const kb_answer_t *answer)
 {
 	kb_proxy_session_t *session = ctx;
+	kb_proxy_group_t *group = kb_proxy_session_group(session);
+	kb_answer_t told = *answer;
 
 	if (answer->state == KB_TXN_NONE)
 		session->spent = 0;
+	told.elsewhere =
+		answer->result == KB_ERR_NO_PRIMARY && group &&
+		!kb_proxy_group_is_vacant(
+			group, kb_clock_monotonic(session->proxy->clock));
 	if (!session->closed)
-		session->answer(session->ctx, answer);
+		session->answer(session->ctx, &told);
 }
 
 static void session_run(void *ctx, kb_caller_session_t *caller)
--- a/src/proxy_stamp.c
+++ b/src/proxy_stamp.c
@@ -11,6 +11,8 @@
 	HOLDER_SILENT_MS = 700,
 	/* One of the other groups is asked about this often. */
 	IDLE_STAMP_PAUSE_MS = 250,
+	/* What a candidate says of a vacancy holds for this time. */
+	VACANT_KNOWN_MS = 1500,
 	/* A group that was used within this time is used. */
 	STAMP_USED_S = 10,
 };
@@ -37,6 +39,8 @@
 
 	if (!stamp->valid)
 		return;
+	if (!stamp->vacant && at > group->served_at)
+		group->served_at = at;
 	kb_stamps_add(&group->stamps, stamp->term, at,
 		      kb_point_from(stamp->point));
 	if (stamp->term < group->primary_term)
@@ -45,6 +49,14 @@
 	kb_name_set(&group->primary, kb_text_str(stamp->primary));
 }
 
+int kb_proxy_group_is_vacant(const kb_proxy_group_t *group, kb_time_t now)
+{
+	const kb_stamp_t *newest = kb_stamps_last(&group->stamps);
+
+	return newest && newest->at > group->served_at &&
+	       now - newest->at <= VACANT_KNOWN_MS * KB_NS_PER_MS;
+}
+
 typedef struct stamp_call {
 	kb_proxy_group_t *group;
 	kb_time_t sent_at;
@@ -107,7 +119,7 @@
 		kb_hosts_find(&group->proxy->hosts, kb_name_str(holder));
 	const kb_host_t *relay;
 
-	if (set->count && kb_proxy_group_silence(group, now) >
+	if (set->count && kb_proxy_group_unserved(group, now) >
 				  HOLDER_SILENT_MS * KB_NS_PER_MS) {
 		group->stamp_source = (group->stamp_source + 1) % set->count;
 		return &set->hosts[group->stamp_source];
@@ -129,6 +141,7 @@
 	if (!newest || now - newest->at > HOLDER_SILENT_MS * KB_NS_PER_MS)
 		return;
 	stamp->valid = TRUE;
+	stamp->vacant = group->served_at < newest->at;
 	stamp->term = group->stamps.term;
 	stamp->point = kb_point_to(newest->point);
 	stamp->primary = kb_text_view(kb_name_str(&group->primary));
--- a/src/proxy_statement.c
+++ b/src/proxy_statement.c
@@ -173,8 +173,8 @@
 {
 	const kb_proxy_group_t *group = kb_proxy_session_group(session);
 
-	return group && kb_stamps_newest(&group->stamps) &&
-	       kb_proxy_group_silence(group, now) > NO_HOLDER_MS * KB_NS_PER_MS;
+	return group && kb_proxy_group_unserved(group, now) >
+				NO_HOLDER_MS * KB_NS_PER_MS;
 }
 
 static void take_result(kb_proxy_session_t *session, const kbs_run_res *res,
@@ -377,6 +377,7 @@
 static void try_primary(kb_proxy_session_t *session)
 {
 	kb_proxy_group_t *group = kb_proxy_session_group(session);
+	kb_time_t now = kb_clock_monotonic(session->proxy->clock);
 	kb_host_t *host = NULL;
 
 	session->path = KB_PROXY_PATH_PRIMARY;
@@ -389,7 +390,12 @@
 	else if (group && group->hold.known)
 		host = kb_hosts_find(&session->proxy->hosts,
 				     kb_name_str(&group->hold.record.holder));
-	if (host)
+	/* Questions for stamps find a holder that returns. */
+	if (host && !host->self && !kb_proxy_host_usable(host, now) &&
+	    is_hopeless(session, now))
+		finish_run(session, NULL, KB_ERR_NO_PRIMARY,
+			   "no host that holds the group is reached");
+	else if (host)
 		send_attempt(session, host);
 	else
 		take_result(session, NULL, KB_ERR_NO_PRIMARY);
--- a/src/proxy_vacancy.c
+++ b/src/proxy_vacancy.c
@@ -189,6 +189,7 @@
 	    vacancy->revision != group->hold.revision)
 		return;
 	stamp->valid = TRUE;
+	stamp->vacant = TRUE;
 	stamp->term = vacancy->term;
 	stamp->point = kb_point_to(vacancy->point);
 	stamp->primary = kb_text_view(kb_name_str(&group->primary));
--- /dev/null
+++ b/tests/test_proxy_service.cc
@@ -0,0 +1,133 @@
+#include "proxy_parts.h"
+
+#include <gtest/gtest.h>
+#include <memory>
+
+namespace
+{
+
+constexpr kb_time_t MS = KB_NS_PER_MS;
+
+/* What a host knows of a group that another host holds. */
+class Service : public ::testing::Test
+{
+      protected:
+	struct Clock {
+		kb_clock_t base;
+		kb_time_t now = 100 * KB_NS_PER_S;
+	} clock;
+	std::unique_ptr<kb_proxy_t> proxy = std::make_unique<kb_proxy_t>();
+	std::unique_ptr<kb_proxy_group_t> group =
+		std::make_unique<kb_proxy_group_t>();
+
+	Service()
+	{
+		static const kb_clock_ops_t ops = {
+			[](kb_clock_t *clock) {
+				return reinterpret_cast<Clock *>(clock)->now;
+			},
+			[](kb_clock_t *) { return (kb_time_t)0; },
+		};
+
+		clock.base.ops = &ops;
+		*proxy = {};
+		*group = {};
+		proxy->clock = &clock.base;
+		group->proxy = proxy.get();
+		kb_name_set(&group->name, KB_STR("g"));
+	}
+
+	void learn(uint64_t position, bool vacant)
+	{
+		kbs_stamp stamp = {};
+
+		stamp.valid = TRUE;
+		stamp.vacant = vacant;
+		stamp.term = 1;
+		stamp.point = { 1, position };
+		stamp.primary = kb_text_view(KB_STR("p"));
+		kb_proxy_group_learn(group.get(), &stamp, clock.now);
+	}
+
+	kb_time_t unserved_ms()
+	{
+		return kb_proxy_group_unserved(group.get(), clock.now) / MS;
+	}
+
+	bool is_vacant()
+	{
+		return kb_proxy_group_is_vacant(group.get(), clock.now);
+	}
+
+	/* The store names another holder. */
+	void rename_holder(int64_t revision)
+	{
+		group->hold.revision = revision;
+		kb_proxy_hold_ops.changed(group.get(), &group->hold);
+	}
+};
+
+} // namespace
+
+TEST_F(Service, AGroupThatWasNeverServedIsNotHeldLost)
+{
+	EXPECT_EQ(0, unserved_ms());
+	EXPECT_FALSE(is_vacant());
+	learn(1, true);
+	clock.now += 5000 * MS;
+	EXPECT_EQ(0, unserved_ms());
+}
+
+TEST_F(Service, AVacancyBoundsCommitsButIsNoService)
+{
+	learn(1, false);
+	EXPECT_EQ(0, unserved_ms());
+	for (int i = 0; i < 10; i++) {
+		clock.now += 300 * MS;
+		learn(1, true);
+	}
+	EXPECT_EQ(3000, unserved_ms());
+	EXPECT_EQ(0, kb_proxy_group_silence(group.get(), clock.now));
+	EXPECT_TRUE(is_vacant());
+}
+
+TEST_F(Service, AVacancyThatNobodyConfirmsIsForgotten)
+{
+	learn(1, false);
+	clock.now += 300 * MS;
+	learn(1, true);
+	EXPECT_TRUE(is_vacant());
+	clock.now += 3000 * MS;
+	EXPECT_FALSE(is_vacant());
+	EXPECT_EQ(3300, unserved_ms());
+}
+
+TEST_F(Service, ANewHolderIsGivenItsTime)
+{
+	learn(1, false);
+	clock.now += 4000 * MS;
+	rename_holder(7);
+	EXPECT_EQ(0, unserved_ms());
+	clock.now += 1000 * MS;
+	/* A change of the role alone says nothing of the holder. */
+	rename_holder(7);
+	EXPECT_EQ(1000, unserved_ms());
+	learn(2, false);
+	EXPECT_EQ(0, unserved_ms());
+}
+
+TEST_F(Service, ARelayTellsWhetherWhatItKnowsCameFromAHolder)
+{
+	kbs_stamp told = {};
+
+	learn(1, false);
+	kb_proxy_group_relay(group.get(), &told);
+	EXPECT_TRUE(told.valid);
+	EXPECT_FALSE(told.vacant);
+	clock.now += 300 * MS;
+	learn(1, true);
+	told = {};
+	kb_proxy_group_relay(group.get(), &told);
+	EXPECT_TRUE(told.valid);
+	EXPECT_TRUE(told.vacant);
+}
