--- /dev/null
+++ b/soak/standin_store.py
@@ -0,0 +1,113 @@
+"""Stand-in of the platform's store: keys, conditions, leases, waiting reads."""
+import asyncio
+import base64
+import time
+from urllib.parse import parse_qs, unquote, urlsplit
+
+
+class Store:
+    """A key-value store with conditions, leases and waiting reads."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 1
+        self.events = []
+        self.leases = {}
+        self.next_lease = 100
+        self.changed = asyncio.Event()
+        self.down = False
+        self.calls = 0
+
+    def note(self, key, item):
+        event = dict(item) if item else {
+            "key": key, "revision": self.revision, "deleted": True}
+        self.events.append((self.revision, key, event))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        created = self.items.get(key, {}).get("created", self.revision)
+        self.items[key] = {
+            "key": key, "value": base64.b64encode(value).decode(),
+            "revision": self.revision, "created": created, "lease": lease}
+        self.note(key, self.items[key])
+
+    def remove(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self.note(key, None)
+
+    def expire(self):
+        now = time.monotonic()
+        for lease, (ttl, until) in list(self.leases.items()):
+            if until < now:
+                self.end_lease(lease)
+
+    def end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [k for k, i in self.items.items() if i["lease"] == lease]:
+            self.remove(key)
+
+    async def watch(self, prefix, after, wait):
+        until = time.monotonic() + wait
+        while True:
+            found = [e for r, k, e in self.events
+                     if r > after and k.startswith(prefix)]
+            left = until - time.monotonic()
+            if found or left <= 0:
+                return {"events": found, "current_rev": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    def txn(self, body):
+        for row in body["expect"]:
+            item = self.items.get(row["key"], {"revision": 0})
+            if item["revision"] != row["revision"]:
+                return 412, {"items": []}
+        for row in body["writes"]:
+            if row["lease"] and row["lease"] not in self.leases:
+                return 404, {}
+        for row in body["writes"]:
+            self.put(row["key"], base64.b64decode(row["value"]), row["lease"])
+        for key in body["remove"]:
+            self.remove(key)
+        return 200, {"revision": self.revision}
+
+    async def serve(self, method, path, body):
+        self.calls += 1
+        if self.down:
+            return 503, {}
+        self.expire()
+        url = urlsplit(path)
+        query = {k: v[0] for k, v in
+                 parse_qs(url.query, keep_blank_values=True).items()}
+        if url.path == "/v1/kv-range":
+            prefix = query.get("prefix", "")
+            items = [i for k, i in sorted(self.items.items())
+                     if k.startswith(prefix) and k > query.get("after", "")]
+            return 200, {"items": items[:500], "has_more": len(items) > 500,
+                         "current_rev": self.revision}
+        if url.path == "/v1/kv-watch":
+            return 200, await self.watch(
+                query.get("prefix", ""), int(query["after"]),
+                int(query["wait_ms"]) / 1000)
+        if url.path == "/v1/kv-txn":
+            return self.txn(body)
+        if url.path == "/v1/kv-lease":
+            self.next_lease += 1
+            ttl = body["ttl_ms"]
+            self.leases[self.next_lease] = (
+                ttl, time.monotonic() + ttl / 1000)
+            return 200, {"lease": self.next_lease, "ttl_ms": ttl}
+        lease = int(unquote(url.path.rsplit("/", 1)[1]))
+        if lease not in self.leases:
+            return 404, {}
+        if method == "DELETE":
+            self.end_lease(lease)
+            return 200, {}
+        ttl = self.leases[lease][0]
+        self.leases[lease] = (ttl, time.monotonic() + ttl / 1000)
+        return 200, {"ttl_ms": ttl}
--- a/src/hold_internal.h
+++ b/src/hold_internal.h
@@ -24,6 +24,12 @@
 /* Asks the candidates of the record, of a rewrite, and the former ones. */
 void kb_hold_set_grants(kb_hold_t *hold);
 
+/*
+ * The key names another host now. A write of this host that has no answer yet
+ * was on an earlier revision: it has been replaced or cannot take effect.
+ */
+void kb_hold_lose(kb_hold_t *hold);
+
 void kb_hold_begin_read(kb_hold_t *hold, kb_time_t now);
 /* Writes `wanted` on the revision known. */
 void kb_hold_begin_write(kb_hold_t *hold, kb_time_t now);
--- /dev/null
+++ b/src/pool_conn_answer.c
@@ -0,0 +1,254 @@
+#include "pool_conn_internal.h"
+
+#include "log.h"
+#include "pool_order.h"
+
+enum {
+	/* Weight of the newest service time: one part in eight. */
+	SERVICE_WEIGHT = 8,
+};
+
+static const kbs_run_args *args_of(const kb_pool_conn_t *conn)
+{
+	return conn->job->args;
+}
+
+static void measure(kb_pool_conn_t *conn)
+{
+	kb_link_pool_t *pool = conn->pool;
+	kb_time_t took = kb_clock_monotonic(pool->clock) - conn->sent_at;
+
+	pool->service += (took - pool->service) / SERVICE_WEIGHT;
+}
+
+/* Orders that prepare a connection need no slot and little time. */
+static void measure_round_trip(kb_pool_conn_t *conn)
+{
+	kb_link_pool_t *pool = conn->pool;
+	kb_time_t took = kb_clock_monotonic(pool->clock) - conn->sent_at;
+
+	pool->round_trip += (took - pool->round_trip) / SERVICE_WEIGHT;
+}
+
+/* A preparing order succeeded: notes what the connection has now. */
+static kb_result_t note_prepared(kb_pool_conn_t *conn)
+{
+	char name[KB_POOL_SHAPE_NAME_BYTES];
+
+	switch (conn->sent_kind) {
+	case KB_ORDER_RESET:
+		conn->pool->counters.resets++;
+		kb_session_values_finish(&conn->values);
+		kb_session_values_finish(&conn->shapes);
+		return KB_OK;
+	case KB_ORDER_SET:
+		return kb_session_values_set(&conn->values,
+					     kb_text_str(conn->setting->name),
+					     kb_text_str(conn->setting->value));
+	case KB_ORDER_PREPARE_READ:
+	case KB_ORDER_PREPARE_WRITE:
+		return kb_session_values_set(
+			&conn->shapes, kb_pool_shape_name(args_of(conn), name),
+			kb_text_str(args_of(conn)->shape));
+	default:
+		conn->begun = 1;
+		conn->transaction = ++conn->pool->next_transaction;
+		return KB_OK;
+	}
+}
+
+static void fill_res(kbs_run_res *res, const kb_reply_t *reply)
+{
+	memset(res, 0, sizeof(*res));
+	res->result = (int)reply->result;
+	res->message = kb_text_view(reply->message);
+	res->rows.rows_len = (u_int)reply->row_count;
+	res->rows.rows_val = (kbs_text *)reply->rows;
+	res->signature = kb_text_view(reply->signature);
+	res->point = kb_point_to(reply->point);
+	res->offered = TRUE;
+}
+
+/* Returns the connection to the pool, or ends its failed transaction. */
+static void release(kb_pool_conn_t *conn, kb_txn_state_t state)
+{
+	if (conn->state == KB_POOL_CONN_CLOSED)
+		return;
+	if (state == KB_TXN_NONE) {
+		conn->transaction = 0;
+		conn->begun = 0;
+		kb_pool_conn_enter(conn, KB_POOL_CONN_IDLE);
+	} else {
+		kb_pool_conn_roll_back(conn);
+	}
+}
+
+/* The hold ended while the statement ran: its success must not be told. */
+static void withhold(kb_pool_conn_t *conn)
+{
+	kb_pool_job_t *job = conn->job;
+	kb_result_t result = kb_pool_conn_lost_result(job);
+
+	conn->job = NULL;
+	kb_pool_job_refuse(conn->pool, job, result,
+			   "the primary may have been replaced meanwhile");
+	kb_pool_conn_close(conn);
+}
+
+static void take_own_answer(kb_pool_conn_t *conn, const kb_reply_t *reply)
+{
+	kb_link_pool_t *pool = conn->pool;
+	kb_pool_job_t *job = conn->job;
+	kb_time_t now = kb_clock_monotonic(pool->clock);
+	kbs_run_res res;
+
+	measure(conn);
+	if (!reply->result && !pool->ops->may_serve(pool->ctx, now)) {
+		withhold(conn);
+		return;
+	}
+	if (reply->result == KB_ERR_OVERLOADED && now < job->deadline &&
+	    job->attempts < POOL_ATTEMPTS_MAX &&
+	    (reply->state == KB_TXN_OPEN) == (conn->transaction != 0)) {
+		/* The target did not run it. */
+		pool->hold_sending_until =
+			now + POOL_BUSY_PAUSE_MS * KB_NS_PER_MS;
+		job->offered = 0;
+		job->transaction = conn->transaction;
+		conn->job = NULL;
+		kb_pool_conn_enter(conn, conn->transaction ? KB_POOL_CONN_PINNED
+							   : KB_POOL_CONN_IDLE);
+		kb_pool_job_requeue(pool, job);
+		return;
+	}
+	fill_res(&res, reply);
+	conn->job = NULL;
+	if (reply->result == KB_ERR_READ_ONLY)
+		pool->ops->sign(pool->ctx, KB_SIGN_READ_ONLY, reply->point);
+	if (conn->transaction && reply->state == KB_TXN_OPEN) {
+		res.transaction = conn->transaction;
+		kb_pool_conn_enter(conn, KB_POOL_CONN_PINNED);
+	} else {
+		release(conn, reply->state);
+	}
+	kb_pool_job_end(pool, job, &res);
+}
+
+/* The target's position goes with it, so that later reads avoid it. */
+static void refuse_to_begin(kb_link_pool_t *pool, kb_pool_job_t *job,
+			    const kb_reply_t *reply)
+{
+	kbs_run_res res;
+
+	fill_res(&res, reply);
+	res.offered = FALSE;
+	kb_pool_job_end(pool, job, &res);
+}
+
+static void take_prepared(kb_pool_conn_t *conn, const kb_reply_t *reply)
+{
+	kb_link_pool_t *pool = conn->pool;
+	kb_pool_job_t *job = conn->job;
+
+	measure_round_trip(conn);
+	if (!reply->result) {
+		if (note_prepared(conn)) {
+			kb_pool_conn_fail(conn, KB_ERR_OVERLOADED,
+					  "memory is short");
+			kb_pool_conn_close(conn);
+			return;
+		}
+		kb_pool_conn_send_next(conn);
+		return;
+	}
+	conn->job = NULL;
+	if (reply->result == KB_ERR_READ_ONLY)
+		pool->ops->sign(pool->ctx, KB_SIGN_READ_ONLY, reply->point);
+	if (conn->transaction)
+		kb_pool_job_refuse(pool, job, KB_ERR_ROLLED_BACK,
+				   "the connection could not be prepared");
+	else if (reply->result == KB_ERR_READ_ONLY ||
+		 reply->result == KB_ERR_NOT_FRESH)
+		refuse_to_begin(pool, job, reply);
+	else if (job->attempts < POOL_ATTEMPTS_MAX)
+		kb_pool_job_requeue(pool, job);
+	else
+		kb_pool_job_refuse(pool, job, KB_ERR_OVERLOADED,
+				   "the connection could not be prepared");
+	if (reply->result == KB_ERR_OVERLOADED)
+		pool->hold_sending_until = kb_clock_monotonic(pool->clock) +
+					   POOL_BUSY_PAUSE_MS * KB_NS_PER_MS;
+	if (reply->state == KB_TXN_NONE && !conn->transaction &&
+	    (reply->result == KB_ERR_READ_ONLY ||
+	     reply->result == KB_ERR_NOT_FRESH ||
+	     reply->result == KB_ERR_OVERLOADED))
+		kb_pool_conn_enter(conn, KB_POOL_CONN_IDLE);
+	else
+		kb_pool_conn_close(conn);
+}
+
+static void on_opened(void *ctx, kb_result_t result, kb_point_t point)
+{
+	kb_pool_conn_t *conn = ctx;
+	kb_link_pool_t *pool = conn->pool;
+	kb_time_t now = kb_clock_monotonic(pool->clock);
+
+	if (!result) {
+		kb_pool_conn_enter(conn, KB_POOL_CONN_IDLE);
+		pool->counters.opened++;
+		pool->ops->sign(pool->ctx, KB_SIGN_ANSWERED, point);
+		kb_link_pool_dispatch(pool);
+		return;
+	}
+	kb_log(KB_EVENT_TARGET_CONNECT_FAILED, "target=%s result=%s",
+	       pool->place.target.data, kb_result_name(result));
+	pool->counters.open_failed++;
+	pool->hold_opening_until = now + POOL_REFUSED_PAUSE_MS * KB_NS_PER_MS;
+	conn->link = NULL;
+	kb_pool_conn_close(conn);
+	if (result != KB_ERR_TOO_MANY)
+		pool->ops->sign(pool->ctx, KB_SIGN_LOST, (kb_point_t){ 0 });
+	kb_link_pool_dispatch(pool);
+}
+
+static void on_answered(void *ctx, const kb_reply_t *reply)
+{
+	kb_pool_conn_t *conn = ctx;
+	kb_link_pool_t *pool = conn->pool;
+
+	pool->ops->sign(pool->ctx, KB_SIGN_ANSWERED, reply->point);
+	if (conn->state == KB_POOL_CONN_CLOSED)
+		return;
+	if (conn->state == KB_POOL_CONN_ABANDONED) {
+		if (conn->sent_kind == KB_ORDER_ROLLBACK || !conn->begun)
+			release(conn, reply->state);
+		else
+			kb_pool_conn_roll_back(conn);
+	} else if (kb_pool_order_is_own(conn->sent_kind)) {
+		take_own_answer(conn, reply);
+	} else {
+		take_prepared(conn, reply);
+	}
+	kb_link_pool_dispatch(pool);
+}
+
+static void on_lost(void *ctx, kb_result_t result)
+{
+	kb_pool_conn_t *conn = ctx;
+	kb_link_pool_t *pool = conn->pool;
+
+	kb_log(KB_EVENT_TARGET_CONNECTION_LOST, "target=%s result=%s state=%d",
+	       pool->place.target.data, kb_result_name(result), conn->state);
+	pool->counters.lost++;
+	conn->link = NULL;
+	kb_pool_conn_lose_job(conn, "the connection to the target was lost");
+	kb_pool_conn_close(conn);
+	pool->ops->sign(pool->ctx, KB_SIGN_LOST, (kb_point_t){ 0 });
+	kb_link_pool_dispatch(pool);
+}
+
+const kb_link_events_t kb_pool_conn_events = {
+	.opened = on_opened,
+	.answered = on_answered,
+	.lost = on_lost,
+};
--- a/src/pool_queue.h
+++ b/src/pool_queue.h
@@ -16,6 +16,9 @@
 kb_pool_job_t *kb_pool_choose_job(const kb_link_pool_t *pool, kb_time_t now,
 				  int has_idle);
 
+/* Takes a waiting job out of the queue; returns it. */
+kb_pool_job_t *kb_pool_job_unlink(kb_link_pool_t *pool, kb_pool_job_t *job);
+
 /* Returns the time until a new job would have been served. */
 kb_time_t kb_pool_expected_wait(const kb_link_pool_t *pool,
 				const kb_pool_job_t *job, kb_time_t now);
--- a/src/proxy_statement.h
+++ b/src/proxy_statement.h
@@ -39,6 +39,29 @@
 /* Makes the next attempt at the statement that runs. */
 void kb_proxy_statement_try(kb_proxy_session_t *session);
 
+/* Ends the statement; `res` may be NULL if no gate answered. */
+void kb_proxy_statement_finish(kb_proxy_session_t *session,
+			       const kbs_run_res *res, kb_result_t result,
+			       const char *message);
+
+/* Result if the call to the gate failed. */
+kb_result_t kb_proxy_statement_call_result(const kb_proxy_session_t *session,
+					   kb_result_t result);
+
+/*
+ * Whether the group has had no holder for longer than a change of the holder
+ * and a promotion take. Callers may reach one from another host.
+ */
+int kb_proxy_statement_is_hopeless(const kb_proxy_session_t *session,
+				   kb_time_t now);
+
+/*
+ * Decides what follows an attempt that ended with `result`: its answer, another
+ * attempt now or later, or a refusal. `res` is NULL if no gate answered.
+ */
+void kb_proxy_statement_take_result(kb_proxy_session_t *session,
+				    const kbs_run_res *res, kb_result_t result);
+
 /* Returns the group that the statement concerns, or NULL. */
 kb_proxy_group_t *kb_proxy_session_group(const kb_proxy_session_t *session);
 
