--- a/src/databases.c
+++ b/src/databases.c
@@ -24,6 +24,18 @@
 		      sizeof(*databases->databases), compare);
 }
 
+int kb_databases_replace(kb_databases_t *databases, kb_databases_t *next)
+{
+	if (databases->version && next->version <= databases->version) {
+		kb_databases_finish(next);
+		return 0;
+	}
+	kb_databases_finish(databases);
+	*databases = *next;
+	memset(next, 0, sizeof(*next));
+	return 1;
+}
+
 const kb_database_t *kb_databases_find(const kb_databases_t *databases,
 				       kb_str_t name)
 {
--- a/src/databases.h
+++ b/src/databases.h
@@ -52,6 +52,12 @@
 
 void kb_databases_finish(kb_databases_t *databases);
 
+/*
+ * Puts `next` in the place of `databases`, which frees what was there, if it is
+ * later or nothing was. Otherwise frees `next`. Returns whether it was taken.
+ */
+int kb_databases_replace(kb_databases_t *databases, kb_databases_t *next);
+
 /* Return an entry, or NULL. */
 const kb_database_t *kb_databases_find(const kb_databases_t *databases,
 				       kb_str_t name);
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -16,13 +16,8 @@
 /* Takes a version of the configuration over; it never goes back. */
 static void use_databases(kb_proxy_t *proxy, kb_databases_t *databases)
 {
-	if (proxy->databases.version &&
-	    databases->version <= proxy->databases.version) {
-		kb_databases_finish(databases);
+	if (!kb_databases_replace(&proxy->databases, databases))
 		return;
-	}
-	kb_databases_finish(&proxy->databases);
-	proxy->databases = *databases;
 	for (size_t i = 0; i < proxy->group_count; i++)
 		proxy->groups[i]->configured = 0;
 	for (size_t i = 0; i < proxy->databases.group_count; i++) {
--- a/tests/test_hold.cc
+++ b/tests/test_hold.cc
@@ -242,3 +242,112 @@
 	EXPECT_LE(gap, 250 * MS);
 	EXPECT_EQ("", world.violation);
 }
+
+namespace
+{
+
+/* One candidate alone, without anything that answers it. */
+struct Candidate {
+	kb_hold_t hold;
+	int reads = 0;
+	kb_hold_ops_t ops{};
+	kb_time_t now = 100 * KB_NS_PER_S;
+
+	Candidate()
+	{
+		kb_name_t group = name_of("g");
+		kb_name_t self = name_of("c");
+
+		ops.read = [](void *ctx, kb_hold_t *, kb_time_t) {
+			static_cast<Candidate *>(ctx)->reads++;
+		};
+		ops.changed = [](void *, kb_hold_t *) {};
+		kb_hold_init(&hold, &ops, this, &group, &self, 0, now);
+	}
+
+	static kb_hold_record_t record_of(const char *holder)
+	{
+		kb_hold_record_t record = {};
+
+		record.holder = name_of(holder);
+		record.settled = 1;
+		record.candidates.count = 2;
+		record.candidates.hosts[0] = record.holder;
+		record.candidates.hosts[1] = name_of("c");
+		return record;
+	}
+
+	int grant(const char *holder, int64_t revision)
+	{
+		kb_name_t name = name_of(holder);
+
+		return kb_hold_grant(&hold, &name, revision, 1, now);
+	}
+};
+
+} // namespace
+
+TEST(Hold, ACandidateGrantsNothingBeforeItHasReadTheKeyItself)
+{
+	Candidate candidate;
+	kb_hold_record_t record = Candidate::record_of("a");
+
+	kb_hold_on_key(&candidate.hold, &record, 5, candidate.now);
+	EXPECT_FALSE(candidate.grant("a", 5));
+	EXPECT_EQ(1, candidate.reads);
+	kb_hold_on_read(&candidate.hold, candidate.now, KB_OK, &record, 5,
+			candidate.now);
+	EXPECT_TRUE(candidate.grant("a", 5));
+}
+
+TEST(Hold, ACandidateThatGrantedALaterRevisionGrantsNoEarlierOne)
+{
+	Candidate candidate;
+	kb_hold_record_t record = Candidate::record_of("a");
+
+	kb_hold_on_read(&candidate.hold, candidate.now, KB_OK, &record, 5,
+			candidate.now);
+	EXPECT_TRUE(candidate.grant("a", 5));
+	/* It learns of the next holder by its question alone. */
+	EXPECT_TRUE(candidate.grant("b", 6));
+	EXPECT_FALSE(candidate.grant("a", 5));
+	EXPECT_TRUE(candidate.grant("b", 6));
+}
+
+TEST(Hold, ACandidateTellsForHowLongItGrantedNothingToOthers)
+{
+	Candidate candidate;
+	kb_hold_record_t record = Candidate::record_of("a");
+
+	kb_hold_on_read(&candidate.hold, candidate.now, KB_OK, &record, 5,
+			candidate.now);
+	candidate.now += 300 * MS;
+	/* An earlier process may have granted until this one began. */
+	EXPECT_EQ(300 * MS, kb_hold_quiet(&candidate.hold, candidate.now));
+	EXPECT_TRUE(candidate.grant("a", 5));
+	candidate.now += 700 * MS;
+	EXPECT_TRUE(candidate.grant("b", 6));
+	EXPECT_EQ(700 * MS, kb_hold_quiet(&candidate.hold, candidate.now));
+	candidate.now += 100 * MS;
+	EXPECT_TRUE(candidate.grant("b", 6));
+	EXPECT_EQ(800 * MS, kb_hold_quiet(&candidate.hold, candidate.now));
+	EXPECT_TRUE(candidate.grant("a", 7));
+	EXPECT_EQ(0, kb_hold_quiet(&candidate.hold, candidate.now));
+}
+
+TEST(Hold, AHolderWithoutAWordFromTheStoreEndsItsService)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		World world(5, seed);
+		kb_time_t down;
+
+		world.run(4 * KB_NS_PER_S);
+		world.store_down = true;
+		down = world.now;
+		world.run(30 * KB_NS_PER_S);
+		EXPECT_GT(world.served_at, down + 14 * KB_NS_PER_S) << seed;
+		EXPECT_LE(world.served_at,
+			  down + KB_HOLD_STORE_MAX_S * KB_NS_PER_S)
+			<< seed;
+	}
+}
--- a/tests/test_link_pool.cc
+++ b/tests/test_link_pool.cc
@@ -414,6 +414,30 @@
 	kb_link_pool_finish(&pool);
 }
 
+TEST_F(LinkPool, NothingIsSentOnceTheHoldEndedWhileItWasPrepared)
+{
+	Statement write(KBS_WRITE, "w");
+
+	write.set("zone", "a");
+	run(write);
+	open_all();
+	FakeLink *link = linker.links[0];
+	ASSERT_TRUE(link->waiting);
+	ASSERT_EQ(KB_ORDER_SET, link->kind);
+	serves = false;
+	linker.answer(link);
+	for (const std::string &sent : linker.sent)
+		EXPECT_EQ(std::string::npos, sent.find("w")) << sent;
+	EXPECT_EQ(0, write.ended);
+	serves = true;
+	pass(10 * MS);
+	serve_all();
+	EXPECT_EQ(1, write.ended);
+	EXPECT_EQ(KB_OK, write.result);
+	/* The statements end before their memory does. */
+	kb_link_pool_finish(&pool);
+}
+
 TEST_F(LinkPool, AnotherPrimaryTakesWhatWaitsAndNothingThatWasSent)
 {
 	Statement sent(KBS_WRITE, "a"), more(KBS_WRITE, "b"),
--- a/tests/test_mirror.cc
+++ b/tests/test_mirror.cc
@@ -95,6 +95,25 @@
 	EXPECT_EQ(0u, m.seen.count("a"));
 }
 
+TEST(Mirror, ANewerStateIsNotReplacedByWhatAnotherHostKnows)
+{
+	Mirror late, early;
+	kbs_sync_args args = {};
+	kbs_sync_res res = {};
+
+	late.replace({ Mirror::entry("a", "new", 8) }, 9);
+	early.replace({ Mirror::entry("a", "old", 3),
+			Mirror::entry("b", "gone since", 4) },
+		      5);
+	args.whole = TRUE;
+	ASSERT_EQ(KB_OK, kb_mirror_tell(&early.mirror, &args, &res, 1));
+	EXPECT_EQ(KB_OK, kb_mirror_learn(&late.mirror, &res, 2));
+	kb_mirror_tell_finish(&res);
+	EXPECT_EQ(9, late.mirror.revision);
+	EXPECT_EQ((std::map<std::string, std::string>{ { "a", "new" } }),
+		  late.seen);
+}
+
 TEST(Mirror, AWholeReadRemovesWhatIsGone)
 {
 	Mirror m;
--- /dev/null
+++ b/tests/test_proxy_vacancy.cc
@@ -0,0 +1,169 @@
+#include "fake_linker.h"
+#include "proxy_parts.h"
+
+#include <gtest/gtest.h>
+#include <memory>
+
+namespace
+{
+
+constexpr kb_time_t MS = KB_NS_PER_MS;
+
+/* A group of three targets whose only candidate is this host. */
+class Vacancy : public ::testing::Test
+{
+      protected:
+	FakeTime time;
+	FakeLinker linker;
+	std::unique_ptr<kb_proxy_t> proxy = std::make_unique<kb_proxy_t>();
+	std::unique_ptr<kb_proxy_group_t> group =
+		std::make_unique<kb_proxy_group_t>();
+	kb_hold_ops_t ops{};
+
+	Vacancy()
+	{
+		kb_name_t self;
+
+		*proxy = {};
+		*group = {};
+		time.now = 100 * KB_NS_PER_S;
+		proxy->clock = &time.base;
+		proxy->setup.linker = &linker.base;
+		kb_name_set(&self, KB_STR("self"));
+		proxy->self.name = self;
+		EXPECT_EQ(KB_OK, kb_hosts_init_at(&proxy->hosts, nullptr,
+						  &proxy->self));
+		group->proxy = proxy.get();
+		kb_name_set(&group->name, KB_STR("g"));
+		kb_name_set(&group->primary, KB_STR("p"));
+		group->primary_term = 4;
+		add("p");
+		add("q");
+		add("r");
+		ops.changed = [](void *, kb_hold_t *) {};
+		kb_hold_init(&group->hold, &ops, nullptr, &group->name, &self,
+			     0, time.now);
+		read_key();
+	}
+
+	~Vacancy() override
+	{
+		kb_proxy_probes_finish(group.get());
+		kb_target_list_finish(&proxy->targets);
+		kb_hosts_finish(&proxy->hosts);
+	}
+
+	void add(const char *name)
+	{
+		kb_target_entry_t entry = {};
+
+		entry.place.group = group->name;
+		kb_name_set(&entry.place.target, kb_str_from(name));
+		kb_target_list_put(&proxy->targets, &entry);
+	}
+
+	/* Another host, which is lost, holds the group. */
+	void read_key()
+	{
+		kb_hold_record_t record = {};
+
+		kb_name_set(&record.holder, KB_STR("lost"));
+		record.settled = 1;
+		record.candidates.count = 1;
+		record.candidates.hosts[0] = proxy->self.name;
+		kb_hold_on_read(&group->hold, time.now, KB_OK, &record, 5,
+				time.now);
+	}
+
+	void grant()
+	{
+		kb_name_t lost;
+
+		kb_name_set(&lost, KB_STR("lost"));
+		EXPECT_TRUE(kb_hold_grant(&group->hold, &lost, 5, 1, time.now));
+	}
+
+	/* Somebody asks, and what is due is done. */
+	kbs_stamp ask()
+	{
+		kbs_stamp stamp = {};
+
+		kb_proxy_vacancy_stamp(group.get(), &stamp);
+		kb_proxy_vacancy_tick(group.get(), time.now);
+		return stamp;
+	}
+
+	void report(const char *target, bool primary, uint64_t term,
+		    uint64_t position)
+	{
+		kb_target_report_t report = {};
+
+		report.is_primary = primary;
+		report.term = term;
+		report.received = { term, position };
+		kb_proxy_vacancy_on_probe(group.get(), kb_str_from(target),
+					  &report);
+	}
+};
+
+} // namespace
+
+TEST_F(Vacancy, AMajorityOfTargetsInThePrimarysTermShowsIt)
+{
+	time.now += 2000 * MS;
+	EXPECT_FALSE(ask().valid);
+	EXPECT_EQ(3u, group->vacancy.asked);
+	report("p", true, 4, 70);
+	EXPECT_FALSE(ask().valid) << "one target of three is no majority";
+	report("q", false, 4, 69);
+	kbs_stamp stamp = ask();
+	EXPECT_TRUE(stamp.valid);
+	EXPECT_TRUE(stamp.vacant);
+	EXPECT_EQ(70u, stamp.point.position);
+}
+
+TEST_F(Vacancy, ATargetOfALaterTermDeniesIt)
+{
+	time.now += 2000 * MS;
+	ask();
+	report("q", false, 5, 80);
+	report("p", true, 4, 70);
+	report("r", false, 4, 70);
+	EXPECT_FALSE(ask().valid);
+}
+
+TEST_F(Vacancy, APrimaryThatStepsDownShowsNothing)
+{
+	time.now += 2000 * MS;
+	ask();
+	report("p", false, 4, 70);
+	report("q", false, 4, 70);
+	report("r", false, 4, 70);
+	EXPECT_FALSE(ask().valid);
+}
+
+TEST_F(Vacancy, ACandidateThatGrantedLatelyDeniesIt)
+{
+	time.now += 2000 * MS;
+	grant();
+	time.now += (KB_HOLD_VALID_MS - 100) * MS;
+	ask();
+	EXPECT_EQ(0u, group->vacancy.asked);
+	time.now += 400 * MS;
+	ask();
+	EXPECT_EQ(3u, group->vacancy.asked);
+}
+
+TEST_F(Vacancy, WhatWasShownIsToldForAShortTimeAndForItsRecordOnly)
+{
+	time.now += 2000 * MS;
+	ask();
+	report("p", true, 4, 70);
+	report("q", false, 4, 70);
+	EXPECT_TRUE(ask().valid);
+	group->hold.revision++;
+	EXPECT_FALSE(ask().valid);
+	group->hold.revision--;
+	time.now += 700 * MS;
+	EXPECT_FALSE(ask().valid);
+}
--- a/tests/test_rpc_faults.cc
+++ b/tests/test_rpc_faults.cc
@@ -165,3 +165,54 @@
 	event_free(timer);
 	kb_rpc_peer_finish(&peer);
 }
+
+/* A port whose queue of connections is full: further ones do not open. */
+class FullPort
+{
+      public:
+	uint16_t port = 0;
+
+	FullPort()
+	{
+		struct sockaddr_in address = {};
+		socklen_t len = sizeof(address);
+
+		address.sin_family = AF_INET;
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		listener = socket(AF_INET, SOCK_STREAM, 0);
+		EXPECT_EQ(0, bind(listener, (struct sockaddr *)&address, len));
+		EXPECT_EQ(0, listen(listener, 0));
+		getsockname(listener, (struct sockaddr *)&address, &len);
+		port = ntohs(address.sin_port);
+		for (int &fd : fds) {
+			fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+			connect(fd, (struct sockaddr *)&address, len);
+		}
+	}
+
+	~FullPort()
+	{
+		for (int fd : fds)
+			close(fd);
+		close(listener);
+	}
+
+      private:
+	int listener;
+	int fds[3];
+};
+
+TEST_F(Rpc, ACallThatEndsBeforeItWasSentIsNeverSentLater)
+{
+	FullPort full;
+	kb_rpc_peer_t peer;
+	ViewCall call;
+
+	ASSERT_EQ(KB_OK, kb_rpc_peer_init(&peer, loop.base, KB_STR("127.0.0.1"),
+					  full.port, 8));
+	ASSERT_EQ(KB_OK, call.start(&peer, "race-1", 30 * KB_NS_PER_MS));
+	loop.run_until([&] { return call.ended; });
+	EXPECT_EQ(KB_ERR_UNREACHABLE, call.result);
+	EXPECT_EQ(nullptr, peer.stream) << "its bytes wait for the connection";
+	kb_rpc_peer_finish(&peer);
+}
