Try a read that a replica answers with an error once elsewhere

Cause: a grey replica, which fails part of its requests while it seems well, left its reads to the callers' retries, and went on getting its share. Ruled out: a retry of writes or inside transactions, which have run. A plain read that a replica ends with an error goes to another target once. Tests: Result.*, which fail without it.

--- a/src/proxy_result.c
+++ b/src/proxy_result.c
@@ -79,11 +79,26 @@
 		/* A first statement of a transaction leaves nothing either. */
 		return args->kind == KBS_READ ||
 		       (args->transactional && args->kind != KBS_COMMIT);
+	case KB_ERR_STATEMENT:
+		/* The replica may be at fault rather than the read. */
+		return session->path == KB_PROXY_PATH_REPLICA &&
+		       args->kind == KBS_READ && !args->transactional &&
+		       !session->failed.len;
 	default:
 		return 0;
 	}
 }
 
+/* Another target served what a replica answered with an error. */
+static void blame_failed(kb_proxy_session_t *session, kb_time_t now)
+{
+	kb_proxy_load_t *load = kb_proxy_load_get(
+		session->proxy, kb_name_str(&session->failed));
+
+	if (load)
+		load->failed_at = now;
+}
+
 kb_result_t kb_proxy_statement_call_result(const kb_proxy_session_t *session,
 					   kb_result_t result)
 {
@@ -126,6 +141,8 @@
 		return;
 	}
 	session->hinted = 0;
+	if (!result && session->failed.len)
+		blame_failed(session, now);
 	if (!result || !may_retry(session, result)) {
 		kb_proxy_statement_finish(session, res, result,
 					  "the host that serves the "
@@ -140,6 +157,8 @@
 		       kb_result_name(result), session->target.data,
 		       session->gate.data,
 		       (now - session->began_at) / KB_NS_PER_MS);
+	if (result == KB_ERR_STATEMENT)
+		session->failed = session->target;
 	if (replica)
 		kb_read_choice_exclude(&session->choice, &session->target);
 	if (!replica && kb_proxy_statement_is_hopeless(session, now)) {
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -70,6 +70,7 @@
 	session->last = KB_OK;
 	session->hint.len = 0;
 	session->hinted = 0;
+	session->failed.len = 0;
 	if (group)
 		group->used_at = now;
 	if (!caller->args.transaction)
--- a/src/proxy_statement.h
+++ b/src/proxy_statement.h
@@ -30,6 +30,8 @@
 	kb_proxy_path_t path;
 	unsigned attempts;
 	kb_result_t last;
+	/* Replica that answered the read with an error, or empty. */
+	kb_name_t failed;
 	/* Holder of the group as a host said that is not, or empty. */
 	kb_name_t hint;
 	/* The last attempt followed it. */
--- /dev/null
+++ b/tests/test_proxy_result.cc
@@ -0,0 +1,152 @@
+#include "proxy_statement.h"
+
+#include <gtest/gtest.h>
+#include <memory>
+#include <vector>
+
+namespace
+{
+
+constexpr kb_time_t MS = KB_NS_PER_MS;
+
+/* A session of a host that reaches nobody, so that each retry has to wait. */
+class Result : public ::testing::Test
+{
+      protected:
+	struct Clock {
+		kb_clock_t base;
+		kb_time_t now = 100 * KB_NS_PER_S;
+	} clock;
+	std::unique_ptr<kb_proxy_t> proxy = std::make_unique<kb_proxy_t>();
+	kb_proxy_session_t *session = nullptr;
+	std::vector<kb_result_t> answers;
+
+	Result()
+	{
+		static const kb_clock_ops_t ops = {
+			[](kb_clock_t *clock) {
+				return reinterpret_cast<Clock *>(clock)->now;
+			},
+			[](kb_clock_t *) { return (kb_time_t)0; },
+		};
+
+		clock.base.ops = &ops;
+		*proxy = {};
+		proxy->clock = &clock.base;
+		EXPECT_EQ(KB_OK, kb_proxy_stats_init(&proxy->stats));
+		configure();
+		EXPECT_EQ(KB_OK,
+			  kb_proxy_session_open(&session, proxy.get(),
+						KB_STR("db"), on_answer, this));
+	}
+
+	~Result() override
+	{
+		kb_proxy_session_close(session);
+		kb_databases_finish(&proxy->databases);
+		kb_proxy_stats_finish(&proxy->stats);
+		free(proxy->loads);
+	}
+
+	void configure()
+	{
+		kb_databases_t *databases = &proxy->databases;
+
+		databases->version = 1;
+		databases->databases = static_cast<kb_database_t *>(
+			calloc(1, sizeof(kb_database_t)));
+		databases->database_count = 1;
+		kb_name_set(&databases->databases[0].name, KB_STR("db"));
+		kb_name_set(&databases->databases[0].group, KB_STR("g"));
+		databases->databases[0].rule = KB_READ_AGED;
+		databases->databases[0].max_age = 1000 * MS;
+		databases->databases[0].timeout = 800 * MS;
+		databases->databases[0].objective = 400 * MS;
+	}
+
+	void query(kb_query_verb_t verb)
+	{
+		kb_query_t query = {};
+
+		query.verb = verb;
+		query.id = KB_STR("q1");
+		query.body = KB_STR("item");
+		kb_proxy_session_query(session, &query);
+	}
+
+	/* A replica ended the attempt that runs. */
+	void replica_ends(const char *name, kb_result_t result)
+	{
+		kbs_run_res res = {};
+
+		res.result = (int)result;
+		session->path = KB_PROXY_PATH_REPLICA;
+		kb_name_set(&session->target, kb_str_from(name));
+		kb_proxy_statement_take_result(session, &res, result);
+	}
+
+	bool waits() const
+	{
+		return answers.empty() && session->retry_at;
+	}
+
+      private:
+	static void on_answer(void *ctx, const kb_answer_t *answer)
+	{
+		static_cast<Result *>(ctx)->answers.push_back(answer->result);
+	}
+};
+
+} // namespace
+
+TEST_F(Result, AReadThatAReplicaFailsIsTriedOnceMoreElsewhere)
+{
+	query(KB_QUERY_READ);
+	replica_ends("r", KB_ERR_STATEMENT);
+	EXPECT_TRUE(waits());
+	replica_ends("s", KB_ERR_STATEMENT);
+	ASSERT_EQ(1u, answers.size());
+	EXPECT_EQ(KB_ERR_STATEMENT, answers[0]);
+}
+
+TEST_F(Result, AReplicaThatFailsWhatAnotherServesIsAvoided)
+{
+	query(KB_QUERY_READ);
+	replica_ends("r", KB_ERR_STATEMENT);
+	replica_ends("s", KB_OK);
+	ASSERT_EQ(1u, answers.size());
+	EXPECT_EQ(KB_OK, answers[0]);
+	EXPECT_EQ(clock.now,
+		  kb_proxy_load_get(proxy.get(), KB_STR("r"))->failed_at);
+	/* The next read is not about that one. */
+	query(KB_QUERY_READ);
+	replica_ends("s", KB_OK);
+	EXPECT_EQ(0, kb_proxy_load_get(proxy.get(), KB_STR("s"))->failed_at);
+}
+
+TEST_F(Result, AWriteThatFailedIsNotTriedAgain)
+{
+	query(KB_QUERY_WRITE);
+	replica_ends("r", KB_ERR_STATEMENT);
+	ASSERT_EQ(1u, answers.size());
+	EXPECT_EQ(KB_ERR_STATEMENT, answers[0]);
+}
+
+TEST_F(Result, AStatementInsideATransactionIsNotTriedAgain)
+{
+	query(KB_QUERY_BEGIN);
+	answers.clear();
+	query(KB_QUERY_READ);
+	replica_ends("r", KB_ERR_STATEMENT);
+	EXPECT_EQ(1u, answers.size());
+}
+
+TEST_F(Result, AWriteWithoutAnAnswerIsUnknownAndNeverSentAgain)
+{
+	query(KB_QUERY_WRITE);
+	kb_proxy_statement_take_result(
+		session, nullptr,
+		kb_proxy_statement_call_result(session, KB_ERR_CLOSED));
+	ASSERT_EQ(1u, answers.size());
+	EXPECT_EQ(KB_ERR_UNKNOWN, answers[0]);
+}
