--- a/soak/soak.py
+++ b/soak/soak.py
@@ -31,6 +31,7 @@
 [listen]
 sessions = 127.0.0.1:{sessions}
 readiness = 127.0.0.1:{readiness}
+metrics = 127.0.0.1:{metrics}
 hosts = 127.0.0.1:{hosts}
 [fleet]
 first_start = {first}
@@ -57,7 +58,7 @@
     def __init__(self, number, daemon, store_port, folder):
         self.name, self.daemon, self.folder = f"h{number}", daemon, folder
         self.ports = {p: free_port()
-                      for p in ("sessions", "readiness", "hosts")}
+                      for p in ("sessions", "readiness", "metrics", "hosts")}
         self.store_port = store_port
         self.process = None
 
--- a/tests/test_hold.cc
+++ b/tests/test_hold.cc
@@ -351,3 +351,36 @@
 			<< seed;
 	}
 }
+
+/* Once the write took effect, a successor asks the new candidates alone. */
+TEST(Hold, WhileCandidatesAreReplacedBothSetsMustGrant)
+{
+	Candidate host;
+	kb_hold_t *hold = &host.hold;
+	kb_hold_record_t record = Candidate::record_of("c");
+	kb_hold_grant_t *grant = hold->grants;
+
+	record.candidates.count = 3;
+	record.candidates.hosts[1] = name_of("old1");
+	record.candidates.hosts[2] = name_of("old2");
+	hold->record = record;
+	hold->role = KB_HOLD_SERVING;
+	hold->confirmed = 1;
+	hold->confirmed_at = host.now;
+	grant->candidate = name_of("old1");
+	grant->granted = 1;
+	grant->asked_at = host.now;
+	hold->grant_count = 1;
+	EXPECT_TRUE(kb_hold_may_serve(hold, host.now));
+	hold->wanted = record;
+	hold->wanted.candidates.hosts[1] = name_of("new1");
+	hold->wanted.candidates.hosts[2] = name_of("new2");
+	hold->rewriting = 1;
+	EXPECT_FALSE(kb_hold_may_serve(hold, host.now));
+	grant++;
+	grant->candidate = name_of("new1");
+	grant->granted = 1;
+	grant->asked_at = host.now;
+	hold->grant_count = 2;
+	EXPECT_TRUE(kb_hold_may_serve(hold, host.now));
+}
