Let hosts that start ask candidates; hold no idle group lost

A host that had never heard a holder counted the group as served, so that it asked the lost holder alone for stamps and learnt of no vacancy. A group without callers, whose stamps are asked for in turns, could count as unserved at its first use. Tests that fail first: Service.AHostThatNeverHeardAHolder..., Service.AGroupWithoutCallers....

--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -20,10 +20,15 @@
 
 kb_time_t kb_proxy_group_unserved(const kb_proxy_group_t *group, kb_time_t now)
 {
-	if (!group->served_at)
+	kb_time_t since = group->served_at;
+
+	if (!since)
 		return 0;
-	return now - (group->served_at > group->record_at ? group->served_at
-							  : group->record_at);
+	if (group->record_at > since)
+		since = group->record_at;
+	if (group->in_use_since > since)
+		since = group->in_use_since;
+	return now - since;
 }
 
 static int pool_may_serve(void *ctx, kb_time_t now)
--- a/src/proxy_parts.h
+++ b/src/proxy_parts.h
@@ -97,7 +97,9 @@
 	/* Candidate that was asked for a stamp last. */
 	size_t stamp_source;
 	kb_proxy_vacancy_t vacancy;
+	/* Last use by a caller, and since when it has been in use. */
 	kb_time_t used_at;
+	kb_time_t in_use_since;
 	kb_proxy_probe_t *probes[KB_LEAD_TARGETS_MAX];
 	size_t probe_count;
 	/* A planned hand-over to another host has begun then, or 0. */
@@ -195,8 +197,8 @@
 /* Time since anything was last known of the newest commits. */
 kb_time_t kb_proxy_group_silence(const kb_proxy_group_t *group, kb_time_t now);
 /*
- * Time since the group was last known to be served, or had another holder
- * named; 0 if it never was.
+ * Time since the group was last known to be served, had another holder named,
+ * or came into use, so that somebody asks; 0 if it never was served.
  */
 kb_time_t kb_proxy_group_unserved(const kb_proxy_group_t *group, kb_time_t now);
 /* Whether candidates show that no host serves the group. */
@@ -217,6 +219,8 @@
 void kb_proxy_group_hand_over(kb_proxy_group_t *group, kb_time_t now);
 
 /* proxy_stamp.c */
+/* A caller needs the group: its stamps are kept up to date. */
+void kb_proxy_group_use(kb_proxy_group_t *group, kb_time_t now);
 void kb_proxy_group_ask_stamp(kb_proxy_group_t *group, kb_time_t now);
 
 /* proxy_probe.c */
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -72,7 +72,7 @@
 	session->hinted = 0;
 	session->failed.len = 0;
 	if (group)
-		group->used_at = now;
+		kb_proxy_group_use(group, now);
 	if (!caller->args.transaction)
 		kb_read_choice_init(&session->choice, &caller->database,
 				    caller->committed, now);
--- a/src/proxy_stamp.c
+++ b/src/proxy_stamp.c
@@ -72,6 +72,13 @@
 		kb_proxy_group_learn(call.group, &told->stamp, call.sent_at);
 }
 
+void kb_proxy_group_use(kb_proxy_group_t *group, kb_time_t now)
+{
+	if (now - group->used_at > STAMP_USED_S * KB_NS_PER_S)
+		group->in_use_since = now;
+	group->used_at = now;
+}
+
 /* Groups without callers take turns: their stamps show what is reached. */
 static int may_ask_stamp(const kb_proxy_group_t *group, kb_time_t now)
 {
@@ -118,9 +125,10 @@
 	const kb_host_t *host =
 		kb_hosts_find(&group->proxy->hosts, kb_name_str(holder));
 	const kb_host_t *relay;
+	kb_time_t silent = HOLDER_SILENT_MS * KB_NS_PER_MS;
 
-	if (set->count && kb_proxy_group_unserved(group, now) >
-				  HOLDER_SILENT_MS * KB_NS_PER_MS) {
+	if (set->count && (kb_proxy_group_silence(group, now) > silent ||
+			   kb_proxy_group_unserved(group, now) > silent)) {
 		group->stamp_source = (group->stamp_source + 1) % set->count;
 		return &set->hosts[group->stamp_source];
 	}
@@ -137,7 +145,7 @@
 	const kb_stamp_t *newest = kb_stamps_last(&group->stamps);
 
 	/* What others need is kept up to date here. */
-	group->used_at = now;
+	kb_proxy_group_use(group, now);
 	if (!newest || now - newest->at > HOLDER_SILENT_MS * KB_NS_PER_MS)
 		return;
 	stamp->valid = TRUE;
--- a/tests/test_proxy_service.cc
+++ b/tests/test_proxy_service.cc
@@ -1,3 +1,4 @@
+#include "fake_server.h"
 #include "proxy_parts.h"
 
 #include <gtest/gtest.h>
@@ -116,6 +117,57 @@
 	EXPECT_EQ(0, unserved_ms());
 }
 
+/* Nobody asked for stamps of a group that had no callers. */
+TEST_F(Service, AGroupWithoutCallersIsNotHeldLostForItsSilence)
+{
+	kb_proxy_group_use(group.get(), clock.now);
+	learn(1, false);
+	clock.now += 60000 * MS;
+	kb_proxy_group_use(group.get(), clock.now);
+	EXPECT_EQ(0, unserved_ms());
+	for (int i = 0; i < 4; i++) {
+		clock.now += 1000 * MS;
+		kb_proxy_group_use(group.get(), clock.now);
+	}
+	EXPECT_EQ(4000, unserved_ms());
+}
+
+/* It has just started, and the holder is lost. */
+TEST_F(Service, AHostThatNeverHeardAHolderAsksTheCandidates)
+{
+	Loop loop;
+	kb_hold_set_t *set = &group->hold.record.candidates;
+
+	kb_name_set(&proxy->self.name, KB_STR("self"));
+	ASSERT_EQ(KB_OK,
+		  kb_hosts_init_at(&proxy->hosts, loop.base, &proxy->self));
+	for (const char *name : { "holder", "c1", "c2" }) {
+		kb_host_place_t place = {};
+
+		kb_name_set(&place.name, kb_str_from(name));
+		kb_name_set(&place.endpoint.address, KB_STR("127.0.0.1"));
+		place.endpoint.port = 1;
+		kb_hosts_put(&proxy->hosts, &place);
+		set->hosts[set->count++] = place.name;
+	}
+	group->hold.record.holder = set->hosts[0];
+	group->used_at = clock.now;
+	kb_proxy_group_ask_stamp(group.get(), clock.now);
+	EXPECT_EQ(1u, group->stamp_source);
+	learn(1, true);
+	clock.now += 800 * MS;
+	kb_proxy_group_ask_stamp(group.get(), clock.now);
+	EXPECT_EQ(2u, group->stamp_source);
+	/* Once the holder is heard, it is asked alone. */
+	learn(2, false);
+	clock.now += 300 * MS;
+	kb_proxy_group_ask_stamp(group.get(), clock.now);
+	EXPECT_EQ(2u, group->stamp_source);
+	for (size_t i = 0; i < proxy->hosts.count; i++)
+		kb_rpc_peer_finish(&proxy->hosts.hosts[i]->peer);
+	kb_hosts_finish(&proxy->hosts);
+}
+
 TEST_F(Service, ARelayTellsWhetherWhatItKnowsCameFromAHolder)
 {
 	kbs_stamp told = {};
