Give the group of a test its place in its proxy

Cause: Service.AHostThatNeverHeardAHolder... asked for a stamp of a group that its proxy did not list; the turn of groups without callers is taken of their number, which was zero. A proxy lists each of its groups. Ruled out: a fault of the daemon, whose groups are made by the proxy alone. After: the test passes with sanitizers.

--- a/tests/test_proxy_service.cc
+++ b/tests/test_proxy_service.cc
@@ -20,6 +20,7 @@
 	std::unique_ptr<kb_proxy_t> proxy = std::make_unique<kb_proxy_t>();
 	std::unique_ptr<kb_proxy_group_t> group =
 		std::make_unique<kb_proxy_group_t>();
+	kb_proxy_group_t *groups[1] = { group.get() };
 
 	Service()
 	{
@@ -35,6 +36,8 @@
 		*group = {};
 		proxy->clock = &clock.base;
 		group->proxy = proxy.get();
+		proxy->groups = groups;
+		proxy->group_count = 1;
 		kb_name_set(&group->name, KB_STR("g"));
 	}
 
