Look things up only where a decision needs them

Each answer looked its group up, though only a refusal asks whether another host may serve it. A read looked each target's load up twice. Each tick chose whom to ask for a stamp, which may rank all hosts, before it looked whether a stamp is due: four times a second, not fifty. The candidates of a silent holder still take turns, one an ask.

--- a/src/proxy_reads.c
+++ b/src/proxy_reads.c
@@ -100,11 +100,9 @@
 	       kb_point_compare(load->position, include) < 0;
 }
 
-static int64_t cost_of(kb_proxy_t *proxy, const kb_target_entry_t *target,
-		       kb_time_t now)
+static int64_t cost_of(const kb_proxy_t *proxy, const kb_target_entry_t *target,
+		       const kb_proxy_load_t *load, kb_time_t now)
 {
-	const kb_proxy_load_t *load =
-		kb_proxy_load_get(proxy, kb_name_str(&target->place.target));
 	int64_t cost = distance(proxy, &target->data_centre);
 
 	if (!load)
@@ -134,6 +132,7 @@
 		kb_point_compare(aged, choice->own) >= 0 ? aged : choice->own;
 	for (size_t i = 0; i < proxy->targets.count; i++) {
 		const kb_target_entry_t *target = &proxy->targets.entries[i];
+		const kb_proxy_load_t *load;
 		int64_t cost;
 
 		if (!kb_name_is(&target->place.group,
@@ -141,14 +140,13 @@
 		    target->leaving || is_primary(group, target) ||
 		    is_excluded(choice, &target->place.target))
 			continue;
-		if (is_behind(
-			    kb_proxy_load_get(
-				    proxy, kb_name_str(&target->place.target)),
-			    choice->include, now)) {
+		load = kb_proxy_load_get(proxy,
+					 kb_name_str(&target->place.target));
+		if (is_behind(load, choice->include, now)) {
 			choice->behind = 1;
 			continue;
 		}
-		cost = cost_of(proxy, target, now);
+		cost = cost_of(proxy, target, load, now);
 		if (best && cost >= best_cost)
 			continue;
 		best = target;
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -40,18 +40,25 @@
 	return kb_databases_find(&session->proxy->databases, name);
 }
 
+/* Whether this host alone may be at fault: no vacancy of the group is shown. */
+static int may_go_elsewhere(const kb_proxy_session_t *session)
+{
+	const kb_proxy_group_t *group = kb_proxy_session_group(session);
+
+	return group &&
+	       !kb_proxy_group_is_vacant(
+		       group, kb_clock_monotonic(session->proxy->clock));
+}
+
 static void session_answer(void *ctx, const kb_answer_t *answer)
 {
 	kb_proxy_session_t *session = ctx;
-	kb_proxy_group_t *group = kb_proxy_session_group(session);
 	kb_answer_t told = *answer;
 
 	if (answer->state == KB_TXN_NONE)
 		session->spent = 0;
-	told.elsewhere =
-		answer->result == KB_ERR_NO_PRIMARY && group &&
-		!kb_proxy_group_is_vacant(
-			group, kb_clock_monotonic(session->proxy->clock));
+	told.elsewhere = answer->result == KB_ERR_NO_PRIMARY &&
+			 may_go_elsewhere(session);
 	if (!session->closed)
 		session->answer(session->ctx, &told);
 }
--- a/src/proxy_stamp.c
+++ b/src/proxy_stamp.c
@@ -159,8 +159,8 @@
 void kb_proxy_group_ask_stamp(kb_proxy_group_t *group, kb_time_t now)
 {
 	kb_proxy_t *proxy = group->proxy;
-	kb_host_t *host = kb_hosts_find(&proxy->hosts,
-					kb_name_str(stamp_source(group, now)));
+	kb_time_t pause = STAMP_PAUSE_MS * KB_NS_PER_MS;
+	kb_host_t *host;
 	stamp_call_t *call;
 	kbs_stamp_args args = {
 		.group = kb_text_view(kb_name_str(&group->name)),
@@ -175,10 +175,14 @@
 		.done = on_stamp,
 	};
 
-	if (!host || host->self || !may_ask_stamp(group, now) ||
-	    now - kb_stamps_newest(&group->stamps) <
-		    STAMP_PAUSE_MS * KB_NS_PER_MS ||
-	    now - group->stamp_asked_at < STAMP_PAUSE_MS * KB_NS_PER_MS)
+	if (now - group->stamp_asked_at < pause ||
+	    now - kb_stamps_newest(&group->stamps) < pause ||
+	    !may_ask_stamp(group, now))
+		return;
+	/* Its choice goes through all hosts: it waits until one is asked. */
+	host = kb_hosts_find(&proxy->hosts,
+			     kb_name_str(stamp_source(group, now)));
+	if (!host || host->self)
 		return;
 	call = calloc(1, sizeof(*call));
 	if (!call)
