Join what stood twice in the hold, the soak and the tests' clocks

The time-out of the hold's calls stood in two files; it is one constant. The soak and the test that explains failures asked a host by two copies of a function, of which one took a connection's end for a success; both use the stricter one. Three tests had a clock like FakeTime, which has a file now.

--- a/soak/explain.py
+++ b/soak/explain.py
@@ -17,7 +17,7 @@
 import urllib.request
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from soak import Host  # noqa: E402
+from soak import Host, ask  # noqa: E402
 from standin import Platform  # noqa: E402
 
 FAILED, HOLD, LEAD, STORE_LOST = 1811, 1310, 1309, 1605
@@ -38,14 +38,7 @@
 
     async def ask(self, ident, text):
         """Returns the error's code, or None for a success."""
-        self.writer.write(f"QUERY {ident} {text}\r\n".encode())
-        error = None
-        while True:
-            line = await asyncio.wait_for(self.reader.readline(), 10)
-            if not line or line.startswith(b"READY"):
-                return error
-            if line.startswith(b"ERR"):
-                error = line.split()[1].decode()
+        return (await ask(self.reader, self.writer, ident, text))[0]
 
 
 class Fleet:
@@ -177,12 +170,15 @@
     fleet.holder().signal(signal.SIGKILL)
     for attempt in range(30):
         ident = f"none{attempt}"
-        await session.ask(ident, "WRITE item 5")
+        try:
+            await session.ask(ident, "WRITE item 5")
+        except (ConnectionError, asyncio.IncompleteReadError):
+            # Its host closed the session with the last refusal.
+            await session.open("ga-primary")
+            continue
         line = await fleet.failure(session.host, ident)
         if line["result"] == "no-primary":
             break
-        if session.reader.at_eof():
-            await session.open("ga-primary")
     expect(line["result"] == "no-primary", "never refused", line)
     expect(line["offered"] == "0", "nothing was sent", line)
     living = [h for h in fleet.hosts if h.process.returncode is None]
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -97,6 +97,23 @@
         self.last_write = at
 
 
+async def ask(reader, writer, ident, text):
+    """Asks a host; returns the error's code or None, signature and state."""
+    writer.write(f"QUERY {ident} {text}\r\n".encode())
+    error = signature = None
+    while True:
+        line = await asyncio.wait_for(reader.readline(), 8)
+        if not line.endswith(b"\n"):
+            raise asyncio.IncompleteReadError(line, None)
+        word, rest = (line.decode().strip() + " ").split(" ", 1)
+        if word == "ERR":
+            error = rest.split(" ")[0]
+        elif word == "DONE":
+            signature = rest.strip()
+        elif word == "READY":
+            return error, signature, rest.split(" ")[0]
+
+
 class Caller:
     """A session that reads and writes until it is stopped."""
 
@@ -135,21 +152,6 @@
         finally:
             writer.close()
 
-    async def ask(self, reader, writer, ident, text):
-        writer.write(f"QUERY {ident} {text}\r\n".encode())
-        error = signature = None
-        while True:
-            line = await asyncio.wait_for(reader.readline(), 8)
-            if not line.endswith(b"\n"):
-                raise asyncio.IncompleteReadError(line, None)
-            word, rest = (line.decode().strip() + " ").split(" ", 1)
-            if word == "ERR":
-                error = rest.split(" ")[0]
-            elif word == "DONE":
-                signature = rest.strip()
-            elif word == "READY":
-                return error, signature, rest.split(" ")[0]
-
     def ident(self):
         self.soak.idents += 1
         return f"{self.soak.seed}x{self.number}x{self.soak.idents}"
@@ -166,7 +168,7 @@
     async def write(self, reader, writer):
         ident = self.ident()
         records = self.soak.records
-        error, signature, _ = await self.ask(
+        error, signature, _ = await ask(
             reader, writer, ident, f"WRITE item {ident}")
         records.count(f"write {error or 'ok'}")
         if not error:
@@ -178,10 +180,10 @@
     async def transaction(self, reader, writer):
         idents = [self.ident() for _ in range(self.random.randrange(1, 4))]
         records = self.soak.records
-        await self.ask(reader, writer, "b" + idents[0], "BEGIN")
+        await ask(reader, writer, "b" + idents[0], "BEGIN")
         error = None
         for ident in idents:
-            error, _, state = await self.ask(
+            error, _, state = await ask(
                 reader, writer, ident, f"WRITE item {ident}")
             if error:
                 break
@@ -189,10 +191,10 @@
         if error:
             records.count(f"txn {error}")
             if state != "I":
-                await self.ask(reader, writer, "r" + idents[0], "ROLLBACK")
+                await ask(reader, writer, "r" + idents[0], "ROLLBACK")
             records.denied.setdefault(self.group, set()).update(idents)
             return
-        error, _, _ = await self.ask(
+        error, _, _ = await ask(
             reader, writer, "c" + idents[0], "COMMIT")
         records.count(f"txn {error or 'ok'}")
         if not error:
@@ -206,7 +208,7 @@
         records = self.soak.records
         began = time.monotonic()
         ident = self.ident()
-        error, signature, _ = await self.ask(
+        error, signature, _ = await ask(
             reader, writer, ident, "READ item")
         records.count(f"read {error or 'ok'}")
         if not error:
--- a/src/hold.c
+++ b/src/hold.c
@@ -3,8 +3,6 @@
 #include <string.h>
 
 enum {
-	/* Calls without an answer are repeated after this time. */
-	CALL_TIMEOUT_MS = 600,
 	/* Pause after a write that took a group over in vain. */
 	TAKE_PAUSE_MS = 300,
 	/* The same if the store was not reached or did not answer. */
@@ -160,7 +158,7 @@
 void kb_hold_begin_read(kb_hold_t *hold, kb_time_t now)
 {
 	if (hold->reading &&
-	    now - hold->read_sent_at < CALL_TIMEOUT_MS * KB_NS_PER_MS)
+	    now - hold->read_sent_at < KB_HOLD_CALL_TIMEOUT_MS * KB_NS_PER_MS)
 		return;
 	hold->reading = 1;
 	hold->read_sent_at = now;
--- a/src/hold_internal.h
+++ b/src/hold_internal.h
@@ -5,6 +5,11 @@
 
 KB_BEGIN_DECLS
 
+enum {
+	/* Calls without an answer are repeated after this time. */
+	KB_HOLD_CALL_TIMEOUT_MS = 600,
+};
+
 /* Parts of a hold that what it is told and what it does by time share. */
 
 int kb_hold_names_equal(const kb_name_t *a, const kb_name_t *b);
--- a/src/hold_tick.c
+++ b/src/hold_tick.c
@@ -3,8 +3,6 @@
 #include <string.h>
 
 enum {
-	/* Calls without an answer are repeated after this time. */
-	CALL_TIMEOUT_MS = 600,
 	/* The set of candidates is not rewritten more often. */
 	REWRITE_PAUSE_MS = 1000,
 	/* The same before the host serves. */
@@ -204,7 +202,7 @@
 							: REWRITE_WAITING_MS;
 
 	if (hold->rewriting &&
-	    now - hold->wrote_at < CALL_TIMEOUT_MS * KB_NS_PER_MS)
+	    now - hold->wrote_at < KB_HOLD_CALL_TIMEOUT_MS * KB_NS_PER_MS)
 		return;
 	if (!settles &&
 	    (now - hold->wrote_at < pause * KB_NS_PER_MS ||
@@ -269,12 +267,14 @@
 			watch_holder(hold, now);
 		break;
 	case KB_HOLD_TAKING:
-		if (now - hold->wrote_at > 2 * CALL_TIMEOUT_MS * KB_NS_PER_MS)
+		if (now - hold->wrote_at >
+		    2 * KB_HOLD_CALL_TIMEOUT_MS * KB_NS_PER_MS)
 			kb_hold_on_written(hold, hold->write_number,
 					   KB_ERR_UNKNOWN, 0, now);
 		break;
 	case KB_HOLD_RELEASING:
-		if (now - hold->wrote_at > CALL_TIMEOUT_MS * KB_NS_PER_MS)
+		if (now - hold->wrote_at >
+		    KB_HOLD_CALL_TIMEOUT_MS * KB_NS_PER_MS)
 			kb_hold_begin_write(hold, now);
 		break;
 	default:
--- a/src/proxy_hold.c
+++ b/src/proxy_hold.c
@@ -135,14 +135,14 @@
 	const kbs_grant_res *granted = res;
 
 	free(ctx);
-	if (!result)
+	if (!result) {
 		kb_hold_on_store_age(&call.group->hold, &call.candidate,
 				     granted->store_age_us * KB_NS_PER_US);
-	if (!result)
 		kb_hold_on_grant(&call.group->hold, &call.candidate,
 				 call.asked_at, granted->granted,
 				 granted->quiet_us * KB_NS_PER_US,
 				 kb_clock_monotonic(call.group->proxy->clock));
+	}
 	wake_if_beginning(call.group);
 }
 
--- a/tests/fake_linker.h
+++ b/tests/fake_linker.h
@@ -1,6 +1,7 @@
 #ifndef KB_TESTS_FAKE_LINKER_H
 #define KB_TESTS_FAKE_LINKER_H
 
+#include "fake_time.h"
 #include "link_pool.h"
 #include "pool_conn.h"
 #include "rng.h"
@@ -10,24 +11,6 @@
 #include <string>
 #include <vector>
 
-/* A clock that a test sets. */
-struct FakeTime {
-	kb_clock_t base;
-	kb_time_t now = KB_NS_PER_S;
-
-	FakeTime()
-	{
-		static const kb_clock_ops_t ops = {
-			[](kb_clock_t *clock) {
-				return reinterpret_cast<FakeTime *>(clock)->now;
-			},
-			[](kb_clock_t *) { return (kb_time_t)0; },
-		};
-
-		base.ops = &ops;
-	}
-};
-
 /* A connection whose other end is the test. */
 struct FakeLink {
 	kb_link_t base;
--- a/tests/test_proxy_reads.cc
+++ b/tests/test_proxy_reads.cc
@@ -1,3 +1,4 @@
+#include "fake_time.h"
 #include "proxy_reads.h"
 
 #include <gtest/gtest.h>
@@ -13,10 +14,7 @@
 class Reads : public ::testing::Test
 {
       protected:
-	struct Clock {
-		kb_clock_t base;
-		kb_time_t now = 100 * KB_NS_PER_S;
-	} clock;
+	FakeTime clock;
 	kb_settings_t settings{};
 	std::unique_ptr<kb_proxy_t> proxy = std::make_unique<kb_proxy_t>();
 	std::unique_ptr<kb_proxy_group_t> group =
@@ -26,14 +24,7 @@
 
 	Reads()
 	{
-		static const kb_clock_ops_t ops = {
-			[](kb_clock_t *clock) {
-				return reinterpret_cast<Clock *>(clock)->now;
-			},
-			[](kb_clock_t *) { return (kb_time_t)0; },
-		};
-
-		clock.base.ops = &ops;
+		clock.now = 100 * KB_NS_PER_S;
 		*proxy = {};
 		*group = {};
 		proxy->clock = &clock.base;
--- a/tests/test_proxy_result.cc
+++ b/tests/test_proxy_result.cc
@@ -1,3 +1,4 @@
+#include "fake_time.h"
 #include "proxy_statement.h"
 
 #include <gtest/gtest.h>
@@ -13,24 +14,14 @@
 class Result : public ::testing::Test
 {
       protected:
-	struct Clock {
-		kb_clock_t base;
-		kb_time_t now = 100 * KB_NS_PER_S;
-	} clock;
+	FakeTime clock;
 	std::unique_ptr<kb_proxy_t> proxy = std::make_unique<kb_proxy_t>();
 	kb_proxy_session_t *session = nullptr;
 	std::vector<kb_result_t> answers;
 
 	Result()
 	{
-		static const kb_clock_ops_t ops = {
-			[](kb_clock_t *clock) {
-				return reinterpret_cast<Clock *>(clock)->now;
-			},
-			[](kb_clock_t *) { return (kb_time_t)0; },
-		};
-
-		clock.base.ops = &ops;
+		clock.now = 100 * KB_NS_PER_S;
 		*proxy = {};
 		proxy->clock = &clock.base;
 		EXPECT_EQ(KB_OK, kb_proxy_stats_init(&proxy->stats));
--- a/tests/test_proxy_service.cc
+++ b/tests/test_proxy_service.cc
@@ -1,4 +1,5 @@
 #include "fake_server.h"
+#include "fake_time.h"
 #include "proxy_parts.h"
 
 #include <gtest/gtest.h>
@@ -13,10 +14,7 @@
 class Service : public ::testing::Test
 {
       protected:
-	struct Clock {
-		kb_clock_t base;
-		kb_time_t now = 100 * KB_NS_PER_S;
-	} clock;
+	FakeTime clock;
 	std::unique_ptr<kb_proxy_t> proxy = std::make_unique<kb_proxy_t>();
 	std::unique_ptr<kb_proxy_group_t> group =
 		std::make_unique<kb_proxy_group_t>();
@@ -24,14 +22,7 @@
 
 	Service()
 	{
-		static const kb_clock_ops_t ops = {
-			[](kb_clock_t *clock) {
-				return reinterpret_cast<Clock *>(clock)->now;
-			},
-			[](kb_clock_t *) { return (kb_time_t)0; },
-		};
-
-		clock.base.ops = &ops;
+		clock.now = 100 * KB_NS_PER_S;
 		*proxy = {};
 		*group = {};
 		proxy->clock = &clock.base;
