Bound the backoff of a store reader that becomes an ordinary host

Cause: failures were counted while the pause was fixed, as the limit that ends the count never grew. A host that stopped being a reader in a long outage then shifted the pause by that count: hours, or undefined. Ruled out: the count of a host that always backs off, which stops at the greatest pause. StorePoller.TheBackoffOfAFormerReaderStaysBounded failed before.

--- a/src/store_poller.c
+++ b/src/store_poller.c
@@ -55,10 +55,11 @@
 {
 	kb_time_t limit = KB_STORE_POLLER_BACKOFF_MIN_MS;
 
-	if (poller->exponential_backoff)
+	if (poller->exponential_backoff) {
 		limit <<= poller->failures;
-	if (limit < KB_STORE_POLLER_BACKOFF_MAX_MS)
-		poller->failures++;
+		if (limit < KB_STORE_POLLER_BACKOFF_MAX_MS)
+			poller->failures++;
+	}
 	return limit / 2 +
 	       (kb_time_t)kb_rng_below(&poller->rng, (uint64_t)limit / 2);
 }
--- a/src/store_poller.h
+++ b/src/store_poller.h
@@ -32,6 +32,7 @@
 	 * for this one.
 	 */
 	int exponential_backoff;
+	/* Number of times that the exponential backoff has doubled. */
 	unsigned failures;
 	/* Prefix of the keys that are read. */
 	kb_str_t prefix;
