Name long shapes by a digest

Cause: a shape too long for the name's buffer was recorded under an empty name, so that a second long shape on the connection ran the statement of the first one. A shape with a blank would have ended the name early on the wire. Both are named by a digest of the shape now. LinkPool.EachShapeIsPreparedUnderAName failed before.

--- a/src/pool_command.c
+++ b/src/pool_command.c
@@ -1,17 +1,43 @@
 #include "pool_command.h"
 
-#include <stdio.h>
+#include <sodium.h>
+
+enum {
+	/* Length of the digest that names a shape unfit to be a name. */
+	SHAPE_DIGEST_BYTES = 32,
+};
+
+/* Whether a shape can be part of a name as it is. */
+static int is_name(kb_str_t shape)
+{
+	if (shape.len > KB_POOL_SHAPE_NAME_BYTES - 2)
+		return 0;
+	for (size_t i = 0; i < shape.len; i++)
+		if (shape.data[i] <= ' ' || shape.data[i] > '~')
+			return 0;
+	return 1;
+}
 
 kb_str_t kb_pool_shape_name(const kbs_run_args *args, char *buffer)
 {
 	kb_str_t shape = kb_text_str(args->shape);
-	int len =
-		snprintf(buffer, KB_POOL_SHAPE_NAME_BYTES, "%c%.*s",
-			 args->kind == KBS_READ ? 'r' : 'w', KB_STR_ARG(shape));
+	unsigned char digest[SHAPE_DIGEST_BYTES];
+	int is_read = args->kind == KBS_READ;
 
-	if (len < 0 || len >= KB_POOL_SHAPE_NAME_BYTES)
-		return KB_STR("");
-	return (kb_str_t){ buffer, (size_t)len };
+	if (is_name(shape)) {
+		buffer[0] = is_read ? 'r' : 'w';
+		memcpy(buffer + 1, shape.data, shape.len);
+		buffer[1 + shape.len] = '\0';
+		return (kb_str_t){ buffer, 1 + shape.len };
+	}
+	/* Capitals keep digests apart from shapes of the same text. */
+	buffer[0] = is_read ? 'R' : 'W';
+	crypto_generichash(digest, sizeof(digest),
+			   (const unsigned char *)shape.data, shape.len, NULL,
+			   0);
+	sodium_bin2hex(buffer + 1, KB_POOL_SHAPE_NAME_BYTES - 1, digest,
+		       sizeof(digest));
+	return (kb_str_t){ buffer, 1 + 2 * SHAPE_DIGEST_BYTES };
 }
 
 static kb_link_command_kind_t own_kind(kbs_kind kind)
--- a/src/pool_command.h
+++ b/src/pool_command.h
@@ -12,7 +12,9 @@
 
 /*
  * Returns the name under which a statement's shape is prepared, the same on
- * every connection, or an empty string if it does not fit into `buffer`.
+ * every connection and different for each shape. It is in `buffer`, of
+ * KB_POOL_SHAPE_NAME_BYTES. A shape that is too long for it or contains other
+ * than printable characters is named by its digest.
  */
 kb_str_t kb_pool_shape_name(const kbs_run_args *args, char *buffer);
 
--- a/tests/test_link_pool.cc
+++ b/tests/test_link_pool.cc
@@ -219,6 +219,41 @@
 	kb_link_pool_finish(&pool);
 }
 
+TEST_F(LinkPool, EachShapeIsPreparedUnderAName)
+{
+	std::string long_shape(400, 'q');
+	const std::string shapes[] = { long_shape + "1", long_shape + "2",
+				       "q2 c", "q2", long_shape + "1" };
+	std::map<std::string, std::string> prepared;
+
+	for (const std::string &shape : shapes) {
+		Statement statement(KBS_WRITE);
+		bool known = prepared.count(shape);
+
+		statement.args.shape =
+			kb_text_view({ shape.data(), shape.size() });
+		run(statement);
+		open_all();
+		EXPECT_EQ(known ? KB_LINK_COMMAND_WRITE
+				: KB_LINK_COMMAND_PREPARE_WRITE,
+			  connector.links[0]->kind);
+		if (!known)
+			prepared[shape] = connector.links[0]->name;
+		EXPECT_EQ(prepared[shape], connector.links[0]->name);
+		EXPECT_FALSE(connector.links[0]->name.empty());
+		EXPECT_EQ(std::string::npos,
+			  connector.links[0]->name.find(' '));
+		serve_all();
+		EXPECT_EQ(KB_OK, statement.result);
+		/* The statement itself names the shape that it executes. */
+		EXPECT_EQ(prepared[shape], connector.links[0]->name);
+	}
+	EXPECT_NE(prepared[shapes[0]], prepared[shapes[1]]);
+	EXPECT_NE(prepared[shapes[2]], prepared[shapes[3]]);
+	/* Finishes the pool before its statements go out of scope. */
+	kb_link_pool_finish(&pool);
+}
+
 TEST_F(LinkPool, ResultOfALostConnectionDependsOnWhatWasSent)
 {
 	struct {
