Promote only whole logs in durable groups

Cause: an overdue switchover promoted the newest replica whatever its log lacked, and a promotion after the poll of all targets ignored a newer log of a target that is leaving or that the platform refused to promote. Ruled out: comparing with the newest position that the primary has answered after all others were polled. Answers to reads name positions that no replica may have, and the group would wait for ever. The three new Monitor.*Durable* tests failed before.

--- a/src/monitor.h
+++ b/src/monitor.h
@@ -29,8 +29,9 @@
 	/* Switchover: greatest lag of the replica at which it begins. */
 	KB_MONITOR_SWITCHOVER_MAX_LAG_MS = 150,
 	/*
-	 * Switchover: after this time it begins whatever the lag is, and no
-	 * longer requires that the replica has caught up.
+	 * Switchover: after this time it begins whatever the lag is, and does
+	 * not require that the replica has caught up unless the group is
+	 * durable.
 	 */
 	KB_MONITOR_SWITCHOVER_TIMEOUT_MS = 3500,
 	/* A replaced primary is sent step-down commands for this time. */
--- a/src/monitor_promotion.c
+++ b/src/monitor_promotion.c
@@ -70,6 +70,24 @@
 	monitor->ops->promote(monitor->ctx, entry);
 }
 
+/*
+ * Whether a target that cannot be promoted, as it is leaving or its promotion
+ * was refused, has reported a newer log than `best`.
+ */
+static int newer_log_exists(const kb_monitor_t *monitor,
+			    const kb_monitor_probe_t *best)
+{
+	for (size_t i = 0; i < monitor->probe_count; i++) {
+		const kb_monitor_probe_t *probe = &monitor->probes[i];
+
+		if (probe->answered_at > monitor->state_since &&
+		    kb_point_compare(probe->report.received,
+				     best->report.received) > 0)
+			return 1;
+	}
+	return 0;
+}
+
 static void tick_polling(kb_monitor_t *monitor, const kb_target_list_t *targets,
 			 kb_time_t now)
 {
@@ -83,7 +101,7 @@
 	if (!has_all && spent < KB_MONITOR_POLL_TIMEOUT_MS * KB_NS_PER_MS)
 		return;
 	best = newest_replica(monitor, targets, monitor->state_since);
-	if (!best) {
+	if (!best || (monitor->durable && newer_log_exists(monitor, best))) {
 		if (spent >= KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS) {
 			kb_monitor_set_state(monitor, KB_MONITOR_FINDING, now);
 			monitor->has_primary = 0;
@@ -178,7 +196,7 @@
 	}
 	if (best &&
 	    (kb_point_compare(best->report.received, monitor->newest) >= 0 ||
-	     (is_overdue &&
+	     (is_overdue && !monitor->durable &&
 	      spent >= 2 * KB_MONITOR_DRAIN_TIMEOUT_MS * KB_NS_PER_MS))) {
 		monitor->planned = 1;
 		monitor->promotee.len = 0;
@@ -187,7 +205,7 @@
 		return;
 	}
 	if (spent >= 2 * KB_MONITOR_DRAIN_TIMEOUT_MS * KB_NS_PER_MS &&
-	    !is_overdue) {
+	    (!is_overdue || monitor->durable)) {
 		/* It did not catch up: resume statements and try again. */
 		monitor->promotee.len = 0;
 		kb_monitor_set_paused(monitor, 0);
--- a/tests/test_monitor.cc
+++ b/tests/test_monitor.cc
@@ -365,6 +365,60 @@
 		  4 * KB_NS_PER_S);
 }
 
+TEST(Monitor, ADurableGroupIsNotSwitchedOverToAnIncompleteLog)
+{
+	MonitorSimulation simulation;
+
+	simulation.monitor.durable = 1;
+	simulation.until([&] { return simulation.serves("a"); });
+	kb_monitor_on_answer(&simulation.monitor, { 1, 130 });
+	simulation.state["b"].position = 128;
+	simulation.state["c"].position = 129;
+	simulation.add("a", true);
+	simulation.run(8 * KB_NS_PER_S);
+	EXPECT_TRUE(simulation.promotions.empty());
+	simulation.state["c"].position = 130;
+	simulation.until([&] { return simulation.serves("c"); });
+	EXPECT_EQ((std::vector<std::string>{ "c" }), simulation.promotions);
+}
+
+TEST(Monitor, StatementsContinueWhileADurableGroupWaitsForTheWholeLog)
+{
+	MonitorSimulation simulation;
+	kb_time_t paused = 0;
+
+	simulation.monitor.durable = 1;
+	simulation.until([&] { return simulation.serves("a"); });
+	kb_monitor_on_answer(&simulation.monitor, { 1, 130 });
+	simulation.add("a", true);
+	for (int i = 0; i < 500; i++) {
+		simulation.run(20 * MS);
+		paused += simulation.paused ? 20 * MS : 0;
+		if (simulation.paused)
+			continue;
+		paused = 0;
+	}
+	EXPECT_LE(paused, 1100 * MS);
+	EXPECT_TRUE(simulation.promotions.empty());
+}
+
+TEST(Monitor, ADurableGroupPromotesNoLogThatIsOlderThanALeavingReplicas)
+{
+	MonitorSimulation simulation;
+
+	simulation.monitor.durable = 1;
+	simulation.until([&] { return simulation.serves("a"); });
+	simulation.state["b"].position = 110;
+	simulation.state["c"].position = 120;
+	simulation.add("c", true);
+	simulation.kill("a", true);
+	simulation.run(1500 * MS);
+	EXPECT_TRUE(simulation.promotions.empty());
+	simulation.state["b"].position = 120;
+	simulation.until([&] { return simulation.serves("b"); });
+	EXPECT_EQ((std::vector<std::string>{ "b" }), simulation.promotions);
+}
+
 TEST(Monitor, ALeavingPrimaryIsReplacedWithoutLostCommits)
 {
 	MonitorSimulation simulation;
