Take statements of open transactions when all flows are busy

Cause: a full table of flows refused every statement of a new flow, also of a transaction that holds a connection until it ends. It shares another caller's flow now. FullFairQueue.StatementsOfOpenTransactionsAreTaken failed before.

--- a/src/fair_queue.c
+++ b/src/fair_queue.c
@@ -115,6 +115,26 @@
 	return best;
 }
 
+/*
+ * Returns the flow that has the fewest entries, one of the class if there is
+ * any.
+ */
+static kb_fair_flow_t *shared_flow(kb_fair_queue_t *queue, size_t class_index)
+{
+	kb_fair_flow_t *best = NULL;
+
+	for (size_t i = 0; i < KB_FAIR_MAX_FLOWS; i++) {
+		kb_fair_flow_t *flow = &queue->flows[i];
+		int in_class = flow->class_index == class_index;
+		int best_in_class = best && best->class_index == class_index;
+
+		if (!best || in_class > best_in_class ||
+		    (in_class == best_in_class && flow->queued < best->queued))
+			best = flow;
+	}
+	return best;
+}
+
 kb_result_t kb_fair_queue_push(kb_fair_queue_t *queue, kb_fair_entry_t *entry,
 			       size_t class_index, const kb_name_t *caller,
 			       kb_fair_priority_t priority)
@@ -125,9 +145,12 @@
 	if (class_index >= queue->class_count)
 		return KB_ERR_NOT_FOUND;
 	flow = get_flow(queue, class_index, caller);
+	/* The transaction holds a connection that only its statements free. */
+	if (!flow && priority == KB_FAIR_PRIORITY_IN_TRANSACTION)
+		flow = shared_flow(queue, class_index);
 	if (!flow)
 		return KB_ERR_OVERLOADED;
-	class = &queue->classes[class_index];
+	class = &queue->classes[flow->class_index];
 	if (!class->queued && class->virtual_time < queue->class_time)
 		class->virtual_time = queue->class_time;
 	if (!flow->queued && flow->virtual_time < class->flow_time)
--- a/src/fair_queue.h
+++ b/src/fair_queue.h
@@ -104,7 +104,8 @@
 
 /*
  * Appends an entry. Returns KB_ERR_OVERLOADED if all flows are in use and
- * KB_ERR_NOT_FOUND if the class does not exist.
+ * KB_ERR_NOT_FOUND if the class does not exist. An entry of an open transaction
+ * is never refused as overload: it shares the flow of another caller instead.
  */
 kb_result_t kb_fair_queue_push(kb_fair_queue_t *queue, kb_fair_entry_t *entry,
 			       size_t class_index, const kb_name_t *caller,
