Report commands that a full queue of a target drops

kb_control_send() returns KB_ERR_OVERLOADED and the agent logs event 1104. The state machines repeat a command without an answer, as before.

--- a/src/agent.c
+++ b/src/agent.c
@@ -31,8 +31,18 @@
 static void send_command(kb_agent_t *agent, size_t target,
 			 const kb_control_command_t *command)
 {
-	if (target < agent->control_count)
-		kb_control_send(&agent->controls[target], command);
+	kb_result_t result;
+
+	if (target >= agent->control_count)
+		return;
+	/* The state machines repeat a command that is not answered. */
+	result = kb_control_send(&agent->controls[target], command);
+	if (result)
+		kb_log(KB_EVENT_TARGET_COMMAND_DROPPED,
+		       "group=%s target=%s kind=%d term=%" PRIu64 " result=%s",
+		       agent->spec.name.data,
+		       agent->spec.targets[target].name.data, command->kind,
+		       command->term, kb_result_name(result));
 }
 
 static void send_probe(kb_failover_t *failover, size_t target,
--- a/src/control.c
+++ b/src/control.c
@@ -243,15 +243,17 @@
 	start_timer(control);
 }
 
-void kb_control_send(kb_control_t *control, const kb_control_command_t *command)
+kb_result_t kb_control_send(kb_control_t *control,
+			    const kb_control_command_t *command)
 {
 	if (control->command_count == KB_CONTROL_COMMANDS_MAX)
-		return;
+		return KB_ERR_OVERLOADED;
 	control->commands[control->command_count++] = *command;
 	if (!control->conn && control->command_count == 1)
 		connect_target(control);
 	else if (control->connected && !control->busy)
 		send_first(control);
+	return KB_OK;
 }
 
 kb_result_t kb_control_init(kb_control_t *control,
--- a/src/control.h
+++ b/src/control.h
@@ -81,11 +81,12 @@
 void kb_control_finish(kb_control_t *control);
 
 /*
- * Queues a command; ended() is called from the event loop. If the queue is
- * full, the command is dropped without a report.
+ * Queues a command; ended() is called from the event loop. Returns
+ * KB_ERR_OVERLOADED if the queue is full; then the command is not sent and
+ * ended() is not called.
  */
-void kb_control_send(kb_control_t *control,
-		     const kb_control_command_t *command);
+kb_result_t kb_control_send(kb_control_t *control,
+			    const kb_control_command_t *command);
 
 /* Parses the answer row of a control function into `report`. */
 kb_result_t kb_control_parse_row(json_t *row, kb_report_t *report,
--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -62,13 +62,13 @@
 		event_base_free(loop);
 	}
 
-	void probe(uint64_t id)
+	kb_result_t probe(uint64_t id)
 	{
 		kb_control_command_t command = {};
 
 		command.kind = KB_CONTROL_PROBE;
 		command.id = id;
-		kb_control_send(&control, &command);
+		return kb_control_send(&control, &command);
 	}
 
 	void run_loop()
@@ -122,6 +122,16 @@
 		  results);
 }
 
+TEST_F(Control, ACommandBeyondTheQueueIsRefused)
+{
+	for (uint64_t id = 0; id < KB_CONTROL_COMMANDS_MAX; id++)
+		EXPECT_EQ(KB_OK, probe(id));
+	EXPECT_EQ(KB_ERR_OVERLOADED, probe(KB_CONTROL_COMMANDS_MAX));
+	opened(KB_ERR_UNREACHABLE);
+	EXPECT_EQ((size_t)KB_CONTROL_COMMANDS_MAX, results.size());
+	EXPECT_EQ(KB_OK, probe(KB_CONTROL_COMMANDS_MAX));
+}
+
 TEST_F(Control, MissingAnswerIsATimeout)
 {
 	probe(1);
