Remove code that no program reaches

kb_caller_limit was used by its own test only: accounts limit the requests of a caller. The retry budget's exemption for outdated hints could not be reached, as kb_route_retry_needs_budget() answers first; its row of tests goes with it. Tokens do not expire; the comment said that they do.

--- a/include/kumquatbridge.h
+++ b/include/kumquatbridge.h
@@ -37,8 +37,7 @@
 	KB_ERR_CONFLICT = 106,
 	/* The idempotency key was used with another request. */
 	KB_ERR_KEY_REUSED = 107,
-	/* The session token is malformed, expired or not signed for this
-	 * caller. */
+	/* The session token is malformed or not signed for this caller. */
 	KB_ERR_TOKEN_INVALID = 108,
 	/* The target rejected the statement and rolled it back. */
 	KB_ERR_STATEMENT = 109,
--- a/src/retry_budget.c
+++ b/src/retry_budget.c
@@ -15,11 +15,8 @@
 		budget->tokens = budget->max_tokens;
 }
 
-int kb_retry_budget_spend(kb_retry_budget_t *budget, kb_result_t result)
+int kb_retry_budget_spend(kb_retry_budget_t *budget)
 {
-	/* These results are due to an outdated routing hint, not to load. */
-	if (result == KB_ERR_NOT_FRESH || result == KB_ERR_NOT_GATE)
-		return 1;
 	if (budget->tokens < 1)
 		return 0;
 	budget->tokens -= 1;
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -23,8 +23,8 @@
 
 void kb_retry_budget_succeeded(kb_retry_budget_t *budget);
 
-/* Returns non-zero if a retry after `result` is allowed, and spends it. */
-int kb_retry_budget_spend(kb_retry_budget_t *budget, kb_result_t result);
+/* Returns non-zero if a retry is allowed, and spends it. */
+int kb_retry_budget_spend(kb_retry_budget_t *budget);
 
 KB_END_DECLS
 
--- a/src/router.c
+++ b/src/router.c
@@ -63,7 +63,7 @@
 	unsigned delay = job->delay_ms ? job->delay_ms : RETRY_DELAY_MIN_MS;
 
 	if (kb_route_retry_needs_budget(result) &&
-	    !kb_retry_budget_spend(&job->router->budget, result))
+	    !kb_retry_budget_spend(&job->router->budget))
 		return 0;
 	job->delay_ms = delay < RETRY_DELAY_MAX_MS ? delay * 2 : delay;
 	return kb_router_job_wait(job, delay * KB_NS_PER_MS);
--- a/tests/test_budgets.cc
+++ b/tests/test_budgets.cc
@@ -1,4 +1,3 @@
-#include "caller_limit.h"
 #include "class_defaults.h"
 #include "bandwidth_limiter.h"
 #include "retry_budget.h"
@@ -9,14 +8,6 @@
 
 static const kb_time_t MS = KB_NS_PER_MS;
 
-static kb_name_t name(const std::string &text)
-{
-	kb_name_t result;
-
-	kb_name_set(&result, { text.data(), text.size() });
-	return result;
-}
-
 TEST(RetryBudget, RetriesAreAShareOfTheSuccesses)
 {
 	kb_retry_budget_t budget;
@@ -24,11 +15,11 @@
 
 	kb_retry_budget_init(&budget, 0.1, 10);
 	for (int i = 0; i < 1000; i++)
-		spent += kb_retry_budget_spend(&budget, KB_ERR_OVERLOADED);
+		spent += kb_retry_budget_spend(&budget);
 	EXPECT_EQ(10, spent);
 	for (int i = 0; i < 1000; i++) {
 		kb_retry_budget_succeeded(&budget);
-		spent += kb_retry_budget_spend(&budget, KB_ERR_UNREACHABLE);
+		spent += kb_retry_budget_spend(&budget);
 	}
 	EXPECT_NEAR(110, spent, 1);
 	for (int i = 0; i < 100000; i++)
@@ -36,16 +27,6 @@
 	EXPECT_LE(budget.tokens, 10);
 }
 
-TEST(RetryBudget, OutdatedHintsCostNothing)
-{
-	kb_retry_budget_t budget;
-
-	kb_retry_budget_init(&budget, 0.1, 0);
-	EXPECT_TRUE(kb_retry_budget_spend(&budget, KB_ERR_NOT_FRESH));
-	EXPECT_TRUE(kb_retry_budget_spend(&budget, KB_ERR_NOT_GATE));
-	EXPECT_FALSE(kb_retry_budget_spend(&budget, KB_ERR_OVERLOADED));
-}
-
 static kb_bandwidth_limiter_t
 link(uint64_t rate = 1000000, uint64_t burst = 100000, uint64_t reserve = 40000)
 {
@@ -120,42 +101,6 @@
 	EXPECT_EQ(KB_TIME_NEVER, kb_bandwidth_limiter_wait(&budget, 1, MS));
 }
 
-TEST(CallerLimit, LimitsEachCallerSeparately)
-{
-	kb_caller_limit_t limit;
-	kb_name_t a = name("a"), b = name("b");
-
-	kb_caller_limit_init(&limit, 2);
-	EXPECT_EQ(KB_OK, kb_caller_limit_acquire(&limit, &a));
-	EXPECT_EQ(KB_OK, kb_caller_limit_acquire(&limit, &a));
-	EXPECT_EQ(KB_ERR_OVERLOADED, kb_caller_limit_acquire(&limit, &a));
-	EXPECT_EQ(KB_OK, kb_caller_limit_acquire(&limit, &b));
-	kb_caller_limit_release(&limit, &a);
-	EXPECT_EQ(KB_OK, kb_caller_limit_acquire(&limit, &a));
-	kb_caller_limit_release(&limit, &a);
-	kb_caller_limit_release(&limit, &a);
-	kb_caller_limit_release(&limit, &a);
-	EXPECT_EQ(KB_OK, kb_caller_limit_acquire(&limit, &b));
-	EXPECT_EQ(KB_ERR_OVERLOADED, kb_caller_limit_acquire(&limit, &b));
-}
-
-TEST(CallerLimit, TheTableIsBoundedAndRecovers)
-{
-	kb_caller_limit_t limit;
-	kb_name_t one_more = name("one more"), first = name("0");
-
-	kb_caller_limit_init(&limit, 1);
-	for (int i = 0; i < KB_CALLER_LIMIT_MAX_CALLERS; i++) {
-		kb_name_t caller = name(std::to_string(i));
-
-		EXPECT_EQ(KB_OK, kb_caller_limit_acquire(&limit, &caller));
-	}
-	EXPECT_EQ(KB_ERR_OVERLOADED,
-		  kb_caller_limit_acquire(&limit, &one_more));
-	kb_caller_limit_release(&limit, &first);
-	EXPECT_EQ(KB_OK, kb_caller_limit_acquire(&limit, &one_more));
-}
-
 TEST(ClassDefaults, EveryReadKindHasItsClassAndBulkWeighsLeast)
 {
 	size_t class_count, kind_count;
