Rule a holder out only with the former voters of an unsettled record

Cause: while a takeover is not settled, the former holder may still serve with grants of its own voters. The vacancy check counted the denials of the new voters only, which may be other hosts that never granted anything. A host could then take a served group for vacant and read a replica at too old a position.

The decision stands in the lease now, and the simulation checks that one.

--- a/src/lease.h
+++ b/src/lease.h
@@ -48,6 +48,12 @@
 	kb_name_t hosts[KB_LEASE_VOTERS_MAX];
 } kb_voter_set_t;
 
+/* Hosts whose last grant has expired; they may be former voters, too. */
+typedef struct kb_lease_denials {
+	size_t count;
+	kb_name_t hosts[KB_LEASE_VOTERS_MAX * 2];
+} kb_lease_denials_t;
+
 /* Value of a group's key in the store. */
 typedef struct kb_lease_record {
 	kb_name_t holder;
@@ -293,6 +299,18 @@
 int kb_lease_last_grant(const kb_lease_t *lease, int64_t revision,
 			kb_time_t *since);
 
+/*
+ * Fills in the hosts whose denials can show that no holder serves: the voters
+ * and, while the record is not settled, the former voters, with whose grants
+ * the former holder may still serve.
+ */
+void kb_lease_possible_denials(const kb_lease_t *lease,
+			       kb_lease_denials_t *denials);
+
+/* Whether the denials of these hosts show that no holder serves. */
+int kb_lease_is_denied(const kb_lease_t *lease,
+		       const kb_lease_denials_t *denials);
+
 /*
  * Stops serving and hands the lease to `successor`, or if that is NULL to the
  * first other host of the ranking.
--- a/src/lease_grant.c
+++ b/src/lease_grant.c
@@ -138,6 +138,54 @@
 	return 1;
 }
 
+static int denials_contain(const kb_lease_denials_t *denials,
+			   const kb_name_t *host)
+{
+	for (size_t i = 0; i < denials->count; i++)
+		if (kb_lease_names_equal(&denials->hosts[i], host))
+			return 1;
+	return 0;
+}
+
+static void add_possible(kb_lease_denials_t *denials, const kb_voter_set_t *set)
+{
+	for (size_t i = 0; i < set->count; i++)
+		if (!denials_contain(denials, &set->hosts[i]))
+			denials->hosts[denials->count++] = set->hosts[i];
+}
+
+void kb_lease_possible_denials(const kb_lease_t *lease,
+			       kb_lease_denials_t *denials)
+{
+	denials->count = 0;
+	add_possible(denials, &lease->record.voters);
+	if (!lease->record.settled)
+		add_possible(denials, &lease->record.former_voters);
+}
+
+static int majority_denies(const kb_voter_set_t *set,
+			   const kb_lease_denials_t *denials)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < set->count; i++)
+		count += (size_t)denials_contain(denials, &set->hosts[i]);
+	return count > set->count / 2;
+}
+
+int kb_lease_is_denied(const kb_lease_t *lease,
+		       const kb_lease_denials_t *denials)
+{
+	const kb_lease_record_t *record = &lease->record;
+
+	if (!majority_denies(&record->voters, denials))
+		return 0;
+	return record->settled ||
+	       (!record->former_unknown &&
+		(!record->former_voters.count ||
+		 majority_denies(&record->former_voters, denials)));
+}
+
 void kb_lease_on_holder_seen(kb_lease_t *lease, int seen, kb_time_t seen_at)
 {
 	if (seen && seen_at > lease->holder_seen_at)
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -61,11 +61,11 @@
 	kb_time_t requested_until;
 	kb_time_t started_at;
 	/*
-	 * Revision of the record that is checked, and the number of its
-	 * voters that have ruled out a holder since `started_at`.
+	 * Revision of the record that is checked, and the hosts that have
+	 * ruled out a holder since `started_at`.
 	 */
 	int64_t revision;
-	unsigned votes;
+	kb_lease_denials_t denials;
 	/* Number of targets probed, and of reports received so far. */
 	unsigned probed;
 	unsigned reports;
--- a/src/proxy_vacancy.c
+++ b/src/proxy_vacancy.c
@@ -21,6 +21,7 @@
 /* A call that asks a voter for the age of its last grant. */
 typedef struct grant_age_call {
 	kb_proxy_group_t *group;
+	kb_name_t voter;
 	uint64_t round;
 } grant_age_call_t;
 
@@ -54,17 +55,20 @@
 }
 
 /* Counts a voter whose last grant is `age` old, if that has expired. */
-static void count_vote(kb_proxy_group_t *group, kb_time_t age)
+static void count_vote(kb_proxy_group_t *group, const kb_name_t *voter,
+		       kb_time_t age)
 {
 	kb_proxy_vacancy_t *vacancy = &group->vacancy;
 	kb_time_t valid =
 		(KB_LEASE_DURATION_MS + GRANT_MARGIN_MS) * KB_NS_PER_MS;
 
-	if (age < valid)
+	kb_lease_denials_t *denials = &vacancy->denials;
+
+	if (age < valid || denials->count == sizeof(denials->hosts) /
+						     sizeof(denials->hosts[0]))
 		return;
-	vacancy->votes++;
-	if (vacancy->votes == group->lease.record.voters.count / 2 + 1 &&
-	    !vacancy->probed)
+	denials->hosts[denials->count++] = *voter;
+	if (!vacancy->probed && kb_lease_is_denied(&group->lease, denials))
 		probe_targets(group);
 }
 
@@ -78,7 +82,8 @@
 	if (!result && reply->known && call.round == vacancy->round &&
 	    (int64_t)reply->revision == vacancy->revision &&
 	    call.group->lease.revision == vacancy->revision)
-		count_vote(call.group, reply->age_us * KB_NS_PER_US);
+		count_vote(call.group, &call.voter,
+			   reply->age_us * KB_NS_PER_US);
 }
 
 static void request_grant_age(kb_proxy_group_t *group, kb_host_t *host)
@@ -101,6 +106,7 @@
 	if (!call)
 		return;
 	call->group = group;
+	call->voter = host->name;
 	call->round = group->vacancy.round;
 	kb_proxy_host_call(group->proxy, host, &rpc);
 }
@@ -108,17 +114,18 @@
 static void ask_voters(kb_proxy_group_t *group, kb_time_t now)
 {
 	kb_proxy_vacancy_t *vacancy = &group->vacancy;
-	const kb_voter_set_t *set = &group->lease.record.voters;
+	kb_lease_denials_t possible;
 	kb_time_t since;
 
 	vacancy->started_at = now;
 	vacancy->round++;
 	vacancy->revision = group->lease.revision;
-	vacancy->votes = 0;
+	vacancy->denials.count = 0;
 	vacancy->probed = 0;
-	for (size_t i = 0; i < set->count; i++) {
-		kb_host_t *host = kb_hosts_find(&group->proxy->hosts,
-						kb_name_str(&set->hosts[i]));
+	kb_lease_possible_denials(&group->lease, &possible);
+	for (size_t i = 0; i < possible.count; i++) {
+		kb_host_t *host = kb_hosts_find(
+			&group->proxy->hosts, kb_name_str(&possible.hosts[i]));
 
 		if (!host)
 			continue;
@@ -126,7 +133,7 @@
 			request_grant_age(group, host);
 		else if (kb_lease_last_grant(&group->lease, vacancy->revision,
 					     &since))
-			count_vote(group, now - since);
+			count_vote(group, &host->name, now - since);
 	}
 }
 
--- a/tests/lease_simulation.h
+++ b/tests/lease_simulation.h
@@ -68,22 +68,24 @@
 	 */
 	bool is_vacant(const kb_lease_t &lease)
 	{
-		const kb_voter_set_t &set = lease.record.voters;
-		size_t denials = 0;
+		kb_lease_denials_t possible;
+		kb_lease_denials_t denials = {};
 
 		if (!lease.revision || lease.revision != key_revision)
 			return false;
-		for (size_t i = 0; i < set.count; i++) {
-			Host *host = find(&set.hosts[i]);
+		kb_lease_possible_denials(&lease, &possible);
+		for (size_t i = 0; i < possible.count; i++) {
+			Host *host = find(&possible.hosts[i]);
 			kb_time_t since;
 
 			if (host->alive && now >= host->frozen_until &&
 			    kb_lease_last_grant(&host->lease, lease.revision,
 						&since) &&
 			    now - since >= (KB_LEASE_DURATION_MS + 100) * MS)
-				denials++;
+				denials.hosts[denials.count++] =
+					possible.hosts[i];
 		}
-		return denials > set.count / 2;
+		return kb_lease_is_denied(&lease, &denials);
 	}
 
 	void step()
