Rank hosts alike on every host, weighted by processor share

Cause: the ranking of a group took the first 128 hosts of a host's own table and preferred those that had answered it lately, so that each host of a large fleet put itself and its neighbours first: many tried to take over the same group, and voters and holders were exchanged again and again. It, the gates and the relays of watermarks were ranked anew at each use.

A ranking is a function of the membership now, kept until that changes, with weighted rendezvous hashing. The first ones come from several data centres, so that the loss of one leaves a majority of the voters. A host that fails gets no work until it answers a ping. Hosts are found by a hash of their name. A connection on which part of a long reply arrives is not reset.

Fewer calls to the store: the key of a holder is read every 10 s, the key of a host is kept alive every 5 s, and a fleet that starts for the first time lets its hosts discover each other before it places groups.

--- a/src/hosts.c
+++ b/src/hosts.c
@@ -10,13 +10,18 @@
 
 kb_host_t *kb_hosts_find(const kb_hosts_t *hosts, kb_str_t name)
 {
-	for (size_t i = 0; i < hosts->count; i++)
-		if (kb_name_is(&hosts->hosts[i]->name, name))
-			return hosts->hosts[i];
-	return NULL;
+	kb_host_t *host = NULL;
+
+	HASH_FIND(by_name, hosts->by_name, name.data, name.len, host);
+	return host;
+}
+
+void kb_hosts_changed(kb_hosts_t *hosts)
+{
+	hosts->generation++;
 }
 
-static kb_host_t *add_host(kb_hosts_t *hosts)
+static kb_host_t *add_host(kb_hosts_t *hosts, const kb_name_t *name)
 {
 	size_t capacity =
 		hosts->capacity ? hosts->capacity * 2 : INITIAL_CAPACITY;
@@ -31,8 +36,13 @@
 		hosts->capacity = capacity;
 	}
 	host = calloc(1, sizeof(*host));
-	if (host)
-		hosts->hosts[hosts->count++] = host;
+	if (!host)
+		return NULL;
+	host->name = *name;
+	host->live = 1;
+	hosts->hosts[hosts->count++] = host;
+	HASH_ADD_KEYPTR(by_name, hosts->by_name, host->name.data,
+			host->name.len, host);
 	return host;
 }
 
@@ -47,14 +57,15 @@
 	kb_host_t *host = kb_hosts_find(hosts, kb_name_str(&info->name));
 
 	if (!host) {
-		host = add_host(hosts);
+		host = add_host(hosts, &info->name);
 		if (!host)
 			return NULL;
-		host->name = info->name;
-		host->live = 1;
 	}
 	host->data_centre = info->data_centre;
 	host->region = info->region;
+	host->processor_share = info->processor_share;
+	host->link_mbps = info->link_mbps;
+	hosts->generation++;
 	if (same_endpoint(&host->endpoint, &info->endpoint))
 		return host;
 	if (host->endpoint.port)
@@ -86,6 +97,8 @@
 		.endpoint = settings->listen_hosts,
 		.data_centre = settings->data_centre,
 		.region = settings->region,
+		.processor_share = settings->processor_share,
+		.link_mbps = settings->link_mbps,
 	};
 
 	return kb_hosts_init_at(hosts, loop, &self);
@@ -95,6 +108,7 @@
 {
 	for (size_t i = 0; i < hosts->count; i++)
 		kb_rpc_peer_finish(&hosts->hosts[i]->peer);
+	HASH_CLEAR(by_name, hosts->by_name);
 	for (size_t i = 0; i < hosts->count; i++)
 		free(hosts->hosts[i]);
 	free(hosts->hosts);
--- a/src/hosts.h
+++ b/src/hosts.h
@@ -5,14 +5,20 @@
 #include "rpc_peer.h"
 #include "settings.h"
 
+#include <uthash.h>
+
 KB_BEGIN_DECLS
 
-/* Name and location of a host. */
+/* Name, location and capacity of a host. */
 typedef struct kb_host_info {
 	kb_name_t name;
 	kb_endpoint_t endpoint;
 	kb_name_t data_centre;
 	kb_name_t region;
+	/* Processor cores that it may use; 0 if unknown. */
+	double processor_share;
+	/* Bandwidth of its link in Mbit/s; 0 if unknown. */
+	double link_mbps;
 } kb_host_info_t;
 
 /* A host to which requests may be sent; this host has an entry, too. */
@@ -21,21 +27,30 @@
 	kb_endpoint_t endpoint;
 	kb_name_t data_centre;
 	kb_name_t region;
+	double processor_share;
+	double link_mbps;
 	int self;
 	int live;
 	int leaving;
 	/* Time at which its key was deleted from the store; 0 if listed. */
 	kb_time_t unlisted_at;
-	/* Calls to it failed: it is not used before this time. */
-	kb_time_t suspect_until;
-	/* Number of replies at the last check, and time of the last one. */
-	uint64_t replies_seen;
-	kb_time_t replied_at;
-	/* Start of the time in which calls have had no reply. */
-	kb_time_t no_reply_since;
+	/*
+	 * Calls to it failed: it gets no work until it answers a ping, which is
+	 * not sent before `ping_at`. `failures` counts the failures since its
+	 * last answer.
+	 */
+	int failed;
+	unsigned failures;
+	kb_time_t ping_at;
+	/* Bytes received from it and connections lost at the last check. */
+	uint64_t received_seen;
+	uint64_t lost_seen;
+	/* Start of the time in which nothing was received despite calls. */
+	kb_time_t silent_since;
 	int pinging;
 	/* RPC connection; not used in the entry of this host. */
 	kb_rpc_peer_t peer;
+	UT_hash_handle by_name;
 } kb_host_t;
 
 /* Table of the known hosts. Pointers to entries stay valid. */
@@ -45,6 +60,13 @@
 	size_t count;
 	size_t capacity;
 	kb_host_t *self;
+	/* Index of the hosts by name. */
+	kb_host_t *by_name;
+	/*
+	 * Incremented when a host was added or its location, capacity or state
+	 * changed. Rankings of an older generation are out of date.
+	 */
+	uint64_t generation;
 } kb_hosts_t;
 
 /* Initializes the table with an entry for this host. */
@@ -63,6 +85,9 @@
 /* Returns the entry of a host, or NULL. */
 kb_host_t *kb_hosts_find(const kb_hosts_t *hosts, kb_str_t name);
 
+/* Records that the state of a host has changed. */
+void kb_hosts_changed(kb_hosts_t *hosts);
+
 KB_END_DECLS
 
 #endif
--- a/src/lease.h
+++ b/src/lease.h
@@ -8,7 +8,8 @@
 enum {
 	/* Hosts that vote on renewals; a majority must grant one. */
 	KB_LEASE_VOTERS_MAX = 5,
-	KB_LEASE_HOSTS_MAX = 128,
+	/* Hosts of a ranking; those after them do not take over. */
+	KB_LEASE_HOSTS_MAX = 24,
 	/* Validity of a renewal, counted from when it was sent. */
 	KB_LEASE_DURATION_MS = 900,
 	/* Interval of renewals; four are sent within the validity of one. */
@@ -24,7 +25,7 @@
 	 * after it sent the read that last confirmed the key. It reads at once
 	 * if the key is unconfirmed, and repeats a read that failed.
 	 */
-	KB_LEASE_STORE_CHECK_INTERVAL_S = 5,
+	KB_LEASE_STORE_CHECK_INTERVAL_S = 10,
 	/*
 	 * Delay per rank before a host takes over, so that hosts do not write
 	 * the key at the same time.
@@ -87,7 +88,13 @@
 
 typedef struct kb_lease kb_lease_t;
 
-/* Live hosts in order of preference as holder. */
+/* Whether a host is one of the voters. */
+int kb_voter_set_contains(const kb_voter_set_t *set, const kb_name_t *host);
+
+/*
+ * Live hosts in order of preference: the current voters, as they can take over
+ * fastest, then others that are suitable as a holder or voter.
+ */
 typedef struct kb_lease_ranking {
 	size_t count;
 	kb_name_t hosts[KB_LEASE_HOSTS_MAX];
@@ -210,6 +217,8 @@
 	kb_time_t holder_seen_at;
 	kb_time_t query_sent_at;
 	int querying_holder;
+	/* The voters were contacted since the last sign of the holder. */
+	int voters_checked;
 };
 
 /* `first_start`: as the field; `now` is the start of this process. */
--- a/src/lease_internal.h
+++ b/src/lease_internal.h
@@ -13,7 +13,6 @@
 /* Functions shared by the source files of the lease. */
 
 int kb_lease_names_equal(const kb_name_t *a, const kb_name_t *b);
-int kb_voter_set_contains(const kb_voter_set_t *set, const kb_name_t *host);
 
 /* Whether the key names this host. */
 int kb_lease_is_own(const kb_lease_t *lease);
--- a/src/lease_tick.c
+++ b/src/lease_tick.c
@@ -126,6 +126,23 @@
 	return ms * KB_NS_PER_MS;
 }
 
+/*
+ * Contacts the voters when renewals are missing, so that those that have failed
+ * together with the holder do not delay the takeover by their rank.
+ */
+static void check_voters(kb_lease_t *lease, kb_time_t silence)
+{
+	if (silence < KB_LEASE_HOLDER_TIMEOUT_MS / 2 * KB_NS_PER_MS) {
+		lease->voters_checked = 0;
+		return;
+	}
+	if (lease->voters_checked || !lease->record.holder.len ||
+	    !kb_voter_set_contains(&lease->record.voters, &lease->self))
+		return;
+	lease->voters_checked = 1;
+	lease->ops->query_holder(lease->ctx, lease);
+}
+
 /*
  * Takes over the lease after the takeover delay, unless a voter has seen the
  * holder serving in the meantime.
@@ -139,6 +156,7 @@
 	/* The ranking is not needed before the holder is overdue. */
 	if (silence < takeover_delay(lease, 0)) {
 		lease->querying_holder = 0;
+		check_voters(lease, silence);
 		return;
 	}
 	lease->ops->rank(lease->ctx, lease, &ranking);
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -173,6 +173,9 @@
 	proxy->self.endpoint = settings->listen_hosts;
 	proxy->self.data_centre = settings->data_centre;
 	proxy->self.region = settings->region;
+	proxy->self.processor_share = settings->processor_share;
+	proxy->self.link_mbps = settings->link_mbps;
+	proxy->started_at = kb_clock_monotonic(proxy->clock);
 	proxy->mirror.changed = on_mirror_changed;
 	proxy->mirror.ctx = proxy;
 	result = kb_proxy_stats_init(&proxy->stats);
--- a/src/proxy_gate.c
+++ b/src/proxy_gate.c
@@ -1,7 +1,5 @@
 #include "proxy_internal.h"
 
-#include "rendezvous.h"
-
 #include <stdlib.h>
 
 enum {
@@ -124,29 +122,21 @@
 kb_host_t *kb_proxy_gate_host(kb_proxy_t *proxy,
 			      const kb_target_entry_t *target, kb_time_t now)
 {
-	kb_host_t *best = NULL;
-	int best_is_local = 0;
-	uint64_t best_score = 0;
-
-	for (size_t i = 0; i < proxy->hosts.count; i++) {
-		kb_host_t *host = proxy->hosts.hosts[i];
-		int is_local = kb_name_is(&host->data_centre,
-					  kb_name_str(&target->data_centre));
-		uint64_t score;
-
-		if (!kb_proxy_host_usable(host, now))
-			continue;
-		score = kb_rendezvous_score(kb_name_str(&host->name),
-					    kb_name_str(&target->place.target));
-		if (best &&
-		    (is_local < best_is_local ||
-		     (is_local == best_is_local && score <= best_score)))
-			continue;
-		best = host;
-		best_is_local = is_local;
-		best_score = score;
-	}
-	return best;
+	kb_host_ranking_subject_t subject = {
+		.key = kb_name_str(&target->place.target),
+		.data_centre = kb_name_str(&target->data_centre),
+		.region = kb_settings_region(proxy->setup.settings,
+					     &target->data_centre),
+	};
+	kb_proxy_load_t *load = kb_proxy_load_get(proxy, subject.key);
+
+	if (!load)
+		return NULL;
+	kb_host_ranking_update(&load->gates, &proxy->hosts, &subject);
+	for (size_t i = 0; i < load->gates.count; i++)
+		if (kb_proxy_host_usable(load->gates.hosts[i], now))
+			return load->gates.hosts[i];
+	return NULL;
 }
 
 kb_proxy_load_t *kb_proxy_load_get(kb_proxy_t *proxy, kb_str_t target)
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -5,6 +5,11 @@
 
 #include <stdlib.h>
 
+enum {
+	/* Time in which the hosts of a fleet discover each other. */
+	FLEET_FORMING_MS = 3000,
+};
+
 kb_proxy_group_t *kb_proxy_group_find(const kb_proxy_t *proxy, kb_str_t name)
 {
 	for (size_t i = 0; i < proxy->group_count; i++)
@@ -119,6 +124,20 @@
 	kb_lease_on_key(&group->lease, &record, entry->revision, now);
 }
 
+/*
+ * Whether hosts may still be missing in the membership, as the whole fleet
+ * starts for the first time. A holder that is chosen among too few hosts would
+ * have to hand the group over.
+ */
+static int is_fleet_forming(const kb_proxy_group_t *group, kb_time_t now)
+{
+	const kb_proxy_t *proxy = group->proxy;
+
+	return proxy->setup.settings->first_start &&
+	       !group->lease.record.holder.len &&
+	       now - proxy->started_at < FLEET_FORMING_MS * KB_NS_PER_MS;
+}
+
 void kb_proxy_group_tick(kb_proxy_group_t *group, kb_time_t now)
 {
 	kb_proxy_t *proxy = group->proxy;
@@ -127,7 +146,8 @@
 	if (proxy->mirror.revision && !group->lease.known && group->configured)
 		kb_lease_on_key(&group->lease, NULL, proxy->mirror.revision,
 				now);
-	if (!proxy->stopping || group->lease.role != KB_LEASE_NONE)
+	if ((!proxy->stopping || group->lease.role != KB_LEASE_NONE) &&
+	    !is_fleet_forming(group, now))
 		kb_lease_tick(&group->lease, now);
 	if (proxy->stopping && !group->handover_started_at)
 		group->handover_started_at = now;
--- a/src/proxy_hosts.c
+++ b/src/proxy_hosts.c
@@ -6,8 +6,13 @@
 #include <stdlib.h>
 
 enum {
-	/* No work is given to a host for this time after a failed call. */
-	SUSPECT_TIMEOUT_MS = 1000,
+	/*
+	 * A host that failed is pinged after this time, which doubles with each
+	 * failure up to the maximum. A lost connection may be reopened at once.
+	 */
+	FAILED_PING_DELAY_MS = 1000,
+	CLOSED_PING_DELAY_MS = 100,
+	FAILED_PING_DELAY_MAX_MS = 4000,
 	/* A host counts as live this long after its key left the store. */
 	UNREGISTERED_TIMEOUT_S = 8,
 	/* A ping is sent when calls have had no reply for this time. */
@@ -20,7 +25,24 @@
 
 int kb_proxy_host_usable(const kb_host_t *host, kb_time_t now)
 {
-	return host->live && !host->leaving && now >= host->suspect_until;
+	(void)now;
+	return host->live && !host->leaving && !host->failed;
+}
+
+/* Schedules the next ping of a host that has failed. */
+static void schedule_ping(kb_host_t *host, kb_result_t result, kb_time_t now)
+{
+	int is_closed = result == KB_ERR_CLOSED || result == KB_ERR_UNREACHABLE;
+	kb_time_t delay =
+		is_closed ? CLOSED_PING_DELAY_MS : FAILED_PING_DELAY_MS;
+
+	for (unsigned i = 0; i < host->failures; i++)
+		if (delay < FAILED_PING_DELAY_MAX_MS)
+			delay *= 2;
+	if (delay > FAILED_PING_DELAY_MAX_MS)
+		delay = FAILED_PING_DELAY_MAX_MS;
+	host->failures++;
+	host->ping_at = now + delay * KB_NS_PER_MS;
 }
 
 void kb_proxy_host_failed(kb_proxy_t *proxy, kb_host_t *host,
@@ -28,12 +50,25 @@
 {
 	kb_time_t now = kb_clock_monotonic(proxy->clock);
 
-	if (host->self)
+	/* Of several calls that fail together, the first one counts. */
+	if (host->self || (host->failed && now < host->ping_at))
 		return;
-	if (now >= host->suspect_until)
+	if (!host->failed) {
 		kb_log(KB_EVENT_MEMBER_SUSPECTED, "peer=%s result=%s",
 		       host->name.data, kb_result_name(result));
-	host->suspect_until = now + SUSPECT_TIMEOUT_MS * KB_NS_PER_MS;
+		host->failed = 1;
+		kb_hosts_changed(&proxy->hosts);
+	}
+	schedule_ping(host, result, now);
+}
+
+static void set_answering(kb_hosts_t *hosts, kb_host_t *host)
+{
+	host->failures = 0;
+	if (!host->failed)
+		return;
+	host->failed = 0;
+	kb_hosts_changed(hosts);
 }
 
 void kb_proxy_host_on_key(kb_proxy_t *proxy, kb_str_t key,
@@ -49,8 +84,10 @@
 		host = kb_hosts_find(&proxy->hosts,
 				     (kb_str_t){ key.data + prefix.len,
 						 key.len - prefix.len });
-		if (host && !host->self && !host->unlisted_at)
+		if (host && !host->self && !host->unlisted_at) {
 			host->unlisted_at = now;
+			kb_hosts_changed(&proxy->hosts);
+		}
 		return;
 	}
 	if (kb_registration_parse(entry->value, &place, &leaving)) {
@@ -70,15 +107,27 @@
 	host->leaving = leaving;
 	host->live = 1;
 	host->unlisted_at = 0;
+	/* A key that was written again may be that of a restarted process. */
+	host->ping_at = now;
+	kb_hosts_changed(&proxy->hosts);
 }
 
+typedef struct ping_call {
+	kb_proxy_t *proxy;
+	kb_host_t *host;
+} ping_call_t;
+
 static void on_pinged(void *ctx, kb_result_t result, void *res)
 {
-	kb_host_t *host = ctx;
+	ping_call_t call = *(ping_call_t *)ctx;
 
-	(void)result;
 	(void)res;
-	host->pinging = 0;
+	free(ctx);
+	call.host->pinging = 0;
+	if (!result)
+		set_answering(&call.proxy->hosts, call.host);
+	else
+		kb_proxy_host_failed(call.proxy, call.host, result);
 }
 
 kb_result_t kb_proxy_host_call(kb_proxy_t *proxy, kb_host_t *host,
@@ -92,9 +141,10 @@
 	return result;
 }
 
-static void ping(kb_host_t *host)
+static void ping(kb_proxy_t *proxy, kb_host_t *host)
 {
 	char nothing = 0;
+	ping_call_t *call = calloc(1, sizeof(*call));
 	kb_rpc_call_t rpc = {
 		.procedure = KB_PROXY_RPC_PING,
 		.encode = kb_rpc_frame_xdr_empty,
@@ -103,42 +153,53 @@
 		.res_size = sizeof(nothing),
 		.timeout = KB_NS_PER_S,
 		.done = on_pinged,
-		.ctx = host,
+		.ctx = call,
 	};
 
-	host->pinging = !kb_rpc_peer_call(&host->peer, &rpc);
+	if (!call)
+		return;
+	call->proxy = proxy;
+	call->host = host;
+	host->pinging = !kb_proxy_host_call(proxy, host, &rpc);
 }
 
-/* Resets connections on which replies have stopped. */
+/*
+ * Resets connections on which nothing is received any more. Bytes of a reply
+ * that is not complete yet count: a long one may take a while on a slow link.
+ */
 static void check_peer(kb_proxy_t *proxy, kb_host_t *host, kb_time_t now)
 {
 	kb_rpc_peer_t *peer = &host->peer;
+	uint64_t lost = peer->counters.lost_connections +
+			peer->counters.failed_connections;
 	kb_time_t silent_for;
 
-	if (!peer->call_count || host->replies_seen != peer->counters.replies) {
-		if (host->replies_seen != peer->counters.replies)
-			host->replied_at = now;
-		host->replies_seen = peer->counters.replies;
-		host->no_reply_since = now;
+	if (host->lost_seen != lost) {
+		host->lost_seen = lost;
+		kb_proxy_host_failed(proxy, host, KB_ERR_CLOSED);
+	}
+	if (!peer->call_count ||
+	    host->received_seen != peer->counters.received_bytes) {
+		host->received_seen = peer->counters.received_bytes;
+		host->silent_since = now;
 		return;
 	}
-	silent_for = now - host->no_reply_since;
+	silent_for = now - host->silent_since;
 	if (!peer->connected) {
 		if (silent_for >= CONNECT_TIMEOUT_MS * KB_NS_PER_MS) {
-			kb_proxy_host_failed(proxy, host, KB_ERR_UNREACHABLE);
+			kb_proxy_host_failed(proxy, host, KB_ERR_TIMEOUT);
 			kb_rpc_peer_reset(peer);
-			host->no_reply_since = now;
+			host->silent_since = now;
 		}
 		return;
 	}
 	if (silent_for >= PING_AFTER_MS * KB_NS_PER_MS && !host->pinging) {
-		proxy->stats.host_calls++;
-		ping(host);
+		ping(proxy, host);
 	} else if (silent_for >=
 		   (PING_AFTER_MS + PING_TIMEOUT_MS) * KB_NS_PER_MS) {
 		kb_proxy_host_failed(proxy, host, KB_ERR_TIMEOUT);
 		kb_rpc_peer_reset(peer);
-		host->no_reply_since = now;
+		host->silent_since = now;
 	}
 }
 
@@ -150,12 +211,16 @@
 		if (host->self)
 			continue;
 		check_peer(proxy, host, now);
+		if (host->failed && host->live && !host->pinging &&
+		    now >= host->ping_at)
+			ping(proxy, host);
 		if (host->live && host->unlisted_at &&
 		    now - host->unlisted_at >
 			    UNREGISTERED_TIMEOUT_S * KB_NS_PER_S) {
 			kb_log(KB_EVENT_MEMBER_DEAD, "peer=%s",
 			       host->name.data);
 			host->live = 0;
+			kb_hosts_changed(&proxy->hosts);
 		}
 	}
 }
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -3,6 +3,7 @@
 
 #include "proxy.h"
 
+#include "host_ranking.h"
 #include "hosts.h"
 #include "lease.h"
 #include "link_pool.h"
@@ -88,6 +89,10 @@
 	kb_name_t name;
 	kb_lease_t lease;
 	kb_monitor_t monitor;
+	/* Hosts that are suitable as holder or voter. */
+	kb_host_ranking_t ranking;
+	/* Hosts of this region that may relay the group's watermarks. */
+	kb_host_ranking_t relays;
 	/* Connections to the primary while this host holds the group. */
 	kb_link_pool_t pool;
 	kb_watermarks_t watermarks;
@@ -145,6 +150,8 @@
 	kb_point_t position;
 	kb_time_t position_at;
 	kb_time_t failed_at;
+	/* Hosts that may be its gate. */
+	kb_host_ranking_t gates;
 } kb_proxy_load_t;
 
 /* A configured host to contact while no other is known. */
@@ -175,6 +182,7 @@
 	kb_proxy_load_t *loads;
 	size_t load_count;
 	struct event *tick;
+	kb_time_t started_at;
 	/* Last reply with fresh store data from another host. */
 	kb_time_t synced_at;
 	kb_time_t sync_sent_at;
@@ -225,7 +233,9 @@
 extern const kb_monitor_ops_t kb_proxy_monitor_ops;
 
 /* proxy_placement.c */
-/* Fills in the live hosts, the most suitable holder of the group first. */
+/* Returns the most suitable holders and voters of the group, best first. */
+const kb_host_ranking_t *kb_proxy_group_ranking(kb_proxy_group_t *group);
+/* Fills in the ranking for the group's lease. */
 void kb_proxy_group_rank(kb_proxy_group_t *group, kb_lease_ranking_t *ranking);
 /* Returns 2 in the primary's data centre, 1 in its region, else 0. */
 int kb_proxy_locality(const kb_proxy_t *proxy, const kb_host_t *host,
--- a/src/proxy_placement.c
+++ b/src/proxy_placement.c
@@ -1,15 +1,12 @@
 #include "proxy_internal.h"
 
 #include "log.h"
-#include "rendezvous.h"
 
 enum {
 	/* Transactions still open after this time are rolled back. */
 	HANDOVER_DRAIN_TIMEOUT_MS = 500,
 	/* The group is handed over after this time at the latest. */
 	HANDOVER_TIMEOUT_MS = 800,
-	/* A host that replied within this time is considered responsive. */
-	RESPONSIVE_MS = 1500,
 	/* A host must be the better holder for this time to get the group. */
 	REBALANCE_DELAY_S = 3,
 	/* Interval of the checks for a better holder. */
@@ -42,58 +39,64 @@
 	return NULL;
 }
 
-typedef struct ranked {
-	const kb_host_t *host;
-	/* Its key is in the store. */
-	int registered;
-	/* It has replied recently. */
-	int responsive;
-	int locality;
-	uint64_t score;
-} ranked_t;
-
-static int compare_ranked(const void *a, const void *b)
+const kb_host_ranking_t *kb_proxy_group_ranking(kb_proxy_group_t *group)
 {
-	const ranked_t *x = a;
-	const ranked_t *y = b;
-
-	if (x->registered != y->registered)
-		return y->registered - x->registered;
-	if (x->responsive != y->responsive)
-		return y->responsive - x->responsive;
-	if (x->locality != y->locality)
-		return y->locality - x->locality;
-	return x->score < y->score ? 1 : x->score > y->score ? -1 : 0;
+	kb_proxy_t *proxy = group->proxy;
+	const kb_target_entry_t *primary = reported_primary(group);
+	kb_host_ranking_subject_t subject = {
+		.key = kb_name_str(&group->name),
+		.data_centre = KB_STR(""),
+		.region = KB_STR(""),
+		.spread = 1,
+	};
+
+	if (primary) {
+		subject.data_centre = kb_name_str(&primary->data_centre);
+		subject.region = kb_settings_region(proxy->setup.settings,
+						    &primary->data_centre);
+	}
+	kb_host_ranking_update(&group->ranking, &proxy->hosts, &subject);
+	return &group->ranking;
+}
+
+static void add_ranked(kb_lease_ranking_t *ranking, const kb_name_t *host)
+{
+	if (ranking->count < KB_LEASE_HOSTS_MAX)
+		ranking->hosts[ranking->count++] = *host;
+}
+
+static int is_ranked(const kb_host_ranking_t *ranking, const kb_name_t *host)
+{
+	for (size_t i = 0; i < ranking->count; i++)
+		if (kb_name_is(&ranking->hosts[i]->name, kb_name_str(host)))
+			return 1;
+	return 0;
 }
 
 void kb_proxy_group_rank(kb_proxy_group_t *group, kb_lease_ranking_t *ranking)
 {
-	const kb_hosts_t *hosts = &group->proxy->hosts;
-	const kb_target_entry_t *primary = reported_primary(group);
+	const kb_host_ranking_t *preferred = kb_proxy_group_ranking(group);
+	const kb_voter_set_t *voters = &group->lease.record.voters;
 	kb_time_t now = kb_clock_monotonic(group->proxy->clock);
-	ranked_t ranked[KB_LEASE_HOSTS_MAX];
-	size_t count = 0;
 
-	for (size_t i = 0; i < hosts->count && count < KB_LEASE_HOSTS_MAX;
-	     i++) {
-		const kb_host_t *host = hosts->hosts[i];
+	ranking->count = 0;
+	for (size_t i = 0; i < preferred->count; i++)
+		if (kb_voter_set_contains(voters, &preferred->hosts[i]->name) &&
+		    kb_proxy_host_usable(preferred->hosts[i], now))
+			add_ranked(ranking, &preferred->hosts[i]->name);
+	for (size_t i = 0; i < voters->count; i++) {
+		const kb_host_t *host = kb_hosts_find(
+			&group->proxy->hosts, kb_name_str(&voters->hosts[i]));
 
-		if (!host->live || host->leaving)
-			continue;
-		ranked[count].host = host;
-		ranked[count].registered = !host->unlisted_at;
-		ranked[count].responsive =
-			host->self ||
-			now - host->replied_at < RESPONSIVE_MS * KB_NS_PER_MS;
-		ranked[count].locality =
-			kb_proxy_locality(group->proxy, host, primary);
-		ranked[count++].score = kb_rendezvous_score(
-			kb_name_str(&host->name), kb_name_str(&group->name));
+		if (host && kb_proxy_host_usable(host, now) &&
+		    !host->unlisted_at && !is_ranked(preferred, &host->name))
+			add_ranked(ranking, &host->name);
 	}
-	qsort(ranked, count, sizeof(ranked[0]), compare_ranked);
-	ranking->count = count;
-	for (size_t i = 0; i < count; i++)
-		ranking->hosts[i] = ranked[i].host->name;
+	for (size_t i = 0; i < preferred->count; i++)
+		if (!kb_voter_set_contains(voters,
+					   &preferred->hosts[i]->name) ||
+		    !kb_proxy_host_usable(preferred->hosts[i], now))
+			add_ranked(ranking, &preferred->hosts[i]->name);
 }
 
 /* Waits for work in flight to end, then releases the group. */
@@ -150,16 +153,13 @@
 	const kb_target_entry_t *primary = &group->monitor.primary;
 	int own_locality = kb_proxy_locality(proxy, proxy->hosts.self, primary);
 	size_t own_count = count_leases(proxy, &proxy->self.name);
-	kb_lease_ranking_t ranking;
+	const kb_host_ranking_t *ranking = kb_proxy_group_ranking(group);
 
-	kb_proxy_group_rank(group, &ranking);
-	for (size_t i = 0; i < ranking.count; i++) {
-		const kb_host_t *host = kb_hosts_find(
-			&proxy->hosts, kb_name_str(&ranking.hosts[i]));
-		int locality =
-			host ? kb_proxy_locality(proxy, host, primary) : 0;
+	for (size_t i = 0; i < ranking->count; i++) {
+		const kb_host_t *host = ranking->hosts[i];
+		int locality = kb_proxy_locality(proxy, host, primary);
 
-		if (!host || host->self || locality < own_locality ||
+		if (host->self || locality < own_locality ||
 		    !kb_proxy_host_usable(host, now))
 			continue;
 		if (locality > own_locality ||
--- a/src/proxy_watermark.c
+++ b/src/proxy_watermark.c
@@ -1,7 +1,5 @@
 #include "proxy_internal.h"
 
-#include "rendezvous.h"
-
 #include <stdlib.h>
 
 enum {
@@ -98,27 +96,24 @@
  * Returns the host of this region that requests the group's watermarks from a
  * holder in another region. The other hosts of the region ask that host.
  */
-static const kb_host_t *region_relay(const kb_proxy_group_t *group,
-				     kb_time_t now)
+static const kb_host_t *region_relay(kb_proxy_group_t *group, kb_time_t now)
 {
-	const kb_hosts_t *hosts = &group->proxy->hosts;
-	const kb_host_t *best = NULL;
-	uint64_t best_score = 0;
-
-	for (size_t i = 0; i < hosts->count; i++) {
-		const kb_host_t *host = hosts->hosts[i];
-		uint64_t score = kb_rendezvous_score(kb_name_str(&host->name),
-						     kb_name_str(&group->name));
-
-		if (!kb_proxy_host_usable(host, now) ||
-		    !kb_name_is(&host->region,
-				kb_name_str(&group->proxy->self.region)) ||
-		    (best && score <= best_score))
-			continue;
-		best = host;
-		best_score = score;
+	kb_proxy_t *proxy = group->proxy;
+	kb_host_ranking_subject_t subject = {
+		.key = kb_name_str(&group->name),
+		.data_centre = KB_STR(""),
+		.region = kb_name_str(&proxy->self.region),
+	};
+
+	kb_host_ranking_update(&group->relays, &proxy->hosts, &subject);
+	for (size_t i = 0; i < group->relays.count; i++) {
+		const kb_host_t *host = group->relays.hosts[i];
+
+		if (kb_proxy_host_usable(host, now) &&
+		    kb_name_is(&host->region, subject.region))
+			return host;
 	}
-	return best;
+	return NULL;
 }
 
 /*
@@ -189,7 +184,6 @@
 	    now - kb_watermarks_newest(&group->watermarks) < interval ||
 	    !may_request(group, now))
 		return;
-	/* Goes through all hosts, so only when a request is due. */
 	host = kb_hosts_find(&proxy->hosts,
 			     kb_name_str(watermark_source(group, now)));
 	if (!host || host->self)
--- a/src/registration.c
+++ b/src/registration.c
@@ -86,10 +86,12 @@
 {
 	const kb_host_info_t *info = &registration->info;
 	json_t *json = json_pack(
-		"{s:s,s:s,s:i,s:s,s:s,s:b}", "name", info->name.data, "address",
-		info->endpoint.address.data, "port", info->endpoint.port,
-		"dataCentre", info->data_centre.data, "region",
-		info->region.data, "leaving", registration->leaving);
+		"{s:s,s:s,s:i,s:s,s:s,s:b,s:f,s:f}", "name", info->name.data,
+		"address", info->endpoint.address.data, "port",
+		info->endpoint.port, "dataCentre", info->data_centre.data,
+		"region", info->region.data, "leaving", registration->leaving,
+		"processorShare", info->processor_share, "linkMbps",
+		info->link_mbps);
 	char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	kb_store_write_t write = {
 		.key = kb_name_str(&registration->key),
@@ -150,9 +152,12 @@
 
 	memset(info, 0, sizeof(*info));
 	if (json &&
-	    !json_unpack(json, "{s:s,s:s,s:i,s:s,s:s,s:b}", "name", &name,
-			 "address", &address, "port", &port, "dataCentre",
-			 &data_centre, "region", &region, "leaving", leaving) &&
+	    !json_unpack(json, "{s:s,s:s,s:i,s:s,s:s,s:b,s?F,s?F}", "name",
+			 &name, "address", &address, "port", &port,
+			 "dataCentre", &data_centre, "region", &region,
+			 "leaving", leaving, "processorShare",
+			 &info->processor_share, "linkMbps",
+			 &info->link_mbps) &&
 	    port > 0 && port <= UINT16_MAX &&
 	    !kb_name_set(&info->name, kb_str_from(name)) &&
 	    !kb_name_set(&info->endpoint.address, kb_str_from(address)) &&
--- a/src/registration.h
+++ b/src/registration.h
@@ -8,9 +8,9 @@
 
 enum {
 	/* TTL of the store's lease: a failed host is unlisted after this. */
-	KB_REGISTRATION_TTL_MS = 6000,
-	/* Three keep-alives are sent within the TTL. */
-	KB_REGISTRATION_KEEPALIVE_INTERVAL_MS = 1900,
+	KB_REGISTRATION_TTL_MS = 12000,
+	/* Two keep-alives are sent within the TTL, and retries of the last. */
+	KB_REGISTRATION_KEEPALIVE_INTERVAL_MS = 5000,
 	KB_REGISTRATION_RETRY_INTERVAL_MS = 500,
 };
 
--- a/src/rpc_peer.c
+++ b/src/rpc_peer.c
@@ -53,6 +53,7 @@
 		bufferevent_free(peer->stream);
 	peer->stream = NULL;
 	peer->queued = 0;
+	peer->input_left = 0;
 	peer->connected = 0;
 	peer->generation++;
 	/* A callback may start new calls or finish the peer. */
@@ -174,11 +175,17 @@
 	size_t len;
 	char *data;
 
+	peer->counters.received_bytes +=
+		evbuffer_get_length(bufferevent_get_input(stream)) -
+		peer->input_left;
 	while (peer->stream == stream) {
 		result = kb_rpc_frame_read(bufferevent_get_input(stream), &data,
 					   &len);
-		if (result == KB_ERR_TIMEOUT)
+		if (result == KB_ERR_TIMEOUT) {
+			peer->input_left = evbuffer_get_length(
+				bufferevent_get_input(stream));
 			return;
+		}
 		if (!result) {
 			result = handle_reply(peer, data, len);
 			free(data);
@@ -207,7 +214,9 @@
 		return;
 	}
 	result = lost_result(peer);
-	if (peer->connected) {
+	if (!peer->connected) {
+		peer->counters.failed_connections++;
+	} else {
 		peer->counters.lost_connections++;
 		kb_log(KB_EVENT_RPC_CONNECTION_LOST, "peer=%s:%u",
 		       peer->address.data, peer->port);
--- a/src/rpc_peer.h
+++ b/src/rpc_peer.h
@@ -32,11 +32,15 @@
 typedef struct kb_rpc_peer_counters {
 	uint64_t calls;
 	uint64_t replies;
+	/* Bytes of replies, also of those that are not complete yet. */
+	uint64_t received_bytes;
 	uint64_t late_replies;
 	uint64_t refused;
 	/* Messages that cannot be decoded. */
 	uint64_t malformed;
 	uint64_t lost_connections;
+	/* Connections that could not be opened. */
+	uint64_t failed_connections;
 } kb_rpc_peer_counters_t;
 
 /*
@@ -52,6 +56,8 @@
 	int connected;
 	/* Bytes appended to the output buffer of the present connection. */
 	size_t queued;
+	/* Bytes left in the input buffer after the last read. */
+	size_t input_left;
 	uint32_t next_xid;
 	size_t call_limit;
 	size_t call_count;
--- a/src/settings.c
+++ b/src/settings.c
@@ -130,6 +130,7 @@
 static void set_defaults(kb_settings_t *settings)
 {
 	settings->log_level = KB_LOG_INFO;
+	settings->processor_share = 1;
 	settings->store_deadline = KB_NS_PER_S;
 	settings->body_bytes = DEFAULT_BODY_BYTES;
 	settings->answer_bytes = DEFAULT_ANSWER_BYTES;
--- a/src/settings.h
+++ b/src/settings.h
@@ -58,6 +58,10 @@
 	kb_name_t data_centre;
 	kb_name_t region;
 	kb_log_level_t log_level;
+	/* Processor cores that this host may use. */
+	double processor_share;
+	/* Bandwidth of this host's link in Mbit/s; 0 if not given. */
+	double link_mbps;
 
 	kb_endpoint_t listen_callers;
 	kb_endpoint_t listen_operators;
--- a/src/settings_value.c
+++ b/src/settings_value.c
@@ -120,6 +120,22 @@
 	return NULL;
 }
 
+static const char *set_number(kb_settings_t *settings, const value_spec_t *spec,
+			      const char *name, const char *value)
+{
+	double *number = field(settings, spec);
+	char *end;
+	double parsed = strtod(value, &end);
+
+	(void)name;
+	if (end == value || *end)
+		return "must be a number";
+	if (!(parsed >= (double)spec->min && parsed <= (double)spec->max))
+		return "is out of range";
+	*number = parsed;
+	return NULL;
+}
+
 static const char *set_path(kb_settings_t *settings, const value_spec_t *spec,
 			    const char *name, const char *value)
 {
@@ -295,6 +311,10 @@
 	{ "host", "data_centre", set_name, AT(data_centre), 0, 0, "name" },
 	{ "host", "region", set_name, AT(region), 0, 0, "name" },
 	{ "host", "log_level", set_level, AT(log_level), 0, 0, "level" },
+	{ "host", "processor_share", set_number, AT(processor_share), 0, 1024,
+	  "number" },
+	{ "host", "link_mbps", set_number, AT(link_mbps), 0, 1000000,
+	  "number" },
 	{ "listen", "callers", set_endpoint, AT(listen_callers), 0, 0,
 	  "address" },
 	{ "listen", "operators", set_endpoint, AT(listen_operators), 0, 0,
--- a/tests/recording_store.h
+++ b/tests/recording_store.h
@@ -23,7 +23,7 @@
 	RecordingStore()
 	{
 		static const kb_store_ops_t ops = {
-			get, put, remove, nullptr, poll,
+			get,   put,  remove,  nullptr, poll,
 			grant, keep, nullptr, cancel,
 		};
 
@@ -55,7 +55,8 @@
       private:
 	static kb_result_t add(kb_store_t *store, const Call &call)
 	{
-		reinterpret_cast<RecordingStore *>(store)->calls.push_back(call);
+		reinterpret_cast<RecordingStore *>(store)->calls.push_back(
+			call);
 		return KB_OK;
 	}
 
--- a/tests/test_fair_queue.cc
+++ b/tests/test_fair_queue.cc
@@ -42,24 +42,22 @@
 			spec.name = name(text);
 			spec.weight = 1;
 			spec.queue_limit = 1000;
-			ASSERT_EQ(KB_OK, kb_fair_queue_set_class(queue.get(),
-								 &spec));
+			ASSERT_EQ(KB_OK,
+				  kb_fair_queue_set_class(queue.get(), &spec));
 		}
 		for (size_t i = 0; i < entries.size(); i++)
-			ASSERT_EQ(KB_OK,
-				  push(entries[i], 0,
-				       "caller-" + std::to_string(i),
-				       KB_FAIR_PRIORITY_STATEMENT));
+			ASSERT_EQ(KB_OK, push(entries[i], 0,
+					      "caller-" + std::to_string(i),
+					      KB_FAIR_PRIORITY_STATEMENT));
 	}
 
 	kb_result_t push(kb_fair_entry_t &entry, size_t class_index,
-			 const std::string &caller,
-			 kb_fair_priority_t priority)
+			 const std::string &caller, kb_fair_priority_t priority)
 	{
 		kb_name_t of = name(caller);
 
-		return kb_fair_queue_push(queue.get(), &entry, class_index,
-					  &of, priority);
+		return kb_fair_queue_push(queue.get(), &entry, class_index, &of,
+					  priority);
 	}
 };
 
