Spread the store's changes along a tree of hosts, compressed

Cause: two hosts answered every other host four times a second with what had changed, each with a copy of its own, in calls that ended after 500 ms. At a start each host read the store until it knew the others, and took over groups before it did.

A call waits at its parent for a change; parents take turns. The bytes of a change are compressed once for all. A host that starts reads the list of its data centre, which may be stale, and asks its neighbours for the rest. Copies remember removals.

--- a/src/change_runner.c
+++ b/src/change_runner.c
@@ -42,7 +42,7 @@
 static void op_read(void *ctx, kb_str_t key)
 {
 	kb_change_runner_t *runner = ctx;
-	kb_store_keys_t keys = { key, 0 };
+	kb_store_keys_t keys = { .key = key };
 	kb_result_t result =
 		runner->store->ops->get(runner->store, &keys, on_read, runner);
 
--- a/src/configuration.c
+++ b/src/configuration.c
@@ -136,7 +136,8 @@
 
 static void start_watch(kb_configuration_t *configuration, uint64_t after)
 {
-	kb_store_keys_t keys = { KB_STR(KB_RESOURCE_PREFIX), 1 };
+	kb_store_keys_t keys = { .key = KB_STR(KB_RESOURCE_PREFIX),
+				 .prefix = 1 };
 	kb_store_t *store = &configuration->etcd.store;
 
 	store->ops->cancel(store, configuration);
--- a/src/gen/kumquat_session.h
+++ b/src/gen/kumquat_session.h
@@ -17,6 +17,7 @@
 #define KBS_ROWS_MAX 1048576
 #define KBS_VALUES_MAX 4096
 #define KBS_ENTRIES_MAX 65536
+#define KBS_FEED_MAX 8388608
 
 typedef struct {
 	u_int kbs_text_len;
@@ -112,24 +113,37 @@
 	kbs_text host;
 	u_quad_t revision;
 	bool_t whole;
+	quad_t wait_us;
 };
 typedef struct kbs_sync_args kbs_sync_args;
 
 struct kbs_sync_res {
 	u_quad_t revision;
 	quad_t age_us;
+	struct {
+		u_int removed_len;
+		kbs_text *removed_val;
+	} removed;
 	struct {
 		u_int changed_len;
 		kbs_entry *changed_val;
 	} changed;
-	bool_t removed;
-	struct {
-		u_int keys_len;
-		kbs_text *keys_val;
-	} keys;
+	bool_t whole;
 };
 typedef struct kbs_sync_res kbs_sync_res;
 
+struct kbs_feed_res {
+	u_quad_t revision;
+	quad_t age_us;
+	quad_t waited_us;
+	u_int data_size;
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+};
+typedef struct kbs_feed_res kbs_feed_res;
+
 struct kbs_grant_args {
 	kbs_text group;
 	kbs_text holder;
@@ -216,6 +230,7 @@
 extern  bool_t xdr_kbs_entry (XDR *, kbs_entry*);
 extern  bool_t xdr_kbs_sync_args (XDR *, kbs_sync_args*);
 extern  bool_t xdr_kbs_sync_res (XDR *, kbs_sync_res*);
+extern  bool_t xdr_kbs_feed_res (XDR *, kbs_feed_res*);
 extern  bool_t xdr_kbs_grant_args (XDR *, kbs_grant_args*);
 extern  bool_t xdr_kbs_grant_res (XDR *, kbs_grant_res*);
 extern  bool_t xdr_kbs_look_args (XDR *, kbs_look_args*);
@@ -241,6 +256,7 @@
 extern bool_t xdr_kbs_entry ();
 extern bool_t xdr_kbs_sync_args ();
 extern bool_t xdr_kbs_sync_res ();
+extern bool_t xdr_kbs_feed_res ();
 extern bool_t xdr_kbs_grant_args ();
 extern bool_t xdr_kbs_grant_res ();
 extern bool_t xdr_kbs_look_args ();
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -4,6 +4,7 @@
 const KBS_ROWS_MAX = 1048576;
 const KBS_VALUES_MAX = 4096;
 const KBS_ENTRIES_MAX = 65536;
+const KBS_FEED_MAX = 8388608;
 
 typedef opaque kbs_text<KBS_TEXT_MAX>;
 
@@ -106,17 +107,32 @@
 	/* Revision up to which the sender knows the store. */
 	unsigned hyper revision;
 	bool whole;
+	/* Time to wait for a change, in microseconds. */
+	hyper wait_us;
 };
 
 struct kbs_sync_res {
 	unsigned hyper revision;
 	/* Time since the revision was read from the store, in microseconds. */
 	hyper age_us;
+	/* Keys removed since the sender's revision. */
+	kbs_text removed<KBS_ENTRIES_MAX>;
 	/* Keys changed since the sender's revision. */
 	kbs_entry changed<KBS_ENTRIES_MAX>;
-	/* Keys were removed since; then `keys` has all that are left. */
-	bool removed;
-	kbs_text keys<KBS_ENTRIES_MAX>;
+	/* `changed` has all keys that exist. */
+	bool whole;
+};
+
+/* Answer to a call for changes; its data is a compressed kbs_sync_res. */
+struct kbs_feed_res {
+	unsigned hyper revision;
+	/* Time since the revision was read from the store, in microseconds. */
+	hyper age_us;
+	/* Time that the call has waited, in microseconds. */
+	hyper waited_us;
+	/* Size of the data before compression; 0 if there is none. */
+	unsigned int data_size;
+	opaque data<KBS_FEED_MAX>;
 };
 
 /* The holder of a group asks a candidate not to take the group over. */
--- a/src/gen/kumquat_session_xdr.c
+++ b/src/gen/kumquat_session_xdr.c
@@ -219,6 +219,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->whole))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->wait_us))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -231,13 +233,31 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->age_us))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->removed.removed_val, (u_int *) &objp->removed.removed_len, KBS_ENTRIES_MAX,
+		sizeof (kbs_text), (xdrproc_t) xdr_kbs_text))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->changed.changed_val, (u_int *) &objp->changed.changed_len, KBS_ENTRIES_MAX,
 		sizeof (kbs_entry), (xdrproc_t) xdr_kbs_entry))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->removed))
+	 if (!xdr_bool (xdrs, &objp->whole))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, KBS_ENTRIES_MAX,
-		sizeof (kbs_text), (xdrproc_t) xdr_kbs_text))
+	return TRUE;
+}
+
+bool_t
+xdr_kbs_feed_res (XDR *xdrs, kbs_feed_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->age_us))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->waited_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->data_size))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, KBS_FEED_MAX))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/host_ranking.c
+++ b/src/host_ranking.c
@@ -65,7 +65,7 @@
 		entry->locality =
 			kb_name_is(&host->data_centre, subject->data_centre) ? 2
 			: kb_name_is(&host->region, subject->region)	     ? 1
-									     : 0;
+								     : 0;
 		entry->score = weighted_score(host, subject->key);
 		entry->taken = 0;
 		count++;
@@ -79,9 +79,8 @@
 	size_t count = 0;
 
 	for (size_t i = from; i < ranking->count; i++)
-		count += (size_t)kb_name_is(
-			&ranking->hosts[i]->data_centre,
-			kb_name_str(&host->data_centre));
+		count += (size_t)kb_name_is(&ranking->hosts[i]->data_centre,
+					    kb_name_str(&host->data_centre));
 	return count;
 }
 
--- a/src/hosts.h
+++ b/src/hosts.h
@@ -47,6 +47,8 @@
 	uint64_t lost_seen;
 	/* Start of the time in which nothing was received despite calls. */
 	kb_time_t silent_since;
+	/* A call that it may answer late, at this time, or 0. */
+	kb_time_t held_until;
 	int pinging;
 	/* RPC connection; not used in the entry of this host. */
 	kb_rpc_peer_t peer;
--- a/src/lease.c
+++ b/src/lease.c
@@ -291,6 +291,11 @@
 	}
 }
 
+void kb_lease_defer_takeover(kb_lease_t *lease, kb_time_t now)
+{
+	lease->holder_seen_at = now;
+}
+
 void kb_lease_refresh(kb_lease_t *lease, kb_time_t now)
 {
 	if (lease->role != KB_LEASE_NONE)
--- a/src/lease.h
+++ b/src/lease.h
@@ -35,8 +35,11 @@
 	KB_LEASE_INITIAL_DELAY_MS = 600,
 	/* Additional delay before a host that is not a voter takes over. */
 	KB_LEASE_NON_VOTER_DELAY_S = 5,
-	/* A voter that has not reached the store for this is replaced. */
-	KB_LEASE_VOTER_STORE_TIMEOUT_MS = 3500,
+	/*
+	 * A voter that has not reached the store for this is replaced; longer
+	 * than the interval of its keep-alives.
+	 */
+	KB_LEASE_VOTER_STORE_TIMEOUT_MS = 7500,
 	/* A voter that has granted no renewal for this is replaced. */
 	KB_LEASE_VOTER_TIMEOUT_MS = 700,
 	/* The holder stops serving this long before the lease expires. */
@@ -241,6 +244,12 @@
 /* Time at which the lease expires without a further renewal, or 0. */
 kb_time_t kb_lease_valid_until(const kb_lease_t *lease);
 
+/*
+ * Takes over no earlier than if the holder had been seen at `now`: the hosts
+ * that may take over are not all known yet.
+ */
+void kb_lease_defer_takeover(kb_lease_t *lease, kb_time_t now);
+
 /* Runs the actions that are due at `now`. */
 void kb_lease_tick(kb_lease_t *lease, kb_time_t now);
 
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -50,6 +50,8 @@
 KB_EVENT(1404, MEMBER_SUPERSEDED, ERROR,
 	 "a later process uses this host's name; this one stops serving")
 KB_EVENT(1405, MEMBER_MALFORMED, WARN, "malformed membership message")
+KB_EVENT(1406, MEMBER_DISCOVERED, INFO,
+	 "list of the data centre's hosts was read from the store")
 
 KB_EVENT(1500, CONFIG_IN_FORCE, INFO,
 	 "a change of the configuration is in force on this host")
@@ -59,6 +61,10 @@
 	 "host no longer relays the store's changes")
 KB_EVENT(1504, CONFIG_MALFORMED, WARN,
 	 "malformed configuration message or resource")
+KB_EVENT(1505, SYNC_PARENTS, INFO,
+	 "other hosts feed this host the store's changes")
+KB_EVENT(1506, SYNC_FAILED, WARN,
+	 "changes of the store cannot be passed between hosts")
 
 KB_EVENT(1600, STORE_CALL_FAILED, WARN, "store call failed")
 KB_EVENT(1601, STORE_WATCH_CUT, WARN, "watch of the store interrupted")
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -4,32 +4,34 @@
 
 #include <stdlib.h>
 
-enum {
-	INITIAL_CAPACITY = 32,
-};
-
-static void finish_entry(kb_mirror_entry_t *entry)
+static void free_entry(kb_mirror_entry_t *entry)
 {
 	free((char *)entry->key.data);
 	free((char *)entry->value.data);
+	free(entry);
 }
 
 void kb_mirror_finish(kb_mirror_t *mirror)
 {
-	for (size_t i = 0; i < mirror->count; i++)
-		finish_entry(&mirror->entries[i]);
-	free(mirror->entries);
-	mirror->entries = NULL;
-	mirror->count = 0;
-	mirror->capacity = 0;
+	kb_mirror_entry_t *entry;
+	kb_mirror_entry_t *next;
+
+	HASH_ITER(by_key, mirror->entries, entry, next)
+	{
+		HASH_DELETE(by_key, mirror->entries, entry);
+		free_entry(entry);
+	}
+	for (size_t i = 0; i < KB_MIRROR_REMOVALS_MAX; i++)
+		free((char *)mirror->removals[i].key.data);
+	memset(mirror->removals, 0, sizeof(mirror->removals));
 }
 
 static kb_mirror_entry_t *find_entry(const kb_mirror_t *mirror, kb_str_t key)
 {
-	for (size_t i = 0; i < mirror->count; i++)
-		if (kb_str_equal(mirror->entries[i].key, key))
-			return &mirror->entries[i];
-	return NULL;
+	kb_mirror_entry_t *entry = NULL;
+
+	HASH_FIND(by_key, mirror->entries, key.data, key.len, entry);
+	return entry;
 }
 
 const kb_mirror_entry_t *kb_mirror_find(const kb_mirror_t *mirror, kb_str_t key)
@@ -51,24 +53,16 @@
 
 static kb_mirror_entry_t *add_entry(kb_mirror_t *mirror, kb_str_t key)
 {
-	size_t capacity =
-		mirror->capacity ? mirror->capacity * 2 : INITIAL_CAPACITY;
-	kb_mirror_entry_t *entries;
-	kb_mirror_entry_t *entry;
+	kb_mirror_entry_t *entry = calloc(1, sizeof(*entry));
 
-	if (mirror->count == mirror->capacity) {
-		entries = reallocarray(mirror->entries, capacity,
-				       sizeof(*entries));
-		if (!entries)
-			return NULL;
-		mirror->entries = entries;
-		mirror->capacity = capacity;
-	}
-	entry = &mirror->entries[mirror->count];
-	memset(entry, 0, sizeof(*entry));
-	if (copy_str(key, &entry->key))
+	if (!entry)
+		return NULL;
+	if (copy_str(key, &entry->key)) {
+		free(entry);
 		return NULL;
-	mirror->count++;
+	}
+	HASH_ADD_KEYPTR(by_key, mirror->entries, entry->key.data,
+			entry->key.len, entry);
 	return entry;
 }
 
@@ -95,24 +89,43 @@
 	return KB_OK;
 }
 
+/* Removes an entry and remembers the removal, in place of the oldest one. */
 static void remove_entry(kb_mirror_t *mirror, kb_mirror_entry_t *entry)
 {
-	size_t after = (size_t)(mirror->entries + mirror->count - entry) - 1;
-	kb_mirror_entry_t old = *entry;
-
-	mirror->removed_revision = mirror->revision;
-	memmove(entry, entry + 1, after * sizeof(*entry));
-	mirror->count--;
-	mirror->changed(mirror->ctx, old.key, NULL);
-	finish_entry(&old);
+	kb_mirror_removal_t *removal =
+		&mirror->removals[mirror->removal_count++ %
+				  KB_MIRROR_REMOVALS_MAX];
+
+	HASH_DELETE(by_key, mirror->entries, entry);
+	mirror->changed(mirror->ctx, entry->key, NULL);
+	if (removal->key.data && removal->revision > mirror->removals_since)
+		mirror->removals_since = removal->revision;
+	free((char *)removal->key.data);
+	removal->key = entry->key;
+	removal->revision = mirror->revision;
+	entry->key = (kb_str_t){ NULL, 0 };
+	free_entry(entry);
 }
 
-static int in_range(const kb_store_range_t *range, kb_str_t key)
+/* Marks a key as part of the whole copy that is being applied. */
+static void mark_entry(kb_mirror_t *mirror, kb_str_t key)
 {
-	for (size_t i = 0; i < range->count; i++)
-		if (kb_str_equal(range->entries[i].key, key))
-			return 1;
-	return 0;
+	kb_mirror_entry_t *entry = find_entry(mirror, key);
+
+	if (entry)
+		entry->sweep = mirror->sweep;
+}
+
+/* Removes the entries that were not marked. */
+static void sweep_entries(kb_mirror_t *mirror)
+{
+	kb_mirror_entry_t *entry;
+	kb_mirror_entry_t *next;
+
+	HASH_ITER(by_key, mirror->entries, entry, next)
+	if (entry->sweep != mirror->sweep &&
+	    entry->revision <= mirror->revision)
+		remove_entry(mirror, entry);
 }
 
 static void advance_as_of(kb_mirror_t *mirror, kb_time_t at)
@@ -125,22 +138,18 @@
 				     const kb_store_range_t *range,
 				     kb_time_t sent_at)
 {
-	size_t i = 0;
-
 	if (range->revision < mirror->revision)
 		return KB_OK;
+	/* Removals before the first copy are not known. */
+	if (!mirror->revision)
+		mirror->removals_since = range->revision;
 	mirror->revision = range->revision;
 	advance_as_of(mirror, sent_at);
-	while (i < mirror->count) {
-		kb_mirror_entry_t *entry = &mirror->entries[i];
-
-		if (!in_range(range, entry->key) &&
-		    entry->revision <= range->revision)
-			remove_entry(mirror, entry);
-		else
-			i++;
-	}
-	for (i = 0; i < range->count; i++)
+	mirror->sweep++;
+	for (size_t i = 0; i < range->count; i++)
+		mark_entry(mirror, range->entries[i].key);
+	sweep_entries(mirror);
+	for (size_t i = 0; i < range->count; i++)
 		if (put_entry(mirror, range->entries[i].key,
 			      range->entries[i].value,
 			      range->entries[i].revision))
@@ -172,65 +181,98 @@
 	return KB_OK;
 }
 
-kb_result_t kb_mirror_fill_sync(const kb_mirror_t *mirror,
-				const kbs_sync_args *args, kbs_sync_res *res,
-				kb_time_t now)
+static kb_result_t fill_lists(const kb_mirror_t *mirror, int64_t after,
+			      kbs_sync_res *res)
 {
-	memset(res, 0, sizeof(*res));
-	res->revision = (uint64_t)mirror->revision;
-	res->age_us = (now - mirror->as_of) / KB_NS_PER_US;
-	if (!mirror->revision ||
-	    (!args->whole && args->revision >= (uint64_t)mirror->revision))
-		return KB_OK;
-	/* The remaining keys are needed only if one was removed since then. */
-	res->removed = args->whole ||
-		       args->revision < (uint64_t)mirror->removed_revision;
+	size_t count = HASH_CNT(by_key, mirror->entries);
+	const kb_mirror_entry_t *entry;
+
 	res->changed.changed_val =
-		calloc(mirror->count + 1, sizeof(*res->changed.changed_val));
-	res->keys.keys_val =
-		calloc(mirror->count + 1, sizeof(*res->keys.keys_val));
-	if (!res->changed.changed_val || !res->keys.keys_val) {
-		kb_mirror_sync_finish(res);
+		calloc(count + 1, sizeof(*res->changed.changed_val));
+	res->removed.removed_val = calloc(KB_MIRROR_REMOVALS_MAX,
+					  sizeof(*res->removed.removed_val));
+	if (!res->changed.changed_val || !res->removed.removed_val)
 		return KB_ERR_NO_MEMORY;
-	}
-	for (size_t i = 0; i < mirror->count; i++) {
-		const kb_mirror_entry_t *entry = &mirror->entries[i];
+	for (entry = mirror->entries; entry; entry = entry->by_key.next) {
 		kbs_entry *change;
 
-		if (res->removed)
-			res->keys.keys_val[res->keys.keys_len++] =
-				kb_text_view(entry->key);
-		if (!args->whole && (uint64_t)entry->revision <= args->revision)
+		if (!res->whole && entry->revision <= after)
 			continue;
 		change = &res->changed.changed_val[res->changed.changed_len++];
 		change->key = kb_text_view(entry->key);
 		change->value = kb_text_view(entry->value);
 		change->revision = (uint64_t)entry->revision;
 	}
+	for (size_t i = 0; !res->whole && i < KB_MIRROR_REMOVALS_MAX; i++)
+		if (mirror->removals[i].key.data &&
+		    mirror->removals[i].revision > after)
+			res->removed.removed_val[res->removed.removed_len++] =
+				kb_text_view(mirror->removals[i].key);
 	return KB_OK;
 }
 
+kb_result_t kb_mirror_fill_sync(const kb_mirror_t *mirror,
+				const kbs_sync_args *args, kbs_sync_res *res,
+				kb_time_t now)
+{
+	int64_t after = (int64_t)args->revision;
+
+	memset(res, 0, sizeof(*res));
+	res->revision = (uint64_t)mirror->revision;
+	res->age_us = (now - mirror->as_of) / KB_NS_PER_US;
+	if (!mirror->revision || (!args->whole && after >= mirror->revision))
+		return KB_OK;
+	res->whole = args->whole || after < mirror->removals_since;
+	if (!fill_lists(mirror, after, res))
+		return KB_OK;
+	kb_mirror_sync_finish(res);
+	return KB_ERR_NO_MEMORY;
+}
+
 void kb_mirror_sync_finish(kbs_sync_res *res)
 {
 	free(res->changed.changed_val);
-	free(res->keys.keys_val);
+	free(res->removed.removed_val);
 	memset(res, 0, sizeof(*res));
 }
 
-static int has_key(const kbs_sync_res *res, kb_str_t key)
+static int has_changed(const kbs_sync_res *res, kb_str_t key)
 {
-	for (u_int i = 0; i < res->keys.keys_len; i++)
-		if (kb_str_equal(kb_text_str(res->keys.keys_val[i]), key))
+	for (u_int i = 0; i < res->changed.changed_len; i++)
+		if (kb_str_equal(kb_text_str(res->changed.changed_val[i].key),
+				 key))
 			return 1;
 	return 0;
 }
 
+/* Removes the entries that the other host has not got any more. */
+static void apply_removals(kb_mirror_t *mirror, const kbs_sync_res *res)
+{
+	if (res->whole) {
+		mirror->sweep++;
+		for (u_int i = 0; i < res->changed.changed_len; i++)
+			mark_entry(
+				mirror,
+				kb_text_str(res->changed.changed_val[i].key));
+		sweep_entries(mirror);
+		return;
+	}
+	for (u_int i = 0; i < res->removed.removed_len; i++) {
+		kb_str_t key = kb_text_str(res->removed.removed_val[i]);
+		kb_mirror_entry_t *entry = find_entry(mirror, key);
+
+		/* It may have been written again since. */
+		if (entry && entry->revision <= mirror->revision &&
+		    !has_changed(res, key))
+			remove_entry(mirror, entry);
+	}
+}
+
 kb_result_t kb_mirror_apply_sync(kb_mirror_t *mirror, const kbs_sync_res *res,
 				 kb_time_t sent_at)
 {
 	int64_t revision = (int64_t)res->revision;
 	kb_time_t as_of = sent_at - res->age_us * KB_NS_PER_US;
-	size_t i = 0;
 
 	if (revision < mirror->revision || !revision)
 		return KB_OK;
@@ -238,16 +280,11 @@
 		advance_as_of(mirror, as_of);
 		return KB_OK;
 	}
+	if (!mirror->revision)
+		mirror->removals_since = revision;
 	mirror->revision = revision;
 	advance_as_of(mirror, as_of);
-	while (res->removed && i < mirror->count) {
-		kb_mirror_entry_t *entry = &mirror->entries[i];
-
-		if (!has_key(res, entry->key) && entry->revision <= revision)
-			remove_entry(mirror, entry);
-		else
-			i++;
-	}
+	apply_removals(mirror, res);
 	for (u_int j = 0; j < res->changed.changed_len; j++) {
 		const kbs_entry *change = &res->changed.changed_val[j];
 
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -4,27 +4,49 @@
 #include "kumquat_session.h"
 #include "store.h"
 
+#include <uthash.h>
+
 KB_BEGIN_DECLS
 
+enum {
+	/* Removals that a copy remembers for hosts that lag behind. */
+	KB_MIRROR_REMOVALS_MAX = 256,
+};
+
 /* A key of the store and its last known value. */
 typedef struct kb_mirror_entry {
 	kb_str_t key;
 	kb_str_t value;
 	int64_t revision;
+	/* Number of the last whole copy that had the key. */
+	uint64_t sweep;
+	UT_hash_handle by_key;
 } kb_mirror_entry_t;
 
+/* A key that was removed, and the revision of the copy without it. */
+typedef struct kb_mirror_removal {
+	kb_str_t key;
+	int64_t revision;
+} kb_mirror_removal_t;
+
 /*
  * Local copy of the store's keys, updated from the store itself or from other
  * hosts. It never goes back to an older revision of the store.
  */
 typedef struct kb_mirror {
+	/* Hash table of the entries by key. */
 	kb_mirror_entry_t *entries;
-	size_t count;
-	size_t capacity;
 	/* Revision of the store that the entries show; 0: none yet. */
 	int64_t revision;
-	/* Revision of the copy at the latest removal of a key from it. */
-	int64_t removed_revision;
+	/*
+	 * The last removals, a ring; `removal_count` counts all. A host whose
+	 * revision is before `removals_since` needs a whole copy.
+	 */
+	kb_mirror_removal_t removals[KB_MIRROR_REMOVALS_MAX];
+	size_t removal_count;
+	int64_t removals_since;
+	/* Number of whole copies applied. */
+	uint64_t sweep;
 	/* Latest time at which the store had no newer revision. */
 	kb_time_t as_of;
 	/* Called when a key changed; `entry` is NULL if it was removed. */
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -85,6 +85,8 @@
 	kb_proxy_t *proxy = ctx;
 	kb_platform_adapter_t *platform = proxy->setup.platform;
 
+	/* The change is passed on at the next turn of the loop. */
+	kb_proxy_wake(proxy);
 	if (kb_str_extends(key, KB_STR(KB_REGISTRATION_KEY_PREFIX))) {
 		kb_proxy_host_on_key(proxy, key, entry);
 		return;
@@ -125,6 +127,7 @@
 		kb_proxy_group_tick(proxy->groups[i], now);
 	kb_proxy_gates_tick(proxy, now);
 	kb_proxy_sessions_tick(proxy, now);
+	kb_sync_feed_tick(&proxy->feed, now);
 }
 
 void kb_proxy_wake(kb_proxy_t *proxy)
@@ -178,6 +181,7 @@
 	proxy->started_at = kb_clock_monotonic(proxy->clock);
 	proxy->mirror.changed = on_mirror_changed;
 	proxy->mirror.ctx = proxy;
+	kb_sync_feed_init(&proxy->feed, &proxy->mirror);
 	result = kb_proxy_stats_init(&proxy->stats);
 	if (!result)
 		result = kb_hosts_init_at(&proxy->hosts, proxy->setup.loop,
@@ -227,6 +231,9 @@
 	if (proxy->tick)
 		event_free(proxy->tick);
 	kb_store_poller_finish(&proxy->store_poller);
+	proxy->setup.store->ops->cancel(proxy->setup.store, &proxy->discovery);
+	if (proxy->feed.mirror)
+		kb_sync_feed_finish(&proxy->feed);
 	kb_registration_finish(&proxy->registration);
 	for (size_t i = 0; i < proxy->seed_count; i++)
 		kb_rpc_peer_finish(&proxy->seeds[i].peer);
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -146,8 +146,9 @@
 	if (proxy->mirror.revision && !group->lease.known && group->configured)
 		kb_lease_on_key(&group->lease, NULL, proxy->mirror.revision,
 				now);
-	if ((!proxy->stopping || group->lease.role != KB_LEASE_NONE) &&
-	    !is_fleet_forming(group, now))
+	if (is_fleet_forming(group, now))
+		kb_lease_defer_takeover(&group->lease, now);
+	else if (!proxy->stopping || group->lease.role != KB_LEASE_NONE)
 		kb_lease_tick(&group->lease, now);
 	if (proxy->stopping && !group->handover_started_at)
 		group->handover_started_at = now;
--- a/src/proxy_hosts.c
+++ b/src/proxy_hosts.c
@@ -71,23 +71,28 @@
 	kb_hosts_changed(hosts);
 }
 
+static void on_key_removed(kb_proxy_t *proxy, kb_str_t key, kb_time_t now)
+{
+	const char *slash = memrchr(key.data, '/', key.len);
+	kb_str_t name = { slash + 1, (size_t)(key.data + key.len - slash - 1) };
+	kb_host_t *host = kb_hosts_find(&proxy->hosts, name);
+
+	if (!host || host->self || host->unlisted_at)
+		return;
+	host->unlisted_at = now;
+	kb_hosts_changed(&proxy->hosts);
+}
+
 void kb_proxy_host_on_key(kb_proxy_t *proxy, kb_str_t key,
 			  const kb_mirror_entry_t *entry)
 {
-	kb_str_t prefix = KB_STR(KB_REGISTRATION_KEY_PREFIX);
 	kb_time_t now = kb_clock_monotonic(proxy->clock);
 	kb_host_info_t place;
 	kb_host_t *host;
 	int leaving;
 
 	if (!entry) {
-		host = kb_hosts_find(&proxy->hosts,
-				     (kb_str_t){ key.data + prefix.len,
-						 key.len - prefix.len });
-		if (host && !host->self && !host->unlisted_at) {
-			host->unlisted_at = now;
-			kb_hosts_changed(&proxy->hosts);
-		}
+		on_key_removed(proxy, key, now);
 		return;
 	}
 	if (kb_registration_parse(entry->value, &place, &leaving)) {
@@ -185,6 +190,9 @@
 		return;
 	}
 	silent_for = now - host->silent_since;
+	/* A call that waits for changes is no sign of a failure. */
+	if (host->held_until && peer->call_count == 1)
+		silent_for = now - host->held_until;
 	if (!peer->connected) {
 		if (silent_for >= CONNECT_TIMEOUT_MS * KB_NS_PER_MS) {
 			kb_proxy_host_failed(proxy, host, KB_ERR_TIMEOUT);
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -13,6 +13,8 @@
 #include "rng.h"
 #include "rpc_server.h"
 #include "store_poller.h"
+#include "sync_feed.h"
+#include "sync_tree.h"
 #include "target_probe.h"
 #include "watermarks.h"
 
@@ -24,13 +26,13 @@
 	/* RPC procedures between hosts. */
 	KB_PROXY_RPC_PING = 100,
 	KB_PROXY_RPC_RUN = 101,
-	KB_PROXY_RPC_SYNC = 102,
 	KB_PROXY_RPC_GRANT = 103,
 	KB_PROXY_RPC_HOLDER_AGE = 104,
 	KB_PROXY_RPC_WATERMARK = 105,
 	KB_PROXY_RPC_REACH = 106,
 	KB_PROXY_RPC_RECHECK = 107,
 	KB_PROXY_RPC_LAST_GRANT = 108,
+	KB_PROXY_RPC_FEED = 109,
 	/* Interval of the periodic work. */
 	KB_PROXY_TICK_INTERVAL_MS = 20,
 	/* Timeout of a short call between hosts. */
@@ -160,6 +162,19 @@
 	kb_endpoint_t endpoint;
 } kb_proxy_seed_t;
 
+/*
+ * Reads of the list of the hosts in this data centre, from which a host that
+ * has just started learns whom to ask for a copy of the store.
+ */
+typedef struct kb_proxy_discovery {
+	int in_flight;
+	kb_time_t next_at;
+	/* The list contained this host, so it has its neighbours, too. */
+	int complete;
+	/* The last read failed. */
+	int failed;
+} kb_proxy_discovery_t;
+
 struct kb_proxy {
 	kb_proxy_setup_t setup;
 	kb_clock_t *clock;
@@ -183,13 +198,20 @@
 	size_t load_count;
 	struct event *tick;
 	kb_time_t started_at;
-	/* Last reply with fresh store data from another host. */
-	kb_time_t synced_at;
+	/* Place of this host among those that pass on the store's changes. */
+	kb_sync_tree_t tree;
+	/* Calls of other hosts for changes. */
+	kb_sync_feed_t feed;
+	/* The call for changes to another host that is in flight, if any. */
 	kb_time_t sync_sent_at;
+	kb_time_t sync_next_at;
 	int sync_in_flight;
-	/* Rank of the store reader that is asked, and since when. */
-	size_t reader_rank;
-	kb_time_t reader_since;
+	kb_host_t *sync_host;
+	/* Number of the parent that is asked next; they take turns. */
+	size_t sync_turn;
+	/* Random part of the time without changes before a direct read. */
+	kb_time_t direct_read_delay;
+	kb_proxy_discovery_t discovery;
 	int stopping;
 	kb_time_t stop_started_at;
 	kb_proxy_session_t *sessions;
@@ -305,6 +327,14 @@
 /* proxy_sync.c */
 void kb_proxy_sync_tick(kb_proxy_t *proxy, kb_time_t now);
 
+/* proxy_discovery.c */
+void kb_proxy_discovery_tick(kb_proxy_t *proxy, kb_time_t now);
+/*
+ * Whether this host may read the store as the first of its fleet, as it knows
+ * its neighbours or has waited for them long enough.
+ */
+int kb_proxy_discovery_is_done(const kb_proxy_t *proxy, kb_time_t now);
+
 /* proxy_session.c */
 void kb_proxy_sessions_tick(kb_proxy_t *proxy, kb_time_t now);
 
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -80,16 +80,12 @@
 	kb_proxy_run_local(ctx, args, on_ran, run);
 }
 
-static void serve_sync(void *ctx, kb_rpc_request_t *request, void *args)
+static void serve_feed(void *ctx, kb_rpc_request_t *request, void *args)
 {
 	kb_proxy_t *proxy = ctx;
-	kbs_sync_res res;
 
-	if (kb_mirror_fill_sync(&proxy->mirror, args, &res,
-				kb_clock_monotonic(proxy->clock)))
-		memset(&res, 0, sizeof(res));
-	kb_rpc_server_reply(request, &res);
-	kb_mirror_sync_finish(&res);
+	kb_sync_feed_add(&proxy->feed, request, args,
+			 kb_clock_monotonic(proxy->clock));
 }
 
 static void serve_grant(void *ctx, kb_rpc_request_t *request, void *raw)
@@ -208,9 +204,9 @@
 		{ KB_PROXY_RPC_RUN, (xdrproc_t)xdr_kbs_run_args,
 		  sizeof(kbs_run_args), (xdrproc_t)xdr_kbs_run_res, serve_run,
 		  proxy },
-		{ KB_PROXY_RPC_SYNC, (xdrproc_t)xdr_kbs_sync_args,
-		  sizeof(kbs_sync_args), (xdrproc_t)xdr_kbs_sync_res,
-		  serve_sync, proxy },
+		{ KB_PROXY_RPC_FEED, (xdrproc_t)xdr_kbs_sync_args,
+		  sizeof(kbs_sync_args), (xdrproc_t)xdr_kbs_feed_res,
+		  serve_feed, proxy },
 		{ KB_PROXY_RPC_GRANT, (xdrproc_t)xdr_kbs_grant_args,
 		  sizeof(kbs_grant_args), (xdrproc_t)xdr_kbs_grant_res,
 		  serve_grant, proxy },
--- a/src/proxy_sync.c
+++ b/src/proxy_sync.c
@@ -1,158 +1,198 @@
 #include "proxy_internal.h"
 
-#include "rendezvous.h"
+#include "log.h"
 
-#include <stdlib.h>
+#include <inttypes.h>
 
 enum {
-	/* Interval of requests for changes to other hosts. */
-	SYNC_INTERVAL_MS = 250,
-	/* Without fresh data for this time the next reader is asked. */
-	SYNC_NEXT_READER_MS = 600,
-	/* Without fresh data for this time a host reads the store itself. */
-	SYNC_DIRECT_READ_MS = 1000,
-	/* Store data older than this is not fresh. */
-	SYNC_FRESH_MAX_AGE_MS = 1200,
-	/* Number of hosts that read the store for all others. */
-	SYNC_READERS = 2,
-	/* The first reader is asked again after this time. */
-	SYNC_FIRST_READER_S = 10,
+	/* Time that a call waits for a change. */
+	WAIT_MS = 500,
+	/* Pause after a call that failed or told nothing new at once. */
+	PAUSE_MS = 100,
+	/* A connection that is silent is reset much sooner. */
+	CALL_TIMEOUT_S = 10,
+	/*
+	 * Greatest age of the copies of the hosts that read the store, and what
+	 * each further host on the way adds. An older copy is out of date.
+	 */
+	READER_AGE_MS = 1700,
+	HOP_AGE_MS = 600,
+	/*
+	 * Time after which a host with such a copy reads the store itself: a
+	 * random one, and some more for each host on the way, so that hosts
+	 * near the store read it first and feed the others.
+	 */
+	DIRECT_READ_SPREAD_MS = 1000,
+	DIRECT_READ_HOP_MS = 1000,
 };
 
-/* Hosts that read the store for all others, by rank; NULL for none. */
-typedef struct readers {
-	kb_host_t *hosts[SYNC_READERS];
-} readers_t;
-
-static void find_readers(const kb_proxy_t *proxy, kb_time_t now,
-			 readers_t *readers)
-{
-	kb_host_t **found = readers->hosts;
-	uint64_t scores[SYNC_READERS] = { 0 };
-
-	memset(readers, 0, sizeof(*readers));
-	for (size_t i = 0; i < proxy->hosts.count; i++) {
-		kb_host_t *host = proxy->hosts.hosts[i];
-		uint64_t score = kb_rendezvous_score(kb_name_str(&host->name),
-						     KB_STR("store reader"));
-		size_t rank = SYNC_READERS;
-
-		if (!kb_proxy_host_usable(host, now))
-			continue;
-		while (rank && (!found[rank - 1] || score > scores[rank - 1]))
-			rank--;
-		for (size_t j = SYNC_READERS - 1; j > rank; j--) {
-			found[j] = found[j - 1];
-			scores[j] = scores[j - 1];
-		}
-		if (rank < SYNC_READERS) {
-			found[rank] = host;
-			scores[rank] = score;
-		}
-	}
-}
-
-static int includes_self(const readers_t *readers)
-{
-	for (size_t rank = 0; rank < SYNC_READERS; rank++)
-		if (readers->hosts[rank] && readers->hosts[rank]->self)
-			return 1;
-	return 0;
-}
-
 static kb_host_t *any_host(kb_proxy_t *proxy, kb_time_t now)
 {
 	size_t count = proxy->hosts.count;
 	size_t start = (size_t)kb_rng_below(&proxy->rng, count);
+	kb_host_t *found = NULL;
 
 	for (size_t i = 0; i < count; i++) {
 		kb_host_t *host = proxy->hosts.hosts[(start + i) % count];
+		int is_near = kb_name_is(&host->data_centre,
+					 kb_name_str(&proxy->self.data_centre));
 
-		if (!host->self && kb_proxy_host_usable(host, now))
+		if (host->self || !kb_proxy_host_usable(host, now))
+			continue;
+		if (is_near)
 			return host;
+		if (!found)
+			found = host;
 	}
-	return NULL;
+	return found;
 }
 
 static void on_synced(void *ctx, kb_result_t result, void *res)
 {
 	kb_proxy_t *proxy = ctx;
-	const kbs_sync_res *reply = res;
+	const kbs_feed_res *reply = res;
+	kb_time_t now = kb_clock_monotonic(proxy->clock);
+	int64_t before = proxy->mirror.revision;
 
 	proxy->sync_in_flight = 0;
+	if (proxy->sync_host)
+		proxy->sync_host->held_until = 0;
+	if (!result)
+		result = kb_sync_codec_apply(&proxy->mirror, reply,
+					     proxy->sync_sent_at);
 	if (result)
-		return;
-	kb_mirror_apply_sync(&proxy->mirror, reply, proxy->sync_sent_at);
-	if (reply->revision && reply->age_us * KB_NS_PER_US <=
-				       SYNC_FRESH_MAX_AGE_MS * KB_NS_PER_MS)
-		proxy->synced_at = kb_clock_monotonic(proxy->clock);
+		kb_log(KB_EVENT_SYNC_FAILED,
+		       "from=%s result=%s revision=%" PRId64,
+		       proxy->sync_host ? proxy->sync_host->name.data : "seed",
+		       kb_result_name(result), before);
+	proxy->sync_next_at = now;
+	if (result || proxy->mirror.revision == before)
+		proxy->sync_next_at += PAUSE_MS * KB_NS_PER_MS;
 }
 
-static void sync_with(kb_proxy_t *proxy, kb_rpc_peer_t *peer, kb_time_t now)
+static void sync_with(kb_proxy_t *proxy, kb_rpc_peer_t *peer, kb_host_t *host,
+		      kb_time_t now)
 {
 	kbs_sync_args args = {
 		.host = kb_text_view(kb_name_str(&proxy->self.name)),
 		.revision = (uint64_t)proxy->mirror.revision,
 		.whole = proxy->mirror.revision ? FALSE : TRUE,
+		.wait_us = WAIT_MS * KB_NS_PER_MS / KB_NS_PER_US,
 	};
 	kb_rpc_call_t rpc = {
-		.procedure = KB_PROXY_RPC_SYNC,
+		.procedure = KB_PROXY_RPC_FEED,
 		.encode = (xdrproc_t)xdr_kbs_sync_args,
 		.args = &args,
-		.decode = (xdrproc_t)xdr_kbs_sync_res,
-		.res_size = sizeof(kbs_sync_res),
-		.timeout = KB_PROXY_CALL_TIMEOUT_MS * KB_NS_PER_MS,
+		.decode = (xdrproc_t)xdr_kbs_feed_res,
+		.res_size = sizeof(kbs_feed_res),
+		.timeout = CALL_TIMEOUT_S * KB_NS_PER_S,
 		.done = on_synced,
 		.ctx = proxy,
 	};
 
 	proxy->sync_sent_at = now;
+	proxy->sync_next_at = now + PAUSE_MS * KB_NS_PER_MS;
 	proxy->stats.host_calls++;
+	proxy->sync_host = host;
 	proxy->sync_in_flight = !kb_rpc_peer_call(peer, &rpc);
+	if (host && proxy->sync_in_flight)
+		host->held_until = now + WAIT_MS * KB_NS_PER_MS;
 }
 
-/* Moves on to the next reader without fresh data; later back to the first. */
-static void choose_reader(kb_proxy_t *proxy, kb_time_t now, kb_time_t stale_for)
+/*
+ * Returns the parent to ask. They take turns, so that a change arrives even if
+ * one of them does not learn of it.
+ */
+static kb_host_t *next_parent(kb_proxy_t *proxy, kb_time_t now)
 {
-	if (stale_for > SYNC_NEXT_READER_MS * KB_NS_PER_MS)
-		proxy->reader_rank = (proxy->reader_rank + 1) % SYNC_READERS;
-	else if (now - proxy->reader_since > SYNC_FIRST_READER_S * KB_NS_PER_S)
-		proxy->reader_rank = 0;
-	else
+	const kb_sync_tree_t *tree = &proxy->tree;
+
+	for (size_t i = 0; i < tree->parent_count; i++) {
+		kb_host_t *host =
+			tree->parents[proxy->sync_turn++ % tree->parent_count];
+
+		if (kb_proxy_host_usable(host, now))
+			return host;
+	}
+	return NULL;
+}
+
+static void update_tree(kb_proxy_t *proxy)
+{
+	kb_sync_tree_t *tree = &proxy->tree;
+	kb_sync_tree_t before = *tree;
+
+	kb_sync_tree_update(tree, &proxy->hosts);
+	if (tree->is_reader == before.is_reader &&
+	    tree->parent_count == before.parent_count &&
+	    !memcmp(tree->parents, before.parents,
+		    tree->parent_count * sizeof(*tree->parents)))
 		return;
-	proxy->reader_since = now;
+	kb_log(KB_EVENT_SYNC_PARENTS, "reader=%d depth=%u first=%s second=%s",
+	       tree->is_reader, tree->depth,
+	       tree->parent_count > 0 ? tree->parents[0]->name.data : "",
+	       tree->parent_count > 1 ? tree->parents[1]->name.data : "");
+}
+
+/*
+ * Whether the copy is older by more than `margin` than its way through other
+ * hosts explains.
+ */
+static int is_out_of_date(const kb_proxy_t *proxy, kb_time_t now,
+			  kb_time_t margin)
+{
+	kb_time_t limit =
+		(READER_AGE_MS + proxy->tree.depth * HOP_AGE_MS) * KB_NS_PER_MS;
+
+	return !proxy->mirror.revision ||
+	       now - proxy->mirror.as_of > limit + margin;
+}
+
+/* Whether this host has to read the store though others should feed it. */
+static int must_read(const kb_proxy_t *proxy, kb_time_t now)
+{
+	kb_time_t margin =
+		proxy->direct_read_delay +
+		proxy->tree.depth * DIRECT_READ_HOP_MS * KB_NS_PER_MS;
+
+	return is_out_of_date(proxy, now, margin) &&
+	       now - proxy->started_at > margin;
 }
 
 void kb_proxy_sync_tick(kb_proxy_t *proxy, kb_time_t now)
 {
-	kb_time_t stale_for = now - proxy->synced_at;
-	readers_t readers;
-	kb_host_t *from;
+	kb_host_t *from = NULL;
+	int outdated;
 	int reads;
 
-	find_readers(proxy, now, &readers);
-	reads = includes_self(&readers);
+	if (!proxy->direct_read_delay)
+		proxy->direct_read_delay =
+			1 + (kb_time_t)kb_rng_below(&proxy->rng,
+						    DIRECT_READ_SPREAD_MS *
+							    KB_NS_PER_MS);
+	kb_proxy_discovery_tick(proxy, now);
+	update_tree(proxy);
+	outdated = is_out_of_date(proxy, now, 0);
+	reads = proxy->tree.is_reader && kb_proxy_discovery_is_done(proxy, now);
 	proxy->store_poller.exponential_backoff = !reads;
 	kb_store_poller_enable(&proxy->store_poller,
-			       reads || stale_for > SYNC_DIRECT_READ_MS *
-							    KB_NS_PER_MS);
+			       reads || must_read(proxy, now));
 	kb_store_poller_tick(&proxy->store_poller);
-	if (proxy->sync_in_flight ||
-	    now - proxy->sync_sent_at < SYNC_INTERVAL_MS * KB_NS_PER_MS)
-		return;
-	if (reads && proxy->store_poller.reached)
+	if (proxy->sync_in_flight || now < proxy->sync_next_at ||
+	    (reads && proxy->store_poller.reached))
 		return;
-	choose_reader(proxy, now, stale_for);
-	from = readers.hosts[proxy->reader_rank];
-	if (!from || from->self ||
-	    stale_for > SYNC_DIRECT_READ_MS * KB_NS_PER_MS)
+	/* Without a copy any host may be asked only if the parents fail. */
+	if (!outdated || !proxy->mirror.revision)
+		from = next_parent(proxy, now);
+	if (!from && outdated)
 		from = any_host(proxy, now);
 	if (from)
-		sync_with(proxy, &from->peer, now);
-	else if (proxy->seed_count && !proxy->mirror.revision)
+		sync_with(proxy, &from->peer, from, now);
+	else if (proxy->seed_count && !proxy->mirror.revision &&
+		 proxy->discovery.failed)
 		sync_with(proxy,
 			  &proxy->seeds[kb_rng_below(&proxy->rng,
 						     proxy->seed_count)]
 				   .peer,
-			  now);
+			  NULL, now);
 }
--- a/src/registration.c
+++ b/src/registration.c
@@ -14,7 +14,8 @@
 	registration->store = store;
 	registration->clock = clock;
 	registration->info = *info;
-	if (snprintf(key, sizeof(key), "%s%s", KB_REGISTRATION_KEY_PREFIX,
+	if (snprintf(key, sizeof(key), "%s%s/%s", KB_REGISTRATION_KEY_PREFIX,
+		     info->data_centre.data,
 		     info->name.data) >= (int)sizeof(key))
 		return KB_ERR_TOO_LARGE;
 	return kb_name_set(&registration->key, kb_str_from(key));
--- a/src/registration.h
+++ b/src/registration.h
@@ -14,7 +14,7 @@
 	KB_REGISTRATION_RETRY_INTERVAL_MS = 500,
 };
 
-/* Prefix of the keys that register hosts. */
+/* Prefix of the keys that register hosts; DATA_CENTRE/HOST follows. */
 #define KB_REGISTRATION_KEY_PREFIX "kumquatbridge/host/"
 
 /* Registers this host in the store by a key bound to a lease of the store. */
--- a/src/store.h
+++ b/src/store.h
@@ -37,6 +37,11 @@
 	kb_str_t key;
 	/* If set, all keys that begin with `key`. */
 	int prefix;
+	/*
+	 * If set, a read may return data that is some seconds old, which costs
+	 * the store less.
+	 */
+	int stale;
 } kb_store_keys_t;
 
 /* A conditional put or delete. */
--- a/src/store_json.c
+++ b/src/store_json.c
@@ -70,7 +70,7 @@
 static char *conditional(const kb_store_write_t *write, int is_put,
 			 json_t *operations)
 {
-	kb_store_keys_t keys = { write->key, 0 };
+	kb_store_keys_t keys = { .key = write->key };
 	json_t *compare = json_array();
 	int failed = 0;
 
@@ -113,7 +113,7 @@
 
 char *kb_store_json_remove(const kb_store_write_t *write)
 {
-	kb_store_keys_t keys = { write->key, 0 };
+	kb_store_keys_t keys = { .key = write->key };
 	json_t *operations =
 		json_pack("[{s:o}]", "request_delete_range", keys_json(&keys));
 
--- a/src/store_poller.c
+++ b/src/store_poller.c
@@ -100,10 +100,13 @@
 {
 	kb_store_poller_t *poller = ctx;
 	int is_empty = !result && !range->count;
+	kb_time_t as_of = poller->sent_at;
 
+	/* The store waits this long before it answers without a change. */
+	if (is_empty)
+		as_of += KB_STORE_POLLER_POLL_TIMEOUT_MS * KB_NS_PER_MS;
 	if (!result)
-		result = kb_mirror_apply_changes(poller->mirror, range,
-						 poller->sent_at);
+		result = kb_mirror_apply_changes(poller->mirror, range, as_of);
 	on_answer(poller, result);
 	if (is_empty)
 		poller->next_at = 0;
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -297,7 +297,8 @@
 	if (keys->key.len)
 		memcpy(watch->key, keys->key.data, keys->key.len);
 	watch->keys = (kb_store_keys_t){ { watch->key, keys->key.len },
-					 keys->prefix };
+					 keys->prefix,
+					 keys->stale };
 	watch->timer = event_new(client->base, -1, 0, on_timer, watch);
 	watch->input = evbuffer_new();
 	if (!watch->timer || !watch->input) {
