--- a/src/proxy_discovery.c
+++ b/src/proxy_discovery.c
@@ -38,8 +38,7 @@
 			kb_hosts_put(&proxy->hosts, &info);
 	}
 	kb_log(KB_EVENT_MEMBER_DISCOVERED, "result=%s hosts=%zu complete=%d",
-	       kb_result_name(result), proxy->hosts.count,
-	       discovery->complete);
+	       kb_result_name(result), proxy->hosts.count, discovery->complete);
 	kb_proxy_wake(proxy);
 }
 
--- a/src/sync_codec.c
+++ b/src/sync_codec.c
@@ -110,9 +110,9 @@
 	changes.age_us = res->age_us;
 	/* The other host received the call no sooner than it was sent. */
 	if (!result)
-		result = kb_mirror_apply_sync(
-			mirror, &changes,
-			sent_at + res->waited_us * KB_NS_PER_US);
+		result = kb_mirror_apply_sync(mirror, &changes,
+					      sent_at + res->waited_us *
+								KB_NS_PER_US);
 	if (res->data_size)
 		xdr_free((xdrproc_t)xdr_kbs_sync_res, (char *)&changes);
 	return result;
--- a/src/sync_feed.c
+++ b/src/sync_feed.c
@@ -117,8 +117,8 @@
 			continue;
 		}
 		*link = waiter->next;
-		answer(feed, waiter->request, waiter->args,
-		       waiter->received_at, now);
+		answer(feed, waiter->request, waiter->args, waiter->received_at,
+		       now);
 		free(waiter);
 	}
 }
--- a/src/sync_tree.c
+++ b/src/sync_tree.c
@@ -125,8 +125,8 @@
 		add_parents(tree, order, self, SCOPE_DATA_CENTRE, parents);
 		tree->depth = 3;
 		for (; parents >= pair; tree->depth++)
-			parents = (parents - pair) / KB_SYNC_TREE_FAN_OUT *
-				  pair;
+			parents =
+				(parents - pair) / KB_SYNC_TREE_FAN_OUT * pair;
 	} else if (index_of_self(order, self, SCOPE_REGION) >= pair) {
 		add_parents(tree, order, self, SCOPE_REGION, 0);
 		tree->depth = 2;
