Free and share a target's connections when it becomes the primary

The gate closes them as soon as it knows that its target leads, and a pool that finds a target full tries one at a time.

Voters that lost the store were replaced every second by others that had lost it too, as a voter was forgotten when it was replaced. They are avoided for some seconds.

LinkPool.AFullTargetIsTried... and Lease.VotersWithoutTheStore... failed before.

--- a/src/lease.h
+++ b/src/lease.h
@@ -25,7 +25,7 @@
 	 * after it sent the read that last confirmed the key. It reads at once
 	 * if the key is unconfirmed, and repeats a read that failed.
 	 */
-	KB_LEASE_STORE_CHECK_INTERVAL_S = 10,
+	KB_LEASE_STORE_CHECK_INTERVAL_S = 7,
 	/*
 	 * Delay per rank before a host takes over, so that hosts do not write
 	 * the key at the same time.
@@ -40,6 +40,9 @@
 	 * than the interval of its keep-alives.
 	 */
 	KB_LEASE_VOTER_STORE_TIMEOUT_MS = 7500,
+	/* Such hosts that are remembered, and for how long. */
+	KB_LEASE_AVOIDED_MAX = 16,
+	KB_LEASE_AVOIDED_S = 8,
 	/* A voter that has granted no renewal for this is replaced. */
 	KB_LEASE_VOTER_TIMEOUT_MS = 700,
 	/* The holder stops serving this long before the lease expires. */
@@ -145,6 +148,12 @@
 	int store_unreachable;
 } kb_lease_grant_t;
 
+/* A host that is not chosen as a voter for some time. */
+typedef struct kb_lease_avoided {
+	kb_name_t host;
+	kb_time_t until;
+} kb_lease_avoided_t;
+
 /*
  * Lease on a group. Its holder is the only host that sends statements to the
  * group's primary and that may replace the primary. A key in the store names
@@ -196,6 +205,12 @@
 	int reading;
 	kb_time_t write_sent_at;
 	uint64_t write_number;
+	/*
+	 * Hosts that had lost the store as voters, a ring. They are remembered
+	 * after they were replaced, so that they are not chosen again at once.
+	 */
+	kb_lease_avoided_t avoided[KB_LEASE_AVOIDED_MAX];
+	size_t avoided_count;
 	/* Last time at which the voters were compared with the ranking. */
 	kb_time_t compared_at;
 	/* New voters are sent renewals before a write names them. */
@@ -283,7 +298,7 @@
 
 /* Takes the time since a voter last reached the store. */
 void kb_lease_on_voter_store_age(kb_lease_t *lease, const kb_name_t *voter,
-				 kb_time_t age);
+				 kb_time_t age, kb_time_t now);
 
 /* Reads the key, which names this host according to another one. */
 void kb_lease_refresh(kb_lease_t *lease, kb_time_t now);
--- a/src/lease_grant.c
+++ b/src/lease_grant.c
@@ -1,13 +1,38 @@
 #include "lease_internal.h"
 
+static kb_lease_avoided_t *find_avoided(kb_lease_t *lease,
+					const kb_name_t *host)
+{
+	for (size_t i = 0; i < KB_LEASE_AVOIDED_MAX; i++)
+		if (kb_lease_names_equal(&lease->avoided[i].host, host))
+			return &lease->avoided[i];
+	return &lease->avoided[lease->avoided_count++ % KB_LEASE_AVOIDED_MAX];
+}
+
 void kb_lease_on_voter_store_age(kb_lease_t *lease, const kb_name_t *voter,
-				 kb_time_t age)
+				 kb_time_t age, kb_time_t now)
 {
+	int lost = age > KB_LEASE_VOTER_STORE_TIMEOUT_MS * KB_NS_PER_MS;
+	kb_lease_avoided_t *avoided;
+
 	for (size_t i = 0; i < lease->grant_count; i++)
 		if (kb_lease_names_equal(&lease->grants[i].voter, voter))
-			lease->grants[i].store_unreachable =
-				age >
-				KB_LEASE_VOTER_STORE_TIMEOUT_MS * KB_NS_PER_MS;
+			lease->grants[i].store_unreachable = lost;
+	if (!lost)
+		return;
+	avoided = find_avoided(lease, voter);
+	avoided->host = *voter;
+	avoided->until = now + KB_LEASE_AVOIDED_S * KB_NS_PER_S;
+}
+
+int kb_lease_is_avoided(const kb_lease_t *lease, const kb_name_t *host,
+			kb_time_t now)
+{
+	for (size_t i = 0; i < KB_LEASE_AVOIDED_MAX; i++)
+		if (now < lease->avoided[i].until &&
+		    kb_lease_names_equal(&lease->avoided[i].host, host))
+			return 1;
+	return 0;
 }
 
 /* Latest time at which a former voter may have granted another host. */
--- a/src/lease_internal.h
+++ b/src/lease_internal.h
@@ -39,6 +39,10 @@
  */
 void kb_lease_lose(kb_lease_t *lease);
 
+/* Whether a host had lost the store when it was a voter lately. */
+int kb_lease_is_avoided(const kb_lease_t *lease, const kb_name_t *host,
+			kb_time_t now);
+
 void kb_lease_begin_read(kb_lease_t *lease, kb_time_t now);
 /* Writes `pending`, conditioned on the known revision. */
 void kb_lease_begin_write(kb_lease_t *lease, kb_time_t now);
--- a/src/lease_tick.c
+++ b/src/lease_tick.c
@@ -27,7 +27,7 @@
 			       (last && now - last > KB_LEASE_VOTER_TIMEOUT_MS *
 							     KB_NS_PER_MS);
 	}
-	return 0;
+	return kb_lease_is_avoided(lease, host, now);
 }
 
 static int is_ranked(const kb_lease_ranking_t *ranking, const kb_name_t *host)
--- a/src/link_pool.c
+++ b/src/link_pool.c
@@ -144,6 +144,8 @@
 {
 	unsigned waiting = 0;
 	unsigned pending = count_opening(pool);
+	/* Attempts at a target without free connections keep others out. */
+	unsigned parallel = pool->target_full ? 1 : pool->slots;
 
 	if (pool->paused || now < pool->open_blocked_until ||
 	    !pool->place.endpoint.port || has_idle_conn(pool))
@@ -151,7 +153,7 @@
 	for (const kb_pool_job_t *job = pool->jobs; job; job = job->next)
 		waiting += !job->transaction;
 	while (waiting > pending && pool->conn_count < pool->limit &&
-	       pending < pool->slots && pool->ops->may_serve(pool->ctx, now)) {
+	       pending < parallel && pool->ops->may_serve(pool->ctx, now)) {
 		if (kb_pool_conn_open(pool))
 			return;
 		pending++;
--- a/src/link_pool.h
+++ b/src/link_pool.h
@@ -74,6 +74,8 @@
 	/* Times before which no job is started and no connection opened. */
 	kb_time_t send_blocked_until;
 	kb_time_t open_blocked_until;
+	/* The last attempt found no free connection at the target. */
+	int target_full;
 	uint64_t next_transaction;
 	uint64_t next_job;
 	int dispatching;
--- a/src/pool_conn.h
+++ b/src/pool_conn.h
@@ -20,6 +20,8 @@
 	POOL_OVERLOADED_DELAY_MS = 5,
 	/* Delay after a connection failed to open. */
 	POOL_OPEN_RETRY_DELAY_MS = 100,
+	/* Added if the target was full and the pool has connections. */
+	POOL_FULL_RETRY_DELAY_MS = 400,
 	/* Attempts to send a statement that has not run. */
 	POOL_ATTEMPTS_MAX = 4,
 	/* Largest number of queued statements. */
--- a/src/pool_conn_answer.c
+++ b/src/pool_conn_answer.c
@@ -201,6 +201,7 @@
 
 	if (!result) {
 		kb_pool_conn_set_state(conn, KB_POOL_CONN_IDLE);
+		pool->target_full = 0;
 		pool->counters.opened++;
 		pool->ops->on_target_event(pool->ctx, KB_TARGET_EVENT_ANSWERED,
 					   point);
@@ -210,8 +211,13 @@
 	kb_log(KB_EVENT_TARGET_CONNECT_FAILED, "target=%s result=%s",
 	       pool->place.target.data, kb_result_name(result));
 	pool->counters.open_failed++;
+	pool->target_full = result == KB_ERR_TOO_MANY;
 	pool->open_blocked_until =
 		now + POOL_OPEN_RETRY_DELAY_MS * KB_NS_PER_MS;
+	/* With connections of its own the pool can wait for others to close. */
+	if (pool->target_full && pool->conn_count > 1)
+		pool->open_blocked_until +=
+			POOL_FULL_RETRY_DELAY_MS * KB_NS_PER_MS;
 	conn->link = NULL;
 	kb_pool_conn_close(conn);
 	if (result != KB_ERR_TOO_MANY)
--- a/src/proxy_gate.c
+++ b/src/proxy_gate.c
@@ -98,14 +98,34 @@
 	free(gate);
 }
 
+/*
+ * Whether the target has become the primary. Its holder needs the connections
+ * that the gate no longer uses.
+ */
+static int serves_primary(const kb_proxy_gate_t *gate)
+{
+	const kb_proxy_t *proxy = gate->proxy;
+	const kb_target_entry_t *target = kb_target_list_find(
+		&proxy->targets, kb_name_str(&gate->target));
+	const kb_proxy_group_t *group;
+
+	if (!target)
+		return 0;
+	if (target->reports_primary)
+		return 1;
+	group = kb_proxy_group_find(proxy, kb_name_str(&target->place.group));
+	return group && kb_name_is(&group->primary, kb_name_str(&gate->target));
+}
+
 void kb_proxy_gates_tick(kb_proxy_t *proxy, kb_time_t now)
 {
 	for (size_t i = 0; i < proxy->gate_count; i++) {
 		kb_proxy_gate_t *gate = proxy->gates[i];
 
 		kb_link_pool_tick(&gate->pool);
-		if (now - gate->used_at > GATE_IDLE_S * KB_NS_PER_S &&
-		    gate->pool.conns)
+		if (gate->pool.conns &&
+		    (now - gate->used_at > GATE_IDLE_S * KB_NS_PER_S ||
+		     serves_primary(gate)))
 			kb_link_pool_close_idle(&gate->pool);
 	}
 	for (size_t i = 0; i < proxy->gate_count; i++) {
--- a/src/proxy_lease.c
+++ b/src/proxy_lease.c
@@ -137,8 +137,10 @@
 
 	free(ctx);
 	if (!result) {
-		kb_lease_on_voter_store_age(&call.group->lease, &call.voter,
-					    reply->store_age_us * KB_NS_PER_US);
+		kb_lease_on_voter_store_age(
+			&call.group->lease, &call.voter,
+			reply->store_age_us * KB_NS_PER_US,
+			kb_clock_monotonic(call.group->proxy->clock));
 		kb_lease_on_grant(&call.group->lease, &call.voter, call.sent_at,
 				  reply->granted,
 				  reply->quiet_us * KB_NS_PER_US,
--- a/tests/test_host_ranking.cc
+++ b/tests/test_host_ranking.cc
@@ -97,8 +97,8 @@
 	size_t strong = 0;
 
 	for (int i = 0; i < 600; i++) {
-		std::string name = rank(
-			table, "target-" + std::to_string(i), false)[0];
+		std::string name =
+			rank(table, "target-" + std::to_string(i), false)[0];
 
 		strong += table.host(std::stoul(name.substr(5)))
 				  ->processor_share > 0.4;
--- a/tests/test_lease.cc
+++ b/tests/test_lease.cc
@@ -346,6 +346,39 @@
 	EXPECT_EQ(0, kb_lease_exclusive_time(&voter.lease, voter.now));
 }
 
+TEST(Lease, VotersWithoutTheStoreAreReplacedOnceEach)
+{
+	Simulation simulation(8, 1, BrokenRule::NOTHING);
+	Cluster::Host *holder = nullptr;
+	int64_t before;
+
+	simulation.run(4 * KB_NS_PER_S);
+	for (auto &host : simulation.hosts)
+		if (host->lease.role == KB_LEASE_SERVING)
+			holder = host.get();
+	ASSERT_NE(nullptr, holder);
+	before = simulation.key_revision;
+	/* Five hosts cannot reach the store, and say so while they vote. */
+	for (int i = 0; i < 100; i++) {
+		simulation.run(100 * MS);
+		for (int j = 0, lost = 0; j < 8 && lost < 5; j++) {
+			kb_name_t name = name_of("h" + std::to_string(j));
+
+			if (holder->name == name.data)
+				continue;
+			lost++;
+			if (!kb_voter_set_contains(&holder->lease.record.voters,
+						   &name))
+				continue;
+			kb_lease_on_voter_store_age(&holder->lease, &name,
+						    10 * KB_NS_PER_S,
+						    simulation.now);
+		}
+	}
+	EXPECT_LE(simulation.key_revision - before, 6);
+	EXPECT_TRUE(kb_lease_may_serve(&holder->lease, simulation.now));
+}
+
 TEST(Lease, AHolderWithoutConfirmationByTheStoreStopsServing)
 {
 	for (uint64_t seed = 1; seed <= 20; seed++) {
--- a/tests/test_link_pool.cc
+++ b/tests/test_link_pool.cc
@@ -219,6 +219,35 @@
 	kb_link_pool_finish(&pool);
 }
 
+/* Hosts that hold connections too many keep others from opening theirs. */
+TEST_F(LinkPool, AFullTargetIsTriedByOneConnectionAtATime)
+{
+	std::vector<std::unique_ptr<Statement>> many;
+
+	for (int i = 0; i < 4; i++) {
+		many.push_back(std::make_unique<Statement>(KBS_READ));
+		run(*many.back());
+	}
+	ASSERT_EQ(2u, connector.links.size());
+	connector.opened(connector.links[0]);
+	ASSERT_EQ(3u, connector.links.size());
+	connector.opened(connector.links[1], KB_ERR_TOO_MANY);
+	connector.opened(connector.links[2], KB_ERR_TOO_MANY);
+	opened[0] = opened[1] = opened[2] = true;
+	pass(150 * MS);
+	/* The pool has a connection, so it waits for longer. */
+	EXPECT_EQ(3u, connector.links.size());
+	pass(400 * MS);
+	ASSERT_EQ(4u, connector.links.size());
+	connector.opened(connector.links[3]);
+	opened[3] = true;
+	/* Once there is room again, it opens as many as it needs. */
+	serve_all();
+	EXPECT_FALSE(pool.target_full);
+	/* Finishes the pool before its statements go out of scope. */
+	kb_link_pool_finish(&pool);
+}
+
 TEST_F(LinkPool, EachShapeIsPreparedUnderAName)
 {
 	std::string long_shape(400, 'q');
--- a/tests/test_sync_feed.cc
+++ b/tests/test_sync_feed.cc
@@ -51,8 +51,7 @@
 
 		replies[(size_t)request] = {
 			reply->revision, reply->age_us, reply->waited_us,
-			std::string(reply->data.data_val,
-				    reply->data.data_len),
+			std::string(reply->data.data_val, reply->data.data_len),
 			reply->data_size
 		};
 	}
@@ -67,8 +66,7 @@
 		entry.value = { value.data(), value.size() };
 		entry.revision = revision;
 		entry.deleted = value.empty();
-		ASSERT_EQ(KB_OK,
-			  kb_mirror_apply_changes(&mirror, &range, now));
+		ASSERT_EQ(KB_OK, kb_mirror_apply_changes(&mirror, &range, now));
 	}
 
 	/* Calls the feed; the reply is found under `number`. */
--- a/tests/test_sync_tree.cc
+++ b/tests/test_sync_tree.cc
@@ -75,8 +75,8 @@
 
 		for (size_t j = 0; !tree.is_reader && j < tree.parent_count;
 		     j++)
-			crossings += FleetTable::index(tree.parents[j]) % 2 !=
-				     i % 2;
+			crossings +=
+				FleetTable::index(tree.parents[j]) % 2 != i % 2;
 	}
 	/* Two hosts ask two readers each, one at a time. */
 	EXPECT_LE(crossings, 4u);
