--- a/src/host_ranking.c
+++ b/src/host_ranking.c
@@ -91,12 +91,12 @@
 static void add_spread(kb_host_ranking_t *ranking, ranked_t *ranked,
 		       size_t count, int local, size_t limit)
 {
-	size_t pass = ranking->count;
 	int added = 1;
 
 	while (added && ranking->count < limit) {
+		size_t pass = ranking->count;
+
 		added = 0;
-		pass = ranking->count;
 		for (size_t i = 0; i < count && ranking->count < limit; i++) {
 			if (ranked[i].taken || !ranked[i].available ||
 			    !!ranked[i].locality != local ||
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -13,13 +13,15 @@
 
 void kb_mirror_finish(kb_mirror_t *mirror)
 {
-	kb_mirror_entry_t *entry;
-	kb_mirror_entry_t *next;
+	kb_mirror_entry_t *entry = mirror->entries;
+
+	/* Frees the table only; the entries stay linked. */
+	HASH_CLEAR(by_key, mirror->entries);
+	while (entry) {
+		kb_mirror_entry_t *next = entry->by_key.next;
 
-	HASH_ITER(by_key, mirror->entries, entry, next)
-	{
-		HASH_DELETE(by_key, mirror->entries, entry);
 		free_entry(entry);
+		entry = next;
 	}
 	for (size_t i = 0; i < KB_MIRROR_REMOVALS_MAX; i++)
 		free((char *)mirror->removals[i].key.data);
