Revert "Request the watermarks of many groups with one call along the tree"

Ages add up along the tree, so that fewer reads of the far region accept a replica and go to the primary. Watermarks were not what the processor time goes to. Conclusion: a batch must keep the age of a direct answer, for example by holders that push to one relay a region; not built.

--- a/src/gen/kumquat_session.h
+++ b/src/gen/kumquat_session.h
@@ -216,28 +216,6 @@
 };
 typedef struct kbs_reach_res kbs_reach_res;
 
-struct kbs_stamps_args {
-	struct {
-		u_int groups_len;
-		kbs_text *groups_val;
-	} groups;
-};
-typedef struct kbs_stamps_args kbs_stamps_args;
-
-struct kbs_group_stamp {
-	kbs_text group;
-	kbs_stamp stamp;
-};
-typedef struct kbs_group_stamp kbs_group_stamp;
-
-struct kbs_stamps_res {
-	struct {
-		u_int stamps_len;
-		kbs_group_stamp *stamps_val;
-	} stamps;
-};
-typedef struct kbs_stamps_res kbs_stamps_res;
-
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -265,9 +243,6 @@
 extern  bool_t xdr_kbs_stamp_res (XDR *, kbs_stamp_res*);
 extern  bool_t xdr_kbs_reach_args (XDR *, kbs_reach_args*);
 extern  bool_t xdr_kbs_reach_res (XDR *, kbs_reach_res*);
-extern  bool_t xdr_kbs_stamps_args (XDR *, kbs_stamps_args*);
-extern  bool_t xdr_kbs_group_stamp (XDR *, kbs_group_stamp*);
-extern  bool_t xdr_kbs_stamps_res (XDR *, kbs_stamps_res*);
 
 #else /* K&R C */
 extern bool_t xdr_kbs_text ();
@@ -294,9 +269,6 @@
 extern bool_t xdr_kbs_stamp_res ();
 extern bool_t xdr_kbs_reach_args ();
 extern bool_t xdr_kbs_reach_res ();
-extern bool_t xdr_kbs_stamps_args ();
-extern bool_t xdr_kbs_group_stamp ();
-extern bool_t xdr_kbs_stamps_res ();
 
 #endif /* K&R C */
 
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -206,17 +206,3 @@
 	bool primary;
 	unsigned hyper term;
 };
-
-/* Asks for the watermarks of several groups. */
-struct kbs_stamps_args {
-	kbs_text groups<KBS_ENTRIES_MAX>;
-};
-
-struct kbs_group_stamp {
-	kbs_text group;
-	kbs_stamp stamp;
-};
-
-struct kbs_stamps_res {
-	kbs_group_stamp stamps<KBS_ENTRIES_MAX>;
-};
--- a/src/gen/kumquat_session_xdr.c
+++ b/src/gen/kumquat_session_xdr.c
@@ -405,37 +405,3 @@
 		 return FALSE;
 	return TRUE;
 }
-
-bool_t
-xdr_kbs_stamps_args (XDR *xdrs, kbs_stamps_args *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_array (xdrs, (char **)&objp->groups.groups_val, (u_int *) &objp->groups.groups_len, KBS_ENTRIES_MAX,
-		sizeof (kbs_text), (xdrproc_t) xdr_kbs_text))
-		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_kbs_group_stamp (XDR *xdrs, kbs_group_stamp *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_kbs_text (xdrs, &objp->group))
-		 return FALSE;
-	 if (!xdr_kbs_stamp (xdrs, &objp->stamp))
-		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_kbs_stamps_res (XDR *xdrs, kbs_stamps_res *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_array (xdrs, (char **)&objp->stamps.stamps_val, (u_int *) &objp->stamps.stamps_len, KBS_ENTRIES_MAX,
-		sizeof (kbs_group_stamp), (xdrproc_t) xdr_kbs_group_stamp))
-		 return FALSE;
-	return TRUE;
-}
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -125,7 +125,6 @@
 	kb_proxy_hosts_tick(proxy, now);
 	for (size_t i = 0; i < proxy->group_count; i++)
 		kb_proxy_group_tick(proxy->groups[i], now);
-	kb_proxy_watermarks_request(proxy, now);
 	kb_proxy_gates_tick(proxy, now);
 	kb_proxy_sessions_tick(proxy, now);
 	kb_sync_feed_tick(&proxy->feed, now);
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -33,7 +33,6 @@
 	KB_PROXY_RPC_RECHECK = 107,
 	KB_PROXY_RPC_LAST_GRANT = 108,
 	KB_PROXY_RPC_FEED = 109,
-	KB_PROXY_RPC_WATERMARKS = 110,
 	/* Interval of the periodic work. */
 	KB_PROXY_TICK_INTERVAL_MS = 20,
 	/* Timeout of a short call between hosts. */
@@ -111,13 +110,6 @@
 	int64_t record_revision;
 	kb_time_t record_received_at;
 	kb_time_t watermark_requested_at;
-	/*
-	 * Its watermark is due, to be requested with those of other groups; and
-	 * the time until which it is requested alone, since the host that was
-	 * asked for several did not have it.
-	 */
-	int watermark_due;
-	kb_time_t watermark_alone_until;
 	/* Index of the voter that was last asked for a watermark. */
 	size_t watermark_voter;
 	kb_proxy_vacancy_t vacancy;
@@ -219,9 +211,6 @@
 	kb_host_t *sync_host;
 	/* Number of the parent that is asked next; they take turns. */
 	size_t sync_turn;
-	/* A request for several watermarks is in flight. */
-	int watermarks_in_flight;
-	kb_time_t watermarks_sent_at;
 	/* Random part of the time without changes before a direct read. */
 	kb_time_t direct_read_delay;
 	kb_proxy_discovery_t discovery;
@@ -286,15 +275,6 @@
 /* Requests a watermark from another host if one is due. */
 void kb_proxy_group_request_watermark(kb_proxy_group_t *group, kb_time_t now);
 
-/* proxy_watermark_batch.c */
-/*
- * Whether the group's watermark is requested together with others, by
- * kb_proxy_watermarks_request().
- */
-int kb_proxy_watermark_is_batched(const kb_proxy_group_t *group, kb_time_t now);
-/* Requests the watermarks that are due from the host that feeds this one. */
-void kb_proxy_watermarks_request(kb_proxy_t *proxy, kb_time_t now);
-
 /* proxy_probe.c */
 kb_proxy_probe_t *kb_proxy_probe_get(kb_proxy_group_t *group,
 				     const kb_target_entry_t *target);
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -169,39 +169,6 @@
 	kb_rpc_server_reply(request, &res);
 }
 
-static void fill_stamp(kb_proxy_group_t *group, kbs_stamp *stamp)
-{
-	kb_proxy_group_local_watermark(group, stamp);
-	if (!stamp->valid)
-		kb_proxy_group_cached_watermark(group, stamp);
-	if (!stamp->valid)
-		kb_proxy_vacancy_watermark(group, stamp);
-}
-
-static void serve_watermarks(void *ctx, kb_rpc_request_t *request, void *raw)
-{
-	const kbs_stamps_args *args = raw;
-	kbs_stamps_res res = { 0 };
-
-	res.stamps.stamps_val = calloc(args->groups.groups_len + 1,
-				       sizeof(*res.stamps.stamps_val));
-	for (u_int i = 0; res.stamps.stamps_val && i < args->groups.groups_len;
-	     i++) {
-		kb_proxy_group_t *group = kb_proxy_group_find(
-			ctx, kb_text_str(args->groups.groups_val[i]));
-		kbs_group_stamp *entry =
-			&res.stamps.stamps_val[res.stamps.stamps_len];
-
-		if (!group)
-			continue;
-		fill_stamp(group, &entry->stamp);
-		entry->group = args->groups.groups_val[i];
-		res.stamps.stamps_len += entry->stamp.valid ? 1 : 0;
-	}
-	kb_rpc_server_reply(request, &res);
-	free(res.stamps.stamps_val);
-}
-
 static void serve_watermark(void *ctx, kb_rpc_request_t *request, void *raw)
 {
 	const kbs_stamp_args *args = raw;
@@ -210,7 +177,11 @@
 	kbs_stamp_res res = { 0 };
 
 	if (group) {
-		fill_stamp(group, &res.stamp);
+		kb_proxy_group_local_watermark(group, &res.stamp);
+		if (!res.stamp.valid)
+			kb_proxy_group_cached_watermark(group, &res.stamp);
+		if (!res.stamp.valid)
+			kb_proxy_vacancy_watermark(group, &res.stamp);
 		res.holder =
 			kb_text_view(kb_name_str(&group->lease.record.holder));
 	}
@@ -251,9 +222,6 @@
 		{ KB_PROXY_RPC_WATERMARK, (xdrproc_t)xdr_kbs_stamp_args,
 		  sizeof(kbs_stamp_args), (xdrproc_t)xdr_kbs_stamp_res,
 		  serve_watermark, proxy },
-		{ KB_PROXY_RPC_WATERMARKS, (xdrproc_t)xdr_kbs_stamps_args,
-		  sizeof(kbs_stamps_args), (xdrproc_t)xdr_kbs_stamps_res,
-		  serve_watermarks, proxy },
 		{ KB_PROXY_RPC_REACH, (xdrproc_t)xdr_kbs_reach_args,
 		  sizeof(kbs_reach_args), (xdrproc_t)xdr_kbs_reach_res,
 		  serve_reach, proxy },
--- a/src/proxy_watermark.c
+++ b/src/proxy_watermark.c
@@ -184,10 +184,6 @@
 	    now - kb_watermarks_newest(&group->watermarks) < interval ||
 	    !may_request(group, now))
 		return;
-	if (kb_proxy_watermark_is_batched(group, now)) {
-		group->watermark_due = 1;
-		return;
-	}
 	host = kb_hosts_find(&proxy->hosts,
 			     kb_name_str(watermark_source(group, now)));
 	if (!host || host->self)
--- a/tests/test_proxy_watermark.cc
+++ b/tests/test_proxy_watermark.cc
@@ -163,51 +163,6 @@
 	kb_hosts_finish(&proxy->hosts);
 }
 
-/* One call for all groups, unless the host that is asked does not answer. */
-TEST_F(ProxyWatermark, WatermarksOfSeveralGroupsAreRequestedTogether)
-{
-	Loop loop;
-	kb_host_info_t place = {};
-	kb_proxy_group_t *all[4];
-
-	kb_name_set(&proxy->self.name, KB_STR("self"));
-	ASSERT_EQ(KB_OK,
-		  kb_hosts_init_at(&proxy->hosts, loop.base, &proxy->self));
-	kb_name_set(&place.name, KB_STR("parent"));
-	kb_name_set(&place.endpoint.address, KB_STR("127.0.0.1"));
-	place.endpoint.port = 1;
-	proxy->tree.parents[0] = kb_hosts_put(&proxy->hosts, &place);
-	proxy->tree.parent_count = 1;
-	proxy->tree.depth = 2;
-	for (kb_proxy_group_t *&entry : all)
-		entry = group.get();
-	proxy->groups = all;
-	proxy->group_count = 4;
-	EXPECT_FALSE(kb_proxy_watermark_is_batched(group.get(), clock.now));
-	proxy->tree.depth = 3;
-	EXPECT_TRUE(kb_proxy_watermark_is_batched(group.get(), clock.now));
-	proxy->group_count = 3;
-	EXPECT_FALSE(kb_proxy_watermark_is_batched(group.get(), clock.now));
-	proxy->group_count = 4;
-	kb_proxy_group_mark_used(group.get(), clock.now);
-	kb_proxy_group_request_watermark(group.get(), clock.now);
-	EXPECT_TRUE(group->watermark_due);
-	EXPECT_EQ(0u, proxy->tree.parents[0]->peer.call_count);
-	kb_proxy_watermarks_request(proxy.get(), clock.now);
-	EXPECT_EQ(1u, proxy->tree.parents[0]->peer.call_count);
-	/* The call fails: the groups are requested from their holders. */
-	kb_rpc_peer_reset(&proxy->tree.parents[0]->peer);
-	EXPECT_FALSE(group->watermark_due);
-	EXPECT_FALSE(kb_proxy_watermark_is_batched(group.get(), clock.now));
-	clock.now += 1100 * MS;
-	EXPECT_TRUE(kb_proxy_watermark_is_batched(group.get(), clock.now));
-	proxy->groups = groups;
-	proxy->group_count = 1;
-	for (size_t i = 0; i < proxy->hosts.count; i++)
-		kb_rpc_peer_finish(&proxy->hosts.hosts[i]->peer);
-	kb_hosts_finish(&proxy->hosts);
-}
-
 TEST_F(ProxyWatermark, ACachedWatermarkSaysWhetherItCameFromAHolder)
 {
 	kbs_stamp told = {};
