Let a host that starts ask its neighbours before it reads the store

Cause: a host without a copy counted as out of date from its first tick, so that up to ten of 18 hosts of the twin read the whole store at a start.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -317,6 +317,7 @@
         await self.check_service()
         self.stopped = True
         await asyncio.wait(tasks, timeout=15)
+        self.store_calls = self.platform.store.calls
         for host in self.hosts:
             host.signal(signal.SIGTERM)
         await asyncio.gather(*(h.process.wait() for h in self.hosts))
@@ -361,12 +362,12 @@
         for name, group in self.platform.groups.items():
             print(f"{name}: promotions {group.promotions}, rolled back "
                   f"{len(group.rolled_back)}")
-        calls = self.platform.store.calls
+        calls = self.store_calls
         budget = self.options.store_budget * self.options.hosts
         print(f"store calls {calls:.1f}, {calls / self.options.hosts:.1f} a "
               f"host, longest time without an acknowledged write "
               f"{self.records.longest_gap:.1f} s")
-        print("store calls by path: " + ", ".join(
+        print("store calls by path, with the stop: " + ", ".join(
             f"{name} {count:.1f}" for name, count in
             sorted(self.platform.store.calls_by_path.items())))
         if budget and calls > budget:
--- a/src/proxy_sync.c
+++ b/src/proxy_sync.c
@@ -24,6 +24,8 @@
 	 */
 	DIRECT_READ_SPREAD_MS = 1000,
 	DIRECT_READ_HOP_MS = 1000,
+	/* The same for a host that has started and got no copy. */
+	START_TIMEOUT_MS = 2000,
 };
 
 static kb_host_t *any_host(kb_proxy_t *proxy, kb_time_t now)
@@ -155,8 +157,11 @@
 		proxy->direct_read_delay +
 		proxy->tree.depth * DIRECT_READ_HOP_MS * KB_NS_PER_MS;
 
-	return is_out_of_date(proxy, now, margin) &&
-	       now - proxy->started_at > margin;
+	/* A host that has started asks its neighbours first. */
+	if (!proxy->mirror.revision)
+		return now - proxy->started_at >
+		       START_TIMEOUT_MS * KB_NS_PER_MS + margin;
+	return is_out_of_date(proxy, now, margin);
 }
 
 void kb_proxy_sync_tick(kb_proxy_t *proxy, kb_time_t now)
@@ -174,6 +179,9 @@
 	update_tree(proxy);
 	outdated = is_out_of_date(proxy, now, 0);
 	reads = proxy->tree.is_reader && kb_proxy_discovery_is_done(proxy, now);
+	/* When all hosts stop, each would take the place of the readers. */
+	if (proxy->stopping && !proxy->store_poller.enabled)
+		reads = 0;
 	proxy->store_poller.exponential_backoff = !reads;
 	kb_store_poller_enable(&proxy->store_poller,
 			       reads || must_read(proxy, now));
