--- a/tests/recording_store.h
+++ b/tests/recording_store.h
@@ -3,6 +3,7 @@
 
 #include "store.h"
 
+#include <string>
 #include <vector>
 
 /* A store that records calls; the test answers them. */
@@ -15,6 +16,9 @@
 		kb_store_write_fn_t *on_written;
 		kb_store_lease_fn_t *on_lease;
 		void *ctx;
+		/* Of a read. */
+		std::string key;
+		bool stale;
 	};
 
 	kb_store_t base;
@@ -60,41 +64,48 @@
 		return KB_OK;
 	}
 
-	static kb_result_t get(kb_store_t *store, const kb_store_keys_t *,
+	static kb_result_t get(kb_store_t *store, const kb_store_keys_t *keys,
 			       kb_store_range_fn_t *done, void *ctx)
 	{
-		return add(store, { GET, done, nullptr, nullptr, ctx });
+		return add(store, { GET, done, nullptr, nullptr, ctx,
+				    std::string(keys->key.data, keys->key.len),
+				    keys->stale != 0 });
 	}
 
 	static kb_result_t put(kb_store_t *store, const kb_store_write_t *,
 			       kb_store_write_fn_t *done, void *ctx)
 	{
-		return add(store, { PUT, nullptr, done, nullptr, ctx });
+		return add(store,
+			   { PUT, nullptr, done, nullptr, ctx, "", false });
 	}
 
 	static kb_result_t remove(kb_store_t *store, const kb_store_write_t *,
 				  kb_store_write_fn_t *done, void *ctx)
 	{
-		return add(store, { REMOVE, nullptr, done, nullptr, ctx });
+		return add(store,
+			   { REMOVE, nullptr, done, nullptr, ctx, "", false });
 	}
 
 	static kb_result_t poll(kb_store_t *store, const kb_store_keys_t *,
 				int64_t, kb_time_t, kb_store_range_fn_t *done,
 				void *ctx)
 	{
-		return add(store, { POLL, done, nullptr, nullptr, ctx });
+		return add(store,
+			   { POLL, done, nullptr, nullptr, ctx, "", false });
 	}
 
 	static kb_result_t grant(kb_store_t *store, kb_time_t,
 				 kb_store_lease_fn_t *done, void *ctx)
 	{
-		return add(store, { GRANT, nullptr, nullptr, done, ctx });
+		return add(store,
+			   { GRANT, nullptr, nullptr, done, ctx, "", false });
 	}
 
 	static kb_result_t keep(kb_store_t *store, int64_t,
 				kb_store_lease_fn_t *done, void *ctx)
 	{
-		return add(store, { KEEP, nullptr, nullptr, done, ctx });
+		return add(store,
+			   { KEEP, nullptr, nullptr, done, ctx, "", false });
 	}
 
 	static void cancel(kb_store_t *store, void *ctx)
