Replace readers that lost the store within the bound of configuration

Cause: with the tree a host that lacked news waited up to 5.9 s before it read the store itself. Readers poll for 0.5 s, hosts next to them read the store 1.8 to 2.3 s after the last news, and only hosts further away wait longer. The depth counts the hosts from the store; before, it took those of a reader's region for two.

--- a/src/proxy_sync.c
+++ b/src/proxy_sync.c
@@ -15,14 +15,14 @@
 	 * Greatest age of the copies of the hosts that read the store, and what
 	 * each further host on the way adds. An older copy is out of date.
 	 */
-	READER_AGE_MS = 1700,
+	READER_AGE_MS = 1200,
 	HOP_AGE_MS = 600,
 	/*
 	 * Time after which a host with such a copy reads the store itself: a
-	 * random one, and some more for each host on the way, so that hosts
-	 * near the store read it first and feed the others.
+	 * random one, and some more for each host on the way but the first, so
+	 * that hosts near the readers read it first and feed the others.
 	 */
-	DIRECT_READ_SPREAD_MS = 1000,
+	DIRECT_READ_SPREAD_MS = 500,
 	DIRECT_READ_HOP_MS = 1000,
 	/* The same for a host that has started and got no copy. */
 	START_TIMEOUT_MS = 2000,
@@ -153,9 +153,9 @@
 /* Whether this host has to read the store though others should feed it. */
 static int must_read(const kb_proxy_t *proxy, kb_time_t now)
 {
-	kb_time_t margin =
-		proxy->direct_read_delay +
-		proxy->tree.depth * DIRECT_READ_HOP_MS * KB_NS_PER_MS;
+	unsigned hops = proxy->tree.depth > 1 ? proxy->tree.depth - 1 : 0;
+	kb_time_t margin = proxy->direct_read_delay +
+			   hops * DIRECT_READ_HOP_MS * KB_NS_PER_MS;
 
 	/* A host that has started asks its neighbours first. */
 	if (!proxy->mirror.revision)
--- a/src/store_poller.h
+++ b/src/store_poller.h
@@ -8,7 +8,7 @@
 
 enum {
 	/* Timeout of a long poll; short, so that a store outage shows soon. */
-	KB_STORE_POLLER_POLL_TIMEOUT_MS = 1000,
+	KB_STORE_POLLER_POLL_TIMEOUT_MS = 500,
 	/* Pause between polls; one poll reads all changes made in it. */
 	KB_STORE_POLLER_INTERVAL_MS = 250,
 	/* Backoff after a failed call; half of it is random. */
--- a/src/sync_tree.c
+++ b/src/sync_tree.c
@@ -85,8 +85,8 @@
 	return NULL;
 }
 
-static size_t index_of_self(const order_t *order, const kb_host_t *self,
-			    scope_t scope)
+static size_t index_of(const order_t *order, const kb_host_t *self,
+		       scope_t scope)
 {
 	size_t index = 0;
 
@@ -112,28 +112,44 @@
 	}
 }
 
+/* Returns the distance from the store of the first hosts of the data centre. */
+static unsigned relay_depth(const order_t *order, const kb_host_t *self)
+{
+	const kb_host_t *relay = host_at(order, self, SCOPE_DATA_CENTRE, 0);
+	const kb_host_t *head = host_at(order, self, SCOPE_REGION, 0);
+
+	if (index_of(order, relay, SCOPE_FLEET) < KB_SYNC_TREE_PARENTS)
+		return 0;
+	if (index_of(order, relay, SCOPE_REGION) < KB_SYNC_TREE_PARENTS ||
+	    index_of(order, head, SCOPE_FLEET) < KB_SYNC_TREE_PARENTS)
+		return 1;
+	return 2;
+}
+
 static void place_self(kb_sync_tree_t *tree, const order_t *order,
 		       const kb_host_t *self)
 {
 	size_t pair = KB_SYNC_TREE_PARENTS;
-	size_t index = index_of_self(order, self, SCOPE_DATA_CENTRE);
+	size_t index = index_of(order, self, SCOPE_DATA_CENTRE);
 
 	tree->is_reader = 0;
+	tree->depth = relay_depth(order, self);
 	if (index >= pair) {
 		size_t parents = (index - pair) / KB_SYNC_TREE_FAN_OUT * pair;
 
 		add_parents(tree, order, self, SCOPE_DATA_CENTRE, parents);
-		tree->depth = 3;
+		tree->depth++;
 		for (; parents >= pair; tree->depth++)
 			parents =
 				(parents - pair) / KB_SYNC_TREE_FAN_OUT * pair;
-	} else if (index_of_self(order, self, SCOPE_REGION) >= pair) {
+	} else if (index_of(order, self, SCOPE_REGION) >= pair) {
 		add_parents(tree, order, self, SCOPE_REGION, 0);
-		tree->depth = 2;
+		/* Its neighbour may be nearer to the store. */
+		if (!tree->depth)
+			tree->depth = 1;
 	} else {
 		add_parents(tree, order, self, SCOPE_FLEET, 0);
-		tree->is_reader =
-			index_of_self(order, self, SCOPE_FLEET) < pair;
+		tree->is_reader = index_of(order, self, SCOPE_FLEET) < pair;
 		tree->depth = tree->is_reader ? 0 : 1;
 	}
 }
