--- a/soak/standin.py
+++ b/soak/standin.py
@@ -259,8 +259,14 @@
         self.configure(1)
         asyncio.get_running_loop().create_task(self.run_periodically())
 
-    def configure(self, version):
-        routes = []
+    def configure(self, version, added=()):
+        """Writes a configuration; `added` names databases of the first group.
+        """
+        routes = [{"name": f"r-{host}", "host": host, "prefix": "/",
+                   "type": "primary", "timeout_ms": 1000,
+                   "target_latency_ms": 500, "priority": 1,
+                   "service": next(iter(self.groups)), "attempts": 2}
+                  for host in added]
         for name in self.groups:
             for kind, age in (("primary", None), ("bounded_staleness", 1500),
                               ("read_your_writes", 2500)):
@@ -313,6 +319,7 @@
         text = json.dumps(answer).encode()
         writer.write(
             f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+            f"Store-Era: {self.store.era}\r\n"
             f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
         await writer.drain()
         return True
--- a/soak/standin_store.py
+++ b/soak/standin_store.py
@@ -5,13 +5,29 @@
 from urllib.parse import parse_qs, unquote, urlsplit
 
 
+# How far back the store can be restored.
+COPIES_S = 30
+# What the operator and the targets wrote; after a restore they write it again.
+WRITTEN_AGAIN = ("op/", "servers/")
+
+
 class Store:
-    """A key-value store with conditional writes, leases and long polls."""
+    """A key-value store with conditional writes, leases and long polls.
+
+    It can be restored from an older copy of itself: what hosts wrote since is
+    lost, and the revisions are given out again.
+    """
 
     def __init__(self):
         self.items = {}
         self.revision = 1
         self.events = []
+        # Lowest revision from which a watch may continue.
+        self.history_start = 0
+        # Number of restores; part of every answer.
+        self.era = 1
+        # Former states, oldest first: time, items, revision and lease ids.
+        self.copies = []
         self.leases = {}
         self.next_lease = 100
         self.changed = asyncio.Event()
@@ -24,6 +40,36 @@
         event = dict(item) if item else {
             "key": key, "revision": self.revision, "deleted": True}
         self.events.append((self.revision, key, event))
+        self.keep_copy()
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def keep_copy(self):
+        now = time.monotonic()
+        self.copies = [c for c in self.copies if c[0] > now - COPIES_S]
+        self.copies.append((now, dict(self.items), self.revision,
+                            set(self.leases)))
+
+    def restore(self, age):
+        """Comes back from the copy of `age` seconds ago, in a new era."""
+        at = time.monotonic() - age
+        copies = [c for c in self.copies if c[0] <= at]
+        _, items, revision, leases = (copies or self.copies)[-1 if copies
+                                                             else 0]
+        written = {k: i for k, i in self.items.items()
+                   if k.startswith(WRITTEN_AGAIN)}
+        self.items = {k: i for k, i in items.items()
+                      if not i["lease"] or i["lease"] in self.leases}
+        self.leases = {n: t for n, t in self.leases.items() if n in leases}
+        self.revision = self.history_start = revision
+        self.events = []
+        self.era += 1
+        for key, item in written.items():
+            if self.items.get(key) != item:
+                self.put(key, base64.b64decode(item["value"]), item["lease"])
+        for key in [k for k in self.items
+                    if k.startswith(WRITTEN_AGAIN) and k not in written]:
+            self.remove(key)
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -54,11 +100,13 @@
     async def watch(self, prefix, after, wait):
         until = time.monotonic() + wait
         while True:
+            if not self.history_start <= after <= self.revision:
+                return 410, {}
             found = [e for r, k, e in self.events
                      if r > after and k.startswith(prefix)]
             left = until - time.monotonic()
             if found or left <= 0:
-                return {"events": found, "current_rev": self.revision}
+                return 200, {"events": found, "current_rev": self.revision}
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
@@ -98,7 +146,7 @@
             return 200, {"items": items[:500], "has_more": len(items) > 500,
                          "current_rev": self.revision}
         if url.path == "/v1/kv-watch":
-            return 200, await self.watch(
+            return await self.watch(
                 query.get("prefix", ""), int(query["after"]),
                 int(query["wait_ms"]) / 1000)
         if url.path == "/v1/kv-txn":
