Keep one holder of a group when the store is restored

A store that returns from an older copy names a former holder of a group, or none. Revisions alone do not show that: hosts that order them by number ignore the key until the counter has caught up, and hosts that believe it would wait for voters who may not be those of the last holder.

A record now names the era of the store in which it was written, and a revision has the era in its high bits. A record of an earlier era than that of its key proves nothing. The holder that serves keeps its lease by its voters' grants and writes its record again, on the key's present state. That is safe: while a majority of its voters grants its renewals no takeover of the former era had been settled, and none can be settled any more. Every other host that takes over treats the former holder as unknown. It waits until all known hosts have granted its renewals and none granted another's for 0.9 s, which excludes an earlier holder, or for the 20 s that a holder may serve without the store. A voter that knows of the new era grants renewals of an earlier one only to the holder that has its last grant, so that a restarted voter revives nobody.

Ruled out: trusting the restored record when it equals the last known one (a release or a change of voters may have followed), and waiting for a majority of the last known voters (they may have been replaced in between).

--- a/src/lease.c
+++ b/src/lease.c
@@ -1,5 +1,7 @@
 #include "lease_internal.h"
 
+#include "store.h"
+
 #include <string.h>
 
 enum {
@@ -24,7 +26,7 @@
 
 int kb_lease_is_own(const kb_lease_t *lease)
 {
-	return lease->revision &&
+	return lease->revision && !lease->restored &&
 	       kb_lease_names_equal(&lease->record.holder, &lease->self);
 }
 
@@ -164,8 +166,9 @@
 void kb_lease_begin_write(kb_lease_t *lease, kb_time_t now)
 {
 	lease->write_sent_at = now;
-	lease->ops->write(lease->ctx, lease, &lease->pending, lease->revision,
-			  ++lease->write_number);
+	lease->pending.era = kb_store_era(lease->as_of);
+	lease->ops->write(lease->ctx, lease, &lease->pending,
+			  lease->key_revision, ++lease->write_number);
 }
 
 void kb_lease_lose(kb_lease_t *lease)
@@ -182,6 +185,10 @@
 	if (lease->known &&
 	    (revision < lease->as_of || (record && revision == lease->as_of)))
 		return;
+	if (kb_lease_is_restored_key(lease, record, revision)) {
+		kb_lease_on_restored_key(lease, record, revision, now);
+		return;
+	}
 	if (!lease->known ||
 	    (record &&
 	     !kb_lease_names_equal(&record->holder, &lease->record.holder)))
@@ -192,11 +199,13 @@
 		lease->holder_seen_at = now;
 	lease->known = 1;
 	lease->as_of = revision;
+	lease->key_revision = record ? revision : 0;
 	if (!record) {
 		/* If this host holds the lease it will write the key again. */
 		lease->revision = 0;
 		return;
 	}
+	lease->restored = 0;
 	lease->revision = revision;
 	lease->record = *record;
 	if (!kb_lease_is_own(lease))
@@ -223,6 +232,7 @@
 	lease->rewriting = 0;
 	lease->grant_count = 0;
 	lease->renewals_sent_at = 0;
+	lease->fence_sent_at = 0;
 	kb_lease_set_role(lease, KB_LEASE_WAITING);
 	kb_lease_rebuild_grants(lease);
 }
@@ -255,7 +265,9 @@
 	lease->known = 1;
 	lease->revision = revision;
 	lease->as_of = revision;
+	lease->key_revision = revision;
 	lease->record = lease->pending;
+	lease->restored = 0;
 }
 
 void kb_lease_on_written(kb_lease_t *lease, uint64_t number, kb_result_t result,
@@ -263,7 +275,9 @@
 {
 	if (number != lease->write_number)
 		return;
-	if (result || (lease->known && revision <= lease->as_of)) {
+	/* A record that was written in another era than it names is void. */
+	if (result || (lease->known && revision <= lease->as_of) ||
+	    kb_store_era(revision) != lease->pending.era) {
 		if (lease->role == KB_LEASE_ACQUIRING) {
 			lease->holder_seen_at +=
 				(result == KB_ERR_CONFLICT
--- a/src/lease.h
+++ b/src/lease.h
@@ -33,6 +33,13 @@
 	KB_LEASE_RANK_DELAY_MS = 400,
 	/* Before the first takeover of a group: lets hosts discover peers. */
 	KB_LEASE_INITIAL_DELAY_MS = 600,
+	/*
+	 * After a restore of the store: lets the holder write its record and
+	 * hosts register again.
+	 */
+	KB_LEASE_RESTORED_DELAY_MS = 2000,
+	/* Interval of renewals to all hosts while the former one is unknown. */
+	KB_LEASE_FENCE_INTERVAL_MS = 500,
 	/* Additional delay before a host that is not a voter takes over. */
 	KB_LEASE_NON_VOTER_DELAY_S = 5,
 	/*
@@ -64,6 +71,11 @@
 /* Value of a group's key in the store. */
 typedef struct kb_lease_record {
 	kb_name_t holder;
+	/*
+	 * Era of the store in which it was written. In a later era it does not
+	 * show who held the lease last, see kb_lease_t.
+	 */
+	int64_t era;
 	/* The former holder wrote this record after it stopped serving. */
 	int released;
 	/* The leases of all former holders have ended; `holder` may serve. */
@@ -125,6 +137,11 @@
 	 * kb_lease_on_holder_seen() follows for each answer.
 	 */
 	void (*query_holder)(void *ctx, kb_lease_t *lease);
+	/*
+	 * Requests a renewal from every known host but this one;
+	 * kb_lease_on_fenced() follows if all of them grant it.
+	 */
+	void (*fence_hosts)(void *ctx, kb_lease_t *lease, kb_time_t sent_at);
 	/* Notifies a host that the key names it now, so that it reads it. */
 	void (*notify_holder)(void *ctx, kb_lease_t *lease,
 			      const kb_name_t *host);
@@ -172,6 +189,15 @@
  * then on. The host writes this to the key (`settled`) and serves once the
  * write is confirmed.
  *
+ * Restore: when the store comes back from an older copy, the key may name a
+ * former holder or be missing. The holder serves on by the grants of its voters
+ * and writes its record again, in the new era, while its lease is valid. All
+ * others take the record of an earlier era for unknown: who takes over waits
+ * until all known hosts grant its renewals and none granted another host's for
+ * KB_LEASE_DURATION_MS, or for KB_LEASE_MAX_UNCONFIRMED_S. A voter that knows
+ * of the new era grants renewals of an earlier one only to the holder that has
+ * its last grant.
+ *
  * All times come from a clock that also runs while the machine is suspended.
  */
 struct kb_lease {
@@ -192,10 +218,22 @@
 	/* Store revision at which the key had this state. */
 	int64_t as_of;
 	kb_lease_record_t record;
+	/*
+	 * The store was restored since `record` was written at `revision`:
+	 * the key shows something else at `as_of`. `restored_at` is the time
+	 * at which this host learned of it.
+	 */
+	int restored;
+	kb_time_t restored_at;
+	/* Revision of the key at `as_of`, or 0; writes are conditioned on it.
+	 */
+	int64_t key_revision;
 	/* Revision of the key at the takeover; used as fencing token. */
 	int64_t token;
 	/* In role KB_LEASE_WAITING: time from which it may settle the lease. */
 	kb_time_t wait_until;
+	/* Last time at which all known hosts were sent a renewal. */
+	kb_time_t fence_sent_at;
 	/* The former holder is known to have stopped, or there is none. */
 	int former_stopped;
 	/* Send time of the last read that found the key unchanged. */
@@ -296,6 +334,13 @@
 		       kb_time_t sent_at, int granted, kb_time_t exclusive_time,
 		       kb_time_t now);
 
+/*
+ * All known hosts have granted a renewal of `revision`. `other_granted_at` is
+ * the latest time at which one of them may have granted another host's.
+ */
+void kb_lease_on_fenced(kb_lease_t *lease, int64_t revision,
+			kb_time_t other_granted_at, kb_time_t now);
+
 /* Takes the time since a voter last reached the store. */
 void kb_lease_on_voter_store_age(kb_lease_t *lease, const kb_name_t *voter,
 				 kb_time_t age, kb_time_t now);
--- a/src/lease_grant.c
+++ b/src/lease_grant.c
@@ -1,5 +1,7 @@
 #include "lease_internal.h"
 
+#include "store.h"
+
 static kb_lease_avoided_t *find_avoided(kb_lease_t *lease,
 					const kb_name_t *host)
 {
@@ -118,6 +120,14 @@
 		kb_lease_begin_read(lease, now);
 		return 0;
 	}
+	/*
+	 * After a restore this process knows only of its own last grant that
+	 * the key has not named a later holder since.
+	 */
+	if (kb_store_era(revision) < kb_store_era(lease->as_of) &&
+	    (revision != lease->granted_revision ||
+	     !kb_lease_names_equal(&lease->granted_to, holder)))
+		return 0;
 	/* The requester's write is newer than the one of this host. */
 	if (revision > lease->revision)
 		kb_lease_lose(lease);
--- a/src/lease_internal.h
+++ b/src/lease_internal.h
@@ -43,8 +43,32 @@
 int kb_lease_is_avoided(const kb_lease_t *lease, const kb_name_t *host,
 			kb_time_t now);
 
+/*
+ * Whether the state of the key is not the one that the last holder wrote, since
+ * the store was restored from an older copy: the record is of another era, or
+ * it is missing since the restore.
+ */
+int kb_lease_is_restored_key(const kb_lease_t *lease,
+			     const kb_lease_record_t *record, int64_t revision);
+
+/*
+ * Takes such a state. The holder keeps its lease and writes its record again;
+ * any other host gives up what it has begun.
+ */
+void kb_lease_on_restored_key(kb_lease_t *lease,
+			      const kb_lease_record_t *record, int64_t revision,
+			      kb_time_t now);
+
+/*
+ * Writes the holder's record in the store's new era. Only while the lease is
+ * valid: its voters have granted no renewal of a later revision then, so that
+ * no host had taken over when the store was restored, and none can settle a
+ * takeover of the former era any more.
+ */
+void kb_lease_rewrite_restored(kb_lease_t *lease, kb_time_t now);
+
 void kb_lease_begin_read(kb_lease_t *lease, kb_time_t now);
-/* Writes `pending`, conditioned on the known revision. */
+/* Writes `pending` in the known era, conditioned on the known key. */
 void kb_lease_begin_write(kb_lease_t *lease, kb_time_t now);
 
 KB_END_DECLS
--- a/src/lease_record.c
+++ b/src/lease_record.c
@@ -16,9 +16,10 @@
 	json_t *json;
 	char *text;
 
-	json = json_pack("{s:s,s:b,s:b,s:o,s:o,s:b}", "holder",
-			 record->holder.data, "released", record->released,
-			 "settled", record->settled, "candidates",
+	json = json_pack("{s:s,s:I,s:b,s:b,s:o,s:o,s:b}", "holder",
+			 record->holder.data, "era", (json_int_t)record->era,
+			 "released", record->released, "settled",
+			 record->settled, "candidates",
 			 format_set(&record->voters), "former",
 			 format_set(&record->former_voters), "formerLost",
 			 record->former_unknown);
@@ -53,17 +54,20 @@
 	json_t *voters;
 	json_t *former_voters;
 	const char *holder;
+	/* A record without it is of the time before stores had eras. */
+	json_int_t era = 0;
 
 	memset(record, 0, sizeof(*record));
 	if (json &&
-	    !json_unpack(json, "{s:s,s:b,s:b,s:o,s:o,s:b}", "holder", &holder,
-			 "released", &record->released, "settled",
-			 &record->settled, "candidates", &voters, "former",
-			 &former_voters, "formerLost",
+	    !json_unpack(json, "{s:s,s?I,s:b,s:b,s:o,s:o,s:b}", "holder",
+			 &holder, "era", &era, "released", &record->released,
+			 "settled", &record->settled, "candidates", &voters,
+			 "former", &former_voters, "formerLost",
 			 &record->former_unknown) &&
 	    *holder && !kb_name_set(&record->holder, kb_str_from(holder)) &&
 	    !read_set(&record->voters, voters))
 		result = read_set(&record->former_voters, former_voters);
+	record->era = era;
 	json_decref(json);
 	return result;
 }
--- /dev/null
+++ b/src/lease_restore.c
@@ -0,0 +1,76 @@
+#include "lease_internal.h"
+
+#include "store.h"
+
+int kb_lease_is_restored_key(const kb_lease_t *lease,
+			     const kb_lease_record_t *record, int64_t revision)
+{
+	if (record)
+		return record->era != kb_store_era(revision);
+	return lease->known &&
+	       (lease->restored ||
+		kb_store_era(revision) > kb_store_era(lease->as_of));
+}
+
+void kb_lease_on_restored_key(kb_lease_t *lease,
+			      const kb_lease_record_t *record, int64_t revision,
+			      kb_time_t now)
+{
+	int is_new = !lease->restored ||
+		     kb_store_era(revision) > kb_store_era(lease->as_of);
+
+	/* It tells a host that has started whom it may ask. */
+	if (!lease->known && record)
+		lease->record = *record;
+	lease->known = 1;
+	lease->as_of = revision;
+	lease->key_revision = record ? revision : 0;
+	lease->restored = 1;
+	if (!is_new)
+		return;
+	lease->restored_at = now;
+	lease->holder_seen_at = now;
+	lease->preparing = 0;
+	lease->rewriting = 0;
+	if (lease->role == KB_LEASE_SERVING)
+		kb_lease_rebuild_grants(lease);
+	else
+		kb_lease_lose(lease);
+	lease->ops->changed(lease->ctx, lease);
+}
+
+void kb_lease_rewrite_restored(kb_lease_t *lease, kb_time_t now)
+{
+	if (now >= kb_lease_valid_until(lease)) {
+		/* Voters that have restarted do not grant it any more. */
+		if (now - lease->restored_at >=
+		    KB_LEASE_RESTORED_DELAY_MS * KB_NS_PER_MS)
+			kb_lease_lose(lease);
+		return;
+	}
+	if (lease->rewriting && now - lease->write_sent_at <
+					KB_LEASE_CALL_TIMEOUT_MS * KB_NS_PER_MS)
+		return;
+	lease->rewriting = 1;
+	lease->pending = lease->record;
+	kb_lease_begin_write(lease, now);
+}
+
+void kb_lease_on_fenced(kb_lease_t *lease, int64_t revision,
+			kb_time_t other_granted_at, kb_time_t now)
+{
+	kb_time_t end;
+
+	if (lease->role != KB_LEASE_WAITING || lease->revision != revision ||
+	    !lease->record.former_unknown)
+		return;
+	if (lease->granted_at > other_granted_at)
+		other_granted_at = lease->granted_at;
+	if (lease->started_at > other_granted_at)
+		other_granted_at = lease->started_at;
+	end = other_granted_at + KB_LEASE_DURATION_MS * KB_NS_PER_MS;
+	if (end < now)
+		end = now;
+	if (end < lease->wait_until)
+		lease->wait_until = end;
+}
--- a/src/lease_tick.c
+++ b/src/lease_tick.c
@@ -88,9 +88,11 @@
 		      kb_time_t now)
 {
 	make_record(lease, &lease->pending, &lease->self, ranking, now);
-	copy_former_voters(&lease->pending, &lease->record);
-	if (!lease->record.holder.len && !lease->first_start)
+	if (lease->restored ||
+	    (!lease->record.holder.len && !lease->first_start))
 		lease->pending.former_unknown = 1;
+	else
+		copy_former_voters(&lease->pending, &lease->record);
 	kb_lease_set_role(lease, KB_LEASE_ACQUIRING);
 	kb_lease_begin_write(lease, now);
 }
@@ -119,6 +121,8 @@
 	kb_time_t ms = lease->record.holder.len ? KB_LEASE_HOLDER_TIMEOUT_MS
 						: KB_LEASE_INITIAL_DELAY_MS;
 
+	if (lease->restored)
+		ms += KB_LEASE_RESTORED_DELAY_MS;
 	ms += (kb_time_t)rank * KB_LEASE_RANK_DELAY_MS;
 	if (lease->record.holder.len &&
 	    !kb_voter_set_contains(&lease->record.voters, &lease->self))
@@ -280,6 +284,17 @@
 	    now - lease->confirmed_at >=
 		    KB_LEASE_STORE_CHECK_INTERVAL_S * KB_NS_PER_S)
 		kb_lease_begin_read(lease, now);
+	if (lease->restored) {
+		kb_lease_rewrite_restored(lease, now);
+		return;
+	}
+	if (lease->role == KB_LEASE_WAITING && now < lease->wait_until &&
+	    lease->record.former_unknown &&
+	    now - lease->fence_sent_at >=
+		    KB_LEASE_FENCE_INTERVAL_MS * KB_NS_PER_MS) {
+		lease->fence_sent_at = now;
+		lease->ops->fence_hosts(lease->ctx, lease, now);
+	}
 	update_record(lease, now);
 	if (lease->role == KB_LEASE_WAITING && lease->record.settled &&
 	    now + KB_LEASE_SAFETY_MARGIN_MS * KB_NS_PER_MS <
@@ -326,6 +341,10 @@
 
 	if (lease->role != KB_LEASE_SERVING && lease->role != KB_LEASE_WAITING)
 		return;
+	if (lease->restored && now >= kb_lease_valid_until(lease)) {
+		kb_lease_lose(lease);
+		return;
+	}
 	lease->ops->rank(lease->ctx, lease, &ranking);
 	for (size_t i = 0; !next && i < ranking.count; i++)
 		if (!kb_lease_names_equal(&ranking.hosts[i], &lease->self))
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -42,6 +42,8 @@
 
 KB_EVENT(1311, GROUP_VACANT, WARN,
 	 "no host holds a group's lease; its primary's position bounds reads")
+KB_EVENT(1312, HOLD_FENCED, INFO,
+	 "the other hosts were asked to give up a former lease")
 
 KB_EVENT(1400, MEMBER_JOINED, INFO, "host joined or returned")
 KB_EVENT(1401, MEMBER_LEAVING, INFO, "host is leaving and accepts no new work")
@@ -76,6 +78,7 @@
 KB_EVENT(1605, STORE_LOST, WARN, "the store does not answer")
 KB_EVENT(1606, STORE_REGAINED, INFO, "the store answers")
 KB_EVENT(1607, STORE_ENTRY_MALFORMED, WARN, "malformed store entry ignored")
+KB_EVENT(1608, STORE_RESTORED, WARN, "the store was restored from an older copy")
 
 KB_EVENT(1700, RESOURCE_CHANGED, INFO, "an operator's change was accepted")
 KB_EVENT(1701, RESOURCE_CONFLICT, INFO,
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -184,6 +184,8 @@
 	kb_host_info_t self;
 	kb_hosts_t hosts;
 	kb_mirror_t mirror;
+	/* Revision of the copy at the last check for a restore of the store. */
+	int64_t checked_revision;
 	kb_store_poller_t store_poller;
 	kb_registration_t registration;
 	kb_databases_t databases;
@@ -231,6 +233,8 @@
 void kb_proxy_group_tick(kb_proxy_group_t *group, kb_time_t now);
 void kb_proxy_group_on_key(kb_proxy_t *proxy, kb_str_t key,
 			   const kb_mirror_entry_t *entry);
+/* Tells the leases whose keys are missing that the store was restored. */
+void kb_proxy_groups_on_restore(kb_proxy_t *proxy, kb_time_t now);
 /* Fills in the present commit watermark if this host serves the group. */
 void kb_proxy_group_local_watermark(kb_proxy_group_t *group, kbs_stamp *stamp);
 /* Fills in the newest watermark stored here, unless it is too old. */
@@ -253,9 +257,18 @@
 int kb_proxy_group_is_vacant(const kb_proxy_group_t *group, kb_time_t now);
 
 /* proxy_lease.c, proxy_monitor.c */
+enum {
+	KB_PROXY_LEASE_KEY_MAX_BYTES = 160,
+};
+
+/* Formats the key of the group's lease in the store. */
+void kb_proxy_lease_key(const kb_proxy_group_t *group, char *key);
 extern const kb_lease_ops_t kb_proxy_lease_ops;
 extern const kb_monitor_ops_t kb_proxy_monitor_ops;
 
+/* proxy_fence.c */
+void kb_proxy_fence_hosts(void *ctx, kb_lease_t *lease, kb_time_t sent_at);
+
 /* proxy_placement.c */
 /* Returns the most suitable holders and voters of the group, best first. */
 const kb_host_ranking_t *kb_proxy_group_ranking(kb_proxy_group_t *group);
--- a/src/proxy_lease.c
+++ b/src/proxy_lease.c
@@ -7,14 +7,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-enum {
-	KEY_MAX_BYTES = 160,
-};
-
-static void format_lease_key(const kb_proxy_group_t *group, char *key)
+void kb_proxy_lease_key(const kb_proxy_group_t *group, char *key)
 {
-	snprintf(key, KEY_MAX_BYTES, "%s%s", KB_PROXY_LEASE_KEY_PREFIX,
-		 group->name.data);
+	snprintf(key, KB_PROXY_LEASE_KEY_MAX_BYTES, "%s%s",
+		 KB_PROXY_LEASE_KEY_PREFIX, group->name.data);
 }
 
 /* Lets a host that is about to serve a group take the next step at once. */
@@ -71,14 +67,14 @@
 	kb_proxy_group_t *group = ctx;
 	kb_store_t *store = group->proxy->setup.store;
 	lease_call_t *call = new_lease_call(group);
-	char key[KEY_MAX_BYTES];
+	char key[KB_PROXY_LEASE_KEY_MAX_BYTES];
 	kb_store_keys_t keys;
 
 	(void)lease;
 	if (!call)
 		return;
 	call->sent_at = sent_at;
-	format_lease_key(group, key);
+	kb_proxy_lease_key(group, key);
 	keys = (kb_store_keys_t){ .key = kb_str_from(key) };
 	if (store->ops->get(store, &keys, on_lease_read, call))
 		free(call);
@@ -108,11 +104,11 @@
 	kb_store_t *store = group->proxy->setup.store;
 	lease_call_t *call = new_lease_call(group);
 	char *text = kb_lease_record_format(record);
-	char key[KEY_MAX_BYTES];
+	char key[KB_PROXY_LEASE_KEY_MAX_BYTES];
 	kb_store_write_t write;
 
 	(void)lease;
-	format_lease_key(group, key);
+	kb_proxy_lease_key(group, key);
 	write = (kb_store_write_t){ .key = kb_str_from(key),
 				    .value = kb_str_from(text),
 				    .expected = expected };
@@ -297,6 +293,7 @@
 	.write = lease_write,
 	.request_renewal = lease_request_grant,
 	.query_holder = lease_request_holder_age,
+	.fence_hosts = kb_proxy_fence_hosts,
 	.notify_holder = lease_request_recheck,
 	.changed = lease_changed,
 	.rank = lease_rank,
--- a/src/store.h
+++ b/src/store.h
@@ -10,6 +10,32 @@
 /* Expected revision of a write without a condition. */
 #define KB_STORE_ANY INT64_C(-1)
 
+/*
+ * A store may be restored from an older copy. It then gives out again the
+ * revision numbers that it has lost, and begins a new era. A revision is the
+ * era in its high bits and the store's number in the low ones, so that those
+ * from after a restore are later than all from before it.
+ */
+#define KB_STORE_NUMBER_BITS 40
+#define KB_STORE_NUMBER_MAX ((INT64_C(1) << KB_STORE_NUMBER_BITS) - 1)
+#define KB_STORE_ERA_MAX (INT64_MAX >> KB_STORE_NUMBER_BITS)
+
+static inline int64_t kb_store_revision(int64_t era, int64_t number)
+{
+	return era << KB_STORE_NUMBER_BITS | number;
+}
+
+static inline int64_t kb_store_era(int64_t revision)
+{
+	return revision >> KB_STORE_NUMBER_BITS;
+}
+
+/* Returns the number by which the store knows a revision. */
+static inline int64_t kb_store_number(int64_t revision)
+{
+	return revision & KB_STORE_NUMBER_MAX;
+}
+
 /* A key and its value, as stored. */
 typedef struct kb_store_entry {
 	kb_str_t key;
@@ -75,7 +101,8 @@
 /*
  * Receives the answer to a read. `range` is NULL unless `result` is KB_OK,
  * and valid until the return. Errors: KB_ERR_TIMEOUT, KB_ERR_UNREACHABLE,
- * KB_ERR_OVERLOADED (retry budget exhausted), KB_ERR_PROTOCOL.
+ * KB_ERR_OVERLOADED (retry budget exhausted), KB_ERR_PROTOCOL,
+ * KB_ERR_NOT_FOUND (the store was restored during the read).
  */
 typedef void kb_store_range_fn_t(void *ctx, kb_result_t result,
 				 const kb_store_range_t *range);
@@ -83,7 +110,8 @@
 /*
  * Receives the answer to a write; `written` is valid until the return and
  * NULL unless `result` is KB_OK or KB_ERR_CONFLICT. KB_ERR_UNREACHABLE and
- * KB_ERR_OVERLOADED: not written. KB_ERR_UNKNOWN: it may have been written.
+ * KB_ERR_OVERLOADED: not written. KB_ERR_UNKNOWN: it may have been written, or
+ * it was written in a later era than that of the expected revision.
  */
 typedef void kb_store_write_fn_t(void *ctx, kb_result_t result,
 				 const kb_store_written_t *written);
@@ -136,7 +164,7 @@
 	 * Waits up to `wait` for changes after revision `after` and reports
 	 * them once, in the order of revisions; an empty range if there were
 	 * none. May be NULL. KB_ERR_NOT_FOUND: the store has compacted some
-	 * of them.
+	 * of them or is in a later era.
 	 */
 	kb_result_t (*poll)(kb_store_t *store, const kb_store_keys_t *keys,
 			    int64_t after, kb_time_t wait,
