--- a/soak/soak.py
+++ b/soak/soak.py
@@ -28,7 +28,8 @@
 # Two readers, each of which polls the store every 0.25 s at most.
 POLLS_PER_S = 8
 FAULTS = ["kill-host", "stop-host", "freeze-host", "kill-primary",
-          "freeze-primary", "store-down", "kill-all", "config"]
+          "freeze-primary", "store-down", "store-restored", "kill-all",
+          "config"]
 SETTINGS = """[host]
 name = {name}
 data_centre = z1
@@ -291,6 +292,11 @@
             self.platform.store.down = True
             await asyncio.sleep(self.random.uniform(1, 6))
             self.platform.store.down = False
+        elif name == "store-restored":
+            self.platform.store.down = True
+            await asyncio.sleep(self.random.uniform(0.2, 3))
+            self.platform.store.restore(self.random.uniform(0, 9))
+            self.platform.store.down = False
         elif name == "kill-all":
             for each in self.hosts:
                 each.signal(signal.SIGKILL)
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -175,6 +175,7 @@
 		answer.status = evhttp_request_get_response_code(http);
 		answer.result = KB_OK;
 		answer.body = input_of(http);
+		answer.headers = evhttp_request_get_input_headers(http);
 	}
 	if (http && !answer.status)
 		/* The connection could not be opened. */
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -19,6 +19,8 @@
 	int status;
 	/* Empty if the request has `part`. Valid until `done` returns. */
 	kb_str_t body;
+	/* Headers of the response, or NULL. Valid until `done` returns. */
+	const struct evkeyvalq *headers;
 } kb_http_answer_t;
 
 typedef struct kb_http_header {
--- a/src/registration.c
+++ b/src/registration.c
@@ -133,6 +133,11 @@
 		schedule_call(registration, KB_REGISTRATION_RETRY_INTERVAL_MS);
 }
 
+void kb_registration_refresh(kb_registration_t *registration)
+{
+	registration->next_call_at = 0;
+}
+
 void kb_registration_set_leaving(kb_registration_t *registration)
 {
 	registration->leaving = 1;
--- a/src/registration.h
+++ b/src/registration.h
@@ -47,6 +47,9 @@
  */
 void kb_registration_tick(kb_registration_t *registration, int listed);
 
+/* Makes the next call at once: the store has lost the key. */
+void kb_registration_refresh(kb_registration_t *registration);
+
 /* Announces that this host is leaving and takes no new work. */
 void kb_registration_set_leaving(kb_registration_t *registration);
 
