Move the tests of restores and the lease's record to files of their own

No change of behaviour, but that HOLD_FENCED is logged only when the number of hosts that grant changes. The time at which a host learned of the store's era is kept for hosts that have started, too.

--- a/src/lease.c
+++ b/src/lease.c
@@ -179,6 +179,13 @@
 	kb_lease_set_role(lease, KB_LEASE_NONE);
 }
 
+void kb_lease_set_known(kb_lease_t *lease, kb_time_t now)
+{
+	if (!lease->known)
+		lease->era_known_at = now;
+	lease->known = 1;
+}
+
 void kb_lease_on_key(kb_lease_t *lease, const kb_lease_record_t *record,
 		     int64_t revision, kb_time_t now)
 {
@@ -197,7 +204,7 @@
 	if (record && kb_voter_set_contains(&record->voters, &lease->self) &&
 	    !kb_voter_set_contains(&lease->record.voters, &lease->self))
 		lease->holder_seen_at = now;
-	lease->known = 1;
+	kb_lease_set_known(lease, now);
 	lease->as_of = revision;
 	lease->key_revision = record ? revision : 0;
 	if (!record) {
--- a/src/lease.h
+++ b/src/lease.h
@@ -1,13 +1,11 @@
 #ifndef KB_LEASE_H
 #define KB_LEASE_H
 
-#include "str.h"
+#include "lease_record.h"
 
 KB_BEGIN_DECLS
 
 enum {
-	/* Hosts that vote on renewals; a majority must grant one. */
-	KB_LEASE_VOTERS_MAX = 5,
 	/* Hosts of a ranking; those after them do not take over. */
 	KB_LEASE_HOSTS_MAX = 24,
 	/* Validity of a renewal, counted from when it was sent. */
@@ -56,41 +54,12 @@
 	KB_LEASE_SAFETY_MARGIN_MS = 50,
 };
 
-/* Voters: a majority of them decides whether the holder may serve. */
-typedef struct kb_voter_set {
-	size_t count;
-	kb_name_t hosts[KB_LEASE_VOTERS_MAX];
-} kb_voter_set_t;
-
 /* Hosts whose last grant has expired; they may be former voters, too. */
 typedef struct kb_lease_denials {
 	size_t count;
 	kb_name_t hosts[KB_LEASE_VOTERS_MAX * 2];
 } kb_lease_denials_t;
 
-/* Value of a group's key in the store. */
-typedef struct kb_lease_record {
-	kb_name_t holder;
-	/*
-	 * Era of the store in which it was written. In a later era it does not
-	 * show who held the lease last, see kb_lease_t.
-	 */
-	int64_t era;
-	/* The former holder wrote this record after it stopped serving. */
-	int released;
-	/* The leases of all former holders have ended; `holder` may serve. */
-	int settled;
-	/* Hosts that vote on the holder's renewals. */
-	kb_voter_set_t voters;
-	/*
-	 * Until `settled` is set: the voters of the holder that served last,
-	 * beginning with that holder itself. `former_unknown` is set if they
-	 * are unknown.
-	 */
-	kb_voter_set_t former_voters;
-	int former_unknown;
-} kb_lease_record_t;
-
 typedef enum kb_lease_role {
 	/* Another host holds the lease, or no host does. */
 	KB_LEASE_NONE,
@@ -106,9 +75,6 @@
 
 typedef struct kb_lease kb_lease_t;
 
-/* Whether a host is one of the voters. */
-int kb_voter_set_contains(const kb_voter_set_t *set, const kb_name_t *host);
-
 /*
  * Live hosts in order of preference: the current voters, as they can take over
  * fastest, then others that are suitable as a holder or voter.
@@ -192,11 +158,11 @@
  * Restore: when the store comes back from an older copy, the key may name a
  * former holder or be missing. The holder serves on by the grants of its voters
  * and writes its record again, in the new era, while its lease is valid. All
- * others take the record of an earlier era for unknown: who takes over waits
- * until all known hosts grant its renewals and none granted another host's for
- * KB_LEASE_DURATION_MS, or for KB_LEASE_MAX_UNCONFIRMED_S. A voter that knows
- * of the new era grants renewals of an earlier one only to the holder that has
- * its last grant.
+ * others take the record of an earlier era for void: who takes over waits
+ * until all known hosts have granted its renewals and none has granted another
+ * host's for KB_LEASE_DURATION_MS, or for KB_LEASE_MAX_UNCONFIRMED_S. A voter
+ * that knows of the new era grants renewals of an earlier one only to the
+ * holder that has its last grant.
  *
  * All times come from a clock that also runs while the machine is suspended.
  */
@@ -205,7 +171,10 @@
 	void *ctx;
 	kb_name_t group;
 	kb_name_t self;
-	/* First start of the whole deployment: there is no former holder. */
+	/*
+	 * First start of the whole deployment: there is no former holder while
+	 * the key does not exist.
+	 */
 	int first_start;
 	kb_time_t started_at;
 	kb_lease_role_t role;
@@ -219,12 +188,13 @@
 	int64_t as_of;
 	kb_lease_record_t record;
 	/*
-	 * The store was restored since `record` was written at `revision`:
-	 * the key shows something else at `as_of`. `restored_at` is the time
-	 * at which this host learned of it.
+	 * The key's record is void, as it names an earlier era than its own,
+	 * or it is missing since a restore of the store; `record` and
+	 * `revision` are from before.
 	 */
 	int restored;
-	kb_time_t restored_at;
+	/* Time at which this host learned of the store's present era. */
+	kb_time_t era_known_at;
 	/* Revision of the key at `as_of`, or 0; writes are conditioned on it.
 	 */
 	int64_t key_revision;
--- a/src/lease_grant.c
+++ b/src/lease_grant.c
@@ -121,8 +121,8 @@
 		return 0;
 	}
 	/*
-	 * After a restore this process knows only of its own last grant that
-	 * the key has not named a later holder since.
+	 * A voter that has restarted does not know whether the key named a
+	 * later holder before the store was restored.
 	 */
 	if (kb_store_era(revision) < kb_store_era(lease->as_of) &&
 	    (revision != lease->granted_revision ||
--- a/src/lease_internal.h
+++ b/src/lease_internal.h
@@ -14,7 +14,7 @@
 
 int kb_lease_names_equal(const kb_name_t *a, const kb_name_t *b);
 
-/* Whether the key names this host. */
+/* Whether the key's record is of its era and names this host. */
 int kb_lease_is_own(const kb_lease_t *lease);
 void kb_lease_set_role(kb_lease_t *lease, kb_lease_role_t role);
 
@@ -33,7 +33,8 @@
 void kb_lease_rebuild_grants(kb_lease_t *lease);
 
 /*
- * Gives up the lease after the key has come to name another host. An
+ * Gives up the lease after the key has come to name another host, or what this
+ * host has begun when the store was restored. An
  * unanswered write of this host was conditioned on an earlier revision, so it
  * has been overwritten or will fail.
  */
@@ -43,6 +44,9 @@
 int kb_lease_is_avoided(const kb_lease_t *lease, const kb_name_t *host,
 			kb_time_t now);
 
+/* Records that the state of the key is known. */
+void kb_lease_set_known(kb_lease_t *lease, kb_time_t now);
+
 /*
  * Whether the state of the key is not the one that the last holder wrote, since
  * the store was restored from an older copy: the record is of another era, or
@@ -60,10 +64,11 @@
 			      kb_time_t now);
 
 /*
- * Writes the holder's record in the store's new era. Only while the lease is
- * valid: its voters have granted no renewal of a later revision then, so that
- * no host had taken over when the store was restored, and none can settle a
- * takeover of the former era any more.
+ * Writes the holder's record in the store's new era, or the one whose write had
+ * no answer before. Only while the lease is valid: a majority of the voters of
+ * both have granted no renewal of a later revision then, so that no host had
+ * taken over when the store was restored, and none can settle a takeover of the
+ * former era any more.
  */
 void kb_lease_rewrite_restored(kb_lease_t *lease, kb_time_t now);
 
--- a/src/lease_record.h
+++ b/src/lease_record.h
@@ -1,10 +1,47 @@
 #ifndef KB_LEASE_RECORD_H
 #define KB_LEASE_RECORD_H
 
-#include "lease.h"
+#include "str.h"
 
 KB_BEGIN_DECLS
 
+enum {
+	/* Hosts that vote on renewals; a majority must grant one. */
+	KB_LEASE_VOTERS_MAX = 5,
+};
+
+/* Voters: a majority of them decides whether the holder may serve. */
+typedef struct kb_voter_set {
+	size_t count;
+	kb_name_t hosts[KB_LEASE_VOTERS_MAX];
+} kb_voter_set_t;
+
+/* Value of a group's key in the store. */
+typedef struct kb_lease_record {
+	kb_name_t holder;
+	/*
+	 * Era of the store in which it was written. In a later era it does not
+	 * show who held the lease last, see kb_lease_t.
+	 */
+	int64_t era;
+	/* The former holder wrote this record after it stopped serving. */
+	int released;
+	/* The leases of all former holders have ended; `holder` may serve. */
+	int settled;
+	/* Hosts that vote on the holder's renewals. */
+	kb_voter_set_t voters;
+	/*
+	 * Until `settled` is set: the voters of the holder that served last,
+	 * beginning with that holder itself. `former_unknown` is set if they
+	 * are unknown.
+	 */
+	kb_voter_set_t former_voters;
+	int former_unknown;
+} kb_lease_record_t;
+
+/* Whether a host is one of the voters. */
+int kb_voter_set_contains(const kb_voter_set_t *set, const kb_name_t *host);
+
 /* Returns a record as JSON text, to be freed, or NULL without memory. */
 char *kb_lease_record_format(const kb_lease_record_t *record);
 
--- a/src/lease_restore.c
+++ b/src/lease_restore.c
@@ -22,13 +22,13 @@
 	/* It tells a host that has started whom it may ask. */
 	if (!lease->known && record)
 		lease->record = *record;
-	lease->known = 1;
+	kb_lease_set_known(lease, now);
 	lease->as_of = revision;
 	lease->key_revision = record ? revision : 0;
 	lease->restored = 1;
 	if (!is_new)
 		return;
-	lease->restored_at = now;
+	lease->era_known_at = now;
 	lease->holder_seen_at = now;
 	lease->preparing = 0;
 	lease->rewriting = 0;
@@ -43,7 +43,7 @@
 {
 	if (now >= kb_lease_valid_until(lease)) {
 		/* Voters that have restarted do not grant it any more. */
-		if (now - lease->restored_at >=
+		if (now - lease->era_known_at >=
 		    KB_LEASE_RESTORED_DELAY_MS * KB_NS_PER_MS)
 			kb_lease_lose(lease);
 		return;
@@ -51,26 +51,27 @@
 	if (lease->rewriting && now - lease->write_sent_at <
 					KB_LEASE_CALL_TIMEOUT_MS * KB_NS_PER_MS)
 		return;
-	lease->rewriting = 1;
 	lease->pending = lease->record;
+	lease->rewriting = 1;
 	kb_lease_begin_write(lease, now);
 }
 
+static kb_time_t latest(kb_time_t a, kb_time_t b)
+{
+	return a > b ? a : b;
+}
+
 void kb_lease_on_fenced(kb_lease_t *lease, int64_t revision,
 			kb_time_t other_granted_at, kb_time_t now)
 {
-	kb_time_t end;
+	kb_time_t granted_at = latest(
+		other_granted_at, latest(lease->granted_at, lease->started_at));
+	kb_time_t end = granted_at + KB_LEASE_DURATION_MS * KB_NS_PER_MS;
 
 	if (lease->role != KB_LEASE_WAITING || lease->revision != revision ||
 	    !lease->record.former_unknown)
 		return;
-	if (lease->granted_at > other_granted_at)
-		other_granted_at = lease->granted_at;
-	if (lease->started_at > other_granted_at)
-		other_granted_at = lease->started_at;
-	end = other_granted_at + KB_LEASE_DURATION_MS * KB_NS_PER_MS;
-	if (end < now)
-		end = now;
+	end = latest(end, now);
 	if (end < lease->wait_until)
 		lease->wait_until = end;
 }
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -43,7 +43,7 @@
 KB_EVENT(1311, GROUP_VACANT, WARN,
 	 "no host holds a group's lease; its primary's position bounds reads")
 KB_EVENT(1312, HOLD_FENCED, INFO,
-	 "the other hosts were asked to give up a former lease")
+	 "other hosts have granted a renewal that excludes former ones")
 
 KB_EVENT(1400, MEMBER_JOINED, INFO, "host joined or returned")
 KB_EVENT(1401, MEMBER_LEAVING, INFO, "host is leaving and accepts no new work")
--- a/src/proxy_fence.c
+++ b/src/proxy_fence.c
@@ -21,10 +21,12 @@
 {
 	kb_lease_t *lease = &round->group->lease;
 
-	kb_log(KB_EVENT_HOLD_FENCED,
-	       "group=%s revision=%" PRId64 " hosts=%zu granted=%zu",
-	       round->group->name.data, round->revision, round->hosts,
-	       round->granted);
+	if (round->group->fenced_hosts != round->granted)
+		kb_log(KB_EVENT_HOLD_FENCED,
+		       "group=%s revision=%" PRId64 " hosts=%zu granted=%zu",
+		       round->group->name.data, round->revision, round->hosts,
+		       round->granted);
+	round->group->fenced_hosts = round->granted;
 	if (round->granted == round->hosts)
 		kb_lease_on_fenced(lease, round->revision,
 				   round->other_granted_at, now);
@@ -90,9 +92,10 @@
 		if (!may_serve(host, sent_at))
 			continue;
 		round->hosts++;
+		if (kb_rpc_peer_call(&host->peer, &rpc))
+			continue;
 		proxy->stats.host_calls++;
-		if (!kb_rpc_peer_call(&host->peer, &rpc))
-			round->open++;
+		round->open++;
 	}
 	if (!--round->open)
 		end_round(round, sent_at);
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -118,6 +118,8 @@
 	kb_time_t in_use_since;
 	kb_proxy_probe_t *probes[KB_MONITOR_TARGETS_MAX];
 	size_t probe_count;
+	/* Hosts that have granted this one's renewal in the last round. */
+	size_t fenced_hosts;
 	/* Start of a planned hand-over to another host, or 0. */
 	kb_time_t handover_started_at;
 	/* This host held the group when its planned stop started. */
@@ -233,7 +235,7 @@
 void kb_proxy_group_tick(kb_proxy_group_t *group, kb_time_t now);
 void kb_proxy_group_on_key(kb_proxy_t *proxy, kb_str_t key,
 			   const kb_mirror_entry_t *entry);
-/* Tells the leases whose keys are missing that the store was restored. */
+/* Tells the leases that the store was restored. */
 void kb_proxy_groups_on_restore(kb_proxy_t *proxy, kb_time_t now);
 /* Fills in the present commit watermark if this host serves the group. */
 void kb_proxy_group_local_watermark(kb_proxy_group_t *group, kbs_stamp *stamp);
--- a/tests/lease_cluster.h
+++ b/tests/lease_cluster.h
@@ -61,14 +61,6 @@
 		int generation = 0;
 	};
 
-	std::vector<std::unique_ptr<Host>> hosts;
-	kb_time_t now = KB_NS_PER_S;
-	kb_rng_t rng;
-	BrokenRule broken_rule = BrokenRule::NOTHING;
-	bool exists = false;
-	kb_lease_record_t record{};
-	int64_t revision = 10;
-	int64_t key_revision = 0;
 	/* A former state of the store. */
 	struct Copy {
 		kb_time_t at;
@@ -77,6 +69,15 @@
 		int64_t number;
 		int64_t key_number;
 	};
+
+	std::vector<std::unique_ptr<Host>> hosts;
+	kb_time_t now = KB_NS_PER_S;
+	kb_rng_t rng;
+	BrokenRule broken_rule = BrokenRule::NOTHING;
+	bool exists = false;
+	kb_lease_record_t record{};
+	int64_t revision = 10;
+	int64_t key_revision = 0;
 	std::vector<Copy> copies;
 	bool store_down = false;
 	/* Writes to an unreachable store get no answer instead of an error. */
--- a/tests/lease_simulation.h
+++ b/tests/lease_simulation.h
@@ -69,6 +69,23 @@
 	 * holder may have lost its majority and been replaced without their
 	 * noticing, and then the terms of the targets decide.
 	 */
+	/* Index of the host that serves, or the number of hosts. */
+	size_t serving_host() const
+	{
+		size_t i = 0;
+
+		while (i < hosts.size() &&
+		       !(hosts[i]->alive &&
+			 kb_lease_may_serve(&hosts[i]->lease, now)))
+			i++;
+		return i;
+	}
+
+	void cut(size_t a, size_t b, bool broken = true)
+	{
+		broken_links[{ std::min(a, b), std::max(a, b) }] = broken;
+	}
+
 	bool is_vacant(const kb_lease_t &lease)
 	{
 		kb_lease_denials_t possible;
--- /dev/null
+++ b/tests/test_lease_restore.cc
@@ -0,0 +1,143 @@
+#include "lease_simulation.h"
+
+using namespace lease_simulation;
+
+namespace
+{
+
+/* The store returns from an older copy at some of the faults. */
+std::string run_restores(uint64_t seed, BrokenRule broken_rule)
+{
+	Simulation simulation(3 + seed % 5, seed, broken_rule);
+
+	simulation.run(3 * KB_NS_PER_S);
+	for (int i = 0; i < 12 && simulation.violation.empty(); i++) {
+		simulation.random_fault();
+		simulation.run((kb_time_t)(100 + simulation.below(2500)) * MS);
+		if (simulation.below(3))
+			continue;
+		simulation.restore((kb_time_t)simulation.below(12000) * MS);
+		simulation.run((kb_time_t)simulation.below(1500) * MS);
+	}
+	return simulation.violation;
+}
+
+/*
+ * The holder serves on with two of its voters, cut off from all others, while
+ * the store returns from a copy without its record.
+ */
+std::string restore_without_holder(uint64_t seed, BrokenRule broken_rule,
+				   kb_time_t *replaced_after)
+{
+	Simulation simulation(7, seed, broken_rule);
+	const kb_lease_record_t &record = simulation.record;
+	std::vector<size_t> isolated;
+	kb_time_t restored_at;
+
+	simulation.run(4 * KB_NS_PER_S);
+	for (size_t i = 0; i < 3; i++)
+		isolated.push_back(simulation.index(
+			*simulation.find(&record.voters.hosts[i])));
+	for (size_t i : isolated) {
+		simulation.hosts[i]->store_unreachable = true;
+		for (size_t j = 0; j < simulation.hosts.size(); j++)
+			if (std::find(isolated.begin(), isolated.end(), j) ==
+			    isolated.end())
+				simulation.broken_links[{ std::min(i, j),
+							  std::max(i, j) }] =
+					true;
+	}
+	simulation.restore(KB_NS_PER_S * 60);
+	restored_at = simulation.now;
+	*replaced_after = KB_TIME_NEVER;
+	while (simulation.now - restored_at < 30 * KB_NS_PER_S &&
+	       simulation.violation.empty()) {
+		simulation.step();
+		for (auto &host : simulation.hosts)
+			if (*replaced_after == KB_TIME_NEVER &&
+			    !host->store_unreachable &&
+			    kb_lease_may_serve(&host->lease, simulation.now))
+				*replaced_after = simulation.now - restored_at;
+	}
+	return simulation.violation;
+}
+
+} // namespace
+
+TEST(LeaseRestore, TwoHostsNeverServeAGroupAtOnceAcrossRestoresOfTheStore)
+{
+	for (uint64_t seed = 1; seed <= 300; seed++)
+		ASSERT_EQ("", run_restores(seed, BrokenRule::NOTHING))
+			<< "seed " << seed;
+}
+
+TEST(LeaseRestore, ARestoredRecordIsNoProofOfTheLastHolder)
+{
+	bool found = false;
+
+	for (uint64_t seed = 1; seed <= 600 && !found; seed++)
+		found = !run_restores(seed, BrokenRule::TRUSTS_RESTORED_RECORD)
+				 .empty();
+	EXPECT_TRUE(found);
+}
+
+/* Nothing but time shows that such a holder has stopped. */
+TEST(LeaseRestore, AnUnreachableHolderIsReplacedAfterARestoreWhenItsLeaseHasEnded)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		kb_time_t after;
+
+		EXPECT_EQ("", restore_without_holder(seed, BrokenRule::NOTHING,
+						     &after));
+		EXPECT_GE(after,
+			  (KB_LEASE_MAX_UNCONFIRMED_S - 7) * KB_NS_PER_S);
+		EXPECT_LE(after, 26 * KB_NS_PER_S);
+		EXPECT_NE("",
+			  restore_without_holder(
+				  seed, BrokenRule::ONE_FENCED_HOST, &after));
+	}
+}
+
+/* The holder writes its record again and is not interrupted. */
+TEST(LeaseRestore, ServiceContinuesWhenTheStoreReturnsFromAnOlderCopy)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		Simulation simulation(7, seed);
+		kb_time_t gap = 0;
+
+		simulation.run((kb_time_t)(2 + seed % 5) * KB_NS_PER_S);
+		simulation.store_down = true;
+		simulation.run(2 * KB_NS_PER_S);
+		simulation.store_down = false;
+		simulation.restore((kb_time_t)simulation.below(9000) * MS);
+		simulation.served_at = simulation.now;
+		for (int i = 0; i < 3000; i++) {
+			simulation.step();
+			gap = std::max(gap,
+				       simulation.now - simulation.served_at);
+		}
+		EXPECT_LE(gap, 50 * MS) << seed;
+	}
+}
+
+/* Its process has restarted, so that all hosts can tell that none serves. */
+TEST(LeaseRestore, AHolderKilledBeforeTheStoreIsRestoredIsReplacedSoon)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		Simulation simulation(7, seed);
+
+		simulation.run(4 * KB_NS_PER_S);
+		simulation.store_down = true;
+		for (auto &host : simulation.hosts)
+			if (host->lease.role == KB_LEASE_SERVING) {
+				host->alive = false;
+				host->down_until = simulation.now + KB_NS_PER_S;
+			}
+		simulation.run(2 * KB_NS_PER_S);
+		simulation.store_down = false;
+		simulation.restore((kb_time_t)simulation.below(9000) * MS);
+		simulation.run(7 * KB_NS_PER_S);
+		EXPECT_GT(simulation.served_at, simulation.now - 100 * MS)
+			<< seed;
+	}
+}
