Keep an unanswered change of voters across a restore of the store

Found by review with the simulation: two hosts served a group at once. The holder had replaced two voters by a write that took effect without an answer, another host took the group over by the new voters, and the store was restored. On learning of that the former holder forgot its open write, so that the grants of its former voters alone made its lease valid again.

An open write now stays open across the restore: voters of both records decide until one of them is written in the new era, as before a restore.

--- a/src/lease_restore.c
+++ b/src/lease_restore.c
@@ -31,7 +31,6 @@
 	lease->era_known_at = now;
 	lease->holder_seen_at = now;
 	lease->preparing = 0;
-	lease->rewriting = 0;
 	if (lease->role == KB_LEASE_SERVING)
 		kb_lease_rebuild_grants(lease);
 	else
@@ -51,7 +50,12 @@
 	if (lease->rewriting && now - lease->write_sent_at <
 					KB_LEASE_CALL_TIMEOUT_MS * KB_NS_PER_MS)
 		return;
-	lease->pending = lease->record;
+	/*
+	 * An unanswered change of voters may have taken effect before the
+	 * restore; then the new voters decide, too.
+	 */
+	if (!lease->rewriting)
+		lease->pending = lease->record;
 	lease->rewriting = 1;
 	kb_lease_begin_write(lease, now);
 }
--- a/tests/test_lease_restore.cc
+++ b/tests/test_lease_restore.cc
@@ -62,6 +62,63 @@
 	return simulation.violation;
 }
 
+/*
+ * The holder changes its voters, without an answer, and loses all but one of
+ * them; another host takes over by the new ones. Then two of the former voters
+ * return to the former holder, and the store is restored.
+ */
+std::string restore_after_unanswered_voter_change(uint64_t seed)
+{
+	Simulation simulation(7, seed);
+	std::vector<size_t> voters;
+	size_t holder;
+	int64_t revision;
+
+	simulation.run(4 * KB_NS_PER_S);
+	holder = simulation.serving_host();
+	revision = simulation.key_revision;
+	if (holder == simulation.hosts.size())
+		return "no holder";
+	for (size_t i = 0; i < simulation.hosts.size(); i++) {
+		kb_name_t name = name_of(simulation.hosts[i]->name);
+
+		if (i != holder &&
+		    kb_voter_set_contains(&simulation.record.voters, &name))
+			voters.push_back(i);
+	}
+	for (size_t lost : { voters[2], voters[3] }) {
+		simulation.hosts[lost]->store_unreachable = true;
+		for (size_t i = 0; i < simulation.hosts.size(); i++)
+			if (i != voters[2] && i != voters[3])
+				simulation.cut(i, lost);
+	}
+	Cluster::Host &former = *simulation.hosts[holder];
+	while (!former.lease.rewriting)
+		simulation.step();
+	/* Drops the answers that are on their way. */
+	former.generation++;
+	for (int i = 0; i < 60 && simulation.key_revision == revision; i++)
+		simulation.step();
+	former.generation++;
+	former.store_unreachable = true;
+	for (size_t i = 0; i < simulation.hosts.size(); i++)
+		if (i != holder)
+			simulation.cut(i, holder);
+	for (int i = 0; i < 1500; i++) {
+		simulation.step();
+		if (simulation.serving_host() < simulation.hosts.size() &&
+		    simulation.serving_host() != holder)
+			break;
+	}
+	simulation.cut(holder, voters[2], false);
+	simulation.cut(holder, voters[3], false);
+	simulation.run(600 * MS);
+	simulation.restore(simulation.now);
+	former.store_unreachable = false;
+	simulation.run(3 * KB_NS_PER_S);
+	return simulation.violation;
+}
+
 } // namespace
 
 TEST(LeaseRestore, TwoHostsNeverServeAGroupAtOnceAcrossRestoresOfTheStore)
@@ -82,7 +139,8 @@
 }
 
 /* Nothing but time shows that such a holder has stopped. */
-TEST(LeaseRestore, AnUnreachableHolderIsReplacedAfterARestoreWhenItsLeaseHasEnded)
+TEST(LeaseRestore,
+     AnUnreachableHolderIsReplacedAfterARestoreWhenItsLeaseHasEnded)
 {
 	for (uint64_t seed = 1; seed <= 20; seed++) {
 		kb_time_t after;
@@ -141,3 +199,10 @@
 			<< seed;
 	}
 }
+
+TEST(LeaseRestore, AnUnansweredChangeOfVotersIsNotForgotten)
+{
+	for (uint64_t seed = 1; seed <= 200; seed++)
+		ASSERT_EQ("", restore_after_unanswered_voter_change(seed))
+			<< "seed " << seed;
+}
