End the first start of a fleet when its store is restored

Found by review with the simulation: two hosts served a group at once. A host of a fleet's first start that had not seen a group's key finds it missing after a restore, takes that for a group that was never held, and serves without a wait.

A restore now ends the first start on every host that sees it, also for groups that it learns of later; such a takeover treats the former holder as unknown.

Open: a process that starts after the restore with first_start still set cannot tell.

--- a/src/lease.h
+++ b/src/lease.h
@@ -173,7 +173,7 @@
 	kb_name_t self;
 	/*
 	 * First start of the whole deployment: there is no former holder while
-	 * the key does not exist.
+	 * the key does not exist. Cleared when the store is restored.
 	 */
 	int first_start;
 	kb_time_t started_at;
@@ -304,6 +304,9 @@
 		       kb_time_t sent_at, int granted, kb_time_t exclusive_time,
 		       kb_time_t now);
 
+/* Takes notice that the store was restored, whatever the key shows. */
+void kb_lease_on_restore(kb_lease_t *lease);
+
 /*
  * All known hosts have granted a renewal of `revision`. `other_granted_at` is
  * the latest time at which one of them may have granted another host's.
--- a/src/lease_restore.c
+++ b/src/lease_restore.c
@@ -60,6 +60,11 @@
 	kb_lease_begin_write(lease, now);
 }
 
+void kb_lease_on_restore(kb_lease_t *lease)
+{
+	lease->first_start = 0;
+}
+
 static kb_time_t latest(kb_time_t a, kb_time_t b)
 {
 	return a > b ? a : b;
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -128,6 +128,7 @@
 	       "era=%" PRId64 " number=%" PRId64 " before=%" PRId64,
 	       kb_store_era(revision), kb_store_number(revision),
 	       kb_store_number(before));
+	proxy->store_restored = 1;
 	kb_proxy_groups_on_restore(proxy, now);
 	if (!is_registered(proxy))
 		kb_registration_refresh(&proxy->registration);
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -81,7 +81,9 @@
 	group->proxy = proxy;
 	kb_name_set(&group->name, name);
 	kb_lease_init(&group->lease, &kb_proxy_lease_ops, group, &group->name,
-		      &proxy->self.name, proxy->setup.settings->first_start,
+		      &proxy->self.name,
+		      proxy->setup.settings->first_start &&
+			      !proxy->store_restored,
 		      kb_clock_monotonic(proxy->clock));
 	kb_monitor_init(&group->monitor, &kb_proxy_monitor_ops, group,
 			&group->name);
@@ -130,6 +132,7 @@
 		kb_proxy_group_t *group = proxy->groups[i];
 		char key[KB_PROXY_LEASE_KEY_MAX_BYTES];
 
+		kb_lease_on_restore(&group->lease);
 		kb_proxy_lease_key(group, key);
 		if (!kb_mirror_find(&proxy->mirror, kb_str_from(key)))
 			kb_lease_on_key(&group->lease, NULL,
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -188,6 +188,7 @@
 	kb_mirror_t mirror;
 	/* Revision of the copy at the last check for a restore of the store. */
 	int64_t checked_revision;
+	int store_restored;
 	kb_store_poller_t store_poller;
 	kb_registration_t registration;
 	kb_databases_t databases;
--- a/tests/lease_cluster.h
+++ b/tests/lease_cluster.h
@@ -42,6 +42,8 @@
 	HIDES_OTHER_GRANTS,
 	/* Hosts take a record of an earlier era for that of the last holder. */
 	TRUSTS_RESTORED_RECORD,
+	/* A restore does not end the first start. */
+	REMAINS_FIRST_START,
 	/* All known hosts count as fenced when the first one grants. */
 	ONE_FENCED_HOST,
 };
@@ -59,6 +61,8 @@
 		kb_time_t down_until = 0;
 		bool store_unreachable = false;
 		int generation = 0;
+		/* Era of the store that its process has seen, or -1. */
+		int64_t era = -1;
 	};
 
 	/* A former state of the store. */
@@ -121,6 +125,7 @@
 
 		host.generation++;
 		host.alive = true;
+		host.era = -1;
 		kb_lease_init(&host.lease, &ops, &host, &group, &self, first,
 			      now);
 	}
@@ -192,6 +197,17 @@
 		key_revision = kb_store_revision(era, copy.key_number);
 	}
 
+	/* The host's copy of the store shows the present era. */
+	void learn_era(Host &host)
+	{
+		int64_t era = kb_store_era(revision);
+
+		if (host.era >= 0 && host.era < era &&
+		    broken_rule != BrokenRule::REMAINS_FIRST_START)
+			kb_lease_on_restore(&host.lease);
+		host.era = era;
+	}
+
 	/* As a host that does not know of eras sees a record. */
 	kb_lease_record_t seen_record() const
 	{
--- a/tests/lease_simulation.h
+++ b/tests/lease_simulation.h
@@ -29,6 +29,9 @@
 
 	void tick_host(Host &host)
 	{
+		/* As in the daemon, before the lease acts on the new copy. */
+		if (reaches_store(host))
+			learn_era(host);
 		if (reaches_store(host) && !exists &&
 		    (!host.lease.known || below(25) == 0))
 			kb_lease_on_key(&host.lease, nullptr, revision, now);
--- a/tests/test_lease_restore.cc
+++ b/tests/test_lease_restore.cc
@@ -119,6 +119,33 @@
 	return simulation.violation;
 }
 
+/*
+ * Hosts of a first start that know nothing of the group, as they could not
+ * reach the store, find its key missing after a restore.
+ */
+std::string restore_in_first_start(uint64_t seed, BrokenRule broken_rule)
+{
+	Simulation simulation(7, seed, broken_rule);
+	size_t holder;
+
+	for (size_t i = 0; i < 7; i++) {
+		simulation.learn_era(*simulation.hosts[i]);
+		simulation.hosts[i]->store_unreachable = i >= 3;
+	}
+	simulation.run(4 * KB_NS_PER_S);
+	holder = simulation.serving_host();
+	for (size_t i = 0; i < 3; i++) {
+		simulation.hosts[i]->store_unreachable = true;
+		for (size_t j = 3; j < 7; j++)
+			simulation.cut(i, j);
+	}
+	simulation.restore(simulation.now);
+	for (size_t i = 3; i < 7; i++)
+		simulation.hosts[i]->store_unreachable = false;
+	simulation.run(4 * KB_NS_PER_S);
+	return holder < 3 ? simulation.violation : "no holder";
+}
+
 } // namespace
 
 TEST(LeaseRestore, TwoHostsNeverServeAGroupAtOnceAcrossRestoresOfTheStore)
@@ -206,3 +233,14 @@
 		ASSERT_EQ("", restore_after_unanswered_voter_change(seed))
 			<< "seed " << seed;
 }
+
+TEST(LeaseRestore, AMissingKeyIsNoFirstStartAfterARestore)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		ASSERT_EQ("", restore_in_first_start(seed, BrokenRule::NOTHING))
+			<< "seed " << seed;
+		ASSERT_NE("", restore_in_first_start(
+				      seed, BrokenRule::REMAINS_FIRST_START))
+			<< "seed " << seed;
+	}
+}
