Let hosts register again before all known hosts count as fenced

Found by review with the simulation: a host that has started after the restore with a copy that lacks the others' registrations finds no host to ask, counts that as the consent of all, and serves a group that another host still holds.

A host that knows no others waits for the time after which no lease can be valid. Others wait 2 s from when they learned of the store's era, in which hosts whose keys were lost register again.

LeaseRestore.AHostThatHasStartedWaitsForUnregisteredHosts failed before: the wait ended 0.9 s after the first copy, not 2 s.

--- a/src/lease_restore.c
+++ b/src/lease_restore.c
@@ -80,6 +80,9 @@
 	if (lease->role != KB_LEASE_WAITING || lease->revision != revision ||
 	    !lease->record.former_unknown)
 		return;
+	/* Hosts whose keys were lost have to register before all are known. */
+	end = latest(end, lease->era_known_at +
+				  KB_LEASE_RESTORED_DELAY_MS * KB_NS_PER_MS);
 	end = latest(end, now);
 	if (end < lease->wait_until)
 		lease->wait_until = end;
--- a/src/proxy_fence.c
+++ b/src/proxy_fence.c
@@ -27,7 +27,8 @@
 		       round->group->name.data, round->revision, round->hosts,
 		       round->granted);
 	round->group->fenced_hosts = round->granted;
-	if (round->granted == round->hosts)
+	/* A host that knows no others cannot tell that none serves. */
+	if (round->hosts && round->granted == round->hosts)
 		kb_lease_on_fenced(lease, round->revision,
 				   round->other_granted_at, now);
 	free(round);
--- a/tests/test_lease_restore.cc
+++ b/tests/test_lease_restore.cc
@@ -166,8 +166,7 @@
 }
 
 /* Nothing but time shows that such a holder has stopped. */
-TEST(LeaseRestore,
-     AnUnreachableHolderIsReplacedAfterARestoreWhenItsLeaseHasEnded)
+TEST(LeaseRestore, AnUnreachableHolderIsReplacedAfterARestoreWhenItsLeaseHasEnded)
 {
 	for (uint64_t seed = 1; seed <= 20; seed++) {
 		kb_time_t after;
@@ -244,3 +243,25 @@
 			<< "seed " << seed;
 	}
 }
+
+/* Hosts whose keys were lost have to register again before they are known. */
+TEST(LeaseRestore, AHostThatHasStartedWaitsForUnregisteredHosts)
+{
+	Simulation simulation(3, 1);
+	Cluster::Host &host = *simulation.hosts[0];
+	kb_time_t started;
+
+	simulation.run(2 * KB_NS_PER_S);
+	for (size_t i = 1; i < 3; i++) {
+		simulation.hosts[i]->alive = false;
+		simulation.hosts[i]->down_until = KB_TIME_NEVER;
+	}
+	simulation.restore(simulation.now);
+	simulation.start(host, false);
+	started = simulation.now;
+	while (host.lease.role != KB_LEASE_WAITING)
+		simulation.step();
+	kb_lease_on_fenced(&host.lease, host.lease.revision, 0, simulation.now);
+	EXPECT_GE(host.lease.wait_until,
+		  started + KB_LEASE_RESTORED_DELAY_MS * MS);
+}
