--- a/tests/fake_server.h
+++ b/tests/fake_server.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <string>
 #include <sys/socket.h>
+#include <utility>
 #include <vector>
 
 /* An event loop that fails the test if it runs for longer than 20 s. */
@@ -56,6 +57,8 @@
 	int status;
 	/* Body, or the parts of a stream. */
 	std::vector<std::string> parts;
+	/* Names and values. Not for streams. */
+	std::vector<std::pair<std::string, std::string>> headers = {};
 };
 
 /* An HTTP server on the loopback address that runs a script of steps. */
@@ -150,6 +153,12 @@
 
 		switch (step.action) {
 		case Step::ANSWER:
+			for (const auto &header : step.headers)
+				evhttp_add_header(
+					evhttp_request_get_output_headers(
+						request),
+					header.first.c_str(),
+					header.second.c_str());
 			buffer = evbuffer_new();
 			evbuffer_add(buffer, step.parts[0].data(),
 				     step.parts[0].size());
