--- a/tests/test_platform_store.cc
+++ b/tests/test_platform_store.cc
@@ -63,12 +63,11 @@
 
 		test->log = kb_result_name(result);
 		for (size_t i = 0; range && i < range->count; i++)
-			test->log +=
-				" " +
-				std::string(range->entries[i].key.data,
-					    range->entries[i].key.len) +
-				"@" + text_of(range->entries[i].revision) +
-				"/" + text_of(range->entries[i].created);
+			test->log += " " +
+				     std::string(range->entries[i].key.data,
+						 range->entries[i].key.len) +
+				     "@" + text_of(range->entries[i].revision) +
+				     "/" + text_of(range->entries[i].created);
 		if (range)
 			test->log += " at " + text_of(range->revision);
 		test->answers++;
@@ -103,8 +102,8 @@
 	std::string poll(int64_t after)
 	{
 		EXPECT_EQ(KB_OK,
-			  store()->ops->poll(store(), &keys, after,
-					     KB_NS_PER_S, on_range, this));
+			  store()->ops->poll(store(), &keys, after, KB_NS_PER_S,
+					     on_range, this));
 		return wait();
 	}
 
@@ -115,8 +114,8 @@
 		write.key = KB_STR("a");
 		write.value = KB_STR("v");
 		write.expected = expected;
-		EXPECT_EQ(KB_OK, store()->ops->put(store(), &write, on_written,
-						   this));
+		EXPECT_EQ(KB_OK,
+			  store()->ops->put(store(), &write, on_written, this));
 		return wait();
 	}
 
