Send a whole copy to hosts of an earlier era

A key that the store lost in a restore stayed on hosts that had it if the host that they asked never had it, for instance because that one was some revisions behind when the store went away. Its list of removals does not name the key, and the asking host was sent the changes alone, until that host read the store itself or lost its copy.

The first copy of an era now starts the list of removals anew, so that a host of an earlier era is sent all keys and drops the others. All entries have a new revision then; the answer is not larger.

Found by AKeyThatOnlyTheAskingHostKnewIsGoneAfterARestore and AKeyThatARelayNeverHadIsGoneAfterARestore, which failed before and pass. Tests of the other transitions between eras passed before, too.

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -136,16 +136,26 @@
 		mirror->as_of = at;
 }
 
+/*
+ * Sets the revision of a newer copy. Removals before the first copy, or before
+ * the first one of an era, are not known: the store loses keys that this host
+ * never had.
+ */
+static void set_revision(kb_mirror_t *mirror, int64_t revision)
+{
+	if (!mirror->revision ||
+	    kb_store_era(revision) != kb_store_era(mirror->revision))
+		mirror->removals_since = revision;
+	mirror->revision = revision;
+}
+
 kb_result_t kb_mirror_apply_snapshot(kb_mirror_t *mirror,
 				     const kb_store_range_t *range,
 				     kb_time_t sent_at)
 {
 	if (range->revision < mirror->revision)
 		return KB_OK;
-	/* Removals before the first copy are not known. */
-	if (!mirror->revision)
-		mirror->removals_since = range->revision;
-	mirror->revision = range->revision;
+	set_revision(mirror, range->revision);
 	advance_as_of(mirror, sent_at);
 	mirror->sweep++;
 	for (size_t i = 0; i < range->count; i++)
@@ -282,9 +292,7 @@
 		advance_as_of(mirror, as_of);
 		return KB_OK;
 	}
-	if (!mirror->revision)
-		mirror->removals_since = revision;
-	mirror->revision = revision;
+	set_revision(mirror, revision);
 	advance_as_of(mirror, as_of);
 	apply_removals(mirror, res);
 	for (u_int j = 0; j < res->changed.changed_len; j++) {
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -31,7 +31,8 @@
 
 /*
  * Local copy of the store's keys, updated from the store itself or from other
- * hosts. It never goes back to an older revision of the store.
+ * hosts. It never goes back to an older revision of the store; after a restore
+ * of the store, a host whose copy is of an earlier era needs a whole copy.
  */
 typedef struct kb_mirror {
 	/* Hash table of the entries by key. */
--- a/tests/test_mirror.cc
+++ b/tests/test_mirror.cc
@@ -79,6 +79,13 @@
 	}
 };
 
+int64_t at(int64_t era, int64_t number)
+{
+	return kb_store_revision(era, number);
+}
+
+using Seen = std::map<std::string, std::string>;
+
 } // namespace
 
 TEST(Mirror, NeverReturnsToAnOlderRevision)
@@ -162,3 +169,120 @@
 	EXPECT_FALSE(res.whole);
 	kb_mirror_sync_finish(&res);
 }
+
+/* The numbers of after a restore are lower than those of before. */
+TEST(Mirror, AReadAfterARestoreReplacesACopyWithHigherNumbers)
+{
+	Mirror m;
+
+	m.apply_snapshot({ Mirror::entry("changed", "lost", at(1, 490)),
+			   Mirror::entry("gone", "lost", at(1, 495)),
+			   Mirror::entry("same", "kept", at(1, 7)) },
+			 at(1, 500));
+	m.apply_snapshot({ Mirror::entry("changed", "older", at(2, 12)),
+			   Mirror::entry("same", "kept", at(2, 7)) },
+			 at(2, 20));
+	EXPECT_EQ((Seen{ { "changed", "older" }, { "same", "kept" } }), m.seen);
+	EXPECT_EQ(at(2, 20), m.mirror.revision);
+	EXPECT_EQ(at(2, 7),
+		  kb_mirror_find(&m.mirror, KB_STR("same"))->revision);
+	/* Numbers that were given out before apply again. */
+	m.apply_changes({ Mirror::entry("changed", "new", at(2, 21)),
+			  Mirror::entry("same", nullptr, at(2, 22)) },
+			at(2, 22));
+	EXPECT_EQ((Seen{ { "changed", "new" } }), m.seen);
+}
+
+TEST(Mirror, AnAnswerFromBeforeARestoreIsIgnoredAfterIt)
+{
+	Mirror m;
+	Mirror late;
+	kbs_sync_args args = {};
+	kbs_sync_res res;
+
+	m.apply_snapshot({ Mirror::entry("a", "restored", at(2, 12)) },
+			 at(2, 20));
+	m.apply_snapshot({ Mirror::entry("a", "lost", at(1, 490)) },
+			 at(1, 500));
+	m.apply_changes({ Mirror::entry("a", nullptr, at(1, 510)),
+			  Mirror::entry("b", "lost", at(1, 511)) },
+			at(1, 511));
+	late.apply_snapshot({ Mirror::entry("a", "lost", at(1, 490)) },
+			    at(1, 500));
+	args.whole = TRUE;
+	ASSERT_EQ(KB_OK, kb_mirror_fill_sync(&late.mirror, &args, &res, 1));
+	EXPECT_EQ(KB_OK, kb_mirror_apply_sync(&m.mirror, &res, 2));
+	kb_mirror_sync_finish(&res);
+	EXPECT_EQ((Seen{ { "a", "restored" } }), m.seen);
+	EXPECT_EQ(at(2, 20), m.mirror.revision);
+}
+
+TEST(Mirror, AHostFollowsAnotherThroughARestore)
+{
+	Mirror reader;
+	Mirror fed;
+
+	reader.apply_snapshot({ Mirror::entry("changed", "lost", at(1, 490)),
+				Mirror::entry("gone", "lost", at(1, 495)),
+				Mirror::entry("same", "kept", at(1, 7)) },
+			      at(1, 500));
+	fed.sync_from(reader);
+	reader.apply_snapshot({ Mirror::entry("changed", "older", at(2, 12)),
+				Mirror::entry("same", "kept", at(2, 7)) },
+			      at(2, 20));
+	fed.sync_from(reader);
+	EXPECT_EQ((Seen{ { "changed", "older" }, { "same", "kept" } }),
+		  fed.seen);
+	EXPECT_EQ(at(2, 20), fed.mirror.revision);
+	/* One that has not seen the restore changes nothing. */
+	Mirror behind;
+	behind.apply_snapshot({ Mirror::entry("gone", "lost", at(1, 600)) },
+			      at(1, 600));
+	fed.sync_from(behind);
+	EXPECT_EQ(at(2, 20), fed.mirror.revision);
+	EXPECT_EQ(0u, fed.seen.count("gone"));
+	reader.apply_changes({ Mirror::entry("same", nullptr, at(2, 21)) },
+			     at(2, 21));
+	fed.sync_from(reader);
+	EXPECT_EQ((Seen{ { "changed", "older" } }), fed.seen);
+}
+
+/* It asks a reader that was behind it when the store was restored. */
+TEST(Mirror, AKeyThatOnlyTheAskingHostKnewIsGoneAfterARestore)
+{
+	Mirror reader;
+	Mirror fed;
+	Mirror next;
+
+	reader.apply_snapshot({ Mirror::entry("a", "1", at(1, 7)) },
+			      at(1, 500));
+	fed.sync_from(reader);
+	fed.apply_changes({ Mirror::entry("lost", "1", at(1, 501)) },
+			  at(1, 501));
+	next.sync_from(fed);
+	ASSERT_EQ("1", next.seen["lost"]);
+	reader.apply_snapshot({ Mirror::entry("a", "1", at(2, 7)) }, at(2, 20));
+	fed.sync_from(reader);
+	EXPECT_EQ((Seen{ { "a", "1" } }), fed.seen);
+	next.sync_from(fed);
+	EXPECT_EQ((Seen{ { "a", "1" } }), next.seen);
+}
+
+/* The same, one hop further, past a host that never had the key. */
+TEST(Mirror, AKeyThatARelayNeverHadIsGoneAfterARestore)
+{
+	Mirror reader;
+	Mirror relay;
+	Mirror ahead;
+
+	reader.apply_snapshot({ Mirror::entry("a", "1", at(1, 7)) },
+			      at(1, 500));
+	relay.sync_from(reader);
+	ahead.sync_from(reader);
+	ahead.apply_changes({ Mirror::entry("lost", "1", at(1, 501)) },
+			    at(1, 501));
+	reader.apply_snapshot({ Mirror::entry("a", "1", at(2, 7)) }, at(2, 20));
+	relay.sync_from(reader);
+	ahead.sync_from(relay);
+	EXPECT_EQ((Seen{ { "a", "1" } }), ahead.seen);
+}
