Test the feed and the poller across a restore

The feed answers a host of an earlier era at once and with removals, a waiting call ends with the restore, a late answer changes nothing, and the poller reads the whole store and goes on from its new revision. All pass as they are.

--- a/tests/recording_store.h
+++ b/tests/recording_store.h
@@ -19,6 +19,8 @@
 		/* Of a read. */
 		std::string key;
 		bool stale;
+		/* Of a poll the revision, of a write or keep-alive the lease. */
+		int64_t number = 0;
 	};
 
 	kb_store_t base;
@@ -72,11 +74,11 @@
 				    keys->stale != 0 });
 	}
 
-	static kb_result_t put(kb_store_t *store, const kb_store_write_t *,
+	static kb_result_t put(kb_store_t *store, const kb_store_write_t *write,
 			       kb_store_write_fn_t *done, void *ctx)
 	{
-		return add(store,
-			   { PUT, nullptr, done, nullptr, ctx, "", false });
+		return add(store, { PUT, nullptr, done, nullptr, ctx, "", false,
+				    write->lease });
 	}
 
 	static kb_result_t remove(kb_store_t *store, const kb_store_write_t *,
@@ -87,11 +89,11 @@
 	}
 
 	static kb_result_t poll(kb_store_t *store, const kb_store_keys_t *,
-				int64_t, kb_time_t, kb_store_range_fn_t *done,
-				void *ctx)
+				int64_t after, kb_time_t,
+				kb_store_range_fn_t *done, void *ctx)
 	{
-		return add(store,
-			   { POLL, done, nullptr, nullptr, ctx, "", false });
+		return add(store, { POLL, done, nullptr, nullptr, ctx, "",
+				    false, after });
 	}
 
 	static kb_result_t grant(kb_store_t *store, kb_time_t,
@@ -101,11 +103,11 @@
 			   { GRANT, nullptr, nullptr, done, ctx, "", false });
 	}
 
-	static kb_result_t keep(kb_store_t *store, int64_t,
+	static kb_result_t keep(kb_store_t *store, int64_t lease,
 				kb_store_lease_fn_t *done, void *ctx)
 	{
-		return add(store,
-			   { KEEP, nullptr, nullptr, done, ctx, "", false });
+		return add(store, { KEEP, nullptr, nullptr, done, ctx, "",
+				    false, lease });
 	}
 
 	static void cancel(kb_store_t *store, void *ctx)
--- a/tests/test_store_poller.cc
+++ b/tests/test_store_poller.cc
@@ -80,3 +80,30 @@
 	EXPECT_GE(pause_after_failure(),
 		  KB_STORE_POLLER_BACKOFF_MAX_MS / 2 * MS);
 }
+
+TEST_F(StorePoller, ARestoredStoreIsReadWholeAndPolledFromItsNewRevision)
+{
+	kb_store_range_t before = { kb_store_revision(1, 500), 0, nullptr };
+	kb_store_range_t after = { kb_store_revision(2, 20), 0, nullptr };
+	RecordingStore::Call call;
+
+	wait_for_call();
+	call = store.take();
+	call.on_range(call.ctx, KB_OK, &before);
+	wait_for_call();
+	ASSERT_EQ(RecordingStore::POLL, store.calls[0].kind);
+	EXPECT_EQ(kb_store_revision(1, 500), store.calls[0].number);
+	store.fail(KB_ERR_NOT_FOUND);
+	EXPECT_TRUE(poller.reached);
+	wait_for_call();
+	ASSERT_EQ(RecordingStore::GET, store.calls[0].kind);
+	/* It is restored again between two pages. */
+	store.fail(KB_ERR_NOT_FOUND);
+	wait_for_call();
+	ASSERT_EQ(RecordingStore::GET, store.calls[0].kind);
+	call = store.take();
+	call.on_range(call.ctx, KB_OK, &after);
+	wait_for_call();
+	ASSERT_EQ(RecordingStore::POLL, store.calls[0].kind);
+	EXPECT_EQ(kb_store_revision(2, 20), store.calls[0].number);
+}
--- a/tests/test_sync_feed.cc
+++ b/tests/test_sync_feed.cc
@@ -293,3 +293,46 @@
 	EXPECT_EQ("2", value("a"));
 	EXPECT_EQ(4, other.revision);
 }
+
+/* The revision that it knows has the higher number. */
+TEST_F(SyncFeed, AHostOfAnEarlierEraIsAnsweredAtOnceAndLosesWhatIsGone)
+{
+	kbs_sync_args none = args(0);
+	kbs_sync_args old = args(kb_store_revision(1, 500));
+	kb_store_entry_t restored = {};
+	kb_store_range_t range = { kb_store_revision(2, 20), 1, &restored };
+	Reply late;
+
+	write("a", "lost", kb_store_revision(1, 499));
+	write("gone", "lost", kb_store_revision(1, 500));
+	call(1, &none);
+	ASSERT_EQ(KB_OK, apply(replies[1], now));
+	late = replies[1];
+	restored.key = KB_STR("a");
+	restored.value = KB_STR("older");
+	restored.revision = kb_store_revision(2, 12);
+	ASSERT_EQ(KB_OK, kb_mirror_apply_snapshot(&mirror, &range, now));
+	call(2, &old);
+	ASSERT_EQ(2u, replies.size());
+	ASSERT_EQ(KB_OK, apply(replies[2], now));
+	EXPECT_EQ("older", value("a"));
+	EXPECT_EQ("", value("gone"));
+	EXPECT_EQ(kb_store_revision(2, 20), other.revision);
+	ASSERT_EQ(KB_OK, apply(late, now));
+	EXPECT_EQ("older", value("a"));
+	EXPECT_EQ(kb_store_revision(2, 20), other.revision);
+}
+
+TEST_F(SyncFeed, AWaitingCallOfAnEarlierEraEndsWithTheRestore)
+{
+	kbs_sync_args known = args(kb_store_revision(1, 500));
+	kb_store_range_t range = { kb_store_revision(2, 20), 0, nullptr };
+
+	write("a", "lost", kb_store_revision(1, 500));
+	call(1, &known);
+	EXPECT_TRUE(replies.empty());
+	ASSERT_EQ(KB_OK, kb_mirror_apply_snapshot(&mirror, &range, now));
+	kb_sync_feed_tick(&feed, now);
+	ASSERT_EQ(1u, replies.size());
+	EXPECT_EQ((uint64_t)kb_store_revision(2, 20), replies[1].revision);
+}
