Announce a leave that falls into a keep-alive

A host that began to stop, or learnt that the store had lost its key, while a keep-alive was in flight made its next call to the store 5 s later: the answer of the keep-alive set the time of the next call and overrode the request to call at once. Other hosts sent work to the stopping one until then. Such a request is now remembered until the next call.

Found by ALeaveDuringAKeepAliveIsAnnouncedWhenThatEnds, which failed before (no call after the keep-alive) and passes.

--- a/src/registration.c
+++ b/src/registration.c
@@ -31,6 +31,9 @@
 static void schedule_call(kb_registration_t *registration, kb_time_t delay_ms)
 {
 	registration->call_pending = 0;
+	/* Something changed while the call was in flight. */
+	if (registration->call_due)
+		return;
 	registration->next_call_at = kb_clock_monotonic(registration->clock) +
 				     delay_ms * KB_NS_PER_MS;
 }
@@ -120,6 +123,7 @@
 	if (registration->call_pending || now < registration->next_call_at)
 		return;
 	registration->call_pending = 1;
+	registration->call_due = 0;
 	if (!registration->lease)
 		result = store->ops->lease_grant(
 			store, KB_REGISTRATION_TTL_MS * KB_NS_PER_MS, on_leased,
@@ -133,16 +137,22 @@
 		schedule_call(registration, KB_REGISTRATION_RETRY_INTERVAL_MS);
 }
 
-void kb_registration_refresh(kb_registration_t *registration)
+static void make_call_due(kb_registration_t *registration)
 {
+	registration->call_due = 1;
 	registration->next_call_at = 0;
 }
 
+void kb_registration_refresh(kb_registration_t *registration)
+{
+	make_call_due(registration);
+}
+
 void kb_registration_set_leaving(kb_registration_t *registration)
 {
 	registration->leaving = 1;
 	registration->written = 0;
-	registration->next_call_at = 0;
+	make_call_due(registration);
 }
 
 kb_result_t kb_registration_parse(kb_str_t value, kb_host_info_t *info,
--- a/src/registration.h
+++ b/src/registration.h
@@ -27,6 +27,8 @@
 	/* The key was written under the lease. */
 	int written;
 	int call_pending;
+	/* Another call follows the pending one at once. */
+	int call_due;
 	/* Time of the store's last successful answer. */
 	kb_time_t reached_at;
 	int leaving;
