Register under a new lease when the store lost the key

After a restore that lost a host's key, the host wrote it under its old lease. If the store had lost that, too, the write failed and a new lease was requested 500 ms later; if the number had been given out again, the key was bound to another host's lease. A lease that a keep-alive found ended was also replaced 500 ms late. The host now drops the lease with the key and requests a new one at once, also when a keep-alive is in flight.

That numbers of leases are given out again is a guess; the delay is shown by AKeyThatTheStoreLostIsWrittenAtOnceUnderANewLease, AKeyLostDuringAKeepAliveIsWrittenWhenThatEnds and ALeaseThatIsGoneIsReplacedAtOnce, which failed before and pass.

--- a/src/registration.c
+++ b/src/registration.c
@@ -66,9 +66,13 @@
 	if (!result)
 		registration->reached_at =
 			kb_clock_monotonic(registration->clock);
-	schedule_call(registration,
-		      result ? KB_REGISTRATION_RETRY_INTERVAL_MS
-			     : KB_REGISTRATION_KEEPALIVE_INTERVAL_MS);
+	/* A new lease is requested at once. */
+	if (!registration->lease)
+		schedule_call(registration, 0);
+	else
+		schedule_call(registration,
+			      result ? KB_REGISTRATION_RETRY_INTERVAL_MS
+				     : KB_REGISTRATION_KEEPALIVE_INTERVAL_MS);
 }
 
 static void on_written(void *ctx, kb_result_t result,
@@ -145,6 +149,7 @@
 
 void kb_registration_refresh(kb_registration_t *registration)
 {
+	registration->lease = 0;
 	make_call_due(registration);
 }
 
--- a/src/registration.h
+++ b/src/registration.h
@@ -49,7 +49,10 @@
  */
 void kb_registration_tick(kb_registration_t *registration, int listed);
 
-/* Makes the next call at once: the store has lost the key. */
+/*
+ * Registers anew at once: the store has lost the key. The lease may be lost,
+ * too, or its number be given out again to another host.
+ */
 void kb_registration_refresh(kb_registration_t *registration);
 
 /* Announces that this host is leaving and takes no new work. */
--- a/tests/test_registration.cc
+++ b/tests/test_registration.cc
@@ -70,6 +70,44 @@
 
 } // namespace
 
+/* Its lease may be gone, or be another host's by now. */
+TEST_F(Registration, AKeyThatTheStoreLostIsWrittenAtOnceUnderANewLease)
+{
+	time.now += 100 * MS;
+	tick(1);
+	EXPECT_TRUE(store.calls.empty());
+	kb_registration_refresh(&registration);
+	tick(0);
+	end_lease_call(RecordingStore::GRANT, 3);
+	tick(0);
+	end_put(3);
+	EXPECT_TRUE(registration.written);
+}
+
+TEST_F(Registration, AKeyLostDuringAKeepAliveIsWrittenWhenThatEnds)
+{
+	time.now += KB_REGISTRATION_KEEPALIVE_INTERVAL_MS * MS;
+	tick(1);
+	kb_registration_refresh(&registration);
+	end_lease_call(RecordingStore::KEEP, 7);
+	tick(0);
+	end_lease_call(RecordingStore::GRANT, 3);
+	tick(0);
+	end_put(3);
+}
+
+TEST_F(Registration, ALeaseThatIsGoneIsReplacedAtOnce)
+{
+	time.now += KB_REGISTRATION_KEEPALIVE_INTERVAL_MS * MS;
+	tick(1);
+	ASSERT_EQ(1u, store.calls.size());
+	store.fail(KB_ERR_NOT_FOUND);
+	tick(1);
+	end_lease_call(RecordingStore::GRANT, 3);
+	tick(1);
+	end_put(3);
+}
+
 TEST_F(Registration, ALeaveDuringAKeepAliveIsAnnouncedWhenThatEnds)
 {
 	time.now += KB_REGISTRATION_KEEPALIVE_INTERVAL_MS * MS;
