--- a/tests/recording_store.h
+++ b/tests/recording_store.h
@@ -19,7 +19,8 @@
 		/* Of a read. */
 		std::string key;
 		bool stale;
-		/* Of a poll the revision, of a write or keep-alive the lease. */
+		/* Of a poll the revision, of a write or keep-alive the lease.
+		 */
 		int64_t number = 0;
 	};
 
--- a/tests/test_registration.cc
+++ b/tests/test_registration.cc
@@ -23,9 +23,9 @@
 
 		kb_name_set(&info.name, KB_STR("self"));
 		kb_name_set(&info.data_centre, KB_STR("dc"));
-		ASSERT_EQ(KB_OK, kb_registration_init(&registration,
-						      &store.base, &time.base,
-						      &info));
+		ASSERT_EQ(KB_OK,
+			  kb_registration_init(&registration, &store.base,
+					       &time.base, &info));
 		tick(0);
 		end_lease_call(RecordingStore::GRANT, 7);
 		tick(0);
