--- a/tests/test_lease_restore.cc
+++ b/tests/test_lease_restore.cc
@@ -166,7 +166,7 @@
 }
 
 /* Nothing but time shows that such a holder has stopped. */
-TEST(LeaseRestore, AnUnreachableHolderIsReplacedAfterARestoreWhenItsLeaseHasEnded)
+TEST(LeaseRestore, AnUnreachableHolderIsReplacedWhenItsLeaseHasEnded)
 {
 	for (uint64_t seed = 1; seed <= 20; seed++) {
 		kb_time_t after;
