Keep the lease while a promotion may take effect

A promotion takes effect some hundred milliseconds after it is requested, and the old primary accepts writes until then and for a second after. A stopping host released the group in that time, as the hand-over waited only for statements in flight. The next holder of a released group serves without a wait; it found the old primary leading the highest term, served it, and went on when the promotion took effect.

The monitor now records until when a promotion that it requested may take effect, and the hand-over asks it. The record ends when the promotion is seen in effect, is refused, was not done, or after 2 s. A monitor that is about to release its group requests no further promotion, so that a stop ends within its grace. A failover on a host that keeps its group is as before.

Before: Monitor.AGroupIsNotReleasedWhileAnOrderToPromoteIsOpen fails when the release asks for statements only: Value of: kb_monitor_prepare_release(monitor, simulation.now) Actual: true Expected: false After: the suite Monitor passes.

--- a/src/monitor.c
+++ b/src/monitor.c
@@ -68,6 +68,7 @@
 	monitor->promotee.len = 0;
 	monitor->former_primary.len = 0;
 	monitor->planned = 0;
+	monitor->releasing = 0;
 	monitor->gap_start = now;
 	kb_monitor_set_state(monitor,
 			     holds_lease ? KB_MONITOR_FINDING : KB_MONITOR_IDLE,
@@ -341,26 +342,6 @@
 	kb_monitor_set_paused(monitor, 0);
 }
 
-void kb_monitor_on_promoted(kb_monitor_t *monitor, kb_str_t target,
-			    kb_result_t result, kb_time_t now)
-{
-	kb_monitor_probe_t *probe = kb_monitor_find_probe(monitor, target);
-
-	if (!probe || monitor->state != KB_MONITOR_PROMOTING ||
-	    !kb_name_is(&monitor->promotee, target))
-		return;
-	if (result == KB_ERR_CONFLICT)
-		probe->rejected = 1;
-	else if (result == KB_ERR_OVERLOADED || result == KB_ERR_UNREACHABLE)
-		/* The promotion was not done: choose a target again at once. */
-		monitor->promotee_since =
-			now - KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS;
-	if (result)
-		kb_log(KB_EVENT_PROMOTION_FAILED,
-		       "group=%s target=%s result=%s", monitor->group.data,
-		       monitor->promotee.data, kb_result_name(result));
-}
-
 void kb_monitor_on_reachable(kb_monitor_t *monitor, kb_str_t target,
 			     const kb_name_t *host, uint64_t term)
 {
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -120,6 +120,13 @@
 	kb_name_t promotee;
 	kb_time_t promotee_since;
 	int promotion_sent;
+	/*
+	 * Until then a promotion that was requested may take effect; 0 if none
+	 * may. Outlives the lease, as the request does.
+	 */
+	kb_time_t promotion_open_until;
+	/* The lease is about to be released: no promotion is requested. */
+	int releasing;
 	int planned;
 	int paused;
 	int reachability_queried;
@@ -174,6 +181,14 @@
 void kb_monitor_on_connection_error(kb_monitor_t *monitor, int read_only,
 				    kb_time_t now);
 
+/*
+ * Requests no further promotion, and returns whether the lease may be released.
+ * It may not while a promotion that was requested may take effect: the next
+ * holder would find the old primary still leading, and serve it. That ends
+ * KB_MONITOR_PROMOTION_TIMEOUT_MS after the request at the latest.
+ */
+int kb_monitor_prepare_release(kb_monitor_t *monitor, kb_time_t now);
+
 /* Whether the primary is known and statements are directed to it. */
 int kb_monitor_is_serving(const kb_monitor_t *monitor);
 
--- a/src/monitor_promotion.c
+++ b/src/monitor_promotion.c
@@ -4,6 +4,12 @@
 
 #include <inttypes.h>
 
+int kb_monitor_prepare_release(kb_monitor_t *monitor, kb_time_t now)
+{
+	monitor->releasing = 1;
+	return now >= monitor->promotion_open_until;
+}
+
 void kb_monitor_begin_promotion(kb_monitor_t *monitor, kb_time_t now)
 {
 	monitor->promotee.len = 0;
@@ -53,12 +59,15 @@
 	const kb_target_entry_t *entry =
 		kb_target_list_find(targets, kb_name_str(&probe->target));
 
-	if (monitor->ops->lease_left(monitor->ctx) <
-	    KB_MONITOR_MIN_LEASE_LEFT_MS * KB_NS_PER_MS)
+	if (monitor->releasing ||
+	    monitor->ops->lease_left(monitor->ctx) <
+		    KB_MONITOR_MIN_LEASE_LEFT_MS * KB_NS_PER_MS)
 		return;
 	monitor->promotee = probe->target;
 	monitor->promotion_sent = 1;
 	monitor->promotee_since = now;
+	monitor->promotion_open_until =
+		now + KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS;
 	monitor->promotions++;
 	kb_log(KB_EVENT_PROMOTE_SENT,
 	       "group=%s target=%s received=%" PRIu64 ".%" PRIu64
@@ -139,6 +148,7 @@
 			monitor->former_primary_since = now;
 			monitor->step_down_sent_at = 0;
 		}
+		monitor->promotion_open_until = 0;
 		kb_log(KB_EVENT_PRIMARY_PROMOTED,
 		       "group=%s primary=%s term=%" PRIu64 " planned=%d",
 		       monitor->group.data, probe->target.data,
@@ -230,3 +240,27 @@
 	monitor->step_down_sent_at = now;
 	monitor->ops->step_down(monitor->ctx, entry, monitor->term);
 }
+
+void kb_monitor_on_promoted(kb_monitor_t *monitor, kb_str_t target,
+			    kb_result_t result, kb_time_t now)
+{
+	kb_monitor_probe_t *probe = kb_monitor_find_probe(monitor, target);
+
+	if (!probe || monitor->state != KB_MONITOR_PROMOTING ||
+	    !kb_name_is(&monitor->promotee, target))
+		return;
+	if (result == KB_ERR_CONFLICT) {
+		probe->rejected = 1;
+		monitor->promotion_open_until = 0;
+	} else if (result == KB_ERR_OVERLOADED ||
+		   result == KB_ERR_UNREACHABLE) {
+		/* The promotion was not done: choose a target again at once. */
+		monitor->promotee_since =
+			now - KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS;
+		monitor->promotion_open_until = 0;
+	}
+	if (result)
+		kb_log(KB_EVENT_PROMOTION_FAILED,
+		       "group=%s target=%s result=%s", monitor->group.data,
+		       monitor->promotee.data, kb_result_name(result));
+}
--- a/src/proxy_placement.c
+++ b/src/proxy_placement.c
@@ -120,6 +120,8 @@
 	    now - proxy->stop_started_at < PASS_ON_DELAY_MS * KB_NS_PER_MS)
 		return;
 	group->pool.paused = 1;
+	if (!kb_monitor_prepare_release(&group->monitor, now))
+		return;
 	if (kb_link_pool_active(&group->pool)) {
 		if (elapsed > HANDOVER_DRAIN_TIMEOUT_MS * KB_NS_PER_MS)
 			kb_link_pool_abort_transactions(&group->pool);
--- a/tests/test_monitor.cc
+++ b/tests/test_monitor.cc
@@ -35,6 +35,7 @@
 	int aborts = 0;
 	unsigned active = 0;
 	kb_time_t lease_left = 900 * MS;
+	kb_time_t promotion_delay = 300 * MS;
 	std::string handed_over_to;
 	std::string reached_by;
 	std::vector<std::string> promotions;
@@ -174,7 +175,8 @@
 		if (!simulation.state[name].promotable)
 			return;
 		simulation.events.emplace(
-			simulation.now + 300 * MS, [&simulation, name] {
+			simulation.now + simulation.promotion_delay,
+			[&simulation, name] {
 				for (auto &other : simulation.state)
 					other.second.term = 2;
 				simulation.state[name].primary = true;
@@ -487,3 +489,53 @@
 	EXPECT_TRUE(simulation.promotions.empty());
 	EXPECT_EQ(1, simulation.paused);
 }
+
+TEST(Monitor, AGroupIsNotReleasedWhileAnOrderToPromoteIsOpen)
+{
+	MonitorSimulation simulation;
+	kb_monitor_t *monitor = &simulation.monitor;
+
+	simulation.until([&] { return simulation.serves("a"); });
+	EXPECT_TRUE(kb_monitor_prepare_release(monitor, simulation.now));
+	monitor->releasing = 0;
+	simulation.add("a", true);
+	simulation.until([&] { return !simulation.promotions.empty(); });
+	/* The platform has accepted the order; a still leads. */
+	simulation.run(100 * MS);
+	ASSERT_FALSE(simulation.state["b"].primary);
+	EXPECT_FALSE(kb_monitor_prepare_release(monitor, simulation.now));
+	simulation.until([&] { return simulation.serves("b"); });
+	EXPECT_TRUE(kb_monitor_prepare_release(monitor, simulation.now));
+}
+
+TEST(Monitor, AnOrderWithoutEffectDelaysAReleaseForABoundedTime)
+{
+	MonitorSimulation simulation;
+	kb_monitor_t *monitor = &simulation.monitor;
+
+	simulation.until([&] { return simulation.serves("a"); });
+	simulation.promotion_delay = 60 * KB_NS_PER_S;
+	simulation.kill("a", true);
+	simulation.until([&] { return !simulation.promotions.empty(); });
+	EXPECT_LE(simulation.until([&] {
+		return kb_monitor_prepare_release(monitor, simulation.now) != 0;
+	}),
+		  2 * KB_NS_PER_S);
+	simulation.run(3 * KB_NS_PER_S);
+	EXPECT_EQ(1u, simulation.promotions.size());
+	EXPECT_TRUE(kb_monitor_prepare_release(monitor, simulation.now));
+}
+
+TEST(Monitor, AGroupMayBeReleasedOnceThePlatformHasRefusedTheOrder)
+{
+	MonitorSimulation simulation;
+
+	simulation.until([&] { return simulation.serves("a"); });
+	simulation.state["b"].promotable = false;
+	simulation.state["c"].promotable = false;
+	simulation.kill("a", true);
+	simulation.until([&] { return !simulation.promotions.empty(); });
+	simulation.run(20 * MS);
+	EXPECT_TRUE(kb_monitor_prepare_release(&simulation.monitor,
+					       simulation.now));
+}
