Refuse answers of the store that leave out its era

An answer without the header counted as one of era 0 and as good, though the store had told a later era before. A full read then changed nothing and no log line said so; a write counted as unknown. Safe, but silent.

Such an answer is now malformed, so that the loss of the store is logged.

--- a/tests/test_platform_store.cc
+++ b/tests/test_platform_store.cc
@@ -280,3 +280,11 @@
 	answer("3", R"({"revision": 17})");
 	EXPECT_EQ("ok 3:17", remove(KB_STORE_ANY));
 }
+
+TEST_F(PlatformStore, AnAnswerWithoutItsEraIsNoneOnceTheStoreHasToldOne)
+{
+	answer("2", R"({"items": [], "current_rev": 7})");
+	EXPECT_EQ("ok at 2:7", get());
+	answer("", R"({"items": [], "current_rev": 8})");
+	EXPECT_EQ("protocol", get());
+}
