Check in the soak that no replaced primary's commit is acknowledged

The stand-in demoted the old primary at the moment of a promotion, so that the soak could not see writes acknowledged by a replaced one. As on the platform, it now goes on accepting writes for a second or until it is told to step down, and the soak compares its commits with the acknowledged writes.

New faults: `release-primary` marks a primary as leaving; `stop-promoter` silences a primary until its replacement is ordered, then stops the host that ordered it.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -4,7 +4,8 @@
 Starts hosts (processes of the daemon) on the loopback, runs callers of all
 three consistency levels and injects faults in an order given by the seed.
 Checks that no acknowledged write was lost or executed twice, that no write
-reported as not executed took effect, and that every read included the writes
+reported as not executed took effect, that no write was acknowledged that a
+replaced primary committed, and that every read included the writes
 that its consistency level requires.
 
 Usage: soak.py DAEMON [--seconds N] [--seed N] [--hosts N] [--faults LIST]
@@ -29,7 +30,7 @@
 POLLS_PER_S = 8
 FAULTS = ["kill-host", "stop-host", "freeze-host", "kill-primary",
           "freeze-primary", "store-down", "store-restored", "kill-all",
-          "config"]
+          "config", "release-primary", "stop-promoter"]
 SETTINGS = """[host]
 name = {name}
 data_centre = z1
@@ -261,6 +262,34 @@
         await asyncio.sleep(delay)
         await host.start(False)
 
+    async def release(self, group, primary):
+        """Marks a primary as leaving until another one has taken over."""
+        primary.state = "draining"
+        until = time.monotonic() + 5
+        while time.monotonic() < until and \
+                group.newest_primary() is primary:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1)
+        primary.state = "ready"
+
+    async def stop_promoter(self, group, primary):
+        """Stops the host that has ordered the promotion of another primary.
+
+        The old primary is silent until the order and leads until it takes
+        effect.
+        """
+        ordered = len(group.promoters)
+        primary.running.clear()
+        until = time.monotonic() + 5
+        while time.monotonic() < until and len(group.promoters) == ordered:
+            await asyncio.sleep(0.01)
+        primary.running.set()
+        if len(group.promoters) > ordered:
+            host = next(h for h in self.hosts
+                        if h.name == group.promoters[ordered])
+            host.signal(signal.SIGTERM)
+            await self.restart(host, 0.5)
+
     async def fault(self, name):
         host = self.random.choice(self.hosts)
         group = self.random.choice(list(self.platform.groups.values()))
@@ -288,6 +317,10 @@
             primary.running.clear()
             await asyncio.sleep(self.random.uniform(0.2, 0.8))
             primary.running.set()
+        elif name == "release-primary":
+            await self.release(group, primary)
+        elif name == "stop-promoter":
+            await self.stop_promoter(group, primary)
         elif name == "store-down":
             self.platform.store.down = True
             await asyncio.sleep(self.random.uniform(1, 6))
@@ -355,6 +388,13 @@
             if lost:
                 self.records.violations.append(
                     f"{len(lost)} acknowledged writes of {name} were lost")
+            replaced = set(self.records.acked.get(name, {})) \
+                & group.replaced_commits
+            if replaced:
+                self.records.violations.append(
+                    f"{len(replaced)} acknowledged writes of {name} were "
+                    f"committed at a replaced primary, such as "
+                    f"{sorted(replaced)[0]}")
             unexpected = self.records.not_executed.get(name, set()) \
                 & set(executed)
             if unexpected:
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -20,6 +20,9 @@
     def __init__(self, group, name, slots=2):
         self.group, self.name = group, name
         self.role, self.term = "replica", 1
+        self.state = "ready"
+        # A replaced primary goes on accepting writes until then.
+        self.leads_until = 0
         self.log = []
         self.applied = 0
         self.slots = asyncio.Semaphore(slots)
@@ -44,6 +47,8 @@
                    for e in self.log[:self.applied])
 
     async def start(self):
+        if self.role == "primary" and self.group.newest_primary() is not self:
+            self.role = "replica"
         self.server = await asyncio.start_server(
             self.serve, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
@@ -156,6 +161,9 @@
         number = self.log[-1][1] + 1 if self.log else 1
         self.log.append((self.term, number, tuple(idents)))
         self.applied = len(self.log)
+        if self.group.newest_primary() is not self:
+            self.group.replaced_commits.update(idents)
+            self.group.rolled_back.update(idents)
         self.group.replicate(self, len(self.log))
 
 
@@ -163,6 +171,8 @@
     """The copies of one database, with replication and promotion."""
 
     PROMOTE_S = 0.3
+    # Time that a replaced primary needs to learn of the new one.
+    REPLACED_S = 1.0
 
     def __init__(self, name, store):
         self.name, self.store = name, store
@@ -172,6 +182,14 @@
         self.rolled_back = set()
         self.promotions = 0
         self.tokens = []
+        # Names of the hosts that ordered promotions.
+        self.promoters = []
+        # Writes that a replaced primary committed.
+        self.replaced_commits = set()
+
+    def newest_primary(self):
+        return max((t for t in self.targets if t.role == "primary"),
+                   key=lambda t: t.term, default=None)
 
     def replicate(self, source, length):
         loop = asyncio.get_running_loop()
@@ -193,15 +211,19 @@
     def synchronise_replicas(self):
         leader = max(self.targets, key=lambda t: t.term
                      if t.role == "primary" else 0)
+        now = asyncio.get_running_loop().time()
         for target in self.targets:
+            if target.role == "primary" and now < target.leads_until:
+                continue
             if target is not leader and self.alive[target.name] and \
                     self.alive[leader.name] and leader.term >= target.term:
                 target.role, target.term = "replica", leader.term
                 target.log = list(leader.log)
                 target.applied = len(target.log)
 
-    async def promote(self, ident, token):
+    async def promote(self, ident, token, holder):
         self.tokens.append(token)
+        self.promoters.append(holder)
         target = next((t for t in self.targets if t.name == ident), None)
         if not target or not self.alive[ident]:
             return 409
@@ -220,11 +242,16 @@
             for entry in other.log[len(target.log):]:
                 self.rolled_back.update(entry[2])
         target.role, target.term = "primary", term
+        now = asyncio.get_running_loop().time()
         for other in self.targets:
-            if other is not target and self.alive[other.name]:
+            if other is target or not self.alive[other.name]:
+                continue
+            if other.role == "primary":
+                other.leads_until = now + self.REPLACED_S
+            else:
                 other.log = list(target.log)
                 other.applied = len(other.log)
-                other.role, other.term = "replica", term
+                other.term = term
 
     def update_registrations(self):
         for target in self.targets:
@@ -235,7 +262,7 @@
             value = json.dumps({
                 "service": self.name,
                 "address": f"127.0.0.1:{target.port}", "zone": "z1",
-                "version": "v1", "slots": 2, "state": "ready", "cold_ms": 0,
+                "version": "v1", "slots": 2, "state": target.state, "cold_ms": 0,
                 "db_role": target.role, "seq": 1, "born": 1}).encode()
             present = self.store.items.get(key)
             if not present or base64.b64decode(present["value"]) != value:
@@ -312,7 +339,8 @@
             group = self.groups[body["service"]]
             status = await group.promote(
                 body["id"],
-                int(headers["x-kumquatbridge-fencing-token"]))
+                int(headers["x-kumquatbridge-fencing-token"]),
+                headers["x-kumquatbridge-duty-holder"])
             answer = {}
         else:
             status, answer = await self.store.serve(method, path, body)
