Remember an open promotion when the primary is looked up again

A host that lost the lease and regained it forgot the promotion that it had requested. It found the old primary still leading and served it, until and after the promotion took effect. It now serves no primary of a term known at the request while the promotion may take effect, for 2 s at most.

A promotion that took effect later than 2 s after the request was not seen by the poll that chooses a target again; with a newer log elsewhere, a second target was promoted. The poll now serves the target if it leads a later term.

In the test's simulation a replaced primary took the new term while it still led; it keeps its own now, as on the platform.

Before: Monitor.AHostThatRegainsTheLeaseWaitsForItsOwnOrder (serves a) and Monitor.APromotionThatTakesEffectLateIsSeenWhileReplicasArePolled (promotes c, then b) fail.

--- a/src/monitor.c
+++ b/src/monitor.c
@@ -175,6 +175,7 @@
 	monitor->term = report->term;
 	monitor->newest = report->received;
 	monitor->promotee.len = 0;
+	monitor->promotion_open_until = 0;
 	monitor->planned = 0;
 	monitor->ops->bind(monitor->ctx, primary);
 	kb_log(KB_EVENT_PRIMARY_SERVES,
@@ -209,6 +210,15 @@
 		    (!best || probe->report.term > best->report.term))
 			best = probe;
 	}
+	/* The primary that is found is about to be replaced. */
+	if (now < monitor->promotion_open_until &&
+	    (!best || best->report.term <= monitor->promotion_term)) {
+		/* Probe all targets again. */
+		if (!missing ||
+		    spent >= KB_MONITOR_FIND_TIMEOUT_MS * KB_NS_PER_MS)
+			monitor->state_since = now;
+		return;
+	}
 	if (best && best->report.term >= highest &&
 	    best->report.term >= monitor->term &&
 	    (!missing || spent >= KB_MONITOR_FIND_TIMEOUT_MS * KB_NS_PER_MS)) {
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -125,6 +125,8 @@
 	 * may. Outlives the lease, as the request does.
 	 */
 	kb_time_t promotion_open_until;
+	/* Highest term known when it was requested. */
+	uint64_t promotion_term;
 	/* The lease is about to be released: no promotion is requested. */
 	int releasing;
 	int planned;
--- a/src/monitor_promotion.c
+++ b/src/monitor_promotion.c
@@ -68,6 +68,11 @@
 	monitor->promotee_since = now;
 	monitor->promotion_open_until =
 		now + KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS;
+	monitor->promotion_term = monitor->term;
+	for (size_t i = 0; i < monitor->probe_count; i++)
+		if (monitor->probes[i].report.term > monitor->promotion_term)
+			monitor->promotion_term =
+				monitor->probes[i].report.term;
 	monitor->promotions++;
 	kb_log(KB_EVENT_PROMOTE_SENT,
 	       "group=%s target=%s received=%" PRIu64 ".%" PRIu64
@@ -97,6 +102,35 @@
 	return 0;
 }
 
+/* Serves the target whose promotion has taken effect. */
+static void finish_promotion(kb_monitor_t *monitor,
+			     const kb_target_list_t *targets,
+			     const kb_monitor_probe_t *probe, kb_time_t now)
+{
+	if (monitor->has_primary) {
+		monitor->former_primary = monitor->primary.place.target;
+		monitor->former_primary_since = now;
+		monitor->step_down_sent_at = 0;
+	}
+	kb_log(KB_EVENT_PRIMARY_PROMOTED,
+	       "group=%s primary=%s term=%" PRIu64 " planned=%d",
+	       monitor->group.data, probe->target.data, probe->report.term,
+	       monitor->planned);
+	kb_monitor_begin_serving(
+		monitor,
+		kb_target_list_find(targets, kb_name_str(&probe->target)),
+		&probe->report, now);
+}
+
+/* Whether the target that was last ordered to lead does so by now. */
+static int took_effect_late(const kb_monitor_t *monitor,
+			    const kb_monitor_probe_t *probe)
+{
+	return probe && probe->answered_at > monitor->state_since &&
+	       probe->report.is_primary &&
+	       probe->report.term > monitor->promotion_term;
+}
+
 static void tick_polling(kb_monitor_t *monitor, const kb_target_list_t *targets,
 			 kb_time_t now)
 {
@@ -109,6 +143,11 @@
 
 	if (!has_all && spent < KB_MONITOR_POLL_TIMEOUT_MS * KB_NS_PER_MS)
 		return;
+	best = kb_monitor_find_probe(monitor, kb_name_str(&monitor->promotee));
+	if (took_effect_late(monitor, best)) {
+		finish_promotion(monitor, targets, best, now);
+		return;
+	}
 	best = newest_replica(monitor, targets, monitor->state_since);
 	if (!best || (monitor->durable && newer_log_exists(monitor, best))) {
 		if (spent >= KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS) {
@@ -143,21 +182,7 @@
 	}
 	if (probe->answered_at > monitor->promotee_since &&
 	    probe->report.is_primary && probe->report.term >= monitor->term) {
-		if (monitor->has_primary) {
-			monitor->former_primary = monitor->primary.place.target;
-			monitor->former_primary_since = now;
-			monitor->step_down_sent_at = 0;
-		}
-		monitor->promotion_open_until = 0;
-		kb_log(KB_EVENT_PRIMARY_PROMOTED,
-		       "group=%s primary=%s term=%" PRIu64 " planned=%d",
-		       monitor->group.data, probe->target.data,
-		       probe->report.term, monitor->planned);
-		kb_monitor_begin_serving(
-			monitor,
-			kb_target_list_find(targets,
-					    kb_name_str(&probe->target)),
-			&probe->report, now);
+		finish_promotion(monitor, targets, probe, now);
 		return;
 	}
 	kb_monitor_send_probe(
--- a/tests/test_monitor.cc
+++ b/tests/test_monitor.cc
@@ -177,8 +177,10 @@
 		simulation.events.emplace(
 			simulation.now + simulation.promotion_delay,
 			[&simulation, name] {
+				/* The old primary leads its own term. */
 				for (auto &other : simulation.state)
-					other.second.term = 2;
+					if (!other.second.primary)
+						other.second.term = 2;
 				simulation.state[name].primary = true;
 			});
 	}
@@ -539,3 +541,37 @@
 	EXPECT_TRUE(kb_monitor_prepare_release(&simulation.monitor,
 					       simulation.now));
 }
+
+TEST(Monitor, AHostThatRegainsTheLeaseWaitsForItsOwnOrder)
+{
+	MonitorSimulation simulation;
+
+	simulation.until([&] { return simulation.serves("a"); });
+	simulation.promotion_delay = KB_NS_PER_S;
+	simulation.kill("a", false);
+	simulation.until([&] { return !simulation.promotions.empty(); });
+	simulation.state["a"].alive = true;
+	kb_monitor_set_active(&simulation.monitor, 0, simulation.now);
+	kb_monitor_set_active(&simulation.monitor, 1, simulation.now);
+	while (!simulation.serves("b") && simulation.now < 60 * KB_NS_PER_S) {
+		simulation.run(20 * MS);
+		ASSERT_FALSE(simulation.serves("a"));
+	}
+	EXPECT_EQ((std::vector<std::string>{ "b" }), simulation.promotions);
+}
+
+TEST(Monitor, APromotionThatTakesEffectLateIsSeenWhileReplicasArePolled)
+{
+	MonitorSimulation simulation;
+
+	simulation.until([&] { return simulation.serves("a"); });
+	simulation.state["c"].position = 150;
+	simulation.promotion_delay = 2040 * MS;
+	simulation.kill("a", true);
+	simulation.until([&] { return !simulation.promotions.empty(); });
+	/* Another replica reports as new a log before it is polled. */
+	simulation.state["b"].position = 151;
+	simulation.run(4 * KB_NS_PER_S);
+	EXPECT_EQ((std::vector<std::string>{ "c" }), simulation.promotions);
+	EXPECT_TRUE(simulation.serves("c"));
+}
