Hand a group over only when the store can name the successor

A hand-over stopped serving first and wrote the successor then. With the store away the write had no answer, and after a restore the record is lost, so that all hosts had to wait until the former holder was known to have stopped.

The holder now serves on until a read of the key that was sent since the hand-over started finds it unchanged. A move is given up after 3 s without the store; a stopping host goes on, as before.

--- a/src/lease.c
+++ b/src/lease.c
@@ -325,3 +325,12 @@
 	lease->reading = 0;
 	kb_lease_begin_read(lease, now);
 }
+
+int kb_lease_confirm(kb_lease_t *lease, kb_time_t since, kb_time_t now)
+{
+	if (!lease->restored && lease->confirmed &&
+	    lease->confirmed_at >= since)
+		return 1;
+	kb_lease_begin_read(lease, now);
+	return 0;
+}
--- a/src/lease.h
+++ b/src/lease.h
@@ -321,6 +321,12 @@
 /* Reads the key, which names this host according to another one. */
 void kb_lease_refresh(kb_lease_t *lease, kb_time_t now);
 
+/*
+ * Whether a read that was sent at `since` or later has found the key naming
+ * this host; begins one if not.
+ */
+int kb_lease_confirm(kb_lease_t *lease, kb_time_t since, kb_time_t now);
+
 /*
  * Takes another host's answer about the holder: it last saw the holder serving
  * at `seen_at`, or never if `seen` is 0.
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -122,6 +122,8 @@
 	size_t fenced_hosts;
 	/* Start of a planned hand-over to another host, or 0. */
 	kb_time_t handover_started_at;
+	/* The store has confirmed the key since then, or was waited for. */
+	int handover_confirmed;
 	/* This host held the group when its planned stop started. */
 	int held_at_stop;
 	kb_name_t successor;
--- a/src/proxy_placement.c
+++ b/src/proxy_placement.c
@@ -7,6 +7,11 @@
 	HANDOVER_DRAIN_TIMEOUT_MS = 500,
 	/* The group is handed over after this time at the latest. */
 	HANDOVER_TIMEOUT_MS = 800,
+	/*
+	 * Time for the store to confirm the key first: without the store no
+	 * successor can be named, and the group would be without a holder.
+	 */
+	HANDOVER_STORE_TIMEOUT_MS = 3000,
 	/*
 	 * A stopping host that is named as the holder keeps the group until
 	 * this time after the start of its stop. By then it knows which others
@@ -105,6 +110,35 @@
 			add_ranked(ranking, &preferred->hosts[i]->name);
 }
 
+/*
+ * Serves on until the store has confirmed the key since the hand-over started.
+ * Without the store, a move to a better host is given up, and a stop goes on
+ * after a while. Returns whether the hand-over may continue.
+ */
+static int confirm_handover(kb_proxy_group_t *group, kb_time_t now)
+{
+	kb_time_t elapsed = now - group->handover_started_at;
+	int is_late = elapsed >= HANDOVER_STORE_TIMEOUT_MS * KB_NS_PER_MS;
+
+	if (group->lease.role == KB_LEASE_SERVING &&
+	    !kb_lease_confirm(&group->lease, group->handover_started_at, now)) {
+		if (!is_late)
+			return 0;
+		if (!group->proxy->stopping) {
+			kb_log(KB_EVENT_HOLD_STATE,
+			       "group=%s nearer=%s result=store-lost",
+			       group->name.data, group->successor.data);
+			group->handover_started_at = 0;
+			group->better_host_since = 0;
+			group->successor.len = 0;
+			return 0;
+		}
+	}
+	group->handover_confirmed = 1;
+	group->handover_started_at = now;
+	return 1;
+}
+
 /* Waits for work in flight to end, then releases the group. */
 void kb_proxy_group_hand_over(kb_proxy_group_t *group, kb_time_t now)
 {
@@ -114,11 +148,17 @@
 	if (group->lease.role != KB_LEASE_SERVING &&
 	    group->lease.role != KB_LEASE_WAITING) {
 		group->handover_started_at = 0;
+		group->handover_confirmed = 0;
 		return;
 	}
 	if (proxy->stopping && !group->held_at_stop &&
 	    now - proxy->stop_started_at < PASS_ON_DELAY_MS * KB_NS_PER_MS)
 		return;
+	if (!group->handover_confirmed) {
+		if (!confirm_handover(group, now))
+			return;
+		elapsed = 0;
+	}
 	group->pool.paused = 1;
 	if (!kb_monitor_prepare_release(&group->monitor, now))
 		return;
--- a/tests/test_lease_restore.cc
+++ b/tests/test_lease_restore.cc
@@ -265,3 +265,32 @@
 	EXPECT_GE(host.lease.wait_until,
 		  started + KB_LEASE_RESTORED_DELAY_MS * MS);
 }
+
+/* A group must not be released to a store that cannot name the successor. */
+TEST(LeaseRestore, AHolderWithoutTheStoreIsNotConfirmedForAHandOver)
+{
+	Simulation simulation(5, 1);
+	kb_time_t started;
+	size_t i;
+
+	simulation.run(4 * KB_NS_PER_S);
+	i = simulation.serving_host();
+	ASSERT_LT(i, simulation.hosts.size());
+	kb_lease_t *lease = &simulation.hosts[i]->lease;
+	simulation.store_down = true;
+	started = simulation.now;
+	for (int n = 0; n < 200; n++) {
+		simulation.step();
+		ASSERT_FALSE(kb_lease_confirm(lease, started, simulation.now));
+	}
+	simulation.restore(2 * KB_NS_PER_S);
+	simulation.store_down = false;
+	for (int n = 0; n < 200; n++) {
+		simulation.step();
+		if (kb_lease_confirm(lease, started, simulation.now))
+			break;
+	}
+	EXPECT_TRUE(kb_lease_confirm(lease, started, simulation.now));
+	EXPECT_EQ(i, simulation.serving_host());
+	EXPECT_EQ(kb_store_era(simulation.revision), lease->record.era);
+}
