--- a/src/lease_internal.h
+++ b/src/lease_internal.h
@@ -33,10 +33,10 @@
 void kb_lease_rebuild_grants(kb_lease_t *lease);
 
 /*
- * Gives up the lease after the key has come to name another host, or what this
- * host has begun when the store was restored. An
- * unanswered write of this host was conditioned on an earlier revision, so it
- * has been overwritten or will fail.
+ * Gives up the lease, or the attempt to get it, after the key has come to name
+ * another host or the store was restored. An unanswered write of this host was
+ * conditioned on an earlier revision: it has been overwritten, will fail, or is
+ * void in the new era.
  */
 void kb_lease_lose(kb_lease_t *lease);
 
