Move the decisions under load to src/load/

Cause: src/ is flat, and what decides about waiting, refusing and placing stands among 317 files; nothing holds it free of I/O.

Change: admission, fair queue, pools and their queue, and the budgets move without a change of their code. The endpoint type gets a header of its own, since the interface of a link needs nothing else of the settings. The replica selector stays, since it reads the proxy's tables.

--- a/bench/bench_decisions.c
+++ b/bench/bench_decisions.c
@@ -1,6 +1,6 @@
-#include "admission.h"
+#include "load/admission.h"
 #include "freshness.h"
-#include "pool.h"
+#include "load/pool.h"
 #include "route.h"
 #include "token.h"
 
--- a/src/link.h
+++ b/src/link.h
@@ -1,8 +1,8 @@
 #ifndef KB_LINK_H
 #define KB_LINK_H
 
+#include "endpoint.h"
 #include "point.h"
-#include "settings.h"
 #include "text.h"
 
 KB_BEGIN_DECLS
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -6,7 +6,7 @@
 #include "host_ranking.h"
 #include "hosts.h"
 #include "lease.h"
-#include "link_pool.h"
+#include "load/link_pool.h"
 #include "monitor.h"
 #include "proxy_stats.h"
 #include "registration.h"
--- a/src/router.h
+++ b/src/router.h
@@ -4,8 +4,8 @@
 #include "call.h"
 #include "group_hint.h"
 #include "hosts.h"
-#include "bandwidth_limiter.h"
-#include "retry_budget.h"
+#include "load/bandwidth_limiter.h"
+#include "load/retry_budget.h"
 #include "trace.h"
 
 struct event_base;
--- a/src/settings.h
+++ b/src/settings.h
@@ -1,6 +1,7 @@
 #ifndef KB_SETTINGS_H
 #define KB_SETTINGS_H
 
+#include "endpoint.h"
 #include "log.h"
 #include "str.h"
 
@@ -18,12 +19,6 @@
 #define KB_SETTINGS_SECRET_MAX_BYTES 128
 #define KB_SETTINGS_PATH_MAX_BYTES 256
 
-/* An IP address and a port. */
-typedef struct kb_endpoint {
-	kb_name_t address;
-	uint16_t port;
-} kb_endpoint_t;
-
 /* A host to contact at the start. */
 typedef struct kb_settings_peer {
 	kb_name_t name;
--- a/src/target_gate.h
+++ b/src/target_gate.h
@@ -1,10 +1,10 @@
 #ifndef KB_TARGET_GATE_H
 #define KB_TARGET_GATE_H
 
-#include "admission.h"
+#include "load/admission.h"
 #include "agent.h"
 #include "exec.h"
-#include "pool.h"
+#include "load/pool.h"
 #include "router.h"
 #include "trace.h"
 #include "transaction.h"
--- a/src/transaction.h
+++ b/src/transaction.h
@@ -1,9 +1,9 @@
 #ifndef KB_TRANSACTION_H
 #define KB_TRANSACTION_H
 
-#include "admission.h"
+#include "load/admission.h"
 #include "exec.h"
-#include "pool.h"
+#include "load/pool.h"
 
 KB_BEGIN_DECLS
 
--- a/tests/admission_fixture.h
+++ b/tests/admission_fixture.h
@@ -1,7 +1,7 @@
 #ifndef KB_TEST_ADMISSION_FIXTURE_H
 #define KB_TEST_ADMISSION_FIXTURE_H
 
-#include "admission.h"
+#include "load/admission.h"
 
 #include <gtest/gtest.h>
 #include <algorithm>
--- a/tests/fake_link_connector.h
+++ b/tests/fake_link_connector.h
@@ -2,8 +2,8 @@
 #define KB_TESTS_FAKE_LINK_CONNECTOR_H
 
 #include "fake_time.h"
-#include "link_pool.h"
-#include "pool_conn.h"
+#include "load/link_pool.h"
+#include "load/pool_conn.h"
 #include "rng.h"
 
 #include <gtest/gtest.h>
--- a/tests/pool_recorder.h
+++ b/tests/pool_recorder.h
@@ -1,7 +1,7 @@
 #ifndef KB_TEST_POOL_RECORDER_H
 #define KB_TEST_POOL_RECORDER_H
 
-#include "pool.h"
+#include "load/pool.h"
 
 #include <gtest/gtest.h>
 #include <algorithm>
--- a/tests/test_budgets.cc
+++ b/tests/test_budgets.cc
@@ -1,6 +1,6 @@
 #include "class_defaults.h"
-#include "bandwidth_limiter.h"
-#include "retry_budget.h"
+#include "load/bandwidth_limiter.h"
+#include "load/retry_budget.h"
 
 #include <gtest/gtest.h>
 #include <algorithm>
--- a/tests/test_fair_queue.cc
+++ b/tests/test_fair_queue.cc
@@ -1,4 +1,4 @@
-#include "fair_queue.h"
+#include "load/fair_queue.h"
 
 #include <gtest/gtest.h>
 #include <memory>
