Add the interfaces of teams: configuration, connections, loans

The types that the parts of teams share: a team with its keys by digest in the configuration, the team in a statement between hosts and in the place that a connection is opened to, and the messages by which a host asks the keeper of an account for operations. Nothing uses them yet.

--- a/src/databases.c
+++ b/src/databases.c
@@ -6,6 +6,7 @@
 {
 	free(databases->databases);
 	free(databases->groups);
+	kb_teams_finish(&databases->teams);
 	memset(databases, 0, sizeof(*databases));
 }
 
--- a/src/databases.h
+++ b/src/databases.h
@@ -1,7 +1,7 @@
 #ifndef KB_DATABASES_H
 #define KB_DATABASES_H
 
-#include "str.h"
+#include "teams.h"
 
 KB_BEGIN_DECLS
 
@@ -31,6 +31,8 @@
 	kb_time_t objective;
 	/* 0 is the highest priority. */
 	unsigned priority;
+	/* Callers need no key. */
+	int is_public;
 } kb_database_t;
 
 /* Configuration of a database group. */
@@ -51,6 +53,7 @@
 	size_t group_count;
 	/* A transaction idle for longer than this may be rolled back. */
 	kb_time_t txn_idle_timeout;
+	kb_teams_t teams;
 } kb_databases_t;
 
 void kb_databases_finish(kb_databases_t *databases);
--- a/src/gen/kumquat_session.h
+++ b/src/gen/kumquat_session.h
@@ -18,6 +18,7 @@
 #define KBS_VALUES_MAX 4096
 #define KBS_ENTRIES_MAX 65536
 #define KBS_FEED_MAX 8388608
+#define KBS_LOANS_MAX 4096
 
 typedef struct {
 	u_int kbs_text_len;
@@ -47,6 +48,7 @@
 struct kbs_run_args {
 	kbs_text group;
 	kbs_text target;
+	kbs_text team;
 	kbs_kind kind;
 	bool_t transactional;
 	bool_t read_only;
@@ -216,6 +218,38 @@
 };
 typedef struct kbs_reach_res kbs_reach_res;
 
+struct kbs_loan_request {
+	kbs_text team;
+	u_int operations;
+};
+typedef struct kbs_loan_request kbs_loan_request;
+
+struct kbs_loan_args {
+	kbs_text group;
+	kbs_text host;
+	struct {
+		u_int requests_len;
+		kbs_loan_request *requests_val;
+	} requests;
+};
+typedef struct kbs_loan_args kbs_loan_args;
+
+struct kbs_loan {
+	u_int operations;
+	quad_t retry_us;
+};
+typedef struct kbs_loan kbs_loan;
+
+struct kbs_loan_res {
+	int result;
+	struct {
+		u_int loans_len;
+		kbs_loan *loans_val;
+	} loans;
+	kbs_text holder;
+};
+typedef struct kbs_loan_res kbs_loan_res;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -243,6 +277,10 @@
 extern  bool_t xdr_kbs_stamp_res (XDR *, kbs_stamp_res*);
 extern  bool_t xdr_kbs_reach_args (XDR *, kbs_reach_args*);
 extern  bool_t xdr_kbs_reach_res (XDR *, kbs_reach_res*);
+extern  bool_t xdr_kbs_loan_request (XDR *, kbs_loan_request*);
+extern  bool_t xdr_kbs_loan_args (XDR *, kbs_loan_args*);
+extern  bool_t xdr_kbs_loan (XDR *, kbs_loan*);
+extern  bool_t xdr_kbs_loan_res (XDR *, kbs_loan_res*);
 
 #else /* K&R C */
 extern bool_t xdr_kbs_text ();
@@ -269,6 +307,10 @@
 extern bool_t xdr_kbs_stamp_res ();
 extern bool_t xdr_kbs_reach_args ();
 extern bool_t xdr_kbs_reach_res ();
+extern bool_t xdr_kbs_loan_request ();
+extern bool_t xdr_kbs_loan_args ();
+extern bool_t xdr_kbs_loan ();
+extern bool_t xdr_kbs_loan_res ();
 
 #endif /* K&R C */
 
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -5,6 +5,7 @@
 const KBS_VALUES_MAX = 4096;
 const KBS_ENTRIES_MAX = 65536;
 const KBS_FEED_MAX = 8388608;
+const KBS_LOANS_MAX = 4096;
 
 typedef opaque kbs_text<KBS_TEXT_MAX>;
 
@@ -29,6 +30,8 @@
 	kbs_text group;
 	/* Target, or empty for the group's primary. */
 	kbs_text target;
+	/* Team of the caller, or empty. */
+	kbs_text team;
 	kbs_kind kind;
 	/* Whether it belongs to a transaction that the caller opened. */
 	bool transactional;
@@ -206,3 +209,31 @@
 	bool primary;
 	unsigned hyper term;
 };
+
+/* Operations that a host wants to run for a team. */
+struct kbs_loan_request {
+	kbs_text team;
+	unsigned int operations;
+};
+
+/* A host asks the keeper of accounts, the holder of a group, for loans. */
+struct kbs_loan_args {
+	kbs_text group;
+	kbs_text host;
+	kbs_loan_request requests<KBS_LOANS_MAX>;
+};
+
+struct kbs_loan {
+	unsigned int operations;
+	/* Time until more may be lent, in microseconds; 0 if all was lent. */
+	hyper retry_us;
+};
+
+struct kbs_loan_res {
+	/* A kb_result_t: KB_ERR_NOT_GATE if the host does not hold the group. */
+	int result;
+	/* Loans in the order of the requests. */
+	kbs_loan loans<KBS_LOANS_MAX>;
+	/* Host that holds the group as the answering host knows, or empty. */
+	kbs_text holder;
+};
--- a/src/gen/kumquat_session_xdr.c
+++ b/src/gen/kumquat_session_xdr.c
@@ -58,6 +58,8 @@
 		 return FALSE;
 	 if (!xdr_kbs_text (xdrs, &objp->target))
 		 return FALSE;
+	 if (!xdr_kbs_text (xdrs, &objp->team))
+		 return FALSE;
 	 if (!xdr_kbs_kind (xdrs, &objp->kind))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->transactional))
@@ -405,3 +407,57 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_kbs_loan_request (XDR *xdrs, kbs_loan_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_kbs_text (xdrs, &objp->team))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->operations))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kbs_loan_args (XDR *xdrs, kbs_loan_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_kbs_text (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_kbs_text (xdrs, &objp->host))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->requests.requests_val, (u_int *) &objp->requests.requests_len, KBS_LOANS_MAX,
+		sizeof (kbs_loan_request), (xdrproc_t) xdr_kbs_loan_request))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kbs_loan (XDR *xdrs, kbs_loan *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->operations))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->retry_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_kbs_loan_res (XDR *xdrs, kbs_loan_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->result))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loans.loans_val, (u_int *) &objp->loans.loans_len, KBS_LOANS_MAX,
+		sizeof (kbs_loan), (xdrproc_t) xdr_kbs_loan))
+		 return FALSE;
+	 if (!xdr_kbs_text (xdrs, &objp->holder))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/link.h
+++ b/src/link.h
@@ -112,6 +112,8 @@
 	kb_name_t group;
 	kb_name_t target;
 	kb_endpoint_t endpoint;
+	/* Team that a connection is opened for, or empty. */
+	kb_name_t team;
 } kb_link_place_t;
 
 typedef struct kb_link_connector kb_link_connector_t;
