Decode teams and public databases from the configuration

A configuration may list teams with their keys; nothing read them. A team that is malformed is left out and counted, and so is a key that two teams have, so that the rest of the configuration holds. A name with blanks or control characters is malformed, as it would not be one field of a message to a target.

A list of teams that is no list is a malformed configuration, like routes that are no list: the version before it stays in force.

--- a/src/teams.c
+++ b/src/teams.c
@@ -7,6 +7,7 @@
 enum {
 	/* In place of a team's index: several teams have the key. */
 	TEAM_AMBIGUOUS = -1,
+	ASCII_DELETE = 0x7f,
 };
 
 struct kb_team_key {
@@ -47,10 +48,22 @@
 	return NULL;
 }
 
+/* Whether a name can be a field of a message to a target. */
+static int is_word(const kb_name_t *name)
+{
+	for (size_t i = 0; i < name->len; i++)
+		if ((unsigned char)name->data[i] <= ' ' ||
+		    name->data[i] == ASCII_DELETE)
+			return 0;
+	return name->len > 0;
+}
+
 kb_result_t kb_teams_add(kb_teams_t *teams, const kb_team_t *team)
 {
 	kb_team_t *grown;
 
+	if (!is_word(&team->name))
+		return KB_ERR_INVALID;
 	if (kb_teams_find(teams, kb_name_str(&team->name)))
 		return KB_ERR_CONFLICT;
 	grown = reallocarray(teams->teams, teams->count + 1, sizeof(*grown));
@@ -81,6 +94,8 @@
 	if (entry && entry->team == owner - teams->teams)
 		return KB_OK;
 	if (entry) {
+		if (entry->team != TEAM_AMBIGUOUS)
+			teams->ambiguous++;
 		entry->team = TEAM_AMBIGUOUS;
 		return KB_ERR_CONFLICT;
 	}
@@ -101,3 +116,19 @@
 	return key && key->team != TEAM_AMBIGUOUS ? &teams->teams[key->team]
 						  : NULL;
 }
+
+kb_result_t kb_teams_authenticate(const kb_teams_t *teams,
+				  const kb_key_digest_t *digest,
+				  kb_name_t *team)
+{
+	const kb_team_t *owner;
+
+	memset(team, 0, sizeof(*team));
+	if (!teams->configured)
+		return KB_OK;
+	owner = kb_teams_find_key(teams, digest);
+	if (!owner)
+		return KB_ERR_UNAUTHENTICATED;
+	*team = owner->name;
+	return KB_OK;
+}
--- a/src/teams.h
+++ b/src/teams.h
@@ -40,6 +40,9 @@
 	size_t count;
 	/* Hash table of the keys' digests. */
 	kb_team_key_t *keys;
+	/* Teams that were left out, and keys that several teams have. */
+	size_t malformed;
+	size_t ambiguous;
 } kb_teams_t;
 
 void kb_teams_finish(kb_teams_t *teams);
@@ -48,7 +51,8 @@
 kb_key_digest_t kb_key_digest(kb_str_t key);
 
 /*
- * Adds a team. Returns KB_ERR_CONFLICT if there is one of this name, or
+ * Adds a team. Returns KB_ERR_INVALID if its name is empty or has blanks or
+ * control characters, KB_ERR_CONFLICT if there is one of this name, or
  * KB_ERR_NO_MEMORY.
  */
 kb_result_t kb_teams_add(kb_teams_t *teams, const kb_team_t *team);
@@ -67,6 +71,15 @@
 const kb_team_t *kb_teams_find_key(const kb_teams_t *teams,
 				   const kb_key_digest_t *digest);
 
+/*
+ * Sets `*team` to the name of the team whose callers a key identifies, or
+ * leaves it empty if the configuration has no teams. Returns
+ * KB_ERR_UNAUTHENTICATED if it has, and the key identifies nobody.
+ */
+kb_result_t kb_teams_authenticate(const kb_teams_t *teams,
+				  const kb_key_digest_t *digest,
+				  kb_name_t *team);
+
 KB_END_DECLS
 
 #endif
--- a/tests/test_platform_catalog.cc
+++ b/tests/test_platform_catalog.cc
@@ -55,6 +55,161 @@
 	}
 }
 
+namespace
+{
+
+/* A configuration with two public routes and one that needs a key. */
+std::string with_teams(const std::string &teams)
+{
+	return R"({"version": 8, "routes": [
+		{"host": "open", "type": "primary", "service": "g",
+		 "public": true},
+		{"host": "odd", "type": "primary", "service": "g",
+		 "public": "true"},
+		{"host": "closed", "type": "primary", "service": "g"}],
+		"services": [])" +
+	       teams + "}";
+}
+
+/* Decoded configuration. */
+struct Decoded {
+	kb_databases_t databases{};
+	kb_result_t result;
+
+	explicit Decoded(const std::string &teams)
+	{
+		std::string text = with_teams(teams);
+
+		result = kb_platform_catalog_decode_config(to_str(text),
+							   &databases);
+	}
+
+	~Decoded()
+	{
+		kb_databases_finish(&databases);
+	}
+
+	std::string team_of(const char *key)
+	{
+		kb_key_digest_t digest = kb_key_digest(kb_str_from(key));
+		const kb_team_t *team =
+			kb_teams_find_key(&databases.teams, &digest);
+
+		return team ? team->name.data : "";
+	}
+};
+
+} // namespace
+
+TEST(PlatformCatalog, DecodesTeamsAndPublicRoutes)
+{
+	Decoded decoded(R"(, "tenants": [
+		{"name": "red", "api_keys": ["r1", "r2"], "priority": 2,
+		 "rate_per_s": 12.5, "burst": 40},
+		{"name": "blue", "api_keys": [], "rate_per_s": null},
+		{"name": "none", "api_keys": ["n1"], "rate_per_s": 0}])");
+	const kb_teams_t *teams = &decoded.databases.teams;
+	const kb_team_t *team;
+
+	ASSERT_EQ(KB_OK, decoded.result);
+	EXPECT_TRUE(teams->configured);
+	EXPECT_EQ(3u, teams->count);
+	EXPECT_EQ(0u, teams->malformed);
+	EXPECT_EQ(0u, teams->ambiguous);
+	team = kb_teams_find(teams, KB_STR("red"));
+	ASSERT_NE(nullptr, team);
+	EXPECT_EQ(2u, team->priority);
+	EXPECT_TRUE(team->limited);
+	EXPECT_EQ(12.5, team->rate);
+	EXPECT_EQ(40.0, team->burst);
+	EXPECT_FALSE(kb_teams_find(teams, KB_STR("blue"))->limited);
+	EXPECT_TRUE(kb_teams_find(teams, KB_STR("none"))->limited);
+	EXPECT_EQ("red", decoded.team_of("r2"));
+	EXPECT_EQ("none", decoded.team_of("n1"));
+	EXPECT_EQ("", decoded.team_of("r3"));
+	EXPECT_TRUE(kb_databases_find(&decoded.databases, KB_STR("open"))
+			    ->is_public);
+	EXPECT_FALSE(kb_databases_find(&decoded.databases, KB_STR("odd"))
+			     ->is_public);
+	EXPECT_FALSE(kb_databases_find(&decoded.databases, KB_STR("closed"))
+			     ->is_public);
+}
+
+TEST(PlatformCatalog, AConfigurationWithoutTeams)
+{
+	for (const char *text : { "", R"(, "tenants": null)" }) {
+		Decoded decoded(text);
+
+		EXPECT_EQ(KB_OK, decoded.result) << text;
+		EXPECT_FALSE(decoded.databases.teams.configured) << text;
+	}
+	Decoded empty(R"(, "tenants": [])");
+	EXPECT_TRUE(empty.databases.teams.configured);
+	Decoded malformed(R"(, "tenants": {"name": "red"})");
+	EXPECT_EQ(KB_ERR_PROTOCOL, malformed.result);
+}
+
+TEST(PlatformCatalog, LeavesOutMalformedTeams)
+{
+	const std::string good = R"({"name": "red", "api_keys": ["r1"],
+		"rate_per_s": 5, "burst": 6})";
+	struct {
+		const char *name, *from, *to;
+	} cases[] = {
+		{ "no name", "\"name\"", "\"x\"" },
+		{ "empty name", "\"red\"", "\"\"" },
+		{ "name as number", "\"red\"", "7" },
+		{ "name that is a line", "\"red\"", "\"red\\r\\nBYE\"" },
+		{ "name with a blank", "\"red\"", "\"red x\"" },
+		{ "long name", "red",
+		  "0123456789012345678901234567890123456789"
+		  "0123456789012345678901234567890123456789" },
+		{ "no keys", "api_keys", "x" },
+		{ "keys as text", "[\"r1\"]", "\"r1\"" },
+		{ "key as number", "[\"r1\"]", "[\"r1\", 7]" },
+		{ "key as null", "[\"r1\"]", "[null, \"r1\"]" },
+		{ "empty key", "[\"r1\"]", "[\"r1\", \"\"]" },
+		{ "negative rate", ": 5", ": -5" },
+		{ "rate as text", ": 5", ": \"5\"" },
+		{ "rate as boolean", ": 5", ": true" },
+		{ "negative burst", ": 6", ": -0.5" },
+		{ "burst as list", ": 6", ": [6]" },
+		{ "duplicate name", "red", "blue" },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		std::string text = good;
+
+		text.replace(text.find(c.from), strlen(c.from), c.to);
+		Decoded decoded(
+			R"(, "tenants": [
+			{"name": "blue", "api_keys": ["b1"]}, )" +
+			text +
+			R"(, 7, {"name": "green", "api_keys": ["g1"]}])");
+
+		ASSERT_EQ(KB_OK, decoded.result);
+		EXPECT_EQ(2u, decoded.databases.teams.count);
+		EXPECT_EQ(2u, decoded.databases.teams.malformed);
+		EXPECT_EQ("", decoded.team_of("r1"));
+		EXPECT_EQ("blue", decoded.team_of("b1"));
+		EXPECT_EQ("green", decoded.team_of("g1"));
+	}
+}
+
+TEST(PlatformCatalog, AKeyOfTwoTeamsIdentifiesNobody)
+{
+	Decoded decoded(R"(, "tenants": [
+		{"name": "red", "api_keys": ["k", "r1"]},
+		{"name": "blue", "api_keys": ["k", "b1"]}])");
+
+	EXPECT_EQ(1u, decoded.databases.teams.ambiguous);
+	EXPECT_EQ(0u, decoded.databases.teams.malformed);
+	EXPECT_EQ("", decoded.team_of("k"));
+	EXPECT_EQ("red", decoded.team_of("r1"));
+	EXPECT_EQ("blue", decoded.team_of("b1"));
+}
+
 TEST(PlatformCatalog, RejectsMalformedTargetEntries)
 {
 	const std::string good =
