Refuse callers whose key identifies no team

With teams configured, the last field of a caller's START is looked up by its digest when a session opens and again when a transaction or a single statement begins; within a transaction the team stays. The session keeps the digest only.

A refusal is logged as KEY_REFUSED with the start of the digest, the request's id, the database and the version, and counted. The session is closed, as an unknown key cannot become known on it before the next configuration.

--- a/src/caller_session.c
+++ b/src/caller_session.c
@@ -20,9 +20,18 @@
 	session->ops->answer(session->ctx, &answer);
 }
 
+/* Updates the team of the session's key; public databases need none. */
+static kb_result_t refresh_team(kb_caller_session_t *session, kb_str_t id)
+{
+	memset(&session->team, 0, sizeof(session->team));
+	if (session->database.is_public)
+		return KB_OK;
+	return session->ops->authenticate(session->ctx, session, id);
+}
+
 kb_result_t kb_caller_session_init(kb_caller_session_t *session,
 				   const kb_caller_session_ops_t *ops,
-				   void *ctx, kb_str_t name)
+				   void *ctx, kb_str_t name, kb_str_t key)
 {
 	const kb_database_t *database = ops->find(ctx, name);
 
@@ -32,7 +41,9 @@
 	if (!database)
 		return KB_ERR_NOT_FOUND;
 	session->database = *database;
-	return kb_name_set(&session->name, name);
+	session->name = database->name;
+	session->key = kb_key_digest(key);
+	return refresh_team(session, KB_STR(""));
 }
 
 void kb_caller_session_finish(kb_caller_session_t *session)
@@ -85,6 +96,7 @@
 	}
 	memset(args, 0, sizeof(*args));
 	args->group = kb_text_view(kb_name_str(&session->database.group));
+	args->team = kb_text_view(kb_name_str(&session->team));
 	args->kind = kind;
 	args->transactional = session->state == KB_TXN_OPEN;
 	args->read_only = session->read_only;
@@ -100,10 +112,11 @@
 }
 
 /*
- * Updates the configuration of the database, but not within a transaction.
- * Returns 0 if there is no such database any more.
+ * Updates the configuration of the database and the session's team, but not
+ * within a transaction. Returns 0 if there is no such database any more or the
+ * key identifies nobody.
  */
-static int refresh_database(kb_caller_session_t *session)
+static int refresh_database(kb_caller_session_t *session, kb_str_t id)
 {
 	const kb_database_t *database;
 
@@ -117,13 +130,18 @@
 		return 0;
 	}
 	session->database = *database;
+	if (refresh_team(session, id)) {
+		answer_with(session, KB_ERR_UNAUTHENTICATED,
+			    "the key identifies no team");
+		return 0;
+	}
 	return 1;
 }
 
 static void run_statement(kb_caller_session_t *session, kbs_kind kind,
 			  kb_str_t shape, const kb_query_t *query)
 {
-	if (!refresh_database(session))
+	if (!refresh_database(session, query->id))
 		return;
 	if (kind == KBS_WRITE && session->state == KB_TXN_OPEN &&
 	    session->read_only) {
@@ -199,17 +217,17 @@
 			    "no statement is prepared under the name");
 }
 
-static void begin(kb_caller_session_t *session, int read_only)
+static void begin(kb_caller_session_t *session, const kb_query_t *query)
 {
 	if (session->state != KB_TXN_NONE) {
 		answer_with(session, KB_ERR_INVALID,
 			    "a transaction is open already");
 		return;
 	}
-	if (!refresh_database(session))
+	if (!refresh_database(session, query->id))
 		return;
 	session->state = KB_TXN_OPEN;
-	session->read_only = read_only;
+	session->read_only = query->verb == KB_QUERY_BEGIN_READ_ONLY;
 	answer_with(session, KB_OK, "");
 }
 
@@ -252,7 +270,7 @@
 	switch (query->verb) {
 	case KB_QUERY_BEGIN:
 	case KB_QUERY_BEGIN_READ_ONLY:
-		begin(session, query->verb == KB_QUERY_BEGIN_READ_ONLY);
+		begin(session, query);
 		break;
 	case KB_QUERY_COMMIT:
 	case KB_QUERY_ROLLBACK:
--- a/src/caller_session.h
+++ b/src/caller_session.h
@@ -70,6 +70,13 @@
 	void (*roll_back)(void *ctx, kb_caller_session_t *session);
 	/* Returns the current configuration of a database, or NULL. */
 	const kb_database_t *(*find)(void *ctx, kb_str_t name);
+	/*
+	 * Sets the session's team to the one that its key identifies, or to
+	 * none if no teams are configured. Returns KB_ERR_UNAUTHENTICATED if
+	 * the key identifies nobody. `id` is the request's id, or empty.
+	 */
+	kb_result_t (*authenticate)(void *ctx, kb_caller_session_t *session,
+				    kb_str_t id);
 	/* Answers the query. */
 	void (*answer)(void *ctx, const kb_query_answer_t *answer);
 } kb_caller_session_ops_t;
@@ -82,6 +89,9 @@
 	const kb_caller_session_ops_t *ops;
 	void *ctx;
 	kb_name_t name;
+	kb_key_digest_t key;
+	/* Team when the statement or its transaction began, or empty. */
+	kb_name_t team;
 	/* Configuration when the statement or its transaction began. */
 	kb_database_t database;
 	kb_session_values_t values;
@@ -104,10 +114,13 @@
 	kb_time_t txn_idle;
 };
 
-/* Returns KB_ERR_NOT_FOUND if no such database is configured. */
+/*
+ * Keeps the digest of `key`, not the key. Returns KB_ERR_NOT_FOUND if no such
+ * database is configured, KB_ERR_UNAUTHENTICATED if the key identifies nobody.
+ */
 kb_result_t kb_caller_session_init(kb_caller_session_t *session,
 				   const kb_caller_session_ops_t *ops,
-				   void *ctx, kb_str_t database);
+				   void *ctx, kb_str_t database, kb_str_t key);
 
 /*
  * Rolls back an open transaction and frees the session's data. No statement may
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -67,6 +67,8 @@
 	 "other hosts feed this host the store's changes")
 KB_EVENT(1506, SYNC_FAILED, WARN,
 	 "changes of the store cannot be passed between hosts")
+KB_EVENT(1507, CONFIG_TEAMS_IGNORED, WARN,
+	 "teams or keys of the configuration cannot be used")
 
 KB_EVENT(1600, STORE_CALL_FAILED, WARN, "store call failed")
 KB_EVENT(1601, STORE_WATCH_CUT, WARN, "watch of the store interrupted")
@@ -94,6 +96,7 @@
 KB_EVENT(1812, REQUEST_RETRIED, INFO, "a request is retried on another target")
 KB_EVENT(1813, SESSION_MALFORMED, WARN, "malformed message from a caller")
 KB_EVENT(1814, LOG_SUPPRESSED, WARN, "log lines were dropped")
+KB_EVENT(1815, KEY_REFUSED, INFO, "a caller's key identifies no team")
 
 KB_EVENT(1900, RPC_CONNECTION_LOST, WARN, "connection to a host lost")
 KB_EVENT(1901, RPC_VERSION_REFUSED, WARN, "message of an unsupported version")
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -32,9 +32,12 @@
 		group->monitor.durable = limits->durable;
 	}
 	kb_log(KB_EVENT_CONFIG_IN_FORCE,
-	       "version=%" PRIu64 " databases=%zu groups=%zu revision=%" PRId64,
+	       "version=%" PRIu64
+	       " databases=%zu groups=%zu teams=%zu revision=%" PRId64,
 	       proxy->databases.version, proxy->databases.database_count,
-	       proxy->databases.group_count, proxy->mirror.revision);
+	       proxy->databases.group_count, proxy->databases.teams.count,
+	       proxy->mirror.revision);
+	kb_proxy_teams_log_ignored(proxy);
 }
 
 static void apply_target(kb_proxy_t *proxy, kb_str_t key,
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -65,13 +65,16 @@
 typedef void kb_proxy_answer_fn_t(void *ctx, const kb_query_answer_t *answer);
 
 /*
- * Opens a session. Returns KB_OK and sets `*session`, to be closed with
+ * Opens a session for the caller that `key` identifies; it may be empty.
+ * Returns KB_OK and sets `*session`, to be closed with
  * kb_proxy_session_close(); KB_ERR_NOT_FOUND if no such database is
- * configured; KB_ERR_OVERLOADED or KB_ERR_NO_MEMORY.
+ * configured; KB_ERR_UNAUTHENTICATED if the key identifies nobody;
+ * KB_ERR_OVERLOADED or KB_ERR_NO_MEMORY.
  */
 kb_result_t kb_proxy_session_open(kb_proxy_session_t **session,
 				  kb_proxy_t *proxy, kb_str_t database,
-				  kb_proxy_answer_fn_t *answer, void *ctx);
+				  kb_str_t key, kb_proxy_answer_fn_t *answer,
+				  void *ctx);
 
 /* Closes a session. A statement that still runs is not answered. */
 void kb_proxy_session_close(kb_proxy_session_t *session);
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -40,6 +40,14 @@
 	return kb_databases_find(&session->proxy->databases, name);
 }
 
+static kb_result_t session_authenticate(void *ctx, kb_caller_session_t *caller,
+					kb_str_t id)
+{
+	kb_proxy_session_t *session = ctx;
+
+	return kb_proxy_teams_authenticate(session->proxy, caller, id);
+}
+
 /* Whether another host may reach a holder: the group is not known vacant. */
 static int may_succeed_elsewhere(const kb_proxy_session_t *session)
 {
@@ -90,11 +98,12 @@
 	.run = session_run,
 	.roll_back = session_roll_back,
 	.find = session_find,
+	.authenticate = session_authenticate,
 	.answer = session_answer,
 };
 
 kb_result_t kb_proxy_session_open(kb_proxy_session_t **out, kb_proxy_t *proxy,
-				  kb_str_t database,
+				  kb_str_t database, kb_str_t key,
 				  kb_proxy_answer_fn_t *answer, void *ctx)
 {
 	kb_proxy_session_t *session;
@@ -111,12 +120,13 @@
 	session->answer = answer;
 	session->ctx = ctx;
 	result = kb_caller_session_init(&session->caller, &session_ops, session,
-					database);
+					database, key);
 	if (result) {
 		proxy->stats.sessions_refused++;
-		kb_log(KB_EVENT_SESSION_REFUSED,
-		       "database=%.*s version=%" PRIu64, KB_STR_ARG(database),
-		       proxy->databases.version);
+		if (result == KB_ERR_NOT_FOUND)
+			kb_log(KB_EVENT_SESSION_REFUSED,
+			       "database=%.*s version=%" PRIu64,
+			       KB_STR_ARG(database), proxy->databases.version);
 		free(session);
 		return result;
 	}
--- a/src/proxy_stats.c
+++ b/src/proxy_stats.c
@@ -95,6 +95,9 @@
 				stats->sessions);
 	kb_metrics_text_counter(out, "sessions_refused_total",
 				"Sessions refused.", stats->sessions_refused);
+	kb_metrics_text_counter(out, "keys_refused_total",
+				"Requests and sessions refused for their key.",
+				stats->keys_refused);
 	kb_metrics_text_counter(out, "host_calls_total",
 				"Calls to other hosts.", stats->host_calls);
 }
--- a/src/proxy_stats.h
+++ b/src/proxy_stats.h
@@ -28,6 +28,7 @@
 	uint64_t retries;
 	uint64_t sessions;
 	uint64_t sessions_refused;
+	uint64_t keys_refused;
 	uint64_t host_calls;
 	gsl_histogram *latency[KB_PROXY_PATH_COUNT];
 } kb_proxy_stats_t;
--- a/tests/test_proxy_result.cc
+++ b/tests/test_proxy_result.cc
@@ -26,9 +26,9 @@
 		proxy->clock = &clock.base;
 		EXPECT_EQ(KB_OK, kb_proxy_stats_init(&proxy->stats));
 		configure();
-		EXPECT_EQ(KB_OK,
-			  kb_proxy_session_open(&session, proxy.get(),
-						KB_STR("db"), on_answer, this));
+		EXPECT_EQ(KB_OK, kb_proxy_session_open(&session, proxy.get(),
+						       KB_STR("db"), KB_STR(""),
+						       on_answer, this));
 	}
 
 	~ProxyResult() override
