Soak: give the callers teams and check whose connections they reach

Callers had a word that nobody looked at. Most now have a key of one of three teams, a fourth use public databases without one, and two have no key or one that no configuration holds. Some sessions stay open long enough to outlive their key. Faults take a key away or move it to another team, one of them while the store turns half of the hosts away; each host has its own address of the platform for that.

The checker holds each statement that a target receives against the team that had the caller's key within the bound, sessions opened with a key of nobody, refusals of keys that a team holds, and keys in the hosts' logs. --no-teams runs with a configuration without teams.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -6,12 +6,13 @@
 Checks that no acknowledged write was lost or executed twice, that no write
 reported as not executed took effect, that no write was acknowledged that a
 replaced primary committed, and that every read included the writes
-that its consistency level requires.
+that its consistency level requires. Callers belong to teams; see keys.py.
 
 Usage: soak.py DAEMON [--seconds N] [--seed N] [--hosts N] [--faults LIST]
 """
 import argparse
 import asyncio
+import contextlib
 import os
 import random
 import signal
@@ -21,16 +22,16 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from callers import CALLERS, Caller, Records  # noqa: E402
+from keys import BOUND_S, TEAMS, Keys  # noqa: E402
 from standin import Platform  # noqa: E402
 
-# Errors after which the statement has had no effect.
-NOT_EXECUTED = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE",
-                "TOOMANY"}
 # Two readers, each of which polls the store every 0.25 s at most.
 POLLS_PER_S = 8
 FAULTS = ["kill-host", "stop-host", "freeze-host", "kill-primary",
           "freeze-primary", "store-down", "store-restored", "kill-all",
-          "config", "release-primary", "stop-promoter"]
+          "config", "release-primary", "stop-promoter", "remove-key",
+          "move-key", "turn-away"]
 SETTINGS = """[host]
 name = {name}
 data_centre = z1
@@ -84,175 +85,19 @@
             self.process.send_signal(number)
 
 
-class Records:
-    """Answers to callers, to be compared with the targets' logs."""
-
-    def __init__(self):
-        self.acked = {}
-        self.not_executed = {}
-        self.counts = {}
-        self.violations = []
-        self.last_write = time.monotonic()
-        self.longest_gap = 0.0
-
-    def count(self, what):
-        self.counts[what] = self.counts.get(what, 0) + 1
-
-    def record_ack(self, group, ident, at):
-        self.acked.setdefault(group, {})[ident] = at
-        self.longest_gap = max(self.longest_gap, at - self.last_write)
-        self.last_write = at
-
-
-async def ask(reader, writer, ident, text):
-    """Sends a query; returns error code (or None), signature and state."""
-    writer.write(f"QUERY {ident} {text}\r\n".encode())
-    error = signature = None
-    while True:
-        line = await asyncio.wait_for(reader.readline(), 8)
-        if not line.endswith(b"\n"):
-            raise asyncio.IncompleteReadError(line, None)
-        word, rest = (line.decode().strip() + " ").split(" ", 1)
-        if word == "ERR":
-            error = rest.split(" ")[0]
-        elif word == "DONE":
-            signature = rest.strip()
-        elif word == "READY":
-            return error, signature, rest.split(" ")[0]
-
-
-class Caller:
-    """A session that reads and writes until it is stopped."""
-
-    def __init__(self, soak, number, group, kind):
-        self.soak, self.number = soak, number
-        self.group, self.kind = group, kind
-        self.random = random.Random(f"{soak.seed}/{number}")
-        self.own = None
-
-    async def run(self):
-        while not self.soak.stopped:
-            host = self.random.choice(self.soak.hosts)
-            try:
-                await self.session(host)
-            except (OSError, asyncio.IncompleteReadError,
-                    asyncio.TimeoutError, ValueError):
-                self.soak.records.count("session lost")
-            await asyncio.sleep(0.05)
-
-    async def session(self, host):
-        reader, writer = await asyncio.open_connection(
-            "127.0.0.1", host.ports["sessions"])
-        self.own = []
-        try:
-            writer.write(
-                f"START {self.group}-{self.kind} u{self.number}\r\n".encode())
-            line = await asyncio.wait_for(reader.readline(), 3)
-            if not line.startswith(b"READY"):
-                return
-            for _ in range(self.random.randrange(5, 60)):
-                if self.soak.stopped:
-                    return
-                await self.operation(reader, writer)
-                await asyncio.sleep(self.random.uniform(0, 0.05))
-            writer.write(b"BYE\r\n")
-        finally:
-            writer.close()
-
-    def ident(self):
-        self.soak.idents += 1
-        return f"{self.soak.seed}x{self.number}x{self.soak.idents}"
-
-    async def operation(self, reader, writer):
-        kind = self.random.random()
-        if kind < 0.3:
-            await self.write(reader, writer)
-        elif kind < 0.45:
-            await self.transaction(reader, writer)
-        else:
-            await self.read(reader, writer)
-
-    async def write(self, reader, writer):
-        ident = self.ident()
-        records = self.soak.records
-        error, signature, _ = await ask(
-            reader, writer, ident, f"WRITE item {ident}")
-        records.count(f"write {error or 'ok'}")
-        if not error:
-            records.record_ack(self.group, ident, time.monotonic())
-            self.own.append(ident)
-        elif error in NOT_EXECUTED:
-            records.not_executed.setdefault(self.group, set()).add(ident)
-
-    async def transaction(self, reader, writer):
-        idents = [self.ident() for _ in range(self.random.randrange(1, 4))]
-        records = self.soak.records
-        await ask(reader, writer, "b" + idents[0], "BEGIN")
-        error = None
-        for ident in idents:
-            error, _, state = await ask(
-                reader, writer, ident, f"WRITE item {ident}")
-            if error:
-                break
-            await asyncio.sleep(self.random.uniform(0, 0.02))
-        if error:
-            records.count(f"txn {error}")
-            if state != "I":
-                await ask(reader, writer, "r" + idents[0], "ROLLBACK")
-            records.not_executed.setdefault(self.group, set()).update(idents)
-            return
-        error, _, _ = await ask(
-            reader, writer, "c" + idents[0], "COMMIT")
-        records.count(f"txn {error or 'ok'}")
-        if not error:
-            for ident in idents:
-                records.record_ack(self.group, ident, time.monotonic())
-            self.own.extend(idents)
-        elif error in NOT_EXECUTED:
-            records.not_executed.setdefault(self.group, set()).update(idents)
-
-    async def read(self, reader, writer):
-        records = self.soak.records
-        began = time.monotonic()
-        ident = self.ident()
-        error, signature, _ = await ask(
-            reader, writer, ident, "READ item")
-        records.count(f"read {error or 'ok'}")
-        if not error:
-            self.check_read(signature, ident, began)
-
-    def check_read(self, signature, ident, began):
-        """Checks that the target's log included what the read must see."""
-        group = self.soak.platform.groups[self.group]
-        name, point, returned_ident = signature.split("/")
-        if returned_ident != ident:
-            self.soak.records.violations.append(
-                f"answer to {returned_ident} received for {ident}")
-        number = int(point.split(".")[1])
-        age = {"primary": 0, "bounded_staleness": 1.5,
-               "read_your_writes": 2.5}[self.kind]
-        target = next(t for t in group.targets if t.name == name)
-        included = {i for e in target.log if e[1] <= number for i in e[2]}
-        required = {i for i, at in
-                    self.soak.records.acked.get(self.group, {}).items()
-                    if at < began - age}
-        if self.kind == "read_your_writes":
-            required.update(self.own)
-        missing = required - included - group.rolled_back
-        if missing:
-            self.soak.records.violations.append(
-                f"stale read {ident} of {self.kind} at {name}: "
-                f"{len(missing)} missing, such as "
-                f"{sorted(missing)[0]}")
-
-
 class Soak:
     def __init__(self, options):
         self.options, self.seed = options, options.seed
         self.random = random.Random(options.seed)
-        self.platform = Platform(["ga", "gb"])
+        self.keys = None if options.no_teams else Keys(options.seed)
+        self.platform = Platform(["ga", "gb"], self.keys)
+        for group in self.platform.groups.values():
+            if self.keys:
+                group.on_statement = self.keys.reach
         self.records = Records()
         self.hosts = []
+        # Each host's address of the platform.
+        self.doors = []
         self.stopped = False
         self.idents = 0
         self.folder = tempfile.mkdtemp(prefix="soak-")
@@ -290,6 +135,52 @@
             host.signal(signal.SIGTERM)
             await self.restart(host, 0.5)
 
+    def disturbance(self):
+        return self.keys.disturbance() if self.keys else \
+            contextlib.nullcontext()
+
+    async def fault_of_hosts(self, name, host):
+        """A host, or all, cannot learn of changes."""
+        if name == "freeze-host":
+            host.signal(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.3, 3))
+            host.signal(signal.SIGCONT)
+        elif name == "store-down":
+            self.platform.store.down = True
+            await asyncio.sleep(self.random.uniform(1, 6))
+            self.platform.store.down = False
+        elif name == "store-restored":
+            self.platform.store.down = True
+            await asyncio.sleep(self.random.uniform(0.2, 3))
+            self.platform.store.restore(self.random.uniform(0, 9))
+            self.platform.store.down = False
+
+    async def fault_of_keys(self, name):
+        """Takes a key away or moves it, and gives it back later.
+
+        In `turn-away`, half of the hosts cannot read the store meanwhile.
+        """
+        if not self.keys:
+            return
+        doors = self.random.sample(self.doors, len(self.doors) // 2) \
+            if name == "turn-away" else []
+        for door in doors:
+            door.busy = True
+        key = self.random.choice(self.keys.names())
+        team = self.keys.team(key)
+        others = [t for t in TEAMS if t != team]
+        self.give_key(key, self.random.choice(others)
+                      if name == "move-key" else None)
+        await asyncio.sleep(BOUND_S + 2)
+        self.give_key(key, team)
+        await asyncio.sleep(self.random.uniform(0, 3))
+        for door in doors:
+            door.busy = False
+
+    def give_key(self, key, team):
+        self.keys.give(key, team)
+        self.platform.configure(int(time.time() * 1000))
+
     async def fault(self, name):
         host = self.random.choice(self.hosts)
         group = self.random.choice(list(self.platform.groups.values()))
@@ -297,16 +188,17 @@
                       key=lambda t: (t.role == "primary", t.term))
         print(f"fault {name} host={host.name} primary={primary.name}",
               flush=True)
-        if name == "kill-host":
+        if name in ("freeze-host", "store-down", "store-restored"):
+            with self.disturbance():
+                await self.fault_of_hosts(name, host)
+        elif name in ("remove-key", "move-key", "turn-away"):
+            await self.fault_of_keys(name)
+        elif name == "kill-host":
             host.signal(signal.SIGKILL)
             await self.restart(host, 0.5)
         elif name == "stop-host":
             host.signal(signal.SIGTERM)
             await self.restart(host, 0.5)
-        elif name == "freeze-host":
-            host.signal(signal.SIGSTOP)
-            await asyncio.sleep(self.random.uniform(0.3, 3))
-            host.signal(signal.SIGCONT)
         elif name == "kill-primary":
             group.alive[primary.name] = False
             await primary.crash()
@@ -321,15 +213,6 @@
             await self.release(group, primary)
         elif name == "stop-promoter":
             await self.stop_promoter(group, primary)
-        elif name == "store-down":
-            self.platform.store.down = True
-            await asyncio.sleep(self.random.uniform(1, 6))
-            self.platform.store.down = False
-        elif name == "store-restored":
-            self.platform.store.down = True
-            await asyncio.sleep(self.random.uniform(0.2, 3))
-            self.platform.store.restore(self.random.uniform(0, 9))
-            self.platform.store.down = False
         elif name == "kill-all":
             for each in self.hosts:
                 each.signal(signal.SIGKILL)
@@ -340,14 +223,19 @@
     async def run(self):
         started = time.monotonic()
         await self.platform.start()
-        self.hosts = [Host(i, self.options.daemon, self.platform.port,
-                           self.folder) for i in range(self.options.hosts)]
+        self.doors = [await self.platform.open_door()
+                      for _ in range(self.options.hosts)]
+        self.hosts = [Host(i, self.options.daemon, door.port, self.folder)
+                      for i, door in enumerate(self.doors)]
         await asyncio.gather(*(h.start(True) for h in self.hosts))
         await asyncio.sleep(3)
         callers = [Caller(self, i, group, kind) for i, (group, kind) in
                    enumerate((g, k) for g in self.platform.groups for k in
                              ("primary", "bounded_staleness",
-                              "read_your_writes") for _ in range(3))]
+                              "read_your_writes") for _ in range(CALLERS))]
+        if self.keys:
+            callers += [Caller(self, len(callers) + i, "ga", "primary", key)
+                        for i, key in enumerate(("", self.keys.unknown))]
         tasks = [asyncio.create_task(c.run()) for c in callers]
         self.records.last_write = time.monotonic()
         until = time.monotonic() + self.options.seconds
@@ -406,8 +294,19 @@
                 self.records.violations.append(
                     f"a fencing token of {name} decreased")
 
+    def check_keys(self):
+        for host in self.hosts:
+            path = os.path.join(self.folder, f"{host.name}.log")
+            with open(path, encoding="utf-8", errors="replace") as log:
+                self.keys.check_log(path, log.read())
+        self.records.violations += self.keys.violations
+        for what in sorted(self.keys.counts):
+            print(f"{what}: {self.keys.counts[what]}")
+
     def report(self):
         self.check_writes()
+        if self.keys:
+            self.check_keys()
         for what in sorted(self.records.counts):
             print(f"{what}: {self.records.counts[what]}")
         for name, group in self.platform.groups.items():
@@ -446,6 +345,8 @@
     parser.add_argument("--hosts", type=int, default=5)
     parser.add_argument("--faults", type=lambda t: t.split(","),
                         default=FAULTS, help="names, or none")
+    parser.add_argument("--no-teams", action="store_true",
+                        help="a configuration without teams and keys")
     parser.add_argument("--store-budget", type=float, default=0,
                         help="largest number of store calls a host, without the "
                              "polls of the two readers")
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -85,6 +85,7 @@
                 return
             await self.running.wait()
             _, ident, text = raw.decode().rstrip("\r\n").split(" ", 2)
+            self.group.on_statement(ident, line[2])
             rows, error, txn = await self.run(ident, text, txn, prepared)
             state = "I" if txn is None else "E" if txn.get("failed") else "T"
             out = "".join(f"ROW {row}\r\n" for row in rows)
@@ -182,6 +183,8 @@
         self.rolled_back = set()
         self.promotions = 0
         self.tokens = []
+        # Told of each statement with the word of its connection's START.
+        self.on_statement = lambda ident, word: None
         # Names of the hosts that ordered promotions.
         self.promoters = []
         # Writes that a replaced primary committed.
@@ -269,23 +272,43 @@
                 self.store.put(key, value)
 
 
+class Door:
+    """An address of the platform that can turn its callers away."""
+
+    def __init__(self):
+        self.port = 0
+        self.busy = False
+
+
 class Platform:
-    """The store and the promotion API behind one HTTP server."""
+    """The store and the promotion API behind HTTP servers.
+
+    With `keys`, the configuration holds teams.
+    """
 
-    def __init__(self, group_names):
+    def __init__(self, group_names, keys=None):
         self.store = Store()
+        self.keys = keys
         self.groups = {n: Group(n, self.store) for n in group_names}
         self.port = 0
 
     async def start(self):
-        server = await asyncio.start_server(self.http, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+        self.port = (await self.open_door()).port
         for group in self.groups.values():
             for target in group.targets:
                 await target.start()
         self.configure(1)
         asyncio.get_running_loop().create_task(self.run_periodically())
 
+    async def open_door(self):
+        """Opens another address, such as one for a single host."""
+        door = Door()
+        server = await asyncio.start_server(
+            lambda reader, writer: self.http(door, reader, writer),
+            "127.0.0.1", 0)
+        door.port = server.sockets[0].getsockname()[1]
+        return door
+
     def configure(self, version, added=()):
         """Writes a configuration; `added` names databases of the first group.
         """
@@ -305,8 +328,12 @@
                 if age:
                     route["max_staleness_ms"] = age
                 routes.append(route)
+                routes.append({**route, "name": f"p-{name}-{kind}",
+                               "host": f"{name}-{kind}-public",
+                               "public": True})
+        teams = {"tenants": self.keys.tenants()} if self.keys else {}
         self.store.put("op/config", json.dumps({
-            "version": version, "routes": routes,
+            "version": version, "routes": routes, **teams,
             "services": [{"name": n, "max_conns": 16, "sync_replicas": 0}
                          for n in self.groups],
             "limits": {"tx_idle_ms": 3000}}).encode())
@@ -318,9 +345,9 @@
                 group.update_registrations()
             await asyncio.sleep(0.2)
 
-    async def http(self, reader, writer):
+    async def http(self, door, reader, writer):
         try:
-            while await self.request(reader, writer):
+            while await self.request(door, reader, writer):
                 pass
         except (ConnectionError, asyncio.IncompleteReadError,
                 asyncio.CancelledError):
@@ -328,7 +355,7 @@
         finally:
             writer.close()
 
-    async def request(self, reader, writer):
+    async def request(self, door, reader, writer):
         head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
         method, path, _ = head[0].split(" ")
         headers = dict(h.lower().split(": ", 1) for h in head[1:] if h)
@@ -342,6 +369,8 @@
                 int(headers["x-kumquatbridge-fencing-token"]),
                 headers["x-kumquatbridge-duty-holder"])
             answer = {}
+        elif door.busy:
+            status, answer = 503, {}
         else:
             status, answer = await self.store.serve(method, path, body)
         text = json.dumps(answer).encode()
