--- a/bench/regress.py
+++ b/bench/regress.py
@@ -16,11 +16,16 @@
 
 NOISE = 0.03
 SITES = {
-    "loftclock-na-large": "large",
+    "loftclock-na": "sites",
+    "sda-bridge": "sites",
     "smrm-caxias": "further",
-    "smrm-caxias-grown": "further-grown",
     "loftclock-na-grown": "grown",
     "sda-bridge-grown": "grown",
+    "smrm-caxias-grown": "further-grown",
+    "loftclock-na-now-grown": "shifted",
+    "sqtj-tables-grown": "demands",
+    "norrhaga-galleri-grown": "demands",
+    "loftclock-na-large": "large",
 }
 RESULTS = pathlib.Path(__file__).parent / "RESULTS.md"
 SCORE = re.compile(r"^quick estimate on .*: (\d\.\d+)", re.M)
