Keep the connections of teams apart in a pool

A target's connection carries the team that opened it until it is closed, but a pool gave any idle connection to any statement. Each connection and each queued statement now has an entry of its team, and only meet within it. At the limit an idle connection of the team with the most idle ones is closed for a team that has none; one that has some takes another team's last connection from nobody. A team's transaction is unknown to others. A limit that falls closes what is idle beyond it.

One pool a team was ruled out: there are more teams than connections.

Not yet: fair shares of slots, bounds on opening and on resting transactions.

--- a/src/load/link_pool.c
+++ b/src/load/link_pool.c
@@ -63,6 +63,8 @@
 	job->next = pool->jobs;
 	pool->jobs = job;
 	pool->job_count++;
+	if (!job->transaction)
+		kb_team_share_wait(job->team, now_of(pool));
 }
 
 kb_pool_job_t *kb_pool_job_unlink(kb_link_pool_t *pool, kb_pool_job_t *job)
@@ -74,6 +76,8 @@
 	if (*link) {
 		*link = job->next;
 		pool->job_count--;
+		if (!job->transaction)
+			kb_team_share_end_wait(job->team, now_of(pool));
 	}
 	job->next = NULL;
 	return job;
@@ -88,15 +92,6 @@
 	return used;
 }
 
-static unsigned count_opening(const kb_link_pool_t *pool)
-{
-	unsigned count = 0;
-
-	for (const kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next)
-		count += conn->state == KB_POOL_CONN_OPENING;
-	return count;
-}
-
 /* Number of commands that an idle connection needs before it can run a job. */
 static int preparation_cost(const kb_pool_conn_t *conn,
 			    const kbs_run_args *args)
@@ -120,7 +115,7 @@
 	for (kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next) {
 		int cost;
 
-		if (conn->state != KB_POOL_CONN_IDLE)
+		if (conn->state != KB_POOL_CONN_IDLE || conn->team != job->team)
 			continue;
 		cost = preparation_cost(conn, job->args);
 		if (!best || cost < best_cost) {
@@ -131,32 +126,49 @@
 	return best;
 }
 
-static int has_idle_conn(const kb_link_pool_t *pool)
+/* Closes the connection of a team that has been idle for longest. */
+static void close_idle_conn(kb_link_pool_t *pool, const kb_team_use_t *team)
 {
-	for (const kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next)
-		if (conn->state == KB_POOL_CONN_IDLE)
-			return 1;
-	return 0;
+	kb_pool_conn_t *oldest = NULL;
+
+	for (kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next)
+		if (conn->team == team && conn->state == KB_POOL_CONN_IDLE &&
+		    (!oldest || conn->since < oldest->since))
+			oldest = conn;
+	if (oldest)
+		kb_pool_conn_close(oldest);
+}
+
+/* Closes idle connections beyond the limit, which may have been lowered. */
+static void close_surplus(kb_link_pool_t *pool)
+{
+	const kb_team_use_t *team;
+
+	while ((team = kb_team_share_surplus(&pool->teams, pool->limit)))
+		close_idle_conn(pool, team);
 }
 
 /* Opens connections for queued jobs that have none. */
 static void open_connections(kb_link_pool_t *pool, kb_time_t now)
 {
-	unsigned waiting = 0;
-	unsigned pending = count_opening(pool);
 	/* Attempts at a target without free connections keep others out. */
-	unsigned parallel = pool->target_full ? 1 : pool->slots;
+	const kb_team_room_t room = {
+		.limit = pool->limit,
+		.parallel = pool->target_full ? 1 : pool->slots,
+	};
+	kb_team_opening_t next;
 
 	if (pool->paused || now < pool->open_blocked_until ||
-	    !pool->place.endpoint.port || has_idle_conn(pool))
+	    !pool->place.endpoint.port)
 		return;
-	for (const kb_pool_job_t *job = pool->jobs; job; job = job->next)
-		waiting += !job->transaction;
-	while (waiting > pending && pool->conn_count < pool->limit &&
-	       pending < parallel && pool->ops->may_serve(pool->ctx, now)) {
-		if (kb_pool_conn_open(pool))
+	while (pool->ops->may_serve(pool->ctx, now)) {
+		next = kb_team_share_next_opening(&pool->teams, &room);
+		if (!next.team)
+			return;
+		if (next.closed)
+			close_idle_conn(pool, next.closed);
+		if (kb_pool_conn_open(pool, next.team))
 			return;
-		pending++;
 	}
 }
 
@@ -187,8 +199,7 @@
 	while (now >= pool->send_blocked_until &&
 	       pool->ops->may_serve(pool->ctx, now) &&
 	       used_slots(pool) < send_limit(pool)) {
-		kb_pool_job_t *job =
-			kb_pool_choose_job(pool, now, has_idle_conn(pool));
+		kb_pool_job_t *job = kb_pool_choose_job(pool, now);
 		kb_pool_conn_t *conn;
 
 		if (!job)
@@ -202,6 +213,7 @@
 		}
 		kb_pool_conn_start(conn, job);
 	}
+	close_surplus(pool);
 	open_connections(pool, now);
 	pool->dispatching = 0;
 }
@@ -227,22 +239,27 @@
 {
 	kb_time_t now = now_of(pool);
 	kb_pool_conn_t *conn = NULL;
+	kb_team_use_t *team;
 	kb_pool_job_t *job;
 
 	if (args->transaction)
 		conn = kb_pool_find_transaction(pool, args->transaction);
+	if (conn && !kb_name_is(&conn->team->name, kb_text_str(args->team)))
+		conn = NULL;
 	if (args->kind == KBS_ROLLBACK) {
 		end_transaction(pool, conn, done, ctx);
 		kb_link_pool_dispatch(pool);
 		return;
 	}
-	job = calloc(1, sizeof(*job));
+	team = kb_team_share_get(&pool->teams, kb_text_str(args->team));
+	job = team ? calloc(1, sizeof(*job)) : NULL;
 	if (!job) {
 		kbs_run_res res = { .result = KB_ERR_OVERLOADED };
 
 		done(ctx, &res);
 		return;
 	}
+	job->team = team;
 	job->args = args;
 	job->done = done;
 	job->ctx = ctx;
@@ -312,6 +329,7 @@
 	kb_time_t next;
 
 	kb_pool_conn_free_closed(pool);
+	kb_team_share_prune(&pool->teams);
 	/* Ending jobs may queue new ones; these are sent after the loop. */
 	pool->dispatching = 1;
 	next = expire_jobs(pool, now);
--- a/src/load/link_pool.h
+++ b/src/load/link_pool.h
@@ -3,6 +3,7 @@
 
 #include "link.h"
 #include "session_values.h"
+#include "team_share.h"
 
 KB_BEGIN_DECLS
 
@@ -47,7 +48,8 @@
 /*
  * The connections, slots and queue of one target. All statements of a
  * transaction run on one connection, which no other caller uses until the
- * transaction has ended.
+ * transaction has ended. A connection only runs statements of the team that it
+ * was opened for.
  */
 struct kb_link_pool {
 	const kb_link_pool_ops_t *ops;
@@ -65,6 +67,7 @@
 	/* Closed connections that calls in progress may still refer to. */
 	kb_pool_conn_t *closed;
 	unsigned conn_count;
+	kb_team_share_t teams;
 	kb_pool_job_t *jobs;
 	unsigned job_count;
 	/* Moving average of the time from sending a statement to its reply. */
--- a/src/load/pool_conn.c
+++ b/src/load/pool_conn.c
@@ -11,12 +11,32 @@
 	       kind == KB_LINK_COMMAND_COMMIT;
 }
 
+static kb_team_conn_use_t use_of(kb_pool_conn_state_t state)
+{
+	switch (state) {
+	case KB_POOL_CONN_OPENING:
+		return KB_TEAM_CONN_OPENING;
+	case KB_POOL_CONN_IDLE:
+		return KB_TEAM_CONN_IDLE;
+	case KB_POOL_CONN_PINNED:
+		return KB_TEAM_CONN_PINNED;
+	case KB_POOL_CONN_CLOSED:
+		return KB_TEAM_CONN_NONE;
+	default:
+		return KB_TEAM_CONN_BUSY;
+	}
+}
+
 void kb_pool_conn_set_state(kb_pool_conn_t *conn, kb_pool_conn_state_t state)
 {
+	kb_time_t now = kb_clock_monotonic(conn->pool->clock);
+
 	if (conn->state == KB_POOL_CONN_CLOSED)
 		return;
+	kb_team_share_move(&conn->pool->teams, conn->team, use_of(conn->state),
+			   use_of(state), now);
 	conn->state = state;
-	conn->since = kb_clock_monotonic(conn->pool->clock);
+	conn->since = now;
 	conn->slot_released = 0;
 }
 
@@ -128,19 +148,25 @@
 	kb_pool_conn_set_state(conn, KB_POOL_CONN_BUSY);
 }
 
-kb_result_t kb_pool_conn_open(kb_link_pool_t *pool)
+kb_result_t kb_pool_conn_open(kb_link_pool_t *pool, kb_team_use_t *team)
 {
 	kb_pool_conn_t *conn = calloc(1, sizeof(*conn));
+	kb_link_place_t place = pool->place;
 
 	if (!conn)
 		return KB_ERR_NO_MEMORY;
+	place.team = team->name;
 	conn->pool = pool;
+	conn->team = team;
 	conn->next = pool->conns;
 	pool->conns = conn;
 	pool->conn_count++;
-	kb_pool_conn_set_state(conn, KB_POOL_CONN_OPENING);
-	conn->link = kb_link_open(pool->connector, &pool->place,
-				  &kb_pool_conn_events, conn);
+	conn->state = KB_POOL_CONN_OPENING;
+	conn->since = kb_clock_monotonic(pool->clock);
+	kb_team_share_move(&pool->teams, team, KB_TEAM_CONN_NONE,
+			   KB_TEAM_CONN_OPENING, conn->since);
+	conn->link = kb_link_open(pool->connector, &place, &kb_pool_conn_events,
+				  conn);
 	if (!conn->link) {
 		kb_pool_conn_close(conn);
 		return KB_ERR_NO_MEMORY;
--- a/src/load/pool_conn.h
+++ b/src/load/pool_conn.h
@@ -43,6 +43,7 @@
 	uint64_t number;
 	kb_time_t deadline;
 	kb_time_t objective;
+	kb_team_use_t *team;
 	unsigned attempts;
 	/* Open transaction that it belongs to, or 0. */
 	uint64_t transaction;
@@ -72,6 +73,8 @@
 	kb_pool_conn_t *next;
 	kb_pool_conn_t *next_closed;
 	kb_link_pool_t *pool;
+	/* Team that it was opened for. */
+	kb_team_use_t *team;
 	kb_link_t *link;
 	kb_pool_conn_state_t state;
 	/* Session values and prepared statements of the connection. */
@@ -93,8 +96,8 @@
 	const kbs_value *value_sent;
 };
 
-/* Begins to open a connection. Returns KB_ERR_NO_MEMORY. */
-kb_result_t kb_pool_conn_open(kb_link_pool_t *pool);
+/* Begins to open a connection of a team. Returns KB_ERR_NO_MEMORY. */
+kb_result_t kb_pool_conn_open(kb_link_pool_t *pool, kb_team_use_t *team);
 
 /* Closes a connection; no effect if closed. Its job must have ended before. */
 void kb_pool_conn_close(kb_pool_conn_t *conn);
--- a/src/load/pool_queue.c
+++ b/src/load/pool_queue.c
@@ -41,14 +41,19 @@
 	return !conn || conn->state == KB_POOL_CONN_PINNED;
 }
 
-kb_pool_job_t *kb_pool_choose_job(const kb_link_pool_t *pool, kb_time_t now,
-				  int has_idle)
+static int has_idle_conn(const kb_team_use_t *team)
+{
+	return team->conns[KB_TEAM_CONN_IDLE] != 0;
+}
+
+kb_pool_job_t *kb_pool_choose_job(const kb_link_pool_t *pool, kb_time_t now)
 {
 	kb_pool_job_t *best = NULL;
 
 	for (kb_pool_job_t *job = pool->jobs; job; job = job->next) {
-		if (job->transaction ? !is_free(pool, job->transaction)
-				     : pool->paused || !has_idle)
+		if (job->transaction
+			    ? !is_free(pool, job->transaction)
+			    : pool->paused || !has_idle_conn(job->team))
 			continue;
 		if (!best || is_before(job, best, now))
 			best = job;
--- a/src/load/pool_queue.h
+++ b/src/load/pool_queue.h
@@ -10,11 +10,10 @@
 					 uint64_t transaction);
 
 /*
- * Returns the next job that may be sent, or NULL. While the pool is paused or
- * has no idle connection, only jobs of open transactions can be sent.
+ * Returns the next job that may be sent, or NULL. While the pool is paused or a
+ * team has no idle connection, only jobs of open transactions can be sent.
  */
-kb_pool_job_t *kb_pool_choose_job(const kb_link_pool_t *pool, kb_time_t now,
-				  int has_idle);
+kb_pool_job_t *kb_pool_choose_job(const kb_link_pool_t *pool, kb_time_t now);
 
 /* Removes a job from the queue and returns it. */
 kb_pool_job_t *kb_pool_job_unlink(kb_link_pool_t *pool, kb_pool_job_t *job);
--- a/tests/fake_link_connector.h
+++ b/tests/fake_link_connector.h
@@ -16,6 +16,10 @@
 	kb_link_t base;
 	struct FakeLinkConnector *connector;
 	bool closed = false;
+	/* Team that it was opened for. */
+	std::string team;
+	/* Whether the attempt to open it has not ended. */
+	bool opening = true;
 	/* Whether a command is unanswered, and the last one sent. */
 	bool waiting = false;
 	kb_link_command_kind_t kind = KB_LINK_COMMAND_STATUS;
@@ -45,7 +49,7 @@
 	}
 
 	static kb_link_t *open(kb_link_connector_t *base,
-			       const kb_link_place_t *,
+			       const kb_link_place_t *place,
 			       const kb_link_events_t *events, void *ctx)
 	{
 		static const kb_link_ops_t ops = { send, close };
@@ -54,6 +58,7 @@
 
 		link->base = { &ops, events, ctx };
 		link->connector = connector;
+		link->team = std::string(place->team.data, place->team.len);
 		connector->links.push_back(link);
 		return &link->base;
 	}
@@ -84,6 +89,7 @@
 
 	void opened(FakeLink *link, kb_result_t result = KB_OK)
 	{
+		link->opening = false;
 		if (result)
 			link->closed = true;
 		link->base.events->opened(link->base.ctx, result, { 1, 1 });
@@ -133,6 +139,7 @@
 struct Statement {
 	kbs_run_args args{};
 	std::string id;
+	std::string team;
 	int ended = 0;
 	kb_result_t result = KB_OK;
 	uint64_t transaction = 0;
@@ -162,6 +169,12 @@
 		args.values.values_val = values.data();
 	}
 
+	void of_team(const std::string &name)
+	{
+		team = name;
+		args.team = kb_text_view(kb_str_from(team.c_str()));
+	}
+
 	static void done(void *ctx, const kbs_run_res *res)
 	{
 		auto *statement = static_cast<Statement *>(ctx);
--- /dev/null
+++ b/tests/test_pool_teams.cc
@@ -0,0 +1,246 @@
+#include "fake_link_connector.h"
+
+#include <gtest/gtest.h>
+#include <memory>
+
+namespace
+{
+
+constexpr kb_time_t MS = KB_NS_PER_MS;
+
+/* A pool of 2 slots and 4 connections, used by several teams. */
+class PoolTeams : public ::testing::Test
+{
+      protected:
+	FakeTime time;
+	FakeLinkConnector connector;
+	kb_link_pool_t pool;
+	kb_link_place_t place = {};
+	std::vector<std::unique_ptr<Statement>> all;
+
+	PoolTeams()
+	{
+		static const kb_link_pool_ops_t ops = {
+			[](void *, kb_time_t) { return 1; },
+			[](void *, kb_target_event_t, kb_point_t) {},
+		};
+
+		kb_link_pool_init(&pool, &ops, this, &connector.base,
+				  &time.base, 1000);
+		kb_name_set(&place.target, KB_STR("t1"));
+		kb_name_set(&place.endpoint.address, KB_STR("127.0.0.1"));
+		place.endpoint.port = 1;
+		kb_link_pool_bind(&pool, &place, 2, 4);
+	}
+
+	~PoolTeams() override
+	{
+		kb_link_pool_finish(&pool);
+	}
+
+	Statement &run(const std::string &team, kbs_kind kind = KBS_READ)
+	{
+		Statement &statement = prepare(team, kind);
+
+		submit(statement);
+		return statement;
+	}
+
+	Statement &begin(const std::string &team)
+	{
+		Statement &statement = prepare(team, KBS_READ);
+
+		statement.args.transactional = TRUE;
+		submit(statement);
+		return statement;
+	}
+
+	Statement &prepare(const std::string &team, kbs_kind kind)
+	{
+		all.push_back(std::make_unique<Statement>(
+			kind,
+			(team + "." + std::to_string(all.size())).c_str()));
+		all.back()->of_team(team);
+		return *all.back();
+	}
+
+	void submit(Statement &statement)
+	{
+		kb_link_pool_run(&pool, &statement.args, Statement::done,
+				 &statement);
+	}
+
+	/* Opens connections and answers commands until none is pending. */
+	void serve_all()
+	{
+		bool progress = true;
+
+		while (progress) {
+			progress = false;
+			for (size_t i = 0; i < connector.links.size(); i++) {
+				FakeLink *link = connector.links[i];
+
+				if (link->closed)
+					continue;
+				if (link->waiting) {
+					check(link);
+					connector.answer(link);
+					progress = true;
+				} else if (link->opening) {
+					connector.opened(link);
+					progress = true;
+				}
+			}
+			EXPECT_LE(connector.open_count(), pool.limit);
+		}
+	}
+
+	/* A statement's id begins with its team. */
+	static void check(const FakeLink *link)
+	{
+		if (!link->id.empty()) {
+			EXPECT_EQ(link->team,
+				  link->id.substr(0, link->id.find('.')));
+		}
+	}
+
+	size_t open_count(const std::string &team) const
+	{
+		size_t count = 0;
+
+		for (const FakeLink *link : connector.links)
+			count += !link->closed && link->team == team;
+		return count;
+	}
+
+	void pass(kb_time_t duration)
+	{
+		time.now += duration;
+		kb_link_pool_tick(&pool);
+	}
+};
+
+} // namespace
+
+TEST_F(PoolTeams, StatementRunsOnAConnectionOfItsTeam)
+{
+	Statement &a = run("a");
+	serve_all();
+	Statement &b = run("b");
+	serve_all();
+	Statement &again = run("a");
+	serve_all();
+	EXPECT_EQ(1, a.ended);
+	EXPECT_EQ(1, b.ended);
+	EXPECT_EQ(1, again.ended);
+	EXPECT_EQ(2u, connector.links.size());
+	EXPECT_EQ(1u, open_count("a"));
+	EXPECT_EQ(1u, open_count("b"));
+}
+
+TEST_F(PoolTeams, AtTheLimitTheLeastRecentlyUsedConnectionIsClosed)
+{
+	for (const char *team : { "a", "b", "c", "d", "a", "e" }) {
+		run(team);
+		serve_all();
+		pass(MS);
+	}
+	EXPECT_EQ(1u, open_count("a"));
+	EXPECT_EQ(0u, open_count("b"));
+	EXPECT_EQ(1u, open_count("e"));
+	for (const auto &statement : all)
+		EXPECT_EQ(1, statement->ended) << statement->id;
+}
+
+TEST_F(PoolTeams, OnlyConnectionsOfTeamsOutliveALargeTeamsQueue)
+{
+	for (const char *team : { "a", "b", "c", "d" }) {
+		run(team);
+		serve_all();
+	}
+	for (int i = 0; i < 10; i++)
+		run("a");
+	serve_all();
+	for (const char *team : { "a", "b", "c", "d" })
+		EXPECT_EQ(1u, open_count(team)) << team;
+	EXPECT_EQ(4u, connector.links.size());
+}
+
+TEST_F(PoolTeams, PinnedConnectionIsNotClosedForAnotherTeam)
+{
+	std::vector<Statement *> begun;
+
+	for (const char *team : { "a", "b", "c", "d" }) {
+		begun.push_back(&begin(team));
+		serve_all();
+	}
+	for (const Statement *statement : begun)
+		ASSERT_NE(0u, statement->transaction);
+	Statement &other = run("e");
+	serve_all();
+	EXPECT_EQ(0, other.ended);
+	EXPECT_EQ(0u, open_count("e"));
+	Statement &rollback = prepare("a", KBS_ROLLBACK);
+	rollback.args.transaction = begun[0]->transaction;
+	submit(rollback);
+	serve_all();
+	EXPECT_EQ(1, other.ended);
+	EXPECT_EQ(1u, open_count("e"));
+}
+
+TEST_F(PoolTeams, TransactionIsUnknownToAnotherTeam)
+{
+	Statement &first = begin("a");
+
+	serve_all();
+	ASSERT_NE(0u, first.transaction);
+	Statement &foreign = prepare("b", KBS_WRITE);
+	foreign.args.transactional = TRUE;
+	foreign.args.transaction = first.transaction;
+	submit(foreign);
+	EXPECT_EQ(1, foreign.ended);
+	EXPECT_EQ(KB_ERR_ROLLED_BACK, foreign.result);
+	EXPECT_FALSE(foreign.offered);
+	Statement &end = prepare("b", KBS_ROLLBACK);
+	end.args.transaction = first.transaction;
+	submit(end);
+	serve_all();
+	Statement &commit = prepare("a", KBS_COMMIT);
+	commit.args.transactional = TRUE;
+	commit.args.transaction = first.transaction;
+	submit(commit);
+	serve_all();
+	EXPECT_EQ(KB_OK, commit.result);
+}
+
+TEST_F(PoolTeams, IdleConnectionsAboveALoweredLimitAreClosed)
+{
+	for (const char *team : { "a", "b", "c", "d" }) {
+		run(team);
+		serve_all();
+		pass(MS);
+	}
+	run("d");
+	kb_link_pool_bind(&pool, &place, 2, 2);
+	EXPECT_EQ(2u, connector.open_count());
+	EXPECT_EQ(1u, open_count("c"));
+	EXPECT_EQ(1u, open_count("d"));
+	serve_all();
+	kb_link_pool_bind(&pool, &place, 2, 1);
+	EXPECT_EQ(1u, open_count("d"));
+}
+
+/* A connection in use when the limit falls is closed once it is idle. */
+TEST_F(PoolTeams, BusyConnectionsAboveALoweredLimitAreClosedWhenIdle)
+{
+	for (const char *team : { "a", "b", "c" })
+		run(team);
+	for (size_t i = 0; i < 2; i++)
+		connector.opened(connector.links[i]);
+	kb_link_pool_bind(&pool, &place, 2, 1);
+	EXPECT_EQ(2u, connector.open_count() - pool.teams.opening);
+	serve_all();
+	EXPECT_EQ(1u, connector.open_count());
+	for (const auto &statement : all)
+		EXPECT_EQ(1, statement->ended) << statement->id;
+}
