Extract stride scheduling from the fair queue

A pool will share a target's slots between teams by the same rule, so the virtual times move to a module of their own. The order of the fair queue is unchanged: tests/test_fair_queue.cc, test_admission.cc and test_admission_fairness.cc pass as they are.

--- a/src/load/fair_queue.c
+++ b/src/load/fair_queue.c
@@ -85,7 +85,8 @@
 {
 	if (!flow->caller.len)
 		return INT64_MIN;
-	return flow->virtual_time - queue->classes[flow->class_index].flow_time;
+	return kb_stride_lead(&flow->stride,
+			      &queue->classes[flow->class_index].flow_clock);
 }
 
 /*
@@ -151,10 +152,10 @@
 	if (!flow)
 		return KB_ERR_OVERLOADED;
 	class = &queue->classes[flow->class_index];
-	if (!class->queued && class->virtual_time < queue->class_time)
-		class->virtual_time = queue->class_time;
-	if (!flow->queued && flow->virtual_time < class->flow_time)
-		flow->virtual_time = class->flow_time;
+	if (!class->queued)
+		kb_stride_join(&class->stride, &queue->class_clock);
+	if (!flow->queued)
+		kb_stride_join(&flow->stride, &class->flow_clock);
 	entry->flow = flow;
 	entry->priority = priority;
 	kb_fair_list_append(&flow->queues[priority], entry);
@@ -191,9 +192,9 @@
 			const kb_fair_flow_t *b)
 {
 	if (a->class_index == b->class_index)
-		return a->virtual_time < b->virtual_time;
-	return queue->classes[a->class_index].virtual_time <
-	       queue->classes[b->class_index].virtual_time;
+		return kb_stride_before(&a->stride, &b->stride);
+	return kb_stride_before(&queue->classes[a->class_index].stride,
+				&queue->classes[b->class_index].stride);
 }
 
 static void charge(kb_fair_queue_t *queue, kb_fair_flow_t *flow,
@@ -201,8 +202,8 @@
 {
 	kb_fair_class_t *class = &queue->classes[flow->class_index];
 
-	flow->virtual_time += service;
-	class->virtual_time += service / (kb_time_t) class->spec.weight;
+	kb_stride_charge(&flow->stride, service, 1);
+	kb_stride_charge(&class->stride, service, class->spec.weight);
 }
 
 static void begin_service(kb_fair_queue_t *queue, kb_fair_entry_t *entry)
@@ -213,10 +214,8 @@
 	kb_fair_queue_remove(queue, entry);
 	flow->running++;
 	class->running++;
-	if (queue->class_time < class->virtual_time)
-		queue->class_time = class->virtual_time;
-	if (class->flow_time < flow->virtual_time)
-		class->flow_time = flow->virtual_time;
+	kb_stride_advance(&queue->class_clock, &class->stride);
+	kb_stride_advance(&class->flow_clock, &flow->stride);
 	entry->charged =
 		class->mean_service ? class->mean_service : KB_NS_PER_MS;
 	charge(queue, flow, entry->charged);
@@ -332,11 +331,10 @@
 		if (class->queued || class == own)
 			weights += class->spec.weight;
 	}
-	share = (flow ? flow->queued : 0) * own->mean_service;
-	share *= competing_flows(queue, class_index, flow);
-	share = share * weights / own->spec.weight;
-	if (share > total)
-		share = total;
+	share = kb_stride_expected(
+		(flow ? flow->queued : 0) * own->mean_service, total,
+		own->spec.weight,
+		weights * competing_flows(queue, class_index, flow));
 	/* On average, half of the running work is done. */
 	return (running / 2 + share) / slots;
 }
--- a/src/load/fair_queue.h
+++ b/src/load/fair_queue.h
@@ -2,6 +2,7 @@
 #define KB_FAIR_QUEUE_H
 
 #include "group.h"
+#include "stride.h"
 
 KB_BEGIN_DECLS
 
@@ -52,8 +53,7 @@
 	size_t class_index;
 	unsigned queued;
 	unsigned running;
-	/* Service time received. */
-	kb_time_t virtual_time;
+	kb_stride_t stride;
 	kb_fair_list_t queues[KB_FAIR_PRIORITIES];
 };
 
@@ -62,10 +62,8 @@
 	kb_traffic_class_t spec;
 	unsigned queued;
 	unsigned running;
-	/* Service time received, divided by the weight. */
-	kb_time_t virtual_time;
-	/* Virtual time of the flow that started last. */
-	kb_time_t flow_time;
+	kb_stride_t stride;
+	kb_stride_clock_t flow_clock;
 	/* Moving mean of the service time, or 0 before the first one. */
 	kb_time_t mean_service;
 } kb_fair_class_t;
@@ -74,8 +72,7 @@
 	size_t class_count;
 	kb_fair_class_t classes[KB_FAIR_MAX_CLASSES];
 	kb_fair_flow_t flows[KB_FAIR_MAX_FLOWS];
-	/* Virtual time of the class that started last. */
-	kb_time_t class_time;
+	kb_stride_clock_t class_clock;
 	unsigned queued;
 } kb_fair_queue_t;
 
