Share slots and connections of a pool between teams

Among statements of several teams the next one is chosen by class, then by the team that received the least service time; a team that is ahead of others by more than two statements comes after them whatever its class. Classes share by weight, so that the last one is served too. Queues are kept by team and class, so a choice looks at the teams with work instead of all jobs, and a transaction's connection is found by hash. The expected wait is that of the team's own queue.

Opening takes at most half of the slots while statements run. At the limit the idle connection of the team with the most beyond its recent use, and then the most seldom used one, is closed. A team holds half of the limit by open transactions at most, all teams together four fifths; a statement that would begin one more waits.

--- a/src/load/link_pool.c
+++ b/src/load/link_pool.c
@@ -58,31 +58,6 @@
 	kb_pool_job_end(pool, job, &res);
 }
 
-void kb_pool_job_requeue(kb_link_pool_t *pool, kb_pool_job_t *job)
-{
-	job->next = pool->jobs;
-	pool->jobs = job;
-	pool->job_count++;
-	if (!job->transaction)
-		kb_team_share_wait(job->team, now_of(pool));
-}
-
-kb_pool_job_t *kb_pool_job_unlink(kb_link_pool_t *pool, kb_pool_job_t *job)
-{
-	kb_pool_job_t **link = &pool->jobs;
-
-	while (*link && *link != job)
-		link = &(*link)->next;
-	if (*link) {
-		*link = job->next;
-		pool->job_count--;
-		if (!job->transaction)
-			kb_team_share_end_wait(job->team, now_of(pool));
-	}
-	job->next = NULL;
-	return job;
-}
-
 static unsigned used_slots(const kb_link_pool_t *pool)
 {
 	unsigned used = 0;
@@ -127,12 +102,13 @@
 }
 
 /* Closes the connection of a team that has been idle for longest. */
-static void close_idle_conn(kb_link_pool_t *pool, const kb_team_use_t *team)
+static void close_idle_conn(kb_link_pool_t *pool, const kb_team_use_t *use)
 {
 	kb_pool_conn_t *oldest = NULL;
 
 	for (kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next)
-		if (conn->team == team && conn->state == KB_POOL_CONN_IDLE &&
+		if (&conn->team->use == use &&
+		    conn->state == KB_POOL_CONN_IDLE &&
 		    (!oldest || conn->since < oldest->since))
 			oldest = conn;
 	if (oldest)
@@ -142,34 +118,11 @@
 /* Closes idle connections beyond the limit, which may have been lowered. */
 static void close_surplus(kb_link_pool_t *pool)
 {
-	const kb_team_use_t *team;
+	kb_time_t now = now_of(pool);
+	const kb_team_use_t *use;
 
-	while ((team = kb_team_share_surplus(&pool->teams, pool->limit)))
-		close_idle_conn(pool, team);
-}
-
-/* Opens connections for queued jobs that have none. */
-static void open_connections(kb_link_pool_t *pool, kb_time_t now)
-{
-	/* Attempts at a target without free connections keep others out. */
-	const kb_team_room_t room = {
-		.limit = pool->limit,
-		.parallel = pool->target_full ? 1 : pool->slots,
-	};
-	kb_team_opening_t next;
-
-	if (pool->paused || now < pool->open_blocked_until ||
-	    !pool->place.endpoint.port)
-		return;
-	while (pool->ops->may_serve(pool->ctx, now)) {
-		next = kb_team_share_next_opening(&pool->teams, &room);
-		if (!next.team)
-			return;
-		if (next.closed)
-			close_idle_conn(pool, next.closed);
-		if (kb_pool_conn_open(pool, next.team))
-			return;
-	}
+	while ((use = kb_team_share_surplus(&pool->share, pool->limit, now)))
+		close_idle_conn(pool, use);
 }
 
 /*
@@ -189,6 +142,43 @@
 	       (unsigned)(pool->slots * network_time / target_time);
 }
 
+/* Bounds the part of the slots that opening connections may take. */
+static void set_opening_bounds(const kb_link_pool_t *pool, kb_team_room_t *room)
+{
+	unsigned used = used_slots(pool) - pool->share.opening;
+	unsigned half = pool->slots / 2 ? pool->slots / 2 : 1;
+
+	room->saturated = used >= send_limit(pool);
+	if (room->shared)
+		room->parallel =
+			pool->slots > used + half ? pool->slots - used : half;
+	/* Attempts at a target without free connections keep others out. */
+	if (pool->target_full)
+		room->parallel = 1;
+}
+
+/* Opens connections for queued jobs that have none. */
+static void open_connections(kb_link_pool_t *pool, kb_time_t now)
+{
+	kb_team_room_t room = kb_pool_room(pool);
+	kb_team_opening_t next;
+
+	if (pool->paused || now < pool->open_blocked_until ||
+	    !pool->place.endpoint.port)
+		return;
+	set_opening_bounds(pool, &room);
+	while (pool->ops->may_serve(pool->ctx, now)) {
+		next = kb_team_share_next_opening(&pool->share, &room, now);
+		if (!next.team)
+			return;
+		if (next.closed)
+			close_idle_conn(pool, next.closed);
+		/* The first member of the team's entry. */
+		if (kb_pool_conn_open(pool, (kb_pool_team_t *)next.team))
+			return;
+	}
+}
+
 void kb_link_pool_dispatch(kb_link_pool_t *pool)
 {
 	kb_time_t now = now_of(pool);
@@ -196,6 +186,9 @@
 	if (pool->dispatching)
 		return;
 	pool->dispatching = 1;
+	/* A freed connection may be closed for a team that has none. */
+	if (pool->named_teams)
+		open_connections(pool, now);
 	while (now >= pool->send_blocked_until &&
 	       pool->ops->may_serve(pool->ctx, now) &&
 	       used_slots(pool) < send_limit(pool)) {
@@ -239,7 +232,7 @@
 {
 	kb_time_t now = now_of(pool);
 	kb_pool_conn_t *conn = NULL;
-	kb_team_use_t *team;
+	kb_pool_team_t *team;
 	kb_pool_job_t *job;
 
 	if (args->transaction)
@@ -251,7 +244,7 @@
 		kb_link_pool_dispatch(pool);
 		return;
 	}
-	team = kb_team_share_get(&pool->teams, kb_text_str(args->team));
+	team = kb_pool_team_get(pool, kb_text_str(args->team));
 	job = team ? calloc(1, sizeof(*job)) : NULL;
 	if (!job) {
 		kbs_run_res res = { .result = KB_ERR_OVERLOADED };
@@ -274,7 +267,7 @@
 		return;
 	}
 	if (!args->transaction &&
-	    (pool->job_count >= POOL_JOBS_MAX ||
+	    (kb_pool_queue_is_full(pool, team) ||
 	     now + kb_pool_expected_wait(pool, job, now) > job->deadline)) {
 		pool->counters.refused++;
 		kb_pool_job_refuse(pool, job, KB_ERR_OVERLOADED,
@@ -329,7 +322,7 @@
 	kb_time_t next;
 
 	kb_pool_conn_free_closed(pool);
-	kb_team_share_prune(&pool->teams);
+	kb_pool_teams_prune(pool, now);
 	/* Ending jobs may queue new ones; these are sent after the loop. */
 	pool->dispatching = 1;
 	next = expire_jobs(pool, now);
--- a/src/load/link_pool.h
+++ b/src/load/link_pool.h
@@ -3,6 +3,7 @@
 
 #include "link.h"
 #include "session_values.h"
+#include "stride.h"
 #include "team_share.h"
 
 KB_BEGIN_DECLS
@@ -13,6 +14,17 @@
 typedef struct kb_link_pool kb_link_pool_t;
 typedef struct kb_pool_conn kb_pool_conn_t;
 typedef struct kb_pool_job kb_pool_job_t;
+typedef struct kb_pool_team kb_pool_team_t;
+
+enum {
+	/*
+	 * Classes of queued statements: priorities, with one more for open
+	 * transactions, which count as one class higher.
+	 */
+	KB_POOL_CLASSES = 10,
+	/* The classes by rank, and all late statements. */
+	KB_POOL_RANKS,
+};
 
 /* Events from which the state of a target is derived. */
 typedef enum kb_target_event {
@@ -67,7 +79,15 @@
 	/* Closed connections that calls in progress may still refer to. */
 	kb_pool_conn_t *closed;
 	unsigned conn_count;
-	kb_team_share_t teams;
+	/* Open transactions: a hash table of the connections they hold. */
+	kb_pool_conn_t *transactions;
+	/* Hash table of the teams, and how many have a name. */
+	kb_pool_team_t *teams;
+	unsigned named_teams;
+	kb_team_share_t share;
+	kb_stride_clock_t team_clock;
+	kb_stride_t classes[KB_POOL_RANKS];
+	kb_stride_clock_t class_clock;
 	kb_pool_job_t *jobs;
 	unsigned job_count;
 	/* Moving average of the time from sending a statement to its reply. */
--- a/src/load/link_pool_end.c
+++ b/src/load/link_pool_end.c
@@ -44,7 +44,7 @@
 	close_conns(pool, "this host stops");
 	kb_link_pool_refuse_waiting(pool, KB_ERR_DRAINING, "this host stops");
 	kb_pool_conn_free_closed(pool);
-	kb_team_share_finish(&pool->teams);
+	kb_pool_teams_finish(pool);
 }
 
 void kb_link_pool_bind(kb_link_pool_t *pool, const kb_link_place_t *place,
--- a/src/load/pool_conn.c
+++ b/src/load/pool_conn.c
@@ -1,7 +1,7 @@
 #include "pool_conn_internal.h"
 
-#include "log.h"
 #include "pool_command.h"
+#include "pool_queue.h"
 
 #include <stdlib.h>
 
@@ -27,19 +27,66 @@
 	}
 }
 
+/* Charges the team for the slot time of a connection that changes its use. */
+static void charge_team(kb_pool_conn_t *conn, kb_team_conn_use_t from,
+			kb_team_conn_use_t to, kb_time_t now)
+{
+	kb_time_t service = 0;
+
+	if (from == KB_TEAM_CONN_OPENING)
+		service = now - conn->since;
+	if (from == KB_TEAM_CONN_BUSY)
+		service = now - conn->busy_since - conn->charged;
+	if (to == KB_TEAM_CONN_BUSY) {
+		conn->busy_since = now;
+		conn->charged = conn->pool->service_time;
+		service += conn->charged;
+	}
+	kb_stride_charge(&conn->team->stride, service, 1);
+}
+
+static void count_transaction(kb_pool_conn_t *conn, int counted)
+{
+	kb_link_pool_t *pool = conn->pool;
+
+	if (counted && !conn->counted)
+		kb_team_share_begin(&pool->share, &conn->team->use);
+	if (!counted && conn->counted)
+		kb_team_share_end(&pool->share, &conn->team->use);
+	conn->counted = counted;
+}
+
 void kb_pool_conn_set_state(kb_pool_conn_t *conn, kb_pool_conn_state_t state)
 {
 	kb_time_t now = kb_clock_monotonic(conn->pool->clock);
+	kb_team_conn_use_t from = use_of(conn->state);
+	kb_team_conn_use_t to = use_of(state);
 
 	if (conn->state == KB_POOL_CONN_CLOSED)
 		return;
-	kb_team_share_move(&conn->pool->teams, conn->team, use_of(conn->state),
-			   use_of(state), now);
+	if (from != to) {
+		charge_team(conn, from, to, now);
+		kb_team_share_move(&conn->pool->share, &conn->team->use, from,
+				   to, now);
+	}
+	if (to == KB_TEAM_CONN_IDLE || to == KB_TEAM_CONN_NONE)
+		count_transaction(conn, 0);
 	conn->state = state;
 	conn->since = now;
 	conn->slot_released = 0;
 }
 
+void kb_pool_conn_set_transaction(kb_pool_conn_t *conn, uint64_t id)
+{
+	kb_link_pool_t *pool = conn->pool;
+
+	if (conn->transaction)
+		HASH_DEL(pool->transactions, conn);
+	conn->transaction = id;
+	if (id)
+		HASH_ADD(hh, pool->transactions, transaction, sizeof(id), conn);
+}
+
 static void unlink_conn(kb_pool_conn_t *conn)
 {
 	kb_pool_conn_t **link = &conn->pool->conns;
@@ -48,6 +95,9 @@
 		link = &(*link)->next;
 	*link = conn->next;
 	conn->pool->conn_count--;
+	/* The id stays, for those who ask what the connection was used for. */
+	if (conn->transaction)
+		HASH_DEL(conn->pool->transactions, conn);
 }
 
 void kb_pool_conn_close(kb_pool_conn_t *conn)
@@ -148,7 +198,7 @@
 	kb_pool_conn_set_state(conn, KB_POOL_CONN_BUSY);
 }
 
-kb_result_t kb_pool_conn_open(kb_link_pool_t *pool, kb_team_use_t *team)
+kb_result_t kb_pool_conn_open(kb_link_pool_t *pool, kb_pool_team_t *team)
 {
 	kb_pool_conn_t *conn = calloc(1, sizeof(*conn));
 	kb_link_place_t place = pool->place;
@@ -163,7 +213,7 @@
 	pool->conn_count++;
 	conn->state = KB_POOL_CONN_OPENING;
 	conn->since = kb_clock_monotonic(pool->clock);
-	kb_team_share_move(&pool->teams, team, KB_TEAM_CONN_NONE,
+	kb_team_share_move(&pool->share, &team->use, KB_TEAM_CONN_NONE,
 			   KB_TEAM_CONN_OPENING, conn->since);
 	conn->link = kb_link_open(pool->connector, &place, &kb_pool_conn_events,
 				  conn);
@@ -177,6 +227,8 @@
 void kb_pool_conn_start(kb_pool_conn_t *conn, kb_pool_job_t *job)
 {
 	conn->job = job;
+	if (job->args->transactional)
+		count_transaction(conn, 1);
 	conn->idle_timeout = job->args->idle_limit_us * KB_NS_PER_US;
 	job->attempts++;
 	kb_pool_conn_send_next(conn);
@@ -191,7 +243,7 @@
 
 	if (conn->state == KB_POOL_CONN_CLOSED)
 		return;
-	conn->transaction = 0;
+	kb_pool_conn_set_transaction(conn, 0);
 	if (kb_link_send(conn->link, &command)) {
 		kb_pool_conn_close(conn);
 		return;
--- a/src/load/pool_conn.h
+++ b/src/load/pool_conn.h
@@ -1,7 +1,7 @@
 #ifndef KB_POOL_CONN_H
 #define KB_POOL_CONN_H
 
-#include "link_pool.h"
+#include "pool_team.h"
 
 KB_BEGIN_DECLS
 
@@ -36,14 +36,19 @@
 
 /* A queued or running statement. */
 struct kb_pool_job {
+	kb_pool_job_t *prev;
 	kb_pool_job_t *next;
+	/* List of its team that it is queued in, or NULL. */
+	kb_pool_list_t *list;
+	kb_pool_job_t *list_prev;
+	kb_pool_job_t *list_next;
 	const kbs_run_args *args;
 	kb_run_done_fn_t *done;
 	void *ctx;
 	uint64_t number;
 	kb_time_t deadline;
 	kb_time_t objective;
-	kb_team_use_t *team;
+	kb_pool_team_t *team;
 	unsigned attempts;
 	/* Open transaction that it belongs to, or 0. */
 	uint64_t transaction;
@@ -74,14 +79,21 @@
 	kb_pool_conn_t *next_closed;
 	kb_link_pool_t *pool;
 	/* Team that it was opened for. */
-	kb_team_use_t *team;
+	kb_pool_team_t *team;
 	kb_link_t *link;
 	kb_pool_conn_state_t state;
 	/* Session values and prepared statements of the connection. */
 	kb_session_values_t values;
 	kb_session_values_t shapes;
-	/* Id of the open transaction that holds it, or 0. */
+	/* Id of the open transaction that holds it, or 0, and its hash entry.
+	 */
 	uint64_t transaction;
+	UT_hash_handle hh;
+	/* Counted among the transactions of its team. */
+	int counted;
+	/* Service time that its team was charged when it became busy. */
+	kb_time_t charged;
+	kb_time_t busy_since;
 	/* BEGIN has run, and the transaction has not ended at the target. */
 	int in_transaction;
 	kb_pool_job_t *job;
@@ -97,7 +109,7 @@
 };
 
 /* Begins to open a connection of a team. Returns KB_ERR_NO_MEMORY. */
-kb_result_t kb_pool_conn_open(kb_link_pool_t *pool, kb_team_use_t *team);
+kb_result_t kb_pool_conn_open(kb_link_pool_t *pool, kb_pool_team_t *team);
 
 /* Closes a connection; no effect if closed. Its job must have ended before. */
 void kb_pool_conn_close(kb_pool_conn_t *conn);
@@ -129,9 +141,6 @@
 void kb_pool_job_refuse(kb_link_pool_t *pool, kb_pool_job_t *job,
 			kb_result_t result, const char *message);
 
-/* Puts a job that has not run into the queue. */
-void kb_pool_job_requeue(kb_link_pool_t *pool, kb_pool_job_t *job);
-
 /* Sends the queued jobs that can be sent, and opens missing connections. */
 void kb_link_pool_dispatch(kb_link_pool_t *pool);
 
--- a/src/load/pool_conn_answer.c
+++ b/src/load/pool_conn_answer.c
@@ -2,6 +2,7 @@
 
 #include "log.h"
 #include "pool_command.h"
+#include "pool_queue.h"
 
 enum {
 	/* The newest sample has a weight of 1/8 in the moving averages. */
@@ -52,7 +53,8 @@
 			kb_text_str(args_of(conn)->shape));
 	default:
 		conn->in_transaction = 1;
-		conn->transaction = ++conn->pool->next_transaction;
+		kb_pool_conn_set_transaction(conn,
+					     ++conn->pool->next_transaction);
 		return KB_OK;
 	}
 }
@@ -75,7 +77,7 @@
 	if (conn->state == KB_POOL_CONN_CLOSED)
 		return;
 	if (state == KB_TXN_NONE) {
-		conn->transaction = 0;
+		kb_pool_conn_set_transaction(conn, 0);
 		conn->in_transaction = 0;
 		kb_pool_conn_set_state(conn, KB_POOL_CONN_IDLE);
 	} else {
--- a/src/load/pool_conn_internal.h
+++ b/src/load/pool_conn_internal.h
@@ -16,6 +16,9 @@
 /* Changes the state of a connection unless it is closed. */
 void kb_pool_conn_set_state(kb_pool_conn_t *conn, kb_pool_conn_state_t state);
 
+/* Sets the open transaction that holds a connection, or 0. */
+void kb_pool_conn_set_transaction(kb_pool_conn_t *conn, uint64_t id);
+
 /* Sends the next command of the connection's job. */
 void kb_pool_conn_send_next(kb_pool_conn_t *conn);
 
--- a/src/load/team_share.h
+++ b/src/load/team_share.h
@@ -1,9 +1,7 @@
 #ifndef KB_TEAM_SHARE_H
 #define KB_TEAM_SHARE_H
 
-#include "str.h"
-
-#include <uthash.h>
+#include "kumquatbridge.h"
 
 KB_BEGIN_DECLS
 
@@ -14,6 +12,25 @@
  * its owner opens and closes.
  */
 
+enum {
+	/* For this long a team is known to need what it used at once. */
+	KB_TEAM_PEAK_WINDOW_MS = 5000,
+	/* Half-life of the count by which teams that are used often stay. */
+	KB_TEAM_RATE_HALF_LIFE_MS = 30000,
+	/*
+	 * A connection whose team has statements waiting is kept open for this
+	 * time, and closed only for a team that has waited for it.
+	 */
+	KB_TEAM_HOLD_MS = 50,
+	/* A team's last connection is closed for another's growth after this.
+	 */
+	KB_TEAM_REST_MS = 2000,
+	/* Part of the limit that one team's open transactions may hold. */
+	KB_TEAM_TRANSACTIONS_PERCENT = 50,
+	/* Part of the limit that is kept free of open transactions. */
+	KB_TEAM_RESERVE_PERCENT = 20,
+};
+
 /* Use of a connection, as far as teams compete for it. */
 typedef enum kb_team_conn_use {
 	KB_TEAM_CONN_OPENING,
@@ -25,26 +42,42 @@
 	KB_TEAM_CONN_NONE,
 } kb_team_conn_use_t;
 
-/* Connections and waiting statements of one team; private but for reading. */
-typedef struct kb_team_use {
-	UT_hash_handle hh;
-	kb_name_t name;
-	/* Statements that may run on any idle connection of the team. */
+typedef struct kb_team_use kb_team_use_t;
+
+/*
+ * Connections and waiting statements of one team, embedded in its owner and
+ * zeroed before use. All members are private but for reading.
+ */
+struct kb_team_use {
+	kb_team_use_t *prev;
+	kb_team_use_t *next;
+	/* Statements that wait for any idle connection of the team. */
 	unsigned waiting;
-	/* Time since when some have been waiting. */
+	/* Those that begin a transaction, which may have to wait longer. */
+	unsigned begins;
+	/* Time since when none has started although some wait. */
 	kb_time_t waiting_since;
 	unsigned conns[KB_TEAM_CONN_NONE];
-	/* Time at which a connection last became idle. */
+	/* Connections that open transactions hold, between statements or not.
+	 */
+	unsigned transactions;
+	/* Time at which a connection was last opened, and last became idle. */
+	kb_time_t opened_at;
 	kb_time_t used_at;
-} kb_team_use_t;
+	/* Most connections in use at once in this window and the last one. */
+	unsigned peak;
+	unsigned last_peak;
+	kb_time_t window_end;
+	/* Statements started, halved with each half-life until `rate_at`. */
+	double rate;
+	kb_time_t rate_at;
+};
 
 typedef struct kb_team_share {
-	/* Hash table of the teams that have connections or statements. */
-	kb_team_use_t *teams;
-	/* Connections that are being opened, of all teams. */
-	unsigned opening;
-	/* Connections of all teams. */
+	kb_team_use_t *first;
 	unsigned conns;
+	unsigned opening;
+	unsigned transactions;
 } kb_team_share_t;
 
 /* What a decision depends on besides the counts. */
@@ -53,6 +86,13 @@
 	unsigned limit;
 	/* Largest number of connections that are opened at a time. */
 	unsigned parallel;
+	/* The target's slots are in use: more connections would not help. */
+	int saturated;
+	/*
+	 * Connections belong to teams. Otherwise there is one team, which has
+	 * nobody to leave room for.
+	 */
+	int shared;
 } kb_team_room_t;
 
 /* A decision to open a connection. */
@@ -63,20 +103,19 @@
 	kb_team_use_t *closed;
 } kb_team_opening_t;
 
-void kb_team_share_finish(kb_team_share_t *share);
+void kb_team_share_add(kb_team_share_t *share, kb_team_use_t *team);
+void kb_team_share_remove(kb_team_share_t *share, kb_team_use_t *team);
 
-/*
- * Returns the entry of a team, which may be the empty name. Returns NULL if
- * the name is invalid or memory is short.
- */
-kb_team_use_t *kb_team_share_get(kb_team_share_t *share, kb_str_t name);
+/* Whether a team has nothing in the pool and was not used lately. */
+int kb_team_use_is_idle(const kb_team_use_t *team, kb_time_t now);
 
-/* Removes the entries of teams without connections and statements. */
-void kb_team_share_prune(kb_team_share_t *share);
+/* Reports that a statement waits, or that one has started or ended. */
+void kb_team_use_wait(kb_team_use_t *team, int begins, kb_time_t now);
+void kb_team_use_end_wait(kb_team_use_t *team, int begins, kb_time_t now);
 
-/* Reports that a statement waits, or waits no longer. */
-void kb_team_share_wait(kb_team_use_t *team, kb_time_t now);
-void kb_team_share_end_wait(kb_team_use_t *team, kb_time_t now);
+/* Reports that a connection starts, or no longer has, a transaction. */
+void kb_team_share_begin(kb_team_share_t *share, kb_team_use_t *team);
+void kb_team_share_end(kb_team_share_t *share, kb_team_use_t *team);
 
 /* Reports a connection's change of use; it exists unless KB_TEAM_CONN_NONE. */
 void kb_team_share_move(kb_team_share_t *share, kb_team_use_t *team,
@@ -86,13 +125,19 @@
 /* Returns the number of connections of a team. */
 unsigned kb_team_use_conns(const kb_team_use_t *team);
 
+/* Returns how many more transactions a team may begin. */
+unsigned kb_team_share_begins_left(const kb_team_share_t *share,
+				   const kb_team_use_t *team,
+				   const kb_team_room_t *room);
+
 /* Decides which connection is opened next. */
 kb_team_opening_t kb_team_share_next_opening(const kb_team_share_t *share,
-					     const kb_team_room_t *room);
+					     const kb_team_room_t *room,
+					     kb_time_t now);
 
 /* Returns the team whose idle connection is closed to get under the limit. */
 kb_team_use_t *kb_team_share_surplus(const kb_team_share_t *share,
-				     unsigned limit);
+				     unsigned limit, kb_time_t now);
 
 KB_END_DECLS
 
