Hold teams' limits over the fleet by loans

Nothing counted the operations of a team over all hosts. The holders of groups, one at a time each, now keep token buckets, and entry hosts run operations of a limited team only if a keeper has lent them.

Not tested yet.

--- a/src/gen/kumquat_session.h
+++ b/src/gen/kumquat_session.h
@@ -219,14 +219,13 @@
 typedef struct kbs_reach_res kbs_reach_res;
 
 struct kbs_loan_request {
+	kbs_text group;
 	kbs_text team;
 	u_int operations;
 };
 typedef struct kbs_loan_request kbs_loan_request;
 
 struct kbs_loan_args {
-	kbs_text group;
-	kbs_text host;
 	struct {
 		u_int requests_len;
 		kbs_loan_request *requests_val;
@@ -235,18 +234,18 @@
 typedef struct kbs_loan_args kbs_loan_args;
 
 struct kbs_loan {
+	int result;
 	u_int operations;
 	quad_t retry_us;
+	kbs_text holder;
 };
 typedef struct kbs_loan kbs_loan;
 
 struct kbs_loan_res {
-	int result;
 	struct {
 		u_int loans_len;
 		kbs_loan *loans_val;
 	} loans;
-	kbs_text holder;
 };
 typedef struct kbs_loan_res kbs_loan_res;
 
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -212,28 +212,28 @@
 
 /* Operations that a host wants to run for a team. */
 struct kbs_loan_request {
+	/* The holder of this group keeps the share that is asked. */
+	kbs_text group;
 	kbs_text team;
 	unsigned int operations;
 };
 
-/* A host asks the keeper of accounts, the holder of a group, for loans. */
+/* A host asks a keeper of teams' accounts for loans. */
 struct kbs_loan_args {
-	kbs_text group;
-	kbs_text host;
 	kbs_loan_request requests<KBS_LOANS_MAX>;
 };
 
 struct kbs_loan {
+	/* A kb_result_t: KB_ERR_NOT_GATE if the host does not hold the group. */
+	int result;
 	unsigned int operations;
 	/* Time until more may be lent, in microseconds; 0 if all was lent. */
 	hyper retry_us;
+	/* Host that holds the group as the answering host knows, or empty. */
+	kbs_text holder;
 };
 
 struct kbs_loan_res {
-	/* A kb_result_t: KB_ERR_NOT_GATE if the host does not hold the group. */
-	int result;
 	/* Loans in the order of the requests. */
 	kbs_loan loans<KBS_LOANS_MAX>;
-	/* Host that holds the group as the answering host knows, or empty. */
-	kbs_text holder;
 };
--- a/src/gen/kumquat_session_xdr.c
+++ b/src/gen/kumquat_session_xdr.c
@@ -413,6 +413,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_kbs_text (xdrs, &objp->group))
+		 return FALSE;
 	 if (!xdr_kbs_text (xdrs, &objp->team))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->operations))
@@ -425,10 +427,6 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_kbs_text (xdrs, &objp->group))
-		 return FALSE;
-	 if (!xdr_kbs_text (xdrs, &objp->host))
-		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->requests.requests_val, (u_int *) &objp->requests.requests_len, KBS_LOANS_MAX,
 		sizeof (kbs_loan_request), (xdrproc_t) xdr_kbs_loan_request))
 		 return FALSE;
@@ -440,10 +438,14 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_int (xdrs, &objp->result))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->operations))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->retry_us))
 		 return FALSE;
+	 if (!xdr_kbs_text (xdrs, &objp->holder))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -452,12 +454,8 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_int (xdrs, &objp->result))
-		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->loans.loans_val, (u_int *) &objp->loans.loans_len, KBS_LOANS_MAX,
 		sizeof (kbs_loan), (xdrproc_t) xdr_kbs_loan))
 		 return FALSE;
-	 if (!xdr_kbs_text (xdrs, &objp->holder))
-		 return FALSE;
 	return TRUE;
 }
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -31,6 +31,7 @@
 		group->connections = limits->connections;
 		group->monitor.durable = limits->durable;
 	}
+	kb_proxy_loans_on_configuration(proxy);
 	kb_log(KB_EVENT_CONFIG_IN_FORCE,
 	       "version=%" PRIu64 " databases=%zu groups=%zu revision=%" PRId64,
 	       proxy->databases.version, proxy->databases.database_count,
@@ -150,6 +151,7 @@
 	for (size_t i = 0; i < proxy->group_count; i++)
 		kb_proxy_group_tick(proxy->groups[i], now);
 	kb_proxy_gates_tick(proxy, now);
+	kb_proxy_loans_tick(proxy, now);
 	kb_proxy_sessions_tick(proxy, now);
 	kb_sync_feed_tick(&proxy->feed, now);
 }
@@ -216,6 +218,8 @@
 					      &proxy->self);
 	if (!result)
 		result = add_seeds(proxy, settings);
+	if (!result)
+		result = kb_proxy_loans_init(proxy);
 	if (!result)
 		result = kb_proxy_serve(proxy);
 	if (result)
@@ -270,6 +274,7 @@
 	if (proxy->has_server)
 		kb_rpc_server_finish(&proxy->server);
 	kb_hosts_finish(&proxy->hosts);
+	kb_proxy_loans_finish(proxy);
 	free(proxy->gates);
 	free(proxy->groups);
 	free(proxy->loads);
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -80,6 +80,7 @@
 		return NULL;
 	group->proxy = proxy;
 	kb_name_set(&group->name, name);
+	kb_team_accounts_init(&group->accounts, kb_rng_next(&proxy->rng));
 	kb_lease_init(&group->lease, &kb_proxy_lease_ops, group, &group->name,
 		      &proxy->self.name,
 		      proxy->setup.settings->first_start &&
@@ -98,6 +99,7 @@
 {
 	kb_proxy_probes_finish(group);
 	kb_link_pool_finish(&group->pool);
+	kb_team_accounts_finish(&group->accounts);
 	free(group);
 }
 
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -8,6 +8,7 @@
 #include "lease.h"
 #include "load/link_pool.h"
 #include "monitor.h"
+#include "proxy_loans.h"
 #include "proxy_stats.h"
 #include "registration.h"
 #include "rng.h"
@@ -33,6 +34,7 @@
 	KB_PROXY_RPC_RECHECK = 107,
 	KB_PROXY_RPC_LAST_GRANT = 108,
 	KB_PROXY_RPC_FEED = 109,
+	KB_PROXY_RPC_LOAN = 110,
 	/* Interval of the periodic work. */
 	KB_PROXY_TICK_INTERVAL_MS = 20,
 	/* Timeout of a short call between hosts. */
@@ -95,6 +97,8 @@
 	kb_host_ranking_t ranking;
 	/* Hosts of this region that may relay the group's watermarks. */
 	kb_host_ranking_t relays;
+	/* Accounts of teams while this host holds the group. */
+	kb_team_accounts_t accounts;
 	/* Connections to the primary while this host holds the group. */
 	kb_link_pool_t pool;
 	kb_watermarks_t watermarks;
@@ -225,6 +229,7 @@
 	kb_time_t stop_started_at;
 	kb_proxy_session_t *sessions;
 	size_t session_count;
+	kb_proxy_loans_t loans;
 	kb_proxy_stats_t stats;
 };
 
@@ -355,6 +360,9 @@
  */
 int kb_proxy_discovery_is_done(const kb_proxy_t *proxy, kb_time_t now);
 
+/* proxy_keeper.c */
+void kb_proxy_keeper_tick(kb_proxy_group_t *group, kb_time_t now);
+
 /* proxy_session.c */
 void kb_proxy_sessions_tick(kb_proxy_t *proxy, kb_time_t now);
 
--- a/src/proxy_result.c
+++ b/src/proxy_result.c
@@ -30,6 +30,7 @@
 		none.retry_us = NO_ANSWER_RETRY_AFTER_MS * 1000;
 		res = &none;
 	}
+	kb_proxy_loans_end(session, res);
 	kb_proxy_stats_add(&session->proxy->stats, session->path,
 			   (kb_result_t)res->result, now - session->began_at);
 	if (res->result)
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -63,6 +63,16 @@
 		session->answer(session->ctx, &copy);
 }
 
+void kb_proxy_session_start(kb_proxy_session_t *session)
+{
+	const kb_caller_session_t *caller = &session->caller;
+
+	kb_replica_selector_init(&session->selector, &caller->database,
+				 caller->committed,
+				 kb_clock_monotonic(session->proxy->clock));
+	kb_proxy_statement_try(session);
+}
+
 static void session_run(void *ctx, kb_caller_session_t *caller)
 {
 	kb_proxy_session_t *session = ctx;
@@ -80,10 +90,10 @@
 	session->failed_replica.len = 0;
 	if (group)
 		kb_proxy_group_mark_used(group, now);
-	if (!caller->args.transaction)
-		kb_replica_selector_init(&session->selector, &caller->database,
-					 caller->committed, now);
-	kb_proxy_statement_try(session);
+	if (caller->args.transaction)
+		kb_proxy_statement_try(session);
+	else if (kb_proxy_loans_admit(session))
+		kb_proxy_session_start(session);
 }
 
 static const kb_caller_session_ops_t session_ops = {
@@ -134,6 +144,7 @@
 {
 	session->closed = 1;
 	session->retry_at = 0;
+	kb_proxy_loans_leave(session);
 	if (!session->outstanding)
 		kb_proxy_session_free(session);
 }
--- a/src/proxy_statement.h
+++ b/src/proxy_statement.h
@@ -36,8 +36,19 @@
 	kb_name_t holder_hint;
 	/* The last attempt was sent to that host. */
 	int followed_hint;
+	/* The team for whose loan the session waits, or NULL. */
+	kb_proxy_team_t *loan_team;
+	kb_proxy_session_t *loan_next;
+	kb_proxy_session_t *loan_prev;
+	/* The wait ends then. */
+	kb_time_t loan_until;
+	/* The operation that the statement uses. */
+	kb_allowance_ticket_t ticket;
 };
 
+/* Starts the current statement, which the limit of its team allows. */
+void kb_proxy_session_start(kb_proxy_session_t *session);
+
 /* Starts the next attempt at the current statement. */
 void kb_proxy_statement_try(kb_proxy_session_t *session);
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -19,6 +19,8 @@
 #define DEFAULT_HEADER_BYTES (16 * 1024)
 #define DEFAULT_REQUESTS 4096
 #define DEFAULT_CALLER_REQUESTS 1024
+#define DEFAULT_LIMITS_OVERAGE 0.1
+#define DEFAULT_LIMITS_SLACK 20
 #define DEFAULT_LINK_BYTES (2 * 1024 * 1024)
 
 typedef struct load {
@@ -139,6 +141,9 @@
 	settings->caller_requests = DEFAULT_CALLER_REQUESTS;
 	settings->link_bytes = DEFAULT_LINK_BYTES;
 	settings->default_deadline = 2 * KB_NS_PER_S;
+	settings->limits_window = 5 * KB_NS_PER_S;
+	settings->limits_overage = DEFAULT_LIMITS_OVERAGE;
+	settings->limits_slack = DEFAULT_LIMITS_SLACK;
 	settings->drain_grace = 30 * KB_NS_PER_S;
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -97,6 +97,10 @@
 	uint64_t requests;
 	uint64_t caller_requests;
 	kb_time_t default_deadline;
+	/* Window in which teams' limits are measured, and its tolerance. */
+	kb_time_t limits_window;
+	double limits_overage;
+	double limits_slack;
 	/* Bytes per second that this host may send to other regions. */
 	uint64_t link_bytes;
 
