--- a/src/load/team_account.c
+++ b/src/load/team_account.c
@@ -33,8 +33,8 @@
 	kb_team_account_t *next;
 
 	HASH_ITER(by_team, accounts->by_team, account, next)
-		if (!keep || !keep(ctx, kb_name_str(&account->team)))
-			remove_account(accounts, account);
+	if (!keep || !keep(ctx, kb_name_str(&account->team)))
+		remove_account(accounts, account);
 }
 
 void kb_team_accounts_finish(kb_team_accounts_t *accounts)
@@ -74,8 +74,8 @@
 		   kb_time_t now)
 {
 	if (now > account->filled_at) {
-		account->tokens += account->share.rate *
-				   seconds(now - account->filled_at);
+		account->tokens +=
+			account->share.rate * seconds(now - account->filled_at);
 		account->filled_at = now;
 	}
 	account->share = *share;
@@ -133,9 +133,8 @@
 	wait += (kb_time_t)kb_rng_below(&accounts->rng, (uint64_t)wait + 1);
 	if (wait < first)
 		wait = first;
-	return wait > RETRY_MIN_MS * KB_NS_PER_MS
-		       ? wait
-		       : RETRY_MIN_MS * KB_NS_PER_MS;
+	return wait > RETRY_MIN_MS * KB_NS_PER_MS ? wait
+						  : RETRY_MIN_MS * KB_NS_PER_MS;
 }
 
 kb_team_loan_t kb_team_accounts_lend(kb_team_accounts_t *accounts,
@@ -166,7 +165,7 @@
 		return loan;
 	accounts->counters.denials++;
 	account->contended_until = now + CONTENDED_MS * KB_NS_PER_MS;
-	loan.retry = retry_time(accounts, account,
-				operations - loan.operations, now);
+	loan.retry = retry_time(accounts, account, operations - loan.operations,
+				now);
 	return loan;
 }
--- a/src/load/team_allowance.c
+++ b/src/load/team_allowance.c
@@ -112,9 +112,8 @@
 	}
 	if (open || !left)
 		return KB_ALLOWANCE_WAIT;
-	*retry = left +
-		 (kb_time_t)kb_rng_below(&allowance->rng,
-					 RETRY_SPREAD_MS * KB_NS_PER_MS);
+	*retry = left + (kb_time_t)kb_rng_below(&allowance->rng,
+						RETRY_SPREAD_MS * KB_NS_PER_MS);
 	return KB_ALLOWANCE_REFUSED;
 }
 
@@ -197,10 +196,10 @@
 
 	if (s->asked_at == asked_at)
 		s->asking = 0;
-	s->round_trip = s->round_trip ? s->round_trip +
-						(took - s->round_trip) /
-							ROUND_TRIP_WEIGHT
-				      : took;
+	s->round_trip = s->round_trip
+				? s->round_trip + (took - s->round_trip) /
+							  ROUND_TRIP_WEIGHT
+				: took;
 	s->failed_until = 0;
 	add_operations(s, operations, asked_at + allowance->lifetime, now);
 	if (retry > 0) {
--- a/src/proxy_keeper.c
+++ b/src/proxy_keeper.c
@@ -40,10 +40,9 @@
 	}
 	if (!keeps_share(team, &group->name))
 		return;
-	lent = kb_team_accounts_lend(&group->accounts,
-				     kb_text_str(request->team), &team->share,
-				     group->accounts.since, request->operations,
-				     now);
+	lent = kb_team_accounts_lend(
+		&group->accounts, kb_text_str(request->team), &team->share,
+		group->accounts.since, request->operations, now);
 	loan->result = KB_OK;
 	loan->operations = lent.operations;
 	loan->retry_us = lent.retry / KB_NS_PER_US;
@@ -89,10 +88,10 @@
 	for (size_t i = 0; i < proxy->group_count; i++)
 		kb_team_accounts_prune(&proxy->groups[i]->accounts, is_limited,
 				       proxy);
-	HASH_ITER(by_name, proxy->loans.by_name, team, next) {
-		if (team->first ||
-		    kb_teams_find(&proxy->databases.teams,
-				  kb_name_str(&team->name)))
+	HASH_ITER(by_name, proxy->loans.by_name, team, next)
+	{
+		if (team->first || kb_teams_find(&proxy->databases.teams,
+						 kb_name_str(&team->name)))
 			continue;
 		HASH_DELETE(by_name, proxy->loans.by_name, team);
 		free(team);
--- a/src/proxy_loans.c
+++ b/src/proxy_loans.c
@@ -68,7 +68,7 @@
 	if (proxy->loans.flush)
 		event_free(proxy->loans.flush);
 	HASH_ITER(by_name, proxy->loans.by_name, team, next)
-		free_team(proxy, team);
+	free_team(proxy, team);
 }
 
 static void enqueue(kb_proxy_team_t *team, kb_proxy_session_t *session)
@@ -344,8 +344,8 @@
 	for (size_t i = 0; i < count; i++) {
 		const request_t *r = &requests[i];
 
-		wire[i].group = kb_text_view(
-			kb_name_str(&r->team->keepers[r->share]));
+		wire[i].group =
+			kb_text_view(kb_name_str(&r->team->keepers[r->share]));
 		wire[i].team = kb_text_view(kb_name_str(&r->team->name));
 		wire[i].operations = r->operations;
 		if (!call)
@@ -407,8 +407,8 @@
 }
 
 /* Asks the keepers of one team; returns the number of calls to make. */
-static size_t ask(kb_proxy_t *proxy, kb_proxy_team_t *team,
-		  request_t *requests, size_t room, kb_time_t now)
+static size_t ask(kb_proxy_t *proxy, kb_proxy_team_t *team, request_t *requests,
+		  size_t room, kb_time_t now)
 {
 	size_t count = 0;
 
@@ -421,8 +421,9 @@
 			break;
 		request.host = find_keeper(proxy, team, request.share);
 		proxy->loans.asked += request.operations;
-		if (!request.host || (!request.host->self &&
-				      !kb_proxy_host_usable(request.host, now))) {
+		if (!request.host ||
+		    (!request.host->self &&
+		     !kb_proxy_host_usable(request.host, now))) {
 			failed(proxy, team, request.share, now);
 		} else if (request.host->self) {
 			kb_team_allowance_asked(&team->allowance, request.share,
--- a/src/proxy_team.c
+++ b/src/proxy_team.c
@@ -50,8 +50,8 @@
 	team->share_count = kb_team_limit_shares(entry->burst, tolerance,
 						 databases->group_count);
 	if (team->share_count)
-		team->share = kb_team_limit_share(
-			entry->rate, entry->burst, team->share_count, tolerance);
+		team->share = kb_team_limit_share(entry->rate, entry->burst,
+						  team->share_count, tolerance);
 	choose_keepers(team, databases);
 	for (unsigned i = 0; i < KB_TEAM_SHARES_MAX; i++)
 		team->hints[i].len = 0;
