--- a/src/load/team_account.c
+++ b/src/load/team_account.c
@@ -70,7 +70,7 @@
 }
 
 /* Adds what was earned and puts the share of the configuration in force. */
-static void refill(kb_team_account_t *account, const kb_team_share_t *share,
+static void refill(kb_team_account_t *account, const kb_limit_share_t *share,
 		   kb_time_t now)
 {
 	if (now > account->filled_at) {
@@ -84,7 +84,7 @@
 
 static kb_team_account_t *get_account(kb_team_accounts_t *accounts,
 				      kb_str_t team,
-				      const kb_team_share_t *share,
+				      const kb_limit_share_t *share,
 				      kb_time_t since)
 {
 	kb_team_account_t *account;
@@ -139,7 +139,7 @@
 
 kb_team_loan_t kb_team_accounts_lend(kb_team_accounts_t *accounts,
 				     kb_str_t team,
-				     const kb_team_share_t *share,
+				     const kb_limit_share_t *share,
 				     kb_time_t since, unsigned operations,
 				     kb_time_t now)
 {
--- a/src/load/team_account.h
+++ b/src/load/team_account.h
@@ -19,7 +19,7 @@
 /* A team's share: a token bucket. */
 typedef struct kb_team_account {
 	kb_name_t team;
-	kb_team_share_t share;
+	kb_limit_share_t share;
 	double tokens;
 	kb_time_t filled_at;
 	/* Hosts ask for more than there is until then. */
@@ -64,7 +64,7 @@
  */
 kb_team_loan_t kb_team_accounts_lend(kb_team_accounts_t *accounts,
 				     kb_str_t team,
-				     const kb_team_share_t *share,
+				     const kb_limit_share_t *share,
 				     kb_time_t since, unsigned operations,
 				     kb_time_t now);
 
--- a/src/load/team_limit.c
+++ b/src/load/team_limit.c
@@ -38,14 +38,14 @@
 			       LIFETIME_MIN_MS * (double)KB_NS_PER_MS);
 }
 
-kb_team_share_t kb_team_limit_share(double rate, double burst, unsigned shares,
-				    const kb_limit_tolerance_t *tolerance)
+kb_limit_share_t kb_team_limit_share(double rate, double burst, unsigned shares,
+				     const kb_limit_tolerance_t *tolerance)
 {
 	double window = (double)tolerance->window;
 	double lifetime = (double)kb_team_limit_lifetime(tolerance);
 	/* What is lent in a window and a lifetime may run in the window. */
 	double part = window * (1 + tolerance->overage) / (window + lifetime);
-	kb_team_share_t share = {
+	kb_limit_share_t share = {
 		.rate = rate * fmin(part, 1) / shares,
 		.capacity = total_capacity(burst, tolerance) / shares,
 		.initial = (1 - CAPACITY_SLACK) * tolerance->slack /
--- a/src/load/team_limit.h
+++ b/src/load/team_limit.h
@@ -26,7 +26,7 @@
 	double capacity;
 	/* Tokens of a new keeper, whose predecessor may have lent all. */
 	double initial;
-} kb_team_share_t;
+} kb_limit_share_t;
 
 /*
  * Returns the number of shares of a limit that `keepers` can keep. A share
@@ -37,8 +37,8 @@
 			      size_t keepers);
 
 /* Returns one of `shares` equal shares of a limit. */
-kb_team_share_t kb_team_limit_share(double rate, double burst, unsigned shares,
-				    const kb_limit_tolerance_t *tolerance);
+kb_limit_share_t kb_team_limit_share(double rate, double burst, unsigned shares,
+				     const kb_limit_tolerance_t *tolerance);
 
 /* Time for which a loan is valid, counted from the request for it. */
 kb_time_t kb_team_limit_lifetime(const kb_limit_tolerance_t *tolerance);
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -176,6 +176,8 @@
 	if (group->handover_started_at)
 		kb_proxy_group_hand_over(group, now);
 	serves = group->lease.role == KB_LEASE_SERVING;
+	if (serves)
+		kb_proxy_keeper_tick(group, now);
 	kb_monitor_set_active(&group->monitor, serves, now);
 	kb_monitor_tick(&group->monitor, &proxy->targets, now);
 	kb_proxy_vacancy_tick(group, now);
--- a/src/proxy_keeper.c
+++ b/src/proxy_keeper.c
@@ -1,7 +1,14 @@
 #include "proxy_internal.h"
 
+#include "metrics_text.h"
+
 #include <stdlib.h>
 
+enum {
+	/* Teams in the metrics. */
+	REFUSED_TEAMS_MAX = 16,
+};
+
 /* Whether the holder of `group` keeps a share of the team's limit. */
 static int keeps_share(const kb_proxy_team_t *team, const kb_name_t *group)
 {
@@ -97,3 +104,80 @@
 		free(team);
 	}
 }
+
+static uint64_t lent_by_this_host(const kb_proxy_t *proxy, size_t offset)
+{
+	uint64_t sum = 0;
+
+	for (size_t i = 0; i < proxy->group_count; i++)
+		sum += *(const uint64_t *)((const char *)&proxy->groups[i]
+						   ->accounts.counters +
+					   offset);
+	return sum;
+}
+
+/* Writes the teams that were refused most; the others are left out. */
+static void write_refused(const kb_proxy_t *proxy, struct evbuffer *out)
+{
+	const kb_proxy_team_t *most[REFUSED_TEAMS_MAX];
+	const kb_proxy_team_t *team;
+	size_t count = 0;
+
+	for (team = proxy->loans.by_name; team; team = team->by_name.next) {
+		size_t place = count;
+
+		while (place && most[place - 1]->refused < team->refused)
+			place--;
+		if (!team->refused || place == REFUSED_TEAMS_MAX)
+			continue;
+		if (count < REFUSED_TEAMS_MAX)
+			count++;
+		memmove(most + place + 1, most + place,
+			(count - 1 - place) * sizeof(most[0]));
+		most[place] = team;
+	}
+	kb_metrics_text_family(out, "team_refused_total", "counter",
+			       "Operations refused for a team's limit; the "
+			       "teams that were refused most.");
+	for (size_t i = 0; i < count; i++)
+		kb_metrics_text_value(out, "team_refused_total", "team",
+				      most[i]->name.data,
+				      (double)most[i]->refused);
+}
+
+void kb_proxy_loans_write_metrics(kb_proxy_t *proxy, struct evbuffer *out)
+{
+	const kb_proxy_loans_t *loans = &proxy->loans;
+
+	kb_metrics_text_counter(out, "loans_asked_total",
+				"Operations that keepers were asked for.",
+				loans->asked);
+	kb_metrics_text_counter(out, "loans_received_total",
+				"Operations that keepers lent to this host.",
+				loans->received);
+	kb_metrics_text_counter(out, "loan_calls_total", "Calls to keepers.",
+				loans->calls);
+	kb_metrics_text_counter(out, "loan_failures_total",
+				"Requests that no keeper answered.",
+				loans->failures);
+	kb_metrics_text_counter(out, "limit_refused_total",
+				"Operations refused for a team's limit.",
+				loans->refused);
+	kb_metrics_text_counter(out, "limit_no_keeper_total",
+				"Of these, those that no keeper was reached "
+				"for.",
+				loans->timeouts);
+#define COUNTER(member) offsetof(kb_team_accounts_counters_t, member)
+	kb_metrics_text_counter(out, "accounts_asked_total",
+				"Operations that this host was asked for as a "
+				"keeper.",
+				lent_by_this_host(proxy, COUNTER(asked)));
+	kb_metrics_text_counter(out, "accounts_lent_total",
+				"Operations that this host lent as a keeper.",
+				lent_by_this_host(proxy, COUNTER(lent)));
+	kb_metrics_text_counter(out, "accounts_denials_total",
+				"Requests that this host did not lend all of.",
+				lent_by_this_host(proxy, COUNTER(denials)));
+#undef COUNTER
+	write_refused(proxy, out);
+}
--- a/src/proxy_loans.h
+++ b/src/proxy_loans.h
@@ -7,6 +7,7 @@
 #include "rpc_server.h"
 #include "text.h"
 
+struct evbuffer;
 struct event;
 
 KB_BEGIN_DECLS
@@ -22,7 +23,7 @@
 	/* The groups whose holders keep the shares. */
 	unsigned share_count;
 	kb_name_t keepers[KB_TEAM_SHARES_MAX];
-	kb_team_share_t share;
+	kb_limit_share_t share;
 	/* Holders named by hosts that do not hold the groups, or empty. */
 	kb_name_t hints[KB_TEAM_SHARES_MAX];
 	kb_team_allowance_t allowance;
@@ -52,7 +53,7 @@
 	uint64_t asked;
 	uint64_t received;
 	uint64_t calls;
-	uint64_t failed_calls;
+	uint64_t failures;
 	uint64_t refused;
 	uint64_t timeouts;
 } kb_proxy_loans_t;
@@ -84,6 +85,8 @@
 void kb_proxy_loans_lend(kb_proxy_t *proxy, const kbs_loan_request *request,
 			 kbs_loan *loan);
 
+void kb_proxy_loans_write_metrics(kb_proxy_t *proxy, struct evbuffer *out);
+
 /* Returns the team of this name with what the configuration says, or NULL. */
 kb_proxy_team_t *kb_proxy_team_get(kb_proxy_t *proxy, kb_str_t name);
 
--- /dev/null
+++ b/src/proxy_metrics.c
@@ -0,0 +1,68 @@
+#include "proxy_internal.h"
+
+#include "metrics_text.h"
+
+static void write_pool(struct evbuffer *out, const char *name,
+		       const kb_link_pool_t *pool, uint64_t value)
+{
+	kb_metrics_text_value(out, name, "target", pool->place.target.data,
+			      (double)value);
+}
+
+static void write_pools(kb_proxy_t *proxy, struct evbuffer *out,
+			const char *name, size_t offset, const char *help)
+{
+	kb_metrics_text_family(out, name, "counter", help);
+	for (size_t i = 0; i < proxy->gate_count; i++) {
+		const kb_link_pool_t *pool = &proxy->gates[i]->pool;
+
+		write_pool(out, name, pool,
+			   *(const uint64_t *)((const char *)&pool->counters +
+					       offset));
+	}
+	for (size_t i = 0; i < proxy->group_count; i++) {
+		const kb_link_pool_t *pool = &proxy->groups[i]->pool;
+
+		if (pool->place.target.len)
+			write_pool(out, name, pool,
+				   *(const uint64_t *)((const char *)&pool
+							       ->counters +
+						       offset));
+	}
+}
+
+void kb_proxy_write_metrics(kb_proxy_t *proxy, struct evbuffer *out)
+{
+	kb_proxy_stats_write(&proxy->stats, out);
+	kb_metrics_text_family(out, "sessions", "gauge", "Open sessions.");
+	kb_metrics_text_value(out, "sessions", NULL, NULL,
+			      (double)proxy->session_count);
+	kb_metrics_text_family(out, "configuration_version", "gauge",
+			       "Version of the configuration in force.");
+	kb_metrics_text_value(out, "configuration_version", NULL, NULL,
+			      (double)proxy->databases.version);
+	kb_metrics_text_family(
+		out, "hold_serving", "gauge",
+		"Whether this host may serve a group's primary.");
+	for (size_t i = 0; i < proxy->group_count; i++)
+		kb_metrics_text_value(
+			out, "hold_serving", "group",
+			proxy->groups[i]->name.data,
+			kb_lease_may_serve(&proxy->groups[i]->lease,
+					   kb_clock_monotonic(proxy->clock)));
+#define POOL(member) offsetof(kb_link_pool_counters_t, member)
+	write_pools(proxy, out, "target_statements_total", POOL(statements),
+		    "Statements sent to a target.");
+	write_pools(proxy, out, "target_connections_total", POOL(opened),
+		    "Connections opened to a target.");
+	write_pools(proxy, out, "target_lost_total", POOL(lost),
+		    "Connections lost to a target.");
+	write_pools(proxy, out, "target_refused_total", POOL(refused),
+		    "Statements refused before they waited.");
+	write_pools(proxy, out, "target_expired_total", POOL(expired),
+		    "Statements whose time passed while they waited.");
+	write_pools(proxy, out, "target_silent_total", POOL(timeouts),
+		    "Statements whose answer was held lost.");
+#undef POOL
+	kb_proxy_loans_write_metrics(proxy, out);
+}
--- a/tests/limit_simulation.h
+++ b/tests/limit_simulation.h
@@ -41,8 +41,9 @@
  * Hosts with allowances, groups whose holders keep accounts, callers, and a
  * network that delays, loses and cuts; all with a fake clock and a seed.
  */
-class LimitSimulation {
-public:
+class LimitSimulation
+{
+      public:
 	static constexpr size_t GROUPS = 8;
 	static constexpr kb_time_t MS = KB_NS_PER_MS;
 	static constexpr kb_time_t S = KB_NS_PER_S;
@@ -75,7 +76,10 @@
 				kb_team_accounts_finish(&accounts);
 	}
 
-	size_t hosts() const { return hosts_.size(); }
+	size_t hosts() const
+	{
+		return hosts_.size();
+	}
 	uint64_t random(uint64_t bound = UINT64_MAX)
 	{
 		return kb_rng_below(&rng_, bound);
@@ -132,19 +136,24 @@
 		lose_groups(host, now);
 	}
 
-	size_t holder(size_t group) const { return groups_[group].holder; }
+	size_t holder(size_t group) const
+	{
+		return groups_[group].holder;
+	}
 	size_t keeper(size_t team, unsigned share) const
 	{
 		return (team * 5 + share * 3) % GROUPS;
 	}
 
 	/* Returns the largest excess over the bound in any window. */
-	double excess(size_t team, double rate, double burst, kb_time_t from = 0)
+	double excess(size_t team, double rate, double burst,
+		      kb_time_t from = 0)
 	{
 		LimitTeam &t = teams[team];
-		double bound = (rate * (double)tolerance.window / (double)S +
-				burst) * (1 + tolerance.overage) +
-			       tolerance.slack;
+		double bound =
+			(rate * (double)tolerance.window / (double)S + burst) *
+				(1 + tolerance.overage) +
+			tolerance.slack;
 		double worst = -bound;
 		size_t run = 0;
 
@@ -155,7 +164,8 @@
 			       t.run[run] <= t.sent[i] + tolerance.window)
 				run++;
 			if (t.sent[i] >= from && run > i)
-				worst = std::max(worst, (double)(run - i) - bound);
+				worst = std::max(worst,
+						 (double)(run - i) - bound);
 		}
 		return worst;
 	}
@@ -169,9 +179,10 @@
 		kb_time_t last = 0;
 
 		for (kb_time_t time : t.asked) {
-			tokens = std::min(t.burst,
-					  tokens + t.rate * (double)(time - last) /
-							   (double)S);
+			tokens = std::min(
+				t.burst,
+				tokens + t.rate * (double)(time - last) /
+						 (double)S);
 			last = time;
 			if (tokens < 1)
 				continue;
@@ -181,7 +192,7 @@
 		return count;
 	}
 
-private:
+      private:
 	static constexpr kb_time_t LEASE = 900 * MS;
 	static constexpr kb_time_t TAKEOVER = 1500 * MS;
 	static constexpr kb_time_t TICK = 20 * MS;
@@ -234,10 +245,22 @@
 	size_t started_ = 0;
 	kb_rng_t rng_;
 
-	double uniform() { return ((double)random(1 << 30) + 1) / (1 << 30); }
-	bool dead(size_t h) const { return now < hosts_[h].dead_until; }
-	bool frozen(size_t h) const { return now < hosts_[h].frozen_until; }
-	bool cut_off(size_t h) const { return now < hosts_[h].cut_until; }
+	double uniform()
+	{
+		return ((double)random(1 << 30) + 1) / (1 << 30);
+	}
+	bool dead(size_t h) const
+	{
+		return now < hosts_[h].dead_until;
+	}
+	bool frozen(size_t h) const
+	{
+		return now < hosts_[h].frozen_until;
+	}
+	bool cut_off(size_t h) const
+	{
+		return now < hosts_[h].cut_until;
+	}
 
 	void appoint(size_t g, size_t host, kb_time_t from)
 	{
@@ -269,9 +292,9 @@
 
 			if (group.holder != host)
 				continue;
-			for (size_t i = 0; i < hosts_.size() &&
-					   (dead(next) || frozen(next) ||
-					    cut_off(next));
+			for (size_t i = 0;
+			     i < hosts_.size() &&
+			     (dead(next) || frozen(next) || cut_off(next));
 			     i++)
 				next = (next + 1) % hosts_.size();
 			group.former_until = until;
@@ -318,9 +341,9 @@
 	void arrive(size_t team)
 	{
 		double rate = std::max(teams[team].demand, 0.001);
-		kb_time_t pause =
-			std::min((kb_time_t)(-log(uniform()) / rate * (double)S),
-				 100 * MS);
+		kb_time_t pause = std::min(
+			(kb_time_t)(-log(uniform()) / rate * (double)S),
+			100 * MS);
 		bool real = teams[team].demand > 0 && pause < 100 * MS;
 
 		at(now + pause, [this, team, real] {
@@ -473,9 +496,8 @@
 		if (hosts_[host].life != life)
 			return;
 		if (frozen(host))
-			at(hosts_[host].frozen_until, [=] {
-				time_out(host, team, share, call, life);
-			});
+			at(hosts_[host].frozen_until,
+			   [=] { time_out(host, team, share, call, life); });
 		else
 			answer(host, team, share, call, 0, {});
 	}
@@ -489,7 +511,7 @@
 	{
 		kb_team_accounts_t *accounts = account_at(g, host);
 		std::string name = std::to_string(team);
-		kb_team_share_t share = kb_team_limit_share(
+		kb_limit_share_t share = kb_team_limit_share(
 			teams[team].rate, teams[team].burst,
 			kb_team_limit_shares(teams[team].burst, &tolerance,
 					     GROUPS),
--- a/tests/test_team_limits.cc
+++ b/tests/test_team_limits.cc
@@ -23,8 +23,9 @@
 			<< what << " team " << t;
 }
 
-class TeamLimits : public testing::TestWithParam<std::tuple<size_t, int>> {
-protected:
+class TeamLimits : public testing::TestWithParam<std::tuple<size_t, int>>
+{
+      protected:
 	size_t hosts = std::get<0>(GetParam());
 	LimitSimulation sim{ hosts, (uint64_t)std::get<1>(GetParam()) };
 };
@@ -68,9 +69,8 @@
 		sim.teams[t].demand *= 7;
 	for (kb_time_t time = 14 * S; time < 60 * S; time += 700 * MS)
 		sim.at(time, [this] {
-			size_t host = sim.random(2)
-					      ? sim.holder(sim.random(8))
-					      : sim.random(sim.hosts());
+			size_t host = sim.random(2) ? sim.holder(sim.random(8))
+						    : sim.random(sim.hosts());
 
 			switch (sim.random(3)) {
 			case 0:
