--- a/src/proxy_keeper.c
+++ b/src/proxy_keeper.c
@@ -1,4 +1,5 @@
 #include "proxy_internal.h"
+#include "proxy_loan_call.h"
 
 #include "metrics_text.h"
 
@@ -97,12 +98,14 @@
 				       proxy);
 	HASH_ITER(by_name, proxy->loans.by_name, team, next)
 	{
-		if (team->first || kb_teams_find(&proxy->databases.teams,
-						 kb_name_str(&team->name)))
+		team = kb_proxy_team_get(proxy, kb_name_str(&team->name));
+		if (team->first || team->configured)
 			continue;
 		HASH_DELETE(by_name, proxy->loans.by_name, team);
 		free(team);
 	}
+	if (proxy->loans.waiting)
+		kb_proxy_loans_wake(proxy);
 }
 
 static uint64_t lent_by_this_host(const kb_proxy_t *proxy, size_t offset)
--- a/src/proxy_loan_call.c
+++ b/src/proxy_loan_call.c
@@ -250,4 +250,3 @@
 	}
 	send_all(proxy, requests, count, now);
 }
-
--- a/tests/test_proxy_loans.cc
+++ b/tests/test_proxy_loans.cc
@@ -135,7 +135,10 @@
 	std::vector<kb_result_t> answers;
 	kb_time_t retry = 0;
 
-	ProxyLoans() { clock.now = 100 * KB_NS_PER_S; }
+	ProxyLoans()
+	{
+		clock.now = 100 * KB_NS_PER_S;
+	}
 
 	~ProxyLoans() override
 	{
@@ -145,9 +148,9 @@
 
 	void open(const char *team)
 	{
-		ASSERT_EQ(KB_OK, kb_proxy_session_open(
-					 &session, host.proxy.get(),
-					 KB_STR("db"), on_answer, this));
+		ASSERT_EQ(KB_OK,
+			  kb_proxy_session_open(&session, host.proxy.get(),
+						KB_STR("db"), on_answer, this));
 		session->caller.args.team = kb_text_view(kb_str_from(team));
 	}
 
@@ -156,10 +159,15 @@
 	{
 		session->caller.args.team = kb_text_view(kb_str_from(team));
 		session->caller.running = 1;
+		session->deadline = clock.now + 800 * MS;
+		session->retry_at = 0;
 		return kb_proxy_loans_admit(session);
 	}
 
-	void turn() { event_base_loop(loop.base, EVLOOP_NONBLOCK); }
+	void turn()
+	{
+		event_base_loop(loop.base, EVLOOP_NONBLOCK);
+	}
 
 	kb_proxy_team_t *team()
 	{
