--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -80,6 +80,7 @@
 		return NULL;
 	group->proxy = proxy;
 	kb_name_set(&group->name, name);
+	kb_team_accounts_init(&group->accounts, kb_rng_next(&proxy->rng));
 	kb_lease_init(&group->lease, &kb_proxy_lease_ops, group, &group->name,
 		      &proxy->self.name,
 		      proxy->setup.settings->first_start &&
@@ -98,6 +99,7 @@
 {
 	kb_proxy_probes_finish(group);
 	kb_link_pool_finish(&group->pool);
+	kb_team_accounts_finish(&group->accounts);
 	free(group);
 }
 
@@ -174,6 +176,8 @@
 	if (group->handover_started_at)
 		kb_proxy_group_hand_over(group, now);
 	serves = group->lease.role == KB_LEASE_SERVING;
+	if (serves)
+		kb_proxy_keeper_tick(group, now);
 	kb_monitor_set_active(&group->monitor, serves, now);
 	kb_monitor_tick(&group->monitor, &proxy->targets, now);
 	kb_proxy_vacancy_tick(group, now);
