--- a/src/load/team_limit.h
+++ b/src/load/team_limit.h
@@ -20,7 +20,7 @@
 } kb_limit_tolerance_t;
 
 /* One share of a team's limit: the token bucket of one keeper. */
-typedef struct kb_team_share {
+typedef struct kb_limit_share {
 	/* Operations a second. */
 	double rate;
 	double capacity;
