Split the simulated calls of leases from tests/lease_cluster.h

The calls of the simulated leases to the store and to other hosts move to tests/lease_cluster_ops.h, unchanged but for their indentation.

--- a/tests/lease_simulation.h
+++ b/tests/lease_simulation.h
@@ -1,7 +1,7 @@
 #ifndef KB_TESTS_LEASE_SIMULATION_H
 #define KB_TESTS_LEASE_SIMULATION_H
 
-#include "lease_cluster.h"
+#include "lease_cluster_ops.h"
 
 namespace lease_simulation
 {
