Answer the connections that are open when a host stops

The caller interface now records its connections. When it ends, each idle one gets a last 408 with code `draining` and outcome `not run`, in one segment with the end of the stream; what the peer still sends is read and discarded until it closes, 0.5 s at most. Connections in the backlog are accepted and answered alike before the listener is closed. If requests are still in flight at a forced stop, the outcome is `unknown` instead. libevent has no list of a server's connections and no hook for their end; its callbacks are removed from a connection that it has closed, which tells the closed ones apart.

Ruled out: accepting without an answer and leaving the last turn to the event loop, which moves the moment but does not close it.

Left: a handshake that completes between the last accept() and close() of the listener, some microseconds, is still reset.

--- a/src/caller_api.c
+++ b/src/caller_api.c
@@ -16,8 +16,11 @@
 	/* Time for which a draining host still accepts new work. */
 	DRAIN_ACCEPT_MS = 1500,
 	HTTP_TIMEOUT_S = 60,
+	/* Time for the peers of the last connections to close them. */
+	CLOSE_TIMEOUT_MS = 500,
 	/* Limits of the HTTP server, as a multiple of those in the settings. */
 	SERVER_LIMIT_FACTOR = 4,
+	STATUS_REQUEST_TIMEOUT = 408,
 	STATUS_TOO_MANY_REQUESTS = 429,
 	STATUS_HEADERS_TOO_LARGE = 431,
 	/* Separator ": " and line end of a header. */
@@ -247,6 +250,7 @@
 		api->http = kb_http_server_new(loop);
 	if (!api->http)
 		goto fail;
+	kb_http_connections_init(&api->connections, api->http);
 	/*
 	 * The limits of the server are higher than those of the settings. A
 	 * request between the two gets a problem document. Beyond them the
@@ -271,11 +275,31 @@
 	return result ? result : KB_ERR_NO_MEMORY;
 }
 
+/* The last response on connections without a request. */
+static const kb_problem_t closing_problem = {
+	.result = KB_ERR_DRAINING,
+	.status = STATUS_REQUEST_TIMEOUT,
+	.detail = "the host has stopped",
+};
+
+/* The last response where the outcome of a request may be open. */
+static const kb_problem_t cut_off_problem = {
+	.result = KB_ERR_UNKNOWN,
+	.detail = "the host has stopped",
+};
+
 void kb_caller_api_finish(kb_caller_api_t *api)
 {
-	if (api->http)
+	kb_caller_api_close_listener(api);
+	if (api->http) {
+		kb_http_connections_close(&api->connections,
+					  api->active ? &cut_off_problem
+						      : &closing_problem,
+					  CLOSE_TIMEOUT_MS * KB_NS_PER_MS);
 		evhttp_free(api->http);
+	}
 	api->http = NULL;
+	kb_http_connections_finish(&api->connections);
 	kb_accounts_finish(&api->accounts);
 	kb_token_keyring_finish(&api->keys);
 }
@@ -290,7 +314,11 @@
 
 void kb_caller_api_close_listener(kb_caller_api_t *api)
 {
-	if (api->listener)
-		evhttp_del_accept_socket(api->http, api->listener);
+	if (!api->listener)
+		return;
+	kb_http_connections_refuse(&api->connections,
+				   evhttp_bound_socket_get_fd(api->listener),
+				   &closing_problem);
+	evhttp_del_accept_socket(api->http, api->listener);
 	api->listener = NULL;
 }
--- a/src/caller_api.h
+++ b/src/caller_api.h
@@ -4,6 +4,7 @@
 #include "account.h"
 #include "catalog.h"
 #include "class_durations.h"
+#include "http_connections.h"
 #include "problem.h"
 #include "router.h"
 #include "token.h"
@@ -32,6 +33,7 @@
 	struct evhttp_bound_socket *listener;
 	/* The port that `listener` is bound to. */
 	uint16_t port;
+	kb_http_connections_t connections;
 	const kb_settings_t *settings;
 	kb_clock_t *clock;
 	kb_router_t *router;
@@ -61,6 +63,8 @@
 			       const kb_settings_t *settings, kb_clock_t *clock,
 			       kb_router_t *router,
 			       const kb_catalog_t *catalog);
+
+/* Ends all connections, each with a last response, and frees the server. */
 void kb_caller_api_finish(kb_caller_api_t *api);
 
 /*
