Remember removals of keys that a copy of the store never had

A host takes turns at two feeders. A key that one of them saw and that was removed before the other one read the store, or its changes, stayed in the host's copy for good: the second feeder did not know the key and named no removal.

A whole copy that shows a newer revision now ends what is known of earlier removals, so a host that lags behind it gets a whole copy, too; a removal of an unknown key is remembered like any other, also by a host that only passes it on. A repeated read of the same revision changes nothing.

Cost: a host that lags behind a full read of a reader (every 20 s) that showed changes gets one whole copy instead of the changes.

Before: AKeyThatCameAndWentBetweenTwoReadsIsGone and AKeyThatCameAndWentBetweenTwoChangesIsGone fail. After: they pass.

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -91,20 +91,36 @@
 	return KB_OK;
 }
 
-/* Removes an entry and remembers the removal, in place of the oldest one. */
-static void remove_entry(kb_mirror_t *mirror, kb_mirror_entry_t *entry)
+/* Remembers a removal in place of the oldest one; takes `key`. */
+static void remember_removal(kb_mirror_t *mirror, kb_str_t key)
 {
 	kb_mirror_removal_t *removal =
 		&mirror->removals[mirror->removal_count++ %
 				  KB_MIRROR_REMOVALS_MAX];
 
-	HASH_DELETE(by_key, mirror->entries, entry);
-	mirror->changed(mirror->ctx, entry->key, NULL);
 	if (removal->key.data && removal->revision > mirror->removals_since)
 		mirror->removals_since = removal->revision;
 	free((char *)removal->key.data);
-	removal->key = entry->key;
+	removal->key = key;
 	removal->revision = mirror->revision;
+}
+
+/* The same for a key that this copy never had, but others may have. */
+static void remember_unknown(kb_mirror_t *mirror, kb_str_t key)
+{
+	kb_str_t copied;
+
+	if (copy_str(key, &copied))
+		mirror->removals_since = mirror->revision;
+	else
+		remember_removal(mirror, copied);
+}
+
+static void remove_entry(kb_mirror_t *mirror, kb_mirror_entry_t *entry)
+{
+	HASH_DELETE(by_key, mirror->entries, entry);
+	mirror->changed(mirror->ctx, entry->key, NULL);
+	remember_removal(mirror, entry->key);
 	entry->key = (kb_str_t){ NULL, 0 };
 	free_entry(entry);
 }
@@ -137,14 +153,13 @@
 }
 
 /*
- * Sets the revision of a newer copy. Removals before the first copy, or before
- * the first one of an era, are not known: the store loses keys that this host
- * never had.
+ * Sets the revision of a copy. Keys that were created and removed since the
+ * former one are not in a whole copy, so the removals before it are not known;
+ * a host that has such a key needs a whole copy, too.
  */
-static void set_revision(kb_mirror_t *mirror, int64_t revision)
+static void set_revision(kb_mirror_t *mirror, int64_t revision, int whole)
 {
-	if (!mirror->revision ||
-	    kb_store_era(revision) != kb_store_era(mirror->revision))
+	if (whole && revision > mirror->revision)
 		mirror->removals_since = revision;
 	mirror->revision = revision;
 }
@@ -155,7 +170,7 @@
 {
 	if (range->revision < mirror->revision)
 		return KB_OK;
-	set_revision(mirror, range->revision);
+	set_revision(mirror, range->revision, 1);
 	advance_as_of(mirror, sent_at);
 	mirror->sweep++;
 	for (size_t i = 0; i < range->count; i++)
@@ -183,9 +198,12 @@
 			if (put_entry(mirror, entry->key, entry->value,
 				      entry->revision))
 				return KB_ERR_NO_MEMORY;
-		} else if (known && known->revision < entry->revision) {
+		} else if (!known || known->revision < entry->revision) {
 			mirror->revision = entry->revision;
-			remove_entry(mirror, known);
+			if (known)
+				remove_entry(mirror, known);
+			else
+				remember_unknown(mirror, entry->key);
 		}
 	}
 	mirror->revision = range->revision;
@@ -274,8 +292,11 @@
 		kb_mirror_entry_t *entry = find_entry(mirror, key);
 
 		/* It may have been written again since. */
-		if (entry && entry->revision <= mirror->revision &&
-		    !has_changed(res, key))
+		if (has_changed(res, key))
+			continue;
+		if (!entry)
+			remember_unknown(mirror, key);
+		else if (entry->revision <= mirror->revision)
 			remove_entry(mirror, entry);
 	}
 }
@@ -292,7 +313,10 @@
 		advance_as_of(mirror, as_of);
 		return KB_OK;
 	}
-	set_revision(mirror, revision);
+	set_revision(mirror, revision,
+		     res->whole || !mirror->revision ||
+			     kb_store_era(revision) !=
+				     kb_store_era(mirror->revision));
 	advance_as_of(mirror, as_of);
 	apply_removals(mirror, res);
 	for (u_int j = 0; j < res->changed.changed_len; j++) {
--- a/tests/test_mirror.cc
+++ b/tests/test_mirror.cc
@@ -286,3 +286,57 @@
 	ahead.sync_from(relay);
 	EXPECT_EQ((Seen{ { "a", "1" } }), ahead.seen);
 }
+
+/* Hosts that take turns at two readers have keys that one reader never had. */
+TEST(Mirror, AKeyThatCameAndWentBetweenTwoReadsIsGone)
+{
+	Mirror reader;
+	Mirror other;
+	Mirror fed;
+
+	reader.apply_snapshot({ Mirror::entry("a", "1", 2) }, 3);
+	other.apply_snapshot({ Mirror::entry("a", "1", 2) }, 3);
+	other.apply_changes({ Mirror::entry("brief", "1", 4) }, 4);
+	fed.sync_from(other);
+	ASSERT_EQ("1", fed.seen["brief"]);
+	reader.apply_snapshot({ Mirror::entry("a", "1", 2) }, 6);
+	fed.sync_from(reader);
+	EXPECT_EQ((Seen{ { "a", "1" } }), fed.seen);
+}
+
+TEST(Mirror, AKeyThatCameAndWentBetweenTwoChangesIsGone)
+{
+	Mirror reader;
+	Mirror other;
+	Mirror relay;
+	Mirror fed;
+
+	reader.apply_snapshot({ Mirror::entry("a", "1", 2) }, 3);
+	other.apply_snapshot({ Mirror::entry("a", "1", 2) }, 3);
+	relay.sync_from(reader);
+	other.apply_changes({ Mirror::entry("brief", "1", 4) }, 4);
+	fed.sync_from(other);
+	reader.apply_changes({ Mirror::entry("brief", nullptr, 5) }, 6);
+	/* One hop further, past a relay that never had the key either. */
+	relay.sync_from(reader);
+	fed.sync_from(relay);
+	EXPECT_EQ((Seen{ { "a", "1" } }), fed.seen);
+}
+
+/* A read that shows no newer revision hides no removal. */
+TEST(Mirror, ARepeatedReadKeepsTheRemovals)
+{
+	Mirror reader;
+	kbs_sync_args args = {};
+	kbs_sync_res res;
+
+	reader.apply_snapshot(
+		{ Mirror::entry("a", "1", 2), Mirror::entry("b", "1", 3) }, 3);
+	reader.apply_changes({ Mirror::entry("b", nullptr, 4) }, 4);
+	reader.apply_snapshot({ Mirror::entry("a", "1", 2) }, 4);
+	args.revision = 3;
+	ASSERT_EQ(KB_OK, kb_mirror_fill_sync(&reader.mirror, &args, &res, 10));
+	EXPECT_FALSE(res.whole);
+	EXPECT_EQ(1u, res.removed.removed_len);
+	kb_mirror_sync_finish(&res);
+}
