Leave the injected defects out of builds without tests

The enumeration of src/defect.h, its members in the parameters and its checks were part of the released library.

--- a/src/confirm.c
+++ b/src/confirm.c
@@ -3,7 +3,9 @@
 void kb_confirm_params_init(kb_confirm_params_t *params)
 {
 	params->window = KB_CONFIRM_WINDOW_MS * KB_NS_PER_MS;
+#ifdef KB_DEFECTS
 	params->defect = KB_DEFECT_NONE;
+#endif
 }
 
 void kb_confirm_init(kb_confirm_t *confirm, kb_watch_t *watch,
@@ -99,7 +101,7 @@
 	if (window && now - target->report_probe.sent > window)
 		return 0;
 	return target->report_probe.id > entry->after_probe_id ||
-	       confirm->params.defect == KB_DEFECT_STALE_PROBE;
+	       KB_HAS_DEFECT(&confirm->params, STALE_PROBE);
 }
 
 static int has_position(const kb_confirm_t *confirm,
@@ -110,7 +112,7 @@
 
 	if (!entry->position)
 		return 1;
-	if (confirm->params.defect == KB_DEFECT_IGNORE_TERM)
+	if (KB_HAS_DEFECT(&confirm->params, IGNORE_TERM))
 		return report->received >= entry->position;
 	return kb_report_last(report).term == entry->term &&
 	       kb_history_contains(&report->history, report->received, point);
--- a/src/confirm.h
+++ b/src/confirm.h
@@ -48,7 +48,9 @@
 	 * promotion.
 	 */
 	kb_time_t window;
+#ifdef KB_DEFECTS
 	kb_defect_t defect;
+#endif
 } kb_confirm_params_t;
 
 /*
--- a/src/defect.h
+++ b/src/defect.h
@@ -5,10 +5,12 @@
 
 KB_BEGIN_DECLS
 
+#ifdef KB_DEFECTS
+
 /*
  * Injected faults: each disables one safety rule, so that a test can prove
- * that its checks detect the resulting data loss. All other code uses
- * KB_DEFECT_NONE.
+ * that its checks detect the resulting data loss. Builds without tests have
+ * none of them.
  */
 typedef enum kb_defect {
 	KB_DEFECT_NONE,
@@ -22,6 +24,14 @@
 	KB_DEFECT_SECOND_CANDIDATE,
 } kb_defect_t;
 
+#define KB_HAS_DEFECT(params, name) ((params)->defect == KB_DEFECT_##name)
+
+#else
+
+#define KB_HAS_DEFECT(params, name) 0
+
+#endif
+
 KB_END_DECLS
 
 #endif
--- a/src/promotion.c
+++ b/src/promotion.c
@@ -9,7 +9,9 @@
 	params->fence_timeout = KB_PROMOTION_FENCE_TIMEOUT_MS * KB_NS_PER_MS;
 	params->promote_timeout =
 		KB_PROMOTION_PROMOTE_TIMEOUT_MS * KB_NS_PER_MS;
+#ifdef KB_DEFECTS
 	params->defect = KB_DEFECT_NONE;
+#endif
 }
 
 void kb_promotion_init(kb_promotion_t *promotion, const kb_promotion_ops_t *ops,
@@ -75,7 +77,7 @@
 
 static size_t majority_of(const kb_promotion_t *promotion)
 {
-	if (promotion->params.defect == KB_DEFECT_NO_MAJORITY)
+	if (KB_HAS_DEFECT(&promotion->params, NO_MAJORITY))
 		return 1;
 	return promotion->plan.target_count / 2 + 1;
 }
@@ -93,7 +95,7 @@
 	kb_point_t last_b = promotion->targets[b].last;
 	int command;
 
-	if (promotion->params.defect == KB_DEFECT_IGNORE_TERM)
+	if (KB_HAS_DEFECT(&promotion->params, IGNORE_TERM))
 		last_a.term = last_b.term = 0;
 	command = kb_point_compare(last_a, last_b);
 	if (command)
@@ -243,7 +245,7 @@
 	}
 	if (promotion->state == KB_PROMOTION_PROMOTING) {
 		end = promotion->since + params->promote_timeout;
-		if (params->defect == KB_DEFECT_SECOND_CANDIDATE)
+		if (KB_HAS_DEFECT(params, SECOND_CANDIDATE))
 			choose_other_target(promotion, now);
 		if (now < end)
 			return earlier(end, repeat_command(promotion, now,
--- a/src/promotion.h
+++ b/src/promotion.h
@@ -51,7 +51,9 @@
 	 */
 	kb_time_t fence_timeout;
 	kb_time_t promote_timeout;
+#ifdef KB_DEFECTS
 	kb_defect_t defect;
+#endif
 } kb_promotion_params_t;
 
 /* State of an attempt. */
