Build the call for a renewal in one function

src/proxy_fence.c and src/proxy_lease.c each had the call; both now use kb_proxy_request_grant(). A call that cannot be started counts as a call between hosts in both, as it did for a renewal only.

--- a/src/proxy_fence.c
+++ b/src/proxy_fence.c
@@ -65,21 +65,6 @@
 	kb_proxy_group_t *group = ctx;
 	kb_proxy_t *proxy = group->proxy;
 	fence_round_t *round = calloc(1, sizeof(*round));
-	kbs_grant_args args = {
-		.group = kb_text_view(kb_name_str(&group->name)),
-		.holder = kb_text_view(kb_name_str(&proxy->self.name)),
-		.revision = (uint64_t)lease->revision,
-	};
-	kb_rpc_call_t rpc = {
-		.procedure = KB_PROXY_RPC_GRANT,
-		.encode = (xdrproc_t)xdr_kbs_grant_args,
-		.args = &args,
-		.decode = (xdrproc_t)xdr_kbs_grant_res,
-		.res_size = sizeof(kbs_grant_res),
-		.timeout = KB_PROXY_CALL_TIMEOUT_MS * KB_NS_PER_MS,
-		.done = on_granted,
-		.ctx = round,
-	};
 
 	if (!round)
 		return;
@@ -93,10 +78,8 @@
 		if (!may_serve(host, sent_at))
 			continue;
 		round->hosts++;
-		if (kb_rpc_peer_call(&host->peer, &rpc))
-			continue;
-		proxy->stats.host_calls++;
-		round->open++;
+		if (!kb_proxy_request_grant(group, host, 0, on_granted, round))
+			round->open++;
 	}
 	if (!--round->open)
 		end_round(round, sent_at);
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -268,6 +268,13 @@
 
 /* Formats the key of the group's lease in the store. */
 void kb_proxy_lease_key(const kb_proxy_group_t *group, char *key);
+/*
+ * Asks a host for a grant of the group's lease. If the call cannot be started,
+ * no callback is made.
+ */
+kb_result_t kb_proxy_request_grant(kb_proxy_group_t *group, kb_host_t *host,
+				   int serving, kb_rpc_done_fn_t *done,
+				   void *ctx);
 extern const kb_lease_ops_t kb_proxy_lease_ops;
 extern const kb_monitor_ops_t kb_proxy_monitor_ops;
 
--- a/src/proxy_lease.c
+++ b/src/proxy_lease.c
@@ -145,18 +145,16 @@
 	wake_if_starting(call.group);
 }
 
-static void lease_request_grant(void *ctx, kb_lease_t *lease,
-				const kb_name_t *voter, kb_time_t sent_at)
+kb_result_t kb_proxy_request_grant(kb_proxy_group_t *group, kb_host_t *host,
+				   int serving, kb_rpc_done_fn_t *done,
+				   void *ctx)
 {
-	kb_proxy_group_t *group = ctx;
 	kb_proxy_t *proxy = group->proxy;
-	kb_host_t *host = kb_hosts_find(&proxy->hosts, kb_name_str(voter));
-	grant_call_t *call = host ? calloc(1, sizeof(*call)) : NULL;
 	kbs_grant_args args = {
 		.group = kb_text_view(kb_name_str(&group->name)),
 		.holder = kb_text_view(kb_name_str(&proxy->self.name)),
-		.revision = (uint64_t)lease->revision,
-		.serving = kb_lease_is_live(lease, sent_at),
+		.revision = (uint64_t)group->lease.revision,
+		.serving = serving,
 	};
 	kb_rpc_call_t rpc = {
 		.procedure = KB_PROXY_RPC_GRANT,
@@ -165,16 +163,31 @@
 		.decode = (xdrproc_t)xdr_kbs_grant_res,
 		.res_size = sizeof(kbs_grant_res),
 		.timeout = KB_PROXY_CALL_TIMEOUT_MS * KB_NS_PER_MS,
-		.done = on_granted,
-		.ctx = call,
+		.done = done,
+		.ctx = ctx,
 	};
 
+	proxy->stats.host_calls++;
+	return kb_rpc_peer_call(&host->peer, &rpc);
+}
+
+static void lease_request_grant(void *ctx, kb_lease_t *lease,
+				const kb_name_t *voter, kb_time_t sent_at)
+{
+	kb_proxy_group_t *group = ctx;
+	kb_host_t *host =
+		kb_hosts_find(&group->proxy->hosts, kb_name_str(voter));
+	grant_call_t *call = host ? calloc(1, sizeof(*call)) : NULL;
+
 	if (!call)
 		return;
 	call->group = group;
 	call->voter = *voter;
 	call->sent_at = sent_at;
-	kb_proxy_host_call(proxy, host, &rpc);
+	if (kb_proxy_request_grant(group, host,
+				   kb_lease_is_live(lease, sent_at), on_granted,
+				   call))
+		free(call);
 }
 
 static void on_holder_age(void *ctx, kb_result_t result, void *res)
--- a/src/rpc_peer.h
+++ b/src/rpc_peer.h
@@ -10,6 +10,8 @@
 
 KB_BEGIN_DECLS
 
+typedef void kb_rpc_done_fn_t(void *ctx, kb_result_t result, void *res);
+
 /* A call to another host. */
 typedef struct kb_rpc_call {
 	uint32_t procedure;
@@ -24,7 +26,7 @@
 	 * KB_ERR_UNREACHABLE means that no byte was sent. After KB_ERR_CLOSED,
 	 * KB_ERR_TIMEOUT or KB_ERR_PROTOCOL the call may have run.
 	 */
-	void (*done)(void *ctx, kb_result_t result, void *res);
+	kb_rpc_done_fn_t *done;
 	void *ctx;
 } kb_rpc_call_t;
 
