Set TCP_NODELAY on all connections, in one place

Answers between hosts waited for a delayed acknowledgement: the RPC peer set TCP_NODELAY on the connections that it opens, but the RPC server not on those that it accepts, so that the second of two answers on a connection waited up to 40 ms. The HTTP listeners, the HTTP client, the load tool and the stand-in of the store lacked it, too.

On an HTTP listener it is inherited by the connections that are accepted.

--- a/bench/common/closed_loop_http.c
+++ b/bench/common/closed_loop_http.c
@@ -1,6 +1,8 @@
 #include "closed_loop.h"
+#include "socket_options.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <inttypes.h>
 #include <stdio.h>
@@ -75,8 +77,13 @@
 		goto fail;
 	}
 	if (!evhttp_make_request(client->http, http, EVHTTP_REQ_POST,
-				 client->path))
+				 client->path)) {
+		kb_socket_set_options(
+			bufferevent_getfd(evhttp_connection_get_bufferevent(
+				client->http)),
+			NULL);
 		return;
+	}
 fail:
 	closed_loop_on_reply(client->loop, client->sent, 1);
 }
--- a/load/client.c
+++ b/load/client.c
@@ -1,6 +1,9 @@
 #include "client.h"
 
+#include "socket_options.h"
+
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <stdio.h>
@@ -200,5 +203,9 @@
 	    event_base_once(client->base, -1, EV_TIMEOUT, on_not_sent,
 			    connection, &at_once))
 		return KB_ERR_NO_MEMORY;
+	kb_socket_set_options(
+		bufferevent_getfd(
+			evhttp_connection_get_bufferevent(connection->http)),
+		NULL);
 	return KB_OK;
 }
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,9 +1,10 @@
 #include "http_client.h"
 
+#include "socket_options.h"
+
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/socket.h>
@@ -201,19 +202,17 @@
 /* Enables TCP keepalive, which detects that an idle stream's server is gone. */
 static int on_stream_header(struct evhttp_request *http, void *ctx)
 {
-	static const int on = 1;
-	static const int idle = KEEPALIVE_IDLE_S;
-	static const int interval = KEEPALIVE_INTERVAL_S;
-	static const int probes = KEEPALIVE_PROBES;
+	static const kb_keepalive_t keepalive = {
+		.idle_s = KEEPALIVE_IDLE_S,
+		.interval_s = KEEPALIVE_INTERVAL_S,
+		.probes = KEEPALIVE_PROBES,
+	};
 	kb_http_call_t *call = ctx;
 	evutil_socket_t fd = bufferevent_getfd(
 		evhttp_connection_get_bufferevent(call->connection));
 
 	(void)http;
-	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	kb_socket_set_options(fd, &keepalive);
 	return 0;
 }
 
@@ -301,6 +300,11 @@
 		client->calls = call->next;
 		goto fail;
 	}
+	/* The socket exists from here on; numeric addresses need no lookup. */
+	kb_socket_set_options(
+		bufferevent_getfd(
+			evhttp_connection_get_bufferevent(call->connection)),
+		NULL);
 	return call;
 fail:
 	free_call(call);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -1,5 +1,7 @@
 #include "http_server.h"
 
+#include "socket_options.h"
+
 #include <event2/http.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -35,6 +37,7 @@
 	if (!socket ||
 	    getsockname(evhttp_bound_socket_get_fd(socket), &bound.any, &len))
 		return KB_ERR_IO;
+	kb_socket_set_options(evhttp_bound_socket_get_fd(socket), NULL);
 	*port = ntohs(bound.any.sa_family == AF_INET6 ? bound.v6.sin6_port
 						      : bound.v4.sin_port);
 	if (listener)
--- a/src/rpc_peer.c
+++ b/src/rpc_peer.c
@@ -1,13 +1,12 @@
 #include "rpc_peer.h"
 
 #include "log.h"
+#include "socket_options.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -206,10 +205,7 @@
 	kb_result_t result;
 
 	if (what & BEV_EVENT_CONNECTED) {
-		int on = 1;
-
-		setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY,
-			   &on, sizeof(on));
+		kb_socket_set_options(bufferevent_getfd(stream), NULL);
 		peer->connected = 1;
 		return;
 	}
--- a/src/rpc_server.c
+++ b/src/rpc_server.c
@@ -2,6 +2,7 @@
 
 #include "gen/kumquat_rpc.h"
 #include "log.h"
+#include "socket_options.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -227,6 +228,7 @@
 		free(session);
 		return;
 	}
+	kb_socket_set_options(fd, NULL);
 	session->server = server;
 	session->next = server->sessions;
 	if (server->sessions)
--- a/standin/store/gateway.c
+++ b/standin/store/gateway.c
@@ -1,5 +1,6 @@
 #include "gateway.h"
 #include "codec.h"
+#include "http_server.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -358,7 +359,7 @@
 	evhttp_set_timeout(gateway->http, STREAM_TIMEOUT_S);
 	evhttp_set_gencb(gateway->http, on_request, gateway);
 	if (event_add(gateway->lease_timer, &period) ||
-	    evhttp_bind_socket(gateway->http, address, port))
+	    kb_http_server_listen(gateway->http, address, &port, NULL))
 		goto fail;
 	return KB_OK;
 fail:
--- a/standin/target/connection.c
+++ b/standin/target/connection.c
@@ -1,7 +1,7 @@
 #include "connection.h"
 
-#include "listen.h"
 #include "server.h"
+#include "socket_options.h"
 
 #include <arpa/inet.h>
 #include <stdlib.h>
@@ -307,7 +307,7 @@
 		evutil_closesocket(fd);
 		return;
 	}
-	st_set_tcp_nodelay(fd);
+	kb_socket_set_options(fd, NULL);
 	connection->transport.ops = &transport_ops;
 	connection->server = server;
 	attach(connection);
--- a/standin/target/control.c
+++ b/standin/target/control.c
@@ -1,5 +1,7 @@
 #include "control.h"
 
+#include "http_server.h"
+
 #include <event2/buffer.h>
 #include <jansson.h>
 
@@ -123,7 +125,7 @@
 	evhttp_set_max_body_size(control->http, MAX_BODY_BYTES);
 	if (evhttp_set_cb(control->http, "/fault", on_fault, control) ||
 	    evhttp_set_cb(control->http, "/state", on_state, control) ||
-	    evhttp_bind_socket(control->http, "127.0.0.1", port)) {
+	    kb_http_server_listen(control->http, "127.0.0.1", &port, NULL)) {
 		st_control_finish(control);
 		return KB_ERR_IO;
 	}
--- a/standin/target/follower.c
+++ b/standin/target/follower.c
@@ -1,8 +1,8 @@
 #include "follower.h"
 
 #include "frame.h"
-#include "listen.h"
 #include "options.h"
+#include "socket_options.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -161,7 +161,7 @@
 		schedule_retry(follower);
 		return;
 	}
-	st_set_tcp_nodelay(bufferevent_getfd(bev));
+	kb_socket_set_options(bufferevent_getfd(bev), NULL);
 	if (st_frame_send(bufferevent_get_output(bev),
 			  st_frame_hello(&follower->engine->log,
 					 follower->engine->term)))
--- a/standin/target/listen.c
+++ b/standin/target/listen.c
@@ -1,7 +1,6 @@
 #include "listen.h"
 
 #include <arpa/inet.h>
-#include <netinet/tcp.h>
 
 enum { BACKLOG = 512 };
 
@@ -18,10 +17,3 @@
 		base, accepted, ctx, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
 		BACKLOG, (const struct sockaddr *)&name, sizeof(name));
 }
-
-void st_set_tcp_nodelay(evutil_socket_t fd)
-{
-	int on = 1;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
--- a/standin/target/listen.h
+++ b/standin/target/listen.h
@@ -10,7 +10,4 @@
 				 uint16_t port, evconnlistener_cb accepted,
 				 void *ctx);
 
-/* Sets TCP_NODELAY on `fd`. */
-void st_set_tcp_nodelay(evutil_socket_t fd);
-
 #endif
--- a/standin/target/source.c
+++ b/standin/target/source.c
@@ -2,6 +2,7 @@
 
 #include "frame.h"
 #include "listen.h"
+#include "socket_options.h"
 
 #include <event2/bufferevent.h>
 #include <stdlib.h>
@@ -148,7 +149,7 @@
 		evutil_closesocket(fd);
 		return;
 	}
-	st_set_tcp_nodelay(fd);
+	kb_socket_set_options(fd, NULL);
 	replica->source = source;
 	replica->next = source->replicas;
 	source->replicas = replica;
