Pass over hosts that are off sooner while a host starts

All hosts of a users' deployment lost power for 1.5 s. One that returned before its parent in the tree of changes asked it for the first copy of the store and waited 0.8 s: the call was taken for one that waits for changes, although it had no connection. The holders of three of eight groups were among these hosts.

A call without a connection does not wait for changes. While a host starts a connection has 100 ms, since the others may be starting, too; after that 300 ms as before. Without a copy the next host is asked after 20 ms.

--- a/src/proxy_hosts.c
+++ b/src/proxy_hosts.c
@@ -21,6 +21,13 @@
 	PING_TIMEOUT_MS = 500,
 	/* Timeout of opening a connection. */
 	CONNECT_TIMEOUT_MS = 300,
+	/*
+	 * The same for the first time after the start of this process, and as
+	 * long as it has no copy of the store. The others may be starting, too:
+	 * one that was off when a connection was begun may be up by now.
+	 */
+	STARTING_CONNECT_TIMEOUT_MS = 100,
+	STARTING_MS = 2000,
 };
 
 int kb_proxy_host_usable(const kb_host_t *host, kb_time_t now)
@@ -168,6 +175,16 @@
 	host->pinging = !kb_proxy_host_call(proxy, host, &rpc);
 }
 
+static kb_time_t connect_timeout(const kb_proxy_t *proxy, kb_time_t now)
+{
+	int is_starting = !proxy->mirror.revision ||
+			  now - proxy->started_at < STARTING_MS * KB_NS_PER_MS;
+
+	return (is_starting ? STARTING_CONNECT_TIMEOUT_MS
+			    : CONNECT_TIMEOUT_MS) *
+	       KB_NS_PER_MS;
+}
+
 /*
  * Resets connections on which nothing is received any more. Bytes of a reply
  * that is not complete yet count: a long one may take a while on a slow link.
@@ -190,17 +207,17 @@
 		return;
 	}
 	silent_for = now - host->silent_since;
-	/* A call that waits for changes is no sign of a failure. */
-	if (host->held_until && peer->call_count == 1)
-		silent_for = now - host->held_until;
 	if (!peer->connected) {
-		if (silent_for >= CONNECT_TIMEOUT_MS * KB_NS_PER_MS) {
+		if (silent_for >= connect_timeout(proxy, now)) {
 			kb_proxy_host_failed(proxy, host, KB_ERR_TIMEOUT);
 			kb_rpc_peer_reset(peer);
 			host->silent_since = now;
 		}
 		return;
 	}
+	/* A call that waits for changes is no sign of a failure. */
+	if (host->held_until && peer->call_count == 1)
+		silent_for = now - host->held_until;
 	if (silent_for >= PING_AFTER_MS * KB_NS_PER_MS && !host->pinging) {
 		ping(proxy, host);
 	} else if (silent_for >=
--- a/src/proxy_sync.c
+++ b/src/proxy_sync.c
@@ -9,6 +9,8 @@
 	WAIT_MS = 500,
 	/* Pause after a call that failed or told nothing new at once. */
 	PAUSE_MS = 100,
+	/* The same after a host was not reached that was asked for a copy. */
+	FIRST_COPY_PAUSE_MS = 20,
 	/* A connection that is silent is reset much sooner. */
 	CALL_TIMEOUT_S = 10,
 	/*
@@ -68,7 +70,9 @@
 		       proxy->sync_host ? proxy->sync_host->name.data : "seed",
 		       kb_result_name(result), before);
 	proxy->sync_next_at = now;
-	if (result || proxy->mirror.revision == before)
+	if (result == KB_ERR_UNREACHABLE && !before && proxy->sync_host)
+		proxy->sync_next_at += FIRST_COPY_PAUSE_MS * KB_NS_PER_MS;
+	else if (result || proxy->mirror.revision == before)
 		proxy->sync_next_at += PAUSE_MS * KB_NS_PER_MS;
 }
 
--- a/tests/test_proxy_sync.cc
+++ b/tests/test_proxy_sync.cc
@@ -6,6 +6,8 @@
 #include <event2/event.h>
 #include <gtest/gtest.h>
 #include <memory>
+#include <set>
+#include <string>
 
 namespace
 {
@@ -174,6 +176,28 @@
 	EXPECT_EQ(1u, reads());
 }
 
+/*
+ * All hosts return from a power cut within some hundred ms. A host that is
+ * still off when it is asked for the first copy must not cost the others more
+ * than a connection takes.
+ */
+TEST_F(ProxySync, AHostThatIsOffDoesNotDelayTheFirstCopy)
+{
+	std::set<std::string> asked;
+	kb_time_t start = clock.now;
+
+	kb_proxy_sync_tick(proxy.get(), clock.now);
+	list({ "self", "a", "b", "c", "d" });
+	while (clock.now - start < 400 * MS) {
+		pass(20 * MS);
+		kb_proxy_hosts_tick(proxy.get(), clock.now);
+		for (size_t i = 0; i < proxy->hosts.count; i++)
+			if (proxy->hosts.hosts[i]->peer.call_count)
+				asked.insert(proxy->hosts.hosts[i]->name.data);
+	}
+	EXPECT_GE(asked.size(), 3u);
+}
+
 TEST_F(ProxySync, ParentsTakeTurns)
 {
 	kb_host_t *first = add_host("a", 200);
