Let callers wait for what a host that starts still lacks

After a power cut all callers come at once to hosts that know nothing.

A call for a watermark waits at a host that has none yet, so that no time passes until it is asked again, and the holder is asked first.

proxy_statement.c, of another part, gets the condition in try_read().

--- a/daemon/session_server.c
+++ b/daemon/session_server.c
@@ -12,6 +12,7 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/listener.h>
 #include <signal.h>
 #include <sodium.h>
 #include <string.h>
@@ -20,6 +21,8 @@
 
 enum {
 	HOUSEKEEPING_MS = 50,
+	/* The same while callers wait for the first configuration. */
+	HOUSEKEEPING_START_MS = 10,
 	/*
 	 * The load balancer polls readiness once a second and removes a host
 	 * after two failed polls.
@@ -61,6 +64,8 @@
 	/* Modification time of the settings file at the last check. */
 	struct timespec settings_mtime;
 	int was_ready;
+	/* Callers are accepted; before, they wait in the listen queue. */
+	int is_accepting;
 	kb_result_t result;
 } session_server_t;
 
@@ -198,6 +203,15 @@
 	kb_caller_listener_set_drain_mode(&server->listener, KB_DRAIN_OFF);
 }
 
+static void begin_accepting(session_server_t *server)
+{
+	if (server->is_accepting || !server->listener.evlistener ||
+	    !kb_proxy_takes_sessions(server->proxy))
+		return;
+	server->is_accepting = 1;
+	evconnlistener_enable(server->listener.evlistener);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct timeval pause = { 0, HOUSEKEEPING_MS * 1000 };
@@ -206,6 +220,9 @@
 
 	(void)fd;
 	(void)what;
+	begin_accepting(server);
+	if (!server->is_accepting)
+		pause.tv_usec = HOUSEKEEPING_START_MS * 1000;
 	event_add(server->timer, &pause);
 	check_settings(server, now);
 	if (server->stop_started_at)
@@ -280,6 +297,7 @@
 						 &settings->listen_sessions);
 	if (result)
 		return result;
+	evconnlistener_disable(server->listener.evlistener);
 	server->readiness =
 		serve_http(server, &settings->listen_readiness, on_readiness);
 	if (settings->listen_metrics.port)
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -34,6 +34,12 @@
 kb_result_t kb_proxy_create(kb_proxy_t **proxy, const kb_proxy_setup_t *setup);
 void kb_proxy_free(kb_proxy_t *proxy);
 
+/*
+ * Whether kb_proxy_session_open() may be called. After a start callers wait
+ * until the configuration is known, for a limited time.
+ */
+int kb_proxy_takes_sessions(const kb_proxy_t *proxy);
+
 /* Whether this host can serve new callers. */
 int kb_proxy_is_ready(const kb_proxy_t *proxy);
 
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -96,6 +96,8 @@
 
 void kb_proxy_group_free(kb_proxy_group_t *group)
 {
+	kb_proxy_group_end_watermark_calls(group);
+	kb_proxy_group_refuse_held(group);
 	kb_proxy_probes_finish(group);
 	kb_link_pool_finish(&group->pool);
 	free(group);
@@ -187,6 +189,8 @@
 					    "another host holds the group");
 		kb_proxy_group_request_watermark(group, now);
 	}
+	kb_proxy_group_watermark_tick(group, now);
+	kb_proxy_group_held_tick(group, now);
 	kb_link_pool_tick(&group->pool);
 	kb_proxy_probes_tick(group);
 }
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -8,6 +8,7 @@
 #include "lease.h"
 #include "load/link_pool.h"
 #include "monitor.h"
+#include "proxy_start.h"
 #include "proxy_stats.h"
 #include "registration.h"
 #include "rng.h"
@@ -112,6 +113,9 @@
 	kb_time_t watermark_requested_at;
 	/* Index of the voter that was last asked for a watermark. */
 	size_t watermark_voter;
+	kb_watermark_waiter_t *watermark_waiters;
+	kb_held_run_t *held;
+	size_t held_count;
 	kb_proxy_vacancy_t vacancy;
 	/* Last use by a caller, and start of the present period of use. */
 	kb_time_t used_at;
@@ -341,7 +345,7 @@
 /* Starts the RPC server for calls of other hosts. */
 kb_result_t kb_proxy_serve(kb_proxy_t *proxy);
 /* Runs a statement as the gate of its target or the holder of its group. */
-void kb_proxy_run_local(kb_proxy_t *proxy, const kbs_run_args *args,
+void kb_proxy_run_local(kb_proxy_t *proxy, kbs_run_args *args,
 			kb_run_done_fn_t *done, void *ctx);
 
 /* proxy_sync.c */
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -14,7 +14,7 @@
 	kb_rpc_server_reply(request, &nothing);
 }
 
-void kb_proxy_run_local(kb_proxy_t *proxy, const kbs_run_args *args,
+void kb_proxy_run_local(kb_proxy_t *proxy, kbs_run_args *args,
 			kb_run_done_fn_t *done, void *ctx)
 {
 	kb_str_t target = kb_text_str(args->target);
@@ -38,6 +38,8 @@
 		kb_link_pool_run(&group->pool, args, done, ctx);
 		return;
 	}
+	if (group && kb_proxy_group_hold_run(group, args, done, ctx))
+		return;
 	res.result = args->transaction ? KB_ERR_ROLLED_BACK : KB_ERR_NOT_GATE;
 	if (group)
 		res.holder =
@@ -176,16 +178,12 @@
 		kb_proxy_group_find(ctx, kb_text_str(args->group));
 	kbs_stamp_res res = { 0 };
 
-	if (group) {
-		kb_proxy_group_local_watermark(group, &res.stamp);
-		if (!res.stamp.valid)
-			kb_proxy_group_cached_watermark(group, &res.stamp);
-		if (!res.stamp.valid)
-			kb_proxy_vacancy_watermark(group, &res.stamp);
-		res.holder =
-			kb_text_view(kb_name_str(&group->lease.record.holder));
-	}
-	kb_rpc_server_reply(request, &res);
+	if (group)
+		kb_proxy_group_serve_watermark(
+			group, request,
+			kb_clock_monotonic(group->proxy->clock));
+	else
+		kb_rpc_server_reply(request, &res);
 }
 
 static void serve_reach(void *ctx, kb_rpc_request_t *request, void *raw)
--- a/src/proxy_statement.c
+++ b/src/proxy_statement.c
@@ -1,5 +1,6 @@
 #include "proxy_statement.h"
 
+#include "load/start_wait.h"
 #include "log.h"
 
 #include <stdlib.h>
@@ -245,6 +246,15 @@
 		kb_proxy_statement_on_result(session, NULL, KB_ERR_NO_PRIMARY);
 }
 
+static int waits_for_first_watermark(const kb_proxy_session_t *session,
+				     const kb_proxy_group_t *group)
+{
+	return kb_start_wait_holds_read(
+		kb_watermarks_newest(&group->watermarks), session->began_at,
+		session->deadline - session->began_at,
+		kb_clock_monotonic(session->proxy->clock));
+}
+
 static void try_read(kb_proxy_session_t *session)
 {
 	kb_proxy_t *proxy = session->proxy;
@@ -259,9 +269,10 @@
 		host = kb_proxy_gate_host(proxy, target,
 					  kb_clock_monotonic(proxy->clock));
 	if (!target && group &&
-	    kb_replica_selector_should_wait(&session->selector, group,
-					    &session->caller.database,
-					    kb_clock_monotonic(proxy->clock))) {
+	    (waits_for_first_watermark(session, group) ||
+	     kb_replica_selector_should_wait(
+		     &session->selector, group, &session->caller.database,
+		     kb_clock_monotonic(proxy->clock)))) {
 		session->path = KB_PROXY_PATH_REPLICA;
 		session->retry_at = kb_clock_monotonic(proxy->clock) +
 				    READ_RETRY_INTERVAL_MS * KB_NS_PER_MS;
--- a/src/proxy_watermark.c
+++ b/src/proxy_watermark.c
@@ -5,6 +5,13 @@
 enum {
 	/* Interval of watermark requests for a group in use. */
 	REQUEST_INTERVAL_MS = 250,
+	/*
+	 * A call waits for this time for the first watermark since the start of
+	 * this process; less than the timeout of the call.
+	 */
+	FIRST_WAIT_MS = 300,
+	/* Pause before the first watermark is requested again. */
+	FIRST_RETRY_INTERVAL_MS = 60,
 	/* Without a watermark for this time the voters are asked in turn. */
 	HOLDER_TIMEOUT_MS = 700,
 	/* Interval of requests for the other groups, one group at a time. */
@@ -71,6 +78,11 @@
 	if (!result)
 		kb_proxy_group_add_watermark(call.group, &reply->stamp,
 					     call.sent_at);
+	if (!kb_watermarks_newest(&call.group->watermarks))
+		call.group->watermark_requested_at =
+			kb_clock_monotonic(call.group->proxy->clock) -
+			(REQUEST_INTERVAL_MS - FIRST_RETRY_INTERVAL_MS) *
+				KB_NS_PER_MS;
 }
 
 void kb_proxy_group_mark_used(kb_proxy_group_t *group, kb_time_t now)
@@ -129,10 +141,13 @@
 		kb_hosts_find(&group->proxy->hosts, kb_name_str(holder));
 	const kb_host_t *relay;
 	kb_time_t timeout = HOLDER_TIMEOUT_MS * KB_NS_PER_MS;
+	kb_time_t age = kb_proxy_group_watermark_age(group, now);
 
-	if (set->count &&
-	    (kb_proxy_group_watermark_age(group, now) > timeout ||
-	     kb_proxy_group_unserved_time(group, now) > timeout)) {
+	/* After a start the holder has as long, too. */
+	if (age > now - group->record_received_at)
+		age = now - group->record_received_at;
+	if (set->count && (age > timeout || kb_proxy_group_unserved_time(
+						    group, now) > timeout)) {
 		group->watermark_voter =
 			(group->watermark_voter + 1) % set->count;
 		return &set->hosts[group->watermark_voter];
@@ -161,6 +176,79 @@
 	stamp->age_us = (now - newest->at) / KB_NS_PER_US;
 }
 
+static void reply_watermark(kb_proxy_group_t *group, kb_rpc_request_t *request,
+			    const kbs_stamp *stamp)
+{
+	kbs_stamp_res res = {
+		.stamp = *stamp,
+		.holder =
+			kb_text_view(kb_name_str(&group->lease.record.holder)),
+	};
+
+	kb_rpc_server_reply(request, &res);
+}
+
+static void fill_watermark(kb_proxy_group_t *group, kbs_stamp *stamp)
+{
+	kb_proxy_group_local_watermark(group, stamp);
+	if (!stamp->valid)
+		kb_proxy_group_cached_watermark(group, stamp);
+	if (!stamp->valid)
+		kb_proxy_vacancy_watermark(group, stamp);
+}
+
+void kb_proxy_group_serve_watermark(kb_proxy_group_t *group,
+				    kb_rpc_request_t *request, kb_time_t now)
+{
+	kb_watermark_waiter_t *waiter = NULL;
+	kbs_stamp stamp = { 0 };
+
+	fill_watermark(group, &stamp);
+	if (!stamp.valid && !kb_watermarks_newest(&group->watermarks))
+		waiter = calloc(1, sizeof(*waiter));
+	if (!waiter) {
+		reply_watermark(group, request, &stamp);
+		return;
+	}
+	waiter->request = request;
+	waiter->answer_at = now + FIRST_WAIT_MS * KB_NS_PER_MS;
+	waiter->next = group->watermark_waiters;
+	group->watermark_waiters = waiter;
+}
+
+void kb_proxy_group_watermark_tick(kb_proxy_group_t *group, kb_time_t now)
+{
+	kb_watermark_waiter_t **link = &group->watermark_waiters;
+	int is_known = kb_watermarks_newest(&group->watermarks) != 0;
+
+	while (*link) {
+		kb_watermark_waiter_t *waiter = *link;
+		kbs_stamp stamp = { 0 };
+
+		if (!is_known && now < waiter->answer_at) {
+			link = &waiter->next;
+			continue;
+		}
+		*link = waiter->next;
+		fill_watermark(group, &stamp);
+		reply_watermark(group, waiter->request, &stamp);
+		free(waiter);
+	}
+}
+
+void kb_proxy_group_end_watermark_calls(kb_proxy_group_t *group)
+{
+	kbs_stamp none = { 0 };
+
+	while (group->watermark_waiters) {
+		kb_watermark_waiter_t *waiter = group->watermark_waiters;
+
+		group->watermark_waiters = waiter->next;
+		reply_watermark(group, waiter->request, &none);
+		free(waiter);
+	}
+}
+
 void kb_proxy_group_request_watermark(kb_proxy_group_t *group, kb_time_t now)
 {
 	kb_proxy_t *proxy = group->proxy;
