Log and measure the phases of a start

START_PHASE (1007) and the metric start_phase_seconds tell how long after its start a host had the list of its neighbours, a copy of the store and the configuration, was ready and served its first statement, and the holder of a group when it had the lease and the primary.

--- a/src/log_events.h
+++ b/src/log_events.h
@@ -12,6 +12,7 @@
 
 KB_EVENT(1005, SETTINGS_RELOADED, INFO, "settings reloaded")
 KB_EVENT(1006, READINESS, INFO, "readiness for new callers changed")
+KB_EVENT(1007, START_PHASE, INFO, "the start of the host reached a phase")
 
 KB_EVENT(1100, TARGET_CONNECTED, INFO, "target connection opened")
 KB_EVENT(1101, TARGET_CONNECT_FAILED, WARN, "target connection failed")
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -151,6 +151,7 @@
 		kb_proxy_group_tick(proxy->groups[i], now);
 	kb_proxy_gates_tick(proxy, now);
 	kb_proxy_sessions_tick(proxy, now);
+	kb_proxy_start_tick(proxy, now);
 	kb_sync_feed_tick(&proxy->feed, now);
 }
 
@@ -203,6 +204,7 @@
 	proxy->self.processor_share = settings->processor_share;
 	proxy->self.link_mbps = settings->link_mbps;
 	proxy->started_at = kb_clock_monotonic(proxy->clock);
+	kb_start_phases_init(&proxy->start, proxy->started_at);
 	proxy->mirror.changed = on_mirror_changed;
 	proxy->mirror.ctx = proxy;
 	kb_sync_feed_init(&proxy->feed, &proxy->mirror);
@@ -361,6 +363,7 @@
 void kb_proxy_write_metrics(kb_proxy_t *proxy, struct evbuffer *out)
 {
 	kb_proxy_stats_write(&proxy->stats, out);
+	kb_start_phases_write(&proxy->start, out);
 	kb_metrics_text_family(out, "sessions", "gauge", "Open sessions.");
 	kb_metrics_text_value(out, "sessions", NULL, NULL,
 			      (double)proxy->session_count);
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -50,12 +50,16 @@
 	kb_proxy_group_t *group = ctx;
 	kb_time_t now = kb_clock_monotonic(group->proxy->clock);
 
-	if (sign == KB_TARGET_EVENT_ANSWERED)
-		kb_monitor_on_answer(&group->monitor, point);
-	else
+	if (sign != KB_TARGET_EVENT_ANSWERED) {
 		kb_monitor_on_connection_error(
 			&group->monitor, sign == KB_TARGET_EVENT_READ_ONLY,
 			now);
+		return;
+	}
+	kb_monitor_on_answer(&group->monitor, point);
+	kb_start_phases_reach_group(&group->proxy->start, &group->start,
+				    &group->name, KB_START_GROUP_FIRST_SERVED,
+				    now);
 }
 
 static const kb_link_pool_ops_t pool_ops = {
@@ -191,6 +195,7 @@
 	}
 	kb_proxy_group_watermark_tick(group, now);
 	kb_proxy_group_held_tick(group, now);
+	kb_proxy_start_group_tick(group, now);
 	kb_link_pool_tick(&group->pool);
 	kb_proxy_probes_tick(group);
 }
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -116,6 +116,7 @@
 	kb_watermark_waiter_t *watermark_waiters;
 	kb_held_run_t *held;
 	size_t held_count;
+	kb_start_group_phases_t start;
 	kb_proxy_vacancy_t vacancy;
 	/* Last use by a caller, and start of the present period of use. */
 	kb_time_t used_at;
@@ -211,6 +212,7 @@
 	size_t load_count;
 	struct event *tick;
 	kb_time_t started_at;
+	kb_start_phases_t start;
 	/* Place of this host among those that pass on the store's changes. */
 	kb_sync_tree_t tree;
 	/* Calls of other hosts for changes. */
--- a/src/proxy_start.h
+++ b/src/proxy_start.h
@@ -3,11 +3,13 @@
 
 #include "load/link_pool.h"
 #include "rpc_server.h"
+#include "start_phases.h"
 
 KB_BEGIN_DECLS
 
 /* What waits on a host that has started until it can be served. */
 
+struct kb_proxy;
 struct kb_proxy_group;
 
 /* A call for a watermark that waits for the first one since the start. */
@@ -47,6 +49,11 @@
 void kb_proxy_group_held_tick(struct kb_proxy_group *group, kb_time_t now);
 void kb_proxy_group_refuse_held(struct kb_proxy_group *group);
 
+/* proxy_start.c */
+/* Records the phases of the start that have been reached. */
+void kb_proxy_start_tick(struct kb_proxy *proxy, kb_time_t now);
+void kb_proxy_start_group_tick(struct kb_proxy_group *group, kb_time_t now);
+
 KB_END_DECLS
 
 #endif
