Give refused callers turns of their own to come back

All callers that a target's queue could not take were told the same time, the end of the queue; those who keep to it return together and are refused again.

--- a/src/load/link_pool.c
+++ b/src/load/link_pool.c
@@ -37,12 +37,13 @@
 }
 
 /* Time until a retry may succeed: when the present queue has been served. */
-static kb_time_t retry_after(const kb_link_pool_t *pool)
+static kb_time_t retry_after(kb_link_pool_t *pool)
 {
 	unsigned slots = pool->slots ? pool->slots : 1;
+	kb_time_t interval = pool->service_time / (kb_time_t)slots;
 
-	return pool->service_time * (kb_time_t)(pool->job_count + 1) /
-	       (kb_time_t)slots;
+	return kb_return_pace_next(&pool->returns, interval * pool->job_count,
+				   interval, now_of(pool));
 }
 
 void kb_pool_job_refuse(kb_link_pool_t *pool, kb_pool_job_t *job,
--- a/src/load/link_pool.h
+++ b/src/load/link_pool.h
@@ -2,6 +2,7 @@
 #define KB_LINK_POOL_H
 
 #include "link.h"
+#include "return_pace.h"
 #include "session_values.h"
 
 KB_BEGIN_DECLS
@@ -80,6 +81,8 @@
 	uint64_t next_job;
 	int dispatching;
 	kb_link_pool_counters_t counters;
+	/* When refused callers are to return. */
+	kb_return_pace_t returns;
 };
 
 /*
