--- a/src/proxy.c
+++ b/src/proxy.c
@@ -155,6 +155,7 @@
 	kb_proxy_gates_tick(proxy, now);
 	kb_proxy_loans_tick(proxy, now);
 	kb_proxy_sessions_tick(proxy, now);
+	kb_proxy_start_tick(proxy, now);
 	kb_sync_feed_tick(&proxy->feed, now);
 }
 
@@ -207,6 +208,7 @@
 	proxy->self.processor_share = settings->processor_share;
 	proxy->self.link_mbps = settings->link_mbps;
 	proxy->started_at = kb_clock_monotonic(proxy->clock);
+	kb_start_phases_init(&proxy->start, proxy->started_at);
 	proxy->mirror.changed = on_mirror_changed;
 	proxy->mirror.ctx = proxy;
 	kb_sync_feed_init(&proxy->feed, &proxy->mirror);
--- a/src/proxy_metrics.c
+++ b/src/proxy_metrics.c
@@ -34,6 +34,7 @@
 void kb_proxy_write_metrics(kb_proxy_t *proxy, struct evbuffer *out)
 {
 	kb_proxy_stats_write(&proxy->stats, out);
+	kb_start_phases_write(&proxy->start, out);
 	kb_metrics_text_family(out, "sessions", "gauge", "Open sessions.");
 	kb_metrics_text_value(out, "sessions", NULL, NULL,
 			      (double)proxy->session_count);
