--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -8,6 +8,8 @@
 #include "lease.h"
 #include "load/link_pool.h"
 #include "monitor.h"
+#include "proxy_loans.h"
+#include "proxy_start.h"
 #include "proxy_stats.h"
 #include "registration.h"
 #include "rng.h"
@@ -33,6 +35,7 @@
 	KB_PROXY_RPC_RECHECK = 107,
 	KB_PROXY_RPC_LAST_GRANT = 108,
 	KB_PROXY_RPC_FEED = 109,
+	KB_PROXY_RPC_LOAN = 110,
 	/* Interval of the periodic work. */
 	KB_PROXY_TICK_INTERVAL_MS = 20,
 	/* Timeout of a short call between hosts. */
@@ -95,6 +98,8 @@
 	kb_host_ranking_t ranking;
 	/* Hosts of this region that may relay the group's watermarks. */
 	kb_host_ranking_t relays;
+	/* Accounts of teams while this host holds the group. */
+	kb_team_accounts_t accounts;
 	/* Connections to the primary while this host holds the group. */
 	kb_link_pool_t pool;
 	kb_watermarks_t watermarks;
@@ -112,6 +117,10 @@
 	kb_time_t watermark_requested_at;
 	/* Index of the voter that was last asked for a watermark. */
 	size_t watermark_voter;
+	kb_watermark_waiter_t *watermark_waiters;
+	kb_held_run_t *held;
+	size_t held_count;
+	kb_start_group_phases_t start;
 	kb_proxy_vacancy_t vacancy;
 	/* Last use by a caller, and start of the present period of use. */
 	kb_time_t used_at;
@@ -207,6 +216,7 @@
 	size_t load_count;
 	struct event *tick;
 	kb_time_t started_at;
+	kb_start_phases_t start;
 	/* Place of this host among those that pass on the store's changes. */
 	kb_sync_tree_t tree;
 	/* Calls of other hosts for changes. */
@@ -225,6 +235,7 @@
 	kb_time_t stop_started_at;
 	kb_proxy_session_t *sessions;
 	size_t session_count;
+	kb_proxy_loans_t loans;
 	kb_proxy_stats_t stats;
 };
 
@@ -268,6 +279,13 @@
 
 /* Formats the key of the group's lease in the store. */
 void kb_proxy_lease_key(const kb_proxy_group_t *group, char *key);
+/*
+ * Asks a host for a grant of the group's lease. If the call cannot be started,
+ * no callback is made.
+ */
+kb_result_t kb_proxy_request_grant(kb_proxy_group_t *group, kb_host_t *host,
+				   int serving, kb_rpc_done_fn_t *done,
+				   void *ctx);
 extern const kb_lease_ops_t kb_proxy_lease_ops;
 extern const kb_monitor_ops_t kb_proxy_monitor_ops;
 
@@ -341,7 +359,7 @@
 /* Starts the RPC server for calls of other hosts. */
 kb_result_t kb_proxy_serve(kb_proxy_t *proxy);
 /* Runs a statement as the gate of its target or the holder of its group. */
-void kb_proxy_run_local(kb_proxy_t *proxy, const kbs_run_args *args,
+void kb_proxy_run_local(kb_proxy_t *proxy, kbs_run_args *args,
 			kb_run_done_fn_t *done, void *ctx);
 
 /* proxy_sync.c */
@@ -355,6 +373,9 @@
  */
 int kb_proxy_discovery_is_done(const kb_proxy_t *proxy, kb_time_t now);
 
+/* proxy_keeper.c */
+void kb_proxy_keeper_tick(kb_proxy_group_t *group, kb_time_t now);
+
 /* proxy_session.c */
 void kb_proxy_sessions_tick(kb_proxy_t *proxy, kb_time_t now);
 
