Pass a key in the test of sessions after a start

The merges of callers' keys and of the waits after a start left a call of kb_proxy_session_open() with the older arguments, so that the tests did not compile.

--- a/tests/test_start_wait.cc
+++ b/tests/test_start_wait.cc
@@ -78,9 +78,9 @@
 		kb_proxy_session_t *session;
 		kb_query_t query = {};
 
-		ASSERT_EQ(KB_OK,
-			  kb_proxy_session_open(&session, proxy.get(),
-						KB_STR("db"), on_answer, this));
+		ASSERT_EQ(KB_OK, kb_proxy_session_open(&session, proxy.get(),
+						       KB_STR("db"), KB_STR(""),
+						       on_answer, this));
 		sessions.push_back(session);
 		query.verb = KB_QUERY_READ;
 		query.id = KB_STR("q1");
