--- a/src/proxy.c
+++ b/src/proxy.c
@@ -37,7 +37,7 @@
 	       proxy->databases.version, proxy->databases.database_count,
 	       proxy->databases.group_count, proxy->databases.teams.count,
 	       proxy->mirror.revision);
-	kb_proxy_teams_log_ignored(proxy);
+	kb_proxy_keys_log_ignored(proxy);
 }
 
 static void apply_target(kb_proxy_t *proxy, kb_str_t key,
--- a/src/proxy_teams.c
+++ b/src/proxy_keys.c
@@ -10,7 +10,7 @@
 	DIGEST_LOG_BYTES = 4,
 };
 
-void kb_proxy_teams_log_ignored(const kb_proxy_t *proxy)
+void kb_proxy_keys_log_ignored(const kb_proxy_t *proxy)
 {
 	const kb_teams_t *teams = &proxy->databases.teams;
 
@@ -34,9 +34,8 @@
 	       proxy->databases.version);
 }
 
-kb_result_t kb_proxy_teams_authenticate(kb_proxy_t *proxy,
-					kb_caller_session_t *caller,
-					kb_str_t id)
+kb_result_t kb_proxy_keys_authenticate(kb_proxy_t *proxy,
+				       kb_caller_session_t *caller, kb_str_t id)
 {
 	kb_result_t result = kb_teams_authenticate(&proxy->databases.teams,
 						   &caller->key, &caller->team);
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -45,7 +45,7 @@
 {
 	kb_proxy_session_t *session = ctx;
 
-	return kb_proxy_teams_authenticate(session->proxy, caller, id);
+	return kb_proxy_keys_authenticate(session->proxy, caller, id);
 }
 
 /* Whether another host may reach a holder: the group is not known vacant. */
