--- a/src/teams.c
+++ b/src/teams.c
@@ -42,9 +42,10 @@
 
 const kb_team_t *kb_teams_find(const kb_teams_t *teams, kb_str_t name)
 {
-	for (size_t i = 0; i < teams->count; i++)
-		if (kb_name_is(&teams->teams[i].name, name))
-			return &teams->teams[i];
+	/* The team that was added last gets its keys next. */
+	for (size_t i = teams->count; i > 0; i--)
+		if (kb_name_is(&teams->teams[i - 1].name, name))
+			return &teams->teams[i - 1];
 	return NULL;
 }
 
@@ -117,6 +118,20 @@
 						  : NULL;
 }
 
+size_t kb_teams_longest_search(const kb_teams_t *teams)
+{
+	const UT_hash_table *table;
+	size_t longest = 0;
+
+	if (!teams->keys)
+		return 0;
+	table = teams->keys->hh.tbl;
+	for (unsigned i = 0; i < table->num_buckets; i++)
+		if (table->buckets[i].count > longest)
+			longest = table->buckets[i].count;
+	return longest;
+}
+
 kb_result_t kb_teams_authenticate(const kb_teams_t *teams,
 				  const kb_key_digest_t *digest,
 				  kb_name_t *team)
--- a/src/teams.h
+++ b/src/teams.h
@@ -71,6 +71,9 @@
 const kb_team_t *kb_teams_find_key(const kb_teams_t *teams,
 				   const kb_key_digest_t *digest);
 
+/* Returns the largest number of keys that one look-up compares. */
+size_t kb_teams_longest_search(const kb_teams_t *teams);
+
 /*
  * Sets `*team` to the name of the team whose callers a key identifies, or
  * leaves it empty if the configuration has no teams. Returns
--- a/tests/test_teams.cc
+++ b/tests/test_teams.cc
@@ -109,3 +109,23 @@
 
 	EXPECT_EQ(std::string::npos, bytes.find("kk"));
 }
+
+TEST_F(Teams, ALookUpComparesFewOfManyKeys)
+{
+	constexpr size_t TEAMS = 100;
+	constexpr size_t KEYS = 10000;
+	/* Keys of a bucket at which the table grows, with some to spare. */
+	constexpr size_t COMPARED_MAX = 20;
+
+	EXPECT_EQ(0u, kb_teams_longest_search(&teams));
+	for (size_t i = 0; i < TEAMS; i++)
+		ASSERT_EQ(KB_OK, add("team" + std::to_string(i)));
+	for (size_t i = 0; i < KEYS; i++)
+		ASSERT_EQ(KB_OK,
+			  add_key(("team" + std::to_string(i % TEAMS)).c_str(),
+				  "key" + std::to_string(i)));
+	EXPECT_EQ("team42", team_of("key4242"));
+	EXPECT_EQ("!", team_of("key10000"));
+	EXPECT_GT(kb_teams_longest_search(&teams), 0u);
+	EXPECT_LE(kb_teams_longest_search(&teams), COMPARED_MAX);
+}
