--- a/tests/test_docs_tables.cc
+++ b/tests/test_docs_tables.cc
@@ -35,12 +35,16 @@
 TEST(DocsTables, LogEventsMatchTheCatalogue)
 {
 	std::set<std::string> expected;
+	std::set<int> numbers;
 	size_t count;
 	const kb_event_info_t *events = kb_log_catalogue(&count);
 
-	for (size_t i = 0; i < count; i++)
+	for (size_t i = 0; i < count; i++) {
+		EXPECT_TRUE(numbers.insert(events[i].event).second)
+			<< events[i].name << " has the number of another event";
 		expected.insert(std::to_string(events[i].event) + " " +
 				events[i].name);
+	}
 	EXPECT_EQ(count, expected.size()) << "duplicate event";
 	EXPECT_EQ(expected, rows_of("docs/LOG-EVENTS.md"));
 }
