--- a/tests/test_proxy_loans.cc
+++ b/tests/test_proxy_loans.cc
@@ -4,6 +4,7 @@
 #include "proxy_statement.h"
 
 #include <event2/event.h>
+#include <event2/listener.h>
 #include <gtest/gtest.h>
 #include <memory>
 #include <string>
@@ -92,6 +93,47 @@
 		kb_proxy_loans_on_configuration(proxy.get());
 	}
 
+	/* Listens for the calls of other hosts. */
+	void serve()
+	{
+		kb_rpc_procedure_t procedure = {
+			KB_PROXY_RPC_LOAN,     (xdrproc_t)xdr_kbs_loan_args,
+			sizeof(kbs_loan_args), (xdrproc_t)xdr_kbs_loan_res,
+			kb_proxy_loans_serve,  proxy.get()
+		};
+		struct sockaddr_in address = {};
+
+		address.sin_family = AF_INET;
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		ASSERT_EQ(KB_OK,
+			  kb_rpc_server_init(&proxy->server, proxy->setup.loop,
+					     (struct sockaddr *)&address,
+					     sizeof(address)));
+		proxy->has_server = 1;
+		ASSERT_EQ(KB_OK, kb_rpc_server_add(&proxy->server, &procedure));
+	}
+
+	uint16_t port() const
+	{
+		struct sockaddr_in address = {};
+		socklen_t len = sizeof(address);
+
+		getsockname(evconnlistener_get_fd(proxy->server.listener),
+			    (struct sockaddr *)&address, &len);
+		return ntohs(address.sin_port);
+	}
+
+	/* Knows another host. */
+	void add_host(const TestHost &other)
+	{
+		kb_host_info_t info =
+			describe(other.proxy->self.name.data, other.port());
+		kb_host_t *host = kb_hosts_put(&proxy->hosts, &info);
+
+		ASSERT_NE(nullptr, host);
+		host->live = 1;
+	}
+
 	/* Knows `holder` as the holder of the group. */
 	kb_proxy_group_t *add_group(const char *holder)
 	{
@@ -164,6 +206,17 @@
 		return kb_proxy_loans_admit(session);
 	}
 
+	/* Runs the loop until the session has an answer or a loan. */
+	void settle()
+	{
+		for (int i = 0; i < 1000 && answers.empty() &&
+				host.proxy->loans.waiting_count;
+		     i++) {
+			event_base_loop(loop.base, EVLOOP_ONCE);
+			kb_proxy_loans_tick(host.proxy.get(), clock.now);
+		}
+	}
+
 	void turn()
 	{
 		event_base_loop(loop.base, EVLOOP_NONBLOCK);
@@ -317,3 +370,80 @@
 	EXPECT_EQ(0u, host.proxy->loans.waiting_count);
 	EXPECT_EQ(0u, host.proxy->loans.refused);
 }
+
+class RemoteLoans : public ProxyLoans
+{
+      protected:
+	TestHost keeper{ loop, clock, "keeper" };
+	TestHost other{ loop, clock, "other" };
+
+	RemoteLoans()
+	{
+		keeper.serve();
+		other.serve();
+		host.add_host(keeper);
+		host.add_host(other);
+	}
+};
+
+TEST_F(RemoteLoans, AsksTheHolderOfTheGroup)
+{
+	kb_proxy_group_t *group = keeper.add_group("keeper");
+
+	keeper.hold(group, 7, clock.now);
+	host.add_group("keeper");
+	open("t");
+	EXPECT_FALSE(admit("t"));
+	settle();
+	EXPECT_TRUE(session->ticket.valid);
+	EXPECT_EQ(1u, group->accounts.counters.lent);
+	EXPECT_EQ(1u, host.proxy->loans.calls);
+}
+
+TEST_F(RemoteLoans, FollowsAHintToTheHolder)
+{
+	kb_proxy_group_t *group = keeper.add_group("keeper");
+
+	keeper.hold(group, 7, clock.now);
+	other.add_group("keeper");
+	host.add_group("other");
+	open("t");
+	EXPECT_FALSE(admit("t"));
+	settle();
+	EXPECT_TRUE(session->ticket.valid);
+	EXPECT_EQ(1u, group->accounts.counters.lent);
+	EXPECT_EQ(2u, host.proxy->loans.calls);
+}
+
+TEST_F(RemoteLoans, AHostThatDoesNotHoldTheGroupLendsNothing)
+{
+	keeper.add_group("keeper");
+	host.add_group("keeper");
+	open("t");
+	EXPECT_FALSE(admit("t"));
+	for (int i = 0; i < 20; i++)
+		event_base_loop(loop.base, EVLOOP_NONBLOCK);
+	EXPECT_FALSE(session->ticket.valid);
+	clock.now += 200 * MS;
+	kb_proxy_loans_tick(host.proxy.get(), clock.now);
+	EXPECT_EQ(1u, answers.size());
+}
+
+TEST_F(RemoteLoans, ANewHolderStartsWithAnEmptyAccount)
+{
+	kb_proxy_group_t *group = keeper.add_group("keeper");
+	kb_limit_share_t share = team()->share;
+
+	keeper.hold(group, 7, clock.now);
+	kb_proxy_keeper_tick(group, clock.now);
+	clock.now += 60 * KB_NS_PER_S;
+	keeper.hold(group, 7, clock.now);
+	EXPECT_EQ(110u, kb_team_accounts_lend(&group->accounts, KB_STR("t"),
+					      &share, 0, 1000, clock.now)
+				.operations);
+	keeper.hold(group, 8, clock.now);
+	kb_proxy_keeper_tick(group, clock.now);
+	EXPECT_EQ(2u, kb_team_accounts_lend(&group->accounts, KB_STR("t"),
+					    &share, 0, 1000, clock.now)
+			      .operations);
+}
