Show that the simulation of limits finds defects

Four broken variants exceed the bound: a new keeper with a full bucket, loans without an end, an end counted from the answer, two keepers at once. The same load without the defect stays within it.

--- a/tests/limit_simulation.h
+++ b/tests/limit_simulation.h
@@ -52,8 +52,8 @@
 	LimitDefect defect = LimitDefect::none;
 	std::vector<LimitTeam> teams;
 	double loss = 0;
-	/* Added to the delay of each message, at most. */
-	kb_time_t late = 0;
+	/* Added to the delay of each message, at least and at most. */
+	kb_time_t late_min = 0, late = 0;
 	/* Part of a team's callers that use one host. */
 	double skew = 0;
 	kb_time_t now = S;
@@ -136,6 +136,18 @@
 		lose_groups(host, now);
 	}
 
+	/* A planned change of a group's holder: the next one serves at once. */
+	void hand_over(size_t group)
+	{
+		size_t next = random(hosts_.size());
+
+		if (now < groups_[group].serves_from || dead(next) ||
+		    frozen(next) || cut_off(next))
+			return;
+		groups_[group].former_until = now;
+		appoint(group, next, now + 20 * MS);
+	}
+
 	size_t holder(size_t group) const
 	{
 		return groups_[group].holder;
@@ -441,8 +453,8 @@
 	{
 		kb_time_t base = a % 2 == b % 2 ? 500000 : 8 * MS;
 
-		return base + (kb_time_t)random(2 * MS) +
-		       (kb_time_t)random((uint64_t)late + 1);
+		return base + (kb_time_t)random(2 * MS) + late_min +
+		       (kb_time_t)random((uint64_t)(late - late_min) + 1);
 	}
 
 	bool delivered(size_t a, size_t b)
@@ -467,7 +479,7 @@
 			       lend(g, to, team, operations));
 			return;
 		}
-		at(now + std::max(TIMEOUT, 2 * late),
+		at(now + std::max(TIMEOUT, 3 * late),
 		   [=] { time_out(host, team, share, call, life); });
 		if (!delivered(host, to))
 			return;
--- a/tests/test_team_limits.cc
+++ b/tests/test_team_limits.cc
@@ -90,3 +90,133 @@
 INSTANTIATE_TEST_SUITE_P(Fleets, TeamLimits,
 			 testing::Combine(testing::Values(3, 66, 300),
 					  testing::Values(1, 2)));
+
+/* Callers that ask seven times the limit of three large teams. */
+struct Overload {
+	LimitSimulation sim;
+
+	Overload(LimitDefect defect, size_t hosts, uint64_t seed)
+	    : sim(hosts, seed)
+	{
+		sim.defect = defect;
+		add_teams(sim, 3);
+		demand(7);
+	}
+
+	void demand(double times)
+	{
+		for (LimitTeam &team : sim.teams)
+			team.demand = times * 237 / 1.6;
+	}
+
+	double excess()
+	{
+		double worst = -1e9;
+
+		for (size_t t = 0; t < sim.teams.size(); t++)
+			worst = std::max(worst, sim.excess(t, 237, 237));
+		return worst;
+	}
+};
+
+/* The holders of all groups change by planned stops, time and again. */
+static double excess_with_handovers(LimitDefect defect, uint64_t seed)
+{
+	Overload load(defect, 66, seed);
+	LimitSimulation &sim = load.sim;
+
+	for (kb_time_t time = 14 * S; time < 40 * S; time += 2 * S)
+		sim.at(time, [&sim] {
+			for (size_t g = 0; g < sim.GROUPS; g++)
+				sim.hand_over(g);
+		});
+	sim.run_until(40 * S);
+	return load.excess();
+}
+
+/*
+ * Callers come for a moment, twice, and leave before the answers arrive, which
+ * take `late` each way. Then many callers come.
+ */
+static double excess_after_late_answers(LimitDefect defect, uint64_t seed,
+					kb_time_t late)
+{
+	Overload load(defect, 300, seed);
+	LimitSimulation &sim = load.sim;
+	kb_time_t start = 14 * S;
+
+	load.demand(0);
+	for (kb_time_t time : { start, start + 1300 * MS }) {
+		sim.at(time, [&sim, &load, late] {
+			sim.late_min = sim.late = late;
+			load.demand(30);
+		});
+		sim.at(time + 100 * MS, [&load] { load.demand(0); });
+	}
+	sim.at(start + 2 * late, [&sim, &load] {
+		sim.late_min = sim.late = 0;
+		load.demand(30);
+	});
+	sim.run_until(start + 12 * S);
+	return load.excess();
+}
+
+static double excess_with_late_answers(LimitDefect defect, uint64_t seed)
+{
+	return excess_after_late_answers(defect, seed, 1500 * MS);
+}
+
+static double excess_after_a_pause(LimitDefect defect, uint64_t seed)
+{
+	Overload load(defect, 300, seed);
+	LimitSimulation &sim = load.sim;
+	kb_time_t start = 14 * S;
+
+	load.demand(0);
+	sim.at(start, [&] {
+		sim.late_min = sim.late = 200 * MS;
+		load.demand(30);
+	});
+	sim.at(start + 150 * MS, [&] { load.demand(0); });
+	sim.at(start + 3 * S, [&] {
+		sim.late_min = sim.late = 0;
+		load.demand(30);
+	});
+	sim.run_until(start + 12 * S);
+	return load.excess();
+}
+
+static double excess_with_lost_keepers(LimitDefect defect, uint64_t seed)
+{
+	Overload load(defect, 66, seed);
+	LimitSimulation &sim = load.sim;
+
+	for (kb_time_t time = 14 * S; time < 40 * S; time += 4 * S)
+		sim.at(time, [&sim] {
+			for (size_t g = 0; g < sim.GROUPS; g++)
+				sim.cut(sim.holder(g), 2 * S);
+		});
+	sim.run_until(40 * S);
+	return load.excess();
+}
+
+TEST(TeamLimitDefects, AreFound)
+{
+	const struct {
+		LimitDefect defect;
+		double (*excess)(LimitDefect, uint64_t);
+	} cases[] = {
+		{ LimitDefect::full_bucket, excess_with_handovers },
+		{ LimitDefect::counted_from_answer, excess_with_late_answers },
+		{ LimitDefect::endless_loans, excess_after_a_pause },
+		{ LimitDefect::two_keepers, excess_with_lost_keepers },
+	};
+
+	for (const auto &c : cases)
+		for (uint64_t seed = 1; seed <= 2; seed++) {
+			EXPECT_LE(c.excess(LimitDefect::none, seed), 0)
+				<< (int)c.defect << " seed " << seed;
+			EXPECT_GT(c.excess(c.defect, seed), 0)
+				<< (int)c.defect << " seed " << seed;
+		}
+}
