--- a/tests/test_team_limits.cc
+++ b/tests/test_team_limits.cc
@@ -220,3 +220,69 @@
 				<< (int)c.defect << " seed " << seed;
 		}
 }
+
+TEST_P(TeamLimits, HoldWhileHalfOfTheHostsAreCutOff)
+{
+	add_teams(sim, 6);
+	sim.at(14 * S, [this] { sim.teams[0].demand *= 9; });
+	sim.at(20 * S, [this] {
+		for (size_t h = 0; h < hosts / 2; h++)
+			sim.cut(h, 10 * S);
+	});
+	sim.run_until(45 * S);
+	expect_within(sim, "cut");
+}
+
+TEST_P(TeamLimits, HoldWhileAllHostsRestart)
+{
+	add_teams(sim, 6);
+	sim.at(14 * S, [this] { sim.teams[0].demand *= 9; });
+	for (kb_time_t time : { 20 * S, 24 * S, 27 * S })
+		sim.at(time, [this] {
+			for (size_t h = 0; h < hosts; h++)
+				sim.kill(h, 500 * MS);
+		});
+	sim.run_until(45 * S);
+	expect_within(sim, "restart");
+}
+
+TEST_P(TeamLimits, ALowerLimitBindsOneWindowLater)
+{
+	add_teams(sim, 3);
+	for (LimitTeam &team : sim.teams)
+		team.demand *= 7;
+	sim.at(20 * S, [this] {
+		for (size_t t = 0; t < sim.teams.size(); t++)
+			sim.set_limit(t, 10, 10);
+	});
+	sim.run_until(45 * S);
+	for (size_t t = 0; t < sim.teams.size(); t++) {
+		EXPECT_LE(sim.excess(t, 237, 237), 0) << t;
+		EXPECT_LE(sim.excess(t, 10, 10, 20 * S + 500 * MS), 0) << t;
+	}
+}
+
+/*
+ * Two of three shares carry what teams usually ask. A host of a small fleet
+ * keeps two shares of a team.
+ */
+TEST_P(TeamLimits, ALostKeeperCostsLittle)
+{
+	size_t refused = 0, asked = 0;
+
+	add_teams(sim, 12);
+	sim.run_until(14 * S);
+	for (LimitTeam &team : sim.teams) {
+		team.refused = 0;
+		team.asked.clear();
+	}
+	sim.at(15 * S, [this] { sim.kill(sim.holder(0), 30 * S); });
+	sim.run_until(30 * S);
+	for (LimitTeam &team : sim.teams) {
+		refused += team.refused;
+		asked += team.asked.size();
+	}
+	EXPECT_LE((double)refused,
+		  (hosts > sim.GROUPS ? 0.01 : 0.05) * (double)asked)
+		<< asked;
+}
