--- a/src/load/link_pool.c
+++ b/src/load/link_pool.c
@@ -37,12 +37,13 @@
 }
 
 /* Time until a retry may succeed: when the present queue has been served. */
-static kb_time_t retry_after(const kb_link_pool_t *pool)
+static kb_time_t retry_after(kb_link_pool_t *pool)
 {
 	unsigned slots = pool->slots ? pool->slots : 1;
+	kb_time_t interval = pool->service_time / (kb_time_t)slots;
 
-	return pool->service_time * (kb_time_t)(pool->job_count + 1) /
-	       (kb_time_t)slots;
+	return kb_return_pace_next(&pool->returns, interval * pool->job_count,
+				   interval, now_of(pool));
 }
 
 void kb_pool_job_refuse(kb_link_pool_t *pool, kb_pool_job_t *job,
@@ -58,27 +59,6 @@
 	kb_pool_job_end(pool, job, &res);
 }
 
-void kb_pool_job_requeue(kb_link_pool_t *pool, kb_pool_job_t *job)
-{
-	job->next = pool->jobs;
-	pool->jobs = job;
-	pool->job_count++;
-}
-
-kb_pool_job_t *kb_pool_job_unlink(kb_link_pool_t *pool, kb_pool_job_t *job)
-{
-	kb_pool_job_t **link = &pool->jobs;
-
-	while (*link && *link != job)
-		link = &(*link)->next;
-	if (*link) {
-		*link = job->next;
-		pool->job_count--;
-	}
-	job->next = NULL;
-	return job;
-}
-
 static unsigned used_slots(const kb_link_pool_t *pool)
 {
 	unsigned used = 0;
@@ -88,15 +68,6 @@
 	return used;
 }
 
-static unsigned count_opening(const kb_link_pool_t *pool)
-{
-	unsigned count = 0;
-
-	for (const kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next)
-		count += conn->state == KB_POOL_CONN_OPENING;
-	return count;
-}
-
 /* Number of commands that an idle connection needs before it can run a job. */
 static int preparation_cost(const kb_pool_conn_t *conn,
 			    const kbs_run_args *args)
@@ -120,7 +91,7 @@
 	for (kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next) {
 		int cost;
 
-		if (conn->state != KB_POOL_CONN_IDLE)
+		if (conn->state != KB_POOL_CONN_IDLE || conn->team != job->team)
 			continue;
 		cost = preparation_cost(conn, job->args);
 		if (!best || cost < best_cost) {
@@ -131,33 +102,28 @@
 	return best;
 }
 
-static int has_idle_conn(const kb_link_pool_t *pool)
+/* Closes the connection of a team that has been idle for longest. */
+static void close_idle_conn(kb_link_pool_t *pool, const kb_team_use_t *use)
 {
-	for (const kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next)
-		if (conn->state == KB_POOL_CONN_IDLE)
-			return 1;
-	return 0;
+	kb_pool_conn_t *oldest = NULL;
+
+	for (kb_pool_conn_t *conn = pool->conns; conn; conn = conn->next)
+		if (&conn->team->use == use &&
+		    conn->state == KB_POOL_CONN_IDLE &&
+		    (!oldest || conn->since < oldest->since))
+			oldest = conn;
+	if (oldest)
+		kb_pool_conn_close(oldest);
 }
 
-/* Opens connections for queued jobs that have none. */
-static void open_connections(kb_link_pool_t *pool, kb_time_t now)
+/* Closes idle connections beyond the limit, which may have been lowered. */
+static void close_surplus(kb_link_pool_t *pool)
 {
-	unsigned waiting = 0;
-	unsigned pending = count_opening(pool);
-	/* Attempts at a target without free connections keep others out. */
-	unsigned parallel = pool->target_full ? 1 : pool->slots;
+	kb_time_t now = now_of(pool);
+	const kb_team_use_t *use;
 
-	if (pool->paused || now < pool->open_blocked_until ||
-	    !pool->place.endpoint.port || has_idle_conn(pool))
-		return;
-	for (const kb_pool_job_t *job = pool->jobs; job; job = job->next)
-		waiting += !job->transaction;
-	while (waiting > pending && pool->conn_count < pool->limit &&
-	       pending < parallel && pool->ops->may_serve(pool->ctx, now)) {
-		if (kb_pool_conn_open(pool))
-			return;
-		pending++;
-	}
+	while ((use = kb_team_share_surplus(&pool->share, pool->limit, now)))
+		close_idle_conn(pool, use);
 }
 
 /*
@@ -177,6 +143,43 @@
 	       (unsigned)(pool->slots * network_time / target_time);
 }
 
+/* Bounds the part of the slots that opening connections may take. */
+static void set_opening_bounds(const kb_link_pool_t *pool, kb_team_room_t *room)
+{
+	unsigned used = used_slots(pool) - pool->share.opening;
+	unsigned half = pool->slots / 2 ? pool->slots / 2 : 1;
+
+	room->saturated = used >= send_limit(pool);
+	if (room->shared)
+		room->parallel =
+			pool->slots > used + half ? pool->slots - used : half;
+	/* Attempts at a target without free connections keep others out. */
+	if (pool->target_full)
+		room->parallel = 1;
+}
+
+/* Opens connections for queued jobs that have none. */
+static void open_connections(kb_link_pool_t *pool, kb_time_t now)
+{
+	kb_team_room_t room = kb_pool_room(pool);
+	kb_team_opening_t next;
+
+	if (pool->paused || now < pool->open_blocked_until ||
+	    !pool->place.endpoint.port)
+		return;
+	set_opening_bounds(pool, &room);
+	while (pool->ops->may_serve(pool->ctx, now)) {
+		next = kb_team_share_next_opening(&pool->share, &room, now);
+		if (!next.team)
+			return;
+		if (next.closed)
+			close_idle_conn(pool, next.closed);
+		/* The first member of the team's entry. */
+		if (kb_pool_conn_open(pool, (kb_pool_team_t *)next.team))
+			return;
+	}
+}
+
 void kb_link_pool_dispatch(kb_link_pool_t *pool)
 {
 	kb_time_t now = now_of(pool);
@@ -184,11 +187,13 @@
 	if (pool->dispatching)
 		return;
 	pool->dispatching = 1;
+	/* A freed connection may be closed for a team that has none. */
+	if (pool->named_teams)
+		open_connections(pool, now);
 	while (now >= pool->send_blocked_until &&
 	       pool->ops->may_serve(pool->ctx, now) &&
 	       used_slots(pool) < send_limit(pool)) {
-		kb_pool_job_t *job =
-			kb_pool_choose_job(pool, now, has_idle_conn(pool));
+		kb_pool_job_t *job = kb_pool_choose_job(pool, now);
 		kb_pool_conn_t *conn;
 
 		if (!job)
@@ -202,6 +207,7 @@
 		}
 		kb_pool_conn_start(conn, job);
 	}
+	close_surplus(pool);
 	open_connections(pool, now);
 	pool->dispatching = 0;
 }
@@ -227,22 +233,27 @@
 {
 	kb_time_t now = now_of(pool);
 	kb_pool_conn_t *conn = NULL;
+	kb_pool_team_t *team;
 	kb_pool_job_t *job;
 
 	if (args->transaction)
 		conn = kb_pool_find_transaction(pool, args->transaction);
+	if (conn && !kb_name_is(&conn->team->name, kb_text_str(args->team)))
+		conn = NULL;
 	if (args->kind == KBS_ROLLBACK) {
 		end_transaction(pool, conn, done, ctx);
 		kb_link_pool_dispatch(pool);
 		return;
 	}
-	job = calloc(1, sizeof(*job));
+	team = kb_pool_team_get(pool, kb_text_str(args->team));
+	job = team ? calloc(1, sizeof(*job)) : NULL;
 	if (!job) {
 		kbs_run_res res = { .result = KB_ERR_OVERLOADED };
 
 		done(ctx, &res);
 		return;
 	}
+	job->team = team;
 	job->args = args;
 	job->done = done;
 	job->ctx = ctx;
@@ -257,7 +268,7 @@
 		return;
 	}
 	if (!args->transaction &&
-	    (pool->job_count >= POOL_JOBS_MAX ||
+	    (kb_pool_queue_is_full(pool, team) ||
 	     now + kb_pool_expected_wait(pool, job, now) > job->deadline)) {
 		pool->counters.refused++;
 		kb_pool_job_refuse(pool, job, KB_ERR_OVERLOADED,
@@ -312,6 +323,7 @@
 	kb_time_t next;
 
 	kb_pool_conn_free_closed(pool);
+	kb_pool_teams_prune(pool, now);
 	/* Ending jobs may queue new ones; these are sent after the loop. */
 	pool->dispatching = 1;
 	next = expire_jobs(pool, now);
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -12,6 +12,7 @@
 
 KB_EVENT(1005, SETTINGS_RELOADED, INFO, "settings reloaded")
 KB_EVENT(1006, READINESS, INFO, "readiness for new callers changed")
+KB_EVENT(1007, START_PHASE, INFO, "the start of the host reached a phase")
 
 KB_EVENT(1100, TARGET_CONNECTED, INFO, "target connection opened")
 KB_EVENT(1101, TARGET_CONNECT_FAILED, WARN, "target connection failed")
@@ -67,6 +68,8 @@
 	 "other hosts feed this host the store's changes")
 KB_EVENT(1506, SYNC_FAILED, WARN,
 	 "changes of the store cannot be passed between hosts")
+KB_EVENT(1507, CONFIG_TEAMS_IGNORED, WARN,
+	 "teams or keys of the configuration cannot be used")
 
 KB_EVENT(1600, STORE_CALL_FAILED, WARN, "store call failed")
 KB_EVENT(1601, STORE_WATCH_CUT, WARN, "watch of the store interrupted")
@@ -95,8 +98,10 @@
 KB_EVENT(1813, SESSION_MALFORMED, WARN, "malformed message from a caller")
 KB_EVENT(1815, LIMIT_REACHED, INFO, "requests of a team were refused for its limit")
 KB_EVENT(1814, LOG_SUPPRESSED, WARN, "log lines were dropped")
+KB_EVENT(1815, KEY_REFUSED, INFO, "a caller's key identifies no team")
 
 KB_EVENT(1900, RPC_CONNECTION_LOST, WARN, "connection to a host lost")
 KB_EVENT(1901, RPC_VERSION_REFUSED, WARN, "message of an unsupported version")
 KB_EVENT(1902, RPC_LATE_REPLY, DEBUG, "reply to a call that has ended")
 KB_EVENT(1903, RPC_MALFORMED, WARN, "malformed message from a host")
+KB_EVENT(1904, SOCKET_OPTION_FAILED, WARN, "a socket option was not set")
