--- a/src/load/team_account.c
+++ b/src/load/team_account.c
@@ -19,13 +19,6 @@
 	kb_rng_init(&accounts->rng, seed);
 }
 
-static void remove_account(kb_team_accounts_t *accounts,
-			   kb_team_account_t *account)
-{
-	HASH_DELETE(by_team, accounts->by_team, account);
-	free(account);
-}
-
 void kb_team_accounts_prune(kb_team_accounts_t *accounts,
 			    int (*keep)(void *ctx, kb_str_t team), void *ctx)
 {
@@ -33,8 +26,12 @@
 	kb_team_account_t *next;
 
 	HASH_ITER(by_team, accounts->by_team, account, next)
-	if (!keep || !keep(ctx, kb_name_str(&account->team)))
-		remove_account(accounts, account);
+	{
+		if (keep && keep(ctx, kb_name_str(&account->team)))
+			continue;
+		HASH_DELETE(by_team, accounts->by_team, account);
+		free(account);
+	}
 }
 
 void kb_team_accounts_finish(kb_team_accounts_t *accounts)
--- a/src/proxy_loans.c
+++ b/src/proxy_loans.c
@@ -26,12 +26,6 @@
 	return proxy->loans.flush ? KB_OK : KB_ERR_NO_MEMORY;
 }
 
-static void free_team(kb_proxy_t *proxy, kb_proxy_team_t *team)
-{
-	HASH_DELETE(by_name, proxy->loans.by_name, team);
-	free(team);
-}
-
 void kb_proxy_loans_finish(kb_proxy_t *proxy)
 {
 	kb_proxy_team_t *team;
@@ -40,7 +34,10 @@
 	if (proxy->loans.flush)
 		event_free(proxy->loans.flush);
 	HASH_ITER(by_name, proxy->loans.by_name, team, next)
-	free_team(proxy, team);
+	{
+		HASH_DELETE(by_name, proxy->loans.by_name, team);
+		free(team);
+	}
 }
 
 static void enqueue(kb_proxy_team_t *team, kb_proxy_session_t *session)
--- a/tests/test_team_account.cc
+++ b/tests/test_team_account.cc
@@ -22,7 +22,10 @@
 		kb_team_accounts_begin(&accounts, 1, now);
 	}
 
-	~TeamAccount() override { kb_team_accounts_finish(&accounts); }
+	~TeamAccount() override
+	{
+		kb_team_accounts_finish(&accounts);
+	}
 
 	kb_team_loan_t lend(unsigned operations, kb_str_t team = KB_STR("t"))
 	{
@@ -69,8 +72,7 @@
 						   5 * share.initial);
 				double bound =
 					(100 * (double)window / (double)S +
-					 50) *
-						(1 + overage) +
+					 50) * (1 + overage) +
 					slack;
 
 				EXPECT_LE(most, bound + 0.001)
