--- a/src/load/team_account.c
+++ b/src/load/team_account.c
@@ -22,15 +22,19 @@
 void kb_team_accounts_prune(kb_team_accounts_t *accounts,
 			    int (*keep)(void *ctx, kb_str_t team), void *ctx)
 {
-	kb_team_account_t *account;
-	kb_team_account_t *next;
+	kb_team_account_t *account = accounts->by_team;
+
+	HASH_CLEAR(by_team, accounts->by_team);
+	while (account) {
+		kb_team_account_t *next = account->by_team.next;
 
-	HASH_ITER(by_team, accounts->by_team, account, next)
-	{
 		if (keep && keep(ctx, kb_name_str(&account->team)))
-			continue;
-		HASH_DELETE(by_team, accounts->by_team, account);
-		free(account);
+			HASH_ADD_KEYPTR(by_team, accounts->by_team,
+					account->team.data, account->team.len,
+					account);
+		else
+			free(account);
+		account = next;
 	}
 }
 
@@ -44,7 +48,7 @@
 {
 	if (accounts->epoch == epoch)
 		return;
-	kb_team_accounts_prune(accounts, NULL, NULL);
+	kb_team_accounts_finish(accounts);
 	accounts->epoch = epoch;
 	accounts->since = now;
 }
--- a/src/proxy_loans.c
+++ b/src/proxy_loans.c
@@ -28,15 +28,16 @@
 
 void kb_proxy_loans_finish(kb_proxy_t *proxy)
 {
-	kb_proxy_team_t *team;
-	kb_proxy_team_t *next;
+	kb_proxy_team_t *team = proxy->loans.by_name;
 
 	if (proxy->loans.flush)
 		event_free(proxy->loans.flush);
-	HASH_ITER(by_name, proxy->loans.by_name, team, next)
-	{
-		HASH_DELETE(by_name, proxy->loans.by_name, team);
+	HASH_CLEAR(by_name, proxy->loans.by_name);
+	while (team) {
+		kb_proxy_team_t *next = team->by_name.next;
+
 		free(team);
+		team = next;
 	}
 }
 
