Find groups, targets, gates and loads by hash; tick idle groups less

Three terms of a host's cost grew with the fleet though the host's work did not:

- A host that is no voter of a group sees no renewals, so the holder always seems overdue to it, and it ranked the hosts for that group in every tick.
The share of such hosts grows with the fleet.
It now ranks every 0.5 s, or when its takeover would be due.
- Targets, groups, gates and loads were found by walking; each read walked all targets, and each tick of each group did, too.
They are hash tables now, and the targets of a group are listed alone.
- Every tick visited all sessions and all groups.
Sessions that will retry are in a list; a group that this host neither holds, votes for nor uses is ticked once in ten ticks.

--- a/src/lease.h
+++ b/src/lease.h
@@ -245,6 +245,8 @@
 	int querying_holder;
 	/* The voters were contacted since the last sign of the holder. */
 	int voters_checked;
+	/* A host that is no voter determines its rank again at this time. */
+	kb_time_t rank_at;
 };
 
 /* `first_start`: as the field; `now` is the start of this process. */
--- a/src/lease_tick.c
+++ b/src/lease_tick.c
@@ -11,6 +11,8 @@
 	COMPARE_INTERVAL_MS = 100,
 	/* Time for the voters to answer the query about the holder. */
 	HOLDER_QUERY_TIMEOUT_MS = 100,
+	/* Interval at which a host that is no voter determines its rank. */
+	RANK_INTERVAL_MS = 500,
 };
 
 /* Whether a voter has granted nothing lately or lost the store. */
@@ -147,6 +149,22 @@
 	lease->ops->query_holder(lease->ctx, lease);
 }
 
+/*
+ * Puts off the next ranking of a host that is no voter: it sees no renewals, so
+ * the holder always seems overdue to it.
+ */
+static void schedule_rank(kb_lease_t *lease, size_t rank, kb_time_t now)
+{
+	kb_time_t due = lease->holder_seen_at + takeover_delay(lease, rank);
+
+	if (!lease->record.holder.len ||
+	    kb_voter_set_contains(&lease->record.voters, &lease->self))
+		return;
+	lease->rank_at = now + RANK_INTERVAL_MS * KB_NS_PER_MS;
+	if (rank < KB_LEASE_HOSTS_MAX && due < lease->rank_at)
+		lease->rank_at = due;
+}
+
 /*
  * Takes over the lease after the takeover delay, unless a voter has seen the
  * holder serving in the meantime.
@@ -163,12 +181,17 @@
 		check_voters(lease, silence);
 		return;
 	}
+	if (now < lease->rank_at)
+		return;
 	lease->ops->rank(lease->ctx, lease, &ranking);
 	rank = rank_of(&ranking, &lease->self, &lease->record.holder);
-	if (rank >= KB_LEASE_HOSTS_MAX)
+	if (rank >= KB_LEASE_HOSTS_MAX) {
+		schedule_rank(lease, rank, now);
 		return;
+	}
 	if (silence < takeover_delay(lease, rank)) {
 		lease->querying_holder = 0;
+		schedule_rank(lease, rank, now);
 		return;
 	}
 	if (!lease->record.holder.len) {
--- a/src/monitor.c
+++ b/src/monitor.c
@@ -95,13 +95,12 @@
 			    targets, kb_name_str(&monitor->probes[i].target)))
 			monitor->probes[kept++] = monitor->probes[i];
 	monitor->probe_count = kept;
-	for (size_t i = 0; i < targets->count; i++) {
-		const kb_target_entry_t *entry = &targets->entries[i];
+	for (const kb_target_entry_t *entry = kb_target_list_first(
+		     targets, kb_name_str(&monitor->group));
+	     entry; entry = kb_target_list_next(entry)) {
 		kb_monitor_probe_t *probe;
 
-		if (!kb_name_is(&entry->place.group,
-				kb_name_str(&monitor->group)) ||
-		    kb_monitor_find_probe(monitor,
+		if (kb_monitor_find_probe(monitor,
 					  kb_name_str(&entry->place.target)) ||
 		    monitor->probe_count == KB_MONITOR_TARGETS_MAX)
 			continue;
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -147,8 +147,7 @@
 	check_restore(proxy, now);
 	kb_registration_tick(&proxy->registration, is_registered(proxy));
 	kb_proxy_hosts_tick(proxy, now);
-	for (size_t i = 0; i < proxy->group_count; i++)
-		kb_proxy_group_tick(proxy->groups[i], now);
+	kb_proxy_groups_tick(proxy, now);
 	kb_proxy_gates_tick(proxy, now);
 	kb_proxy_sessions_tick(proxy, now);
 	kb_sync_feed_tick(&proxy->feed, now);
@@ -263,8 +262,10 @@
 		kb_rpc_peer_finish(&proxy->seeds[i].peer);
 	for (size_t i = 0; i < proxy->hosts.count; i++)
 		kb_rpc_peer_finish(&proxy->hosts.hosts[i]->peer);
+	HASH_CLEAR(by_target, proxy->gates_by_target);
 	for (size_t i = 0; i < proxy->gate_count; i++)
 		kb_proxy_gate_free(proxy->gates[i]);
+	HASH_CLEAR(by_name, proxy->groups_by_name);
 	for (size_t i = 0; i < proxy->group_count; i++)
 		kb_proxy_group_free(proxy->groups[i]);
 	if (proxy->has_server)
@@ -272,7 +273,7 @@
 	kb_hosts_finish(&proxy->hosts);
 	free(proxy->gates);
 	free(proxy->groups);
-	free(proxy->loads);
+	kb_proxy_loads_finish(proxy);
 	kb_databases_finish(&proxy->databases);
 	kb_target_list_finish(&proxy->targets);
 	kb_mirror_finish(&proxy->mirror);
--- a/src/proxy_gate.c
+++ b/src/proxy_gate.c
@@ -31,10 +31,11 @@
 
 static kb_proxy_gate_t *find_gate(const kb_proxy_t *proxy, kb_str_t target)
 {
-	for (size_t i = 0; i < proxy->gate_count; i++)
-		if (kb_name_is(&proxy->gates[i]->target, target))
-			return proxy->gates[i];
-	return NULL;
+	kb_proxy_gate_t *gate = NULL;
+
+	HASH_FIND(by_target, proxy->gates_by_target, target.data, target.len,
+		  gate);
+	return gate;
 }
 
 static kb_proxy_gate_t *get_gate(kb_proxy_t *proxy,
@@ -59,6 +60,8 @@
 	kb_link_pool_init(&gate->pool, &pool_ops, gate, proxy->setup.connector,
 			  proxy->clock, kb_rng_next(&proxy->rng) >> 1);
 	gates[proxy->gate_count++] = gate;
+	HASH_ADD_KEYPTR(by_target, proxy->gates_by_target, gate->target.data,
+			gate->target.len, gate);
 	return gate;
 }
 
@@ -135,6 +138,7 @@
 		    now - gate->used_at <= GATE_IDLE_S * KB_NS_PER_S)
 			continue;
 		proxy->gates[i--] = proxy->gates[--proxy->gate_count];
+		HASH_DELETE(by_target, proxy->gates_by_target, gate);
 		kb_proxy_gate_free(gate);
 	}
 }
@@ -161,21 +165,33 @@
 
 kb_proxy_load_t *kb_proxy_load_get(kb_proxy_t *proxy, kb_str_t target)
 {
-	kb_proxy_load_t *loads;
-	kb_proxy_load_t *load;
-
-	for (size_t i = 0; i < proxy->load_count; i++)
-		if (kb_name_is(&proxy->loads[i].target, target))
-			return &proxy->loads[i];
-	loads = reallocarray(proxy->loads, proxy->load_count + 1,
-			     sizeof(*loads));
-	if (!loads)
+	kb_proxy_load_t *load = NULL;
+
+	HASH_FIND(by_target, proxy->loads, target.data, target.len, load);
+	if (load)
+		return load;
+	load = calloc(1, sizeof(*load));
+	if (!load)
 		return NULL;
-	proxy->loads = loads;
-	load = &loads[proxy->load_count];
-	memset(load, 0, sizeof(*load));
-	if (kb_name_set(&load->target, target))
+	if (kb_name_set(&load->target, target)) {
+		free(load);
 		return NULL;
-	proxy->load_count++;
+	}
+	HASH_ADD_KEYPTR(by_target, proxy->loads, load->target.data,
+			load->target.len, load);
 	return load;
 }
+
+void kb_proxy_loads_finish(kb_proxy_t *proxy)
+{
+	kb_proxy_load_t *load = proxy->loads;
+
+	/* Frees the table only; the entries stay linked. */
+	HASH_CLEAR(by_target, proxy->loads);
+	while (load) {
+		kb_proxy_load_t *next = load->by_target.next;
+
+		free(load);
+		load = next;
+	}
+}
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -8,14 +8,16 @@
 enum {
 	/* Time in which the hosts of a fleet discover each other. */
 	FLEET_FORMING_MS = 3000,
+	/* A group without use is quiet after this time. */
+	QUIET_AFTER_S = 12,
 };
 
 kb_proxy_group_t *kb_proxy_group_find(const kb_proxy_t *proxy, kb_str_t name)
 {
-	for (size_t i = 0; i < proxy->group_count; i++)
-		if (kb_name_is(&proxy->groups[i]->name, name))
-			return proxy->groups[i];
-	return NULL;
+	kb_proxy_group_t *group = NULL;
+
+	HASH_FIND(by_name, proxy->groups_by_name, name.data, name.len, group);
+	return group;
 }
 
 kb_time_t kb_proxy_group_watermark_age(const kb_proxy_group_t *group,
@@ -91,6 +93,8 @@
 			  proxy->setup.connector, proxy->clock,
 			  kb_rng_next(&proxy->rng) >> 1);
 	groups[proxy->group_count++] = group;
+	HASH_ADD_KEYPTR(by_name, proxy->groups_by_name, group->name.data,
+			group->name.len, group);
 	return group;
 }
 
@@ -113,6 +117,7 @@
 						      key.len - prefix.len });
 	if (!group)
 		return;
+	group->quiet = 0;
 	if (!entry) {
 		kb_lease_on_key(&group->lease, NULL, proxy->mirror.revision,
 				now);
@@ -132,6 +137,7 @@
 		kb_proxy_group_t *group = proxy->groups[i];
 		char key[KB_PROXY_LEASE_KEY_MAX_BYTES];
 
+		group->quiet = 0;
 		kb_lease_on_restore(&group->lease);
 		kb_proxy_lease_key(group, key);
 		if (!kb_mirror_find(&proxy->mirror, kb_str_from(key)))
@@ -154,6 +160,19 @@
 	       now - proxy->started_at < FLEET_FORMING_MS * KB_NS_PER_MS;
 }
 
+/* Whether only the loss of all its voters would concern this host. */
+static int is_quiet(const kb_proxy_group_t *group, kb_time_t now)
+{
+	const kb_lease_t *lease = &group->lease;
+
+	return lease->known && lease->role == KB_LEASE_NONE &&
+	       lease->record.holder.len && !group->handover_started_at &&
+	       now - group->used_at > QUIET_AFTER_S * KB_NS_PER_S &&
+	       now >= group->vacancy.requested_until && !group->probe_count &&
+	       !group->pool.conns && !group->pool.jobs &&
+	       !kb_voter_set_contains(&lease->record.voters, &lease->self);
+}
+
 void kb_proxy_group_tick(kb_proxy_group_t *group, kb_time_t now)
 {
 	kb_proxy_t *proxy = group->proxy;
@@ -189,4 +208,14 @@
 	}
 	kb_link_pool_tick(&group->pool);
 	kb_proxy_probes_tick(group);
+	group->quiet = is_quiet(group, now);
+}
+
+void kb_proxy_groups_tick(kb_proxy_t *proxy, kb_time_t now)
+{
+	proxy->tick_count++;
+	for (size_t i = 0; i < proxy->group_count; i++)
+		if (!proxy->groups[i]->quiet ||
+		    (proxy->tick_count + i) % KB_PROXY_QUIET_TICKS == 0)
+			kb_proxy_group_tick(proxy->groups[i], now);
 }
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -18,6 +18,8 @@
 #include "target_probe.h"
 #include "watermarks.h"
 
+#include <sys/queue.h>
+
 struct event;
 
 KB_BEGIN_DECLS
@@ -35,6 +37,8 @@
 	KB_PROXY_RPC_FEED = 109,
 	/* Interval of the periodic work. */
 	KB_PROXY_TICK_INTERVAL_MS = 20,
+	/* A quiet group is ticked once in this number of ticks. */
+	KB_PROXY_QUIET_TICKS = 10,
 	/* Timeout of a short call between hosts. */
 	KB_PROXY_CALL_TIMEOUT_MS = 500,
 };
@@ -134,6 +138,9 @@
 	/* The configuration in force contains the group. */
 	int configured;
 	unsigned connections;
+	/* This host has no part in it at present: it is ticked less often. */
+	int quiet;
+	UT_hash_handle by_name;
 } kb_proxy_group_t;
 
 /*
@@ -145,6 +152,7 @@
 	kb_name_t target;
 	kb_link_pool_t pool;
 	kb_time_t used_at;
+	UT_hash_handle by_target;
 } kb_proxy_gate_t;
 
 /* Load and log position of a target as known to this host. */
@@ -160,6 +168,7 @@
 	kb_time_t failed_at;
 	/* Hosts that may be its gate. */
 	kb_host_ranking_t gates;
+	UT_hash_handle by_target;
 } kb_proxy_load_t;
 
 /* A configured host to contact while no other is known. */
@@ -201,11 +210,16 @@
 	size_t seed_count;
 	kb_proxy_group_t **groups;
 	size_t group_count;
+	/* Index of the groups by name. */
+	kb_proxy_group_t *groups_by_name;
 	kb_proxy_gate_t **gates;
 	size_t gate_count;
+	/* Index of the gates by target. */
+	kb_proxy_gate_t *gates_by_target;
+	/* Hash table of the loads by target. */
 	kb_proxy_load_t *loads;
-	size_t load_count;
 	struct event *tick;
+	uint64_t tick_count;
 	kb_time_t started_at;
 	/* Place of this host among those that pass on the store's changes. */
 	kb_sync_tree_t tree;
@@ -225,6 +239,8 @@
 	kb_time_t stop_started_at;
 	kb_proxy_session_t *sessions;
 	size_t session_count;
+	/* Sessions that will try their statement again. */
+	LIST_HEAD(kb_proxy_retries, kb_proxy_session) retries;
 	kb_proxy_stats_t stats;
 };
 
@@ -236,6 +252,7 @@
 kb_proxy_group_t *kb_proxy_group_get(kb_proxy_t *proxy, kb_str_t name);
 void kb_proxy_group_free(kb_proxy_group_t *group);
 void kb_proxy_group_tick(kb_proxy_group_t *group, kb_time_t now);
+void kb_proxy_groups_tick(kb_proxy_t *proxy, kb_time_t now);
 void kb_proxy_group_on_key(kb_proxy_t *proxy, kb_str_t key,
 			   const kb_mirror_entry_t *entry);
 /* Tells the leases that the store was restored. */
@@ -327,6 +344,7 @@
 kb_host_t *kb_proxy_gate_host(kb_proxy_t *proxy,
 			      const kb_target_entry_t *target, kb_time_t now);
 kb_proxy_load_t *kb_proxy_load_get(kb_proxy_t *proxy, kb_str_t target);
+void kb_proxy_loads_finish(kb_proxy_t *proxy);
 
 /* proxy_hosts.c */
 void kb_proxy_hosts_tick(kb_proxy_t *proxy, kb_time_t now);
--- a/src/proxy_lease.c
+++ b/src/proxy_lease.c
@@ -283,6 +283,7 @@
 	};
 	kb_proxy_group_t *group = ctx;
 
+	group->quiet = 0;
 	if (group->record_revision != lease->revision) {
 		group->record_revision = lease->revision;
 		group->record_received_at =
--- a/src/proxy_placement.c
+++ b/src/proxy_placement.c
@@ -40,14 +40,12 @@
 
 static const kb_target_entry_t *reported_primary(const kb_proxy_group_t *group)
 {
-	const kb_target_list_t *targets = &group->proxy->targets;
+	const kb_target_entry_t *target = kb_target_list_first(
+		&group->proxy->targets, kb_name_str(&group->name));
 
-	for (size_t i = 0; i < targets->count; i++)
-		if (targets->entries[i].reports_primary &&
-		    kb_name_is(&targets->entries[i].place.group,
-			       kb_name_str(&group->name)))
-			return &targets->entries[i];
-	return NULL;
+	while (target && !target->reports_primary)
+		target = kb_target_list_next(target);
+	return target;
 }
 
 const kb_host_ranking_t *kb_proxy_group_ranking(kb_proxy_group_t *group)
--- a/src/proxy_result.c
+++ b/src/proxy_result.c
@@ -24,7 +24,7 @@
 			     .message = kb_text_view(kb_str_from(message)) };
 
 	session->number++;
-	session->retry_at = 0;
+	kb_proxy_session_set_retry(session, 0);
 	session->spent += now - session->began_at;
 	if (!res) {
 		none.retry_us = NO_ANSWER_RETRY_AFTER_MS * 1000;
@@ -130,6 +130,7 @@
 {
 	kb_time_t now = kb_clock_monotonic(session->proxy->clock);
 	int replica = session->path == KB_PROXY_PATH_REPLICA;
+	kb_time_t retry_at = now;
 
 	session->last_result = result;
 	session->holder_hint.len = 0;
@@ -169,18 +170,17 @@
 			"no host that holds the group is reached");
 		return;
 	}
-	session->retry_at = now;
 	if (!replica || session->selector.exhausted)
-		session->retry_at += RETRY_PAUSE_MS * KB_NS_PER_MS;
-	if (session->retry_at + RETRY_TIME_LEFT_MIN_MS * KB_NS_PER_MS >
+		retry_at += RETRY_PAUSE_MS * KB_NS_PER_MS;
+	if (retry_at + RETRY_TIME_LEFT_MIN_MS * KB_NS_PER_MS >
 	    session->deadline) {
 		kb_proxy_statement_finish(
 			session, res && result != KB_ERR_CLOSED ? res : NULL,
 			result, "no target could serve it in time");
 		return;
 	}
-	if (session->retry_at <= now) {
-		session->retry_at = 0;
+	if (retry_at > now)
+		kb_proxy_session_set_retry(session, retry_at);
+	else
 		kb_proxy_statement_try(session);
-	}
 }
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -9,10 +9,20 @@
 	SESSIONS_MAX = 100000,
 };
 
+void kb_proxy_session_set_retry(kb_proxy_session_t *session, kb_time_t at)
+{
+	if (at && !session->retry_at)
+		LIST_INSERT_HEAD(&session->proxy->retries, session, retry);
+	else if (!at && session->retry_at)
+		LIST_REMOVE(session, retry);
+	session->retry_at = at;
+}
+
 void kb_proxy_session_free(kb_proxy_session_t *session)
 {
 	kb_proxy_t *proxy = session->proxy;
 
+	kb_proxy_session_set_retry(session, 0);
 	if (session->next)
 		session->next->prev = session->prev;
 	if (session->prev)
@@ -72,7 +82,7 @@
 	session->number++;
 	session->began_at = now;
 	session->deadline = now + caller->database.timeout;
-	session->retry_at = 0;
+	kb_proxy_session_set_retry(session, 0);
 	session->attempts = 0;
 	session->last_result = KB_OK;
 	session->holder_hint.len = 0;
@@ -133,7 +143,7 @@
 void kb_proxy_session_close(kb_proxy_session_t *session)
 {
 	session->closed = 1;
-	session->retry_at = 0;
+	kb_proxy_session_set_retry(session, 0);
 	if (!session->outstanding)
 		kb_proxy_session_free(session);
 }
@@ -151,17 +161,23 @@
 
 void kb_proxy_sessions_tick(kb_proxy_t *proxy, kb_time_t now)
 {
-	kb_proxy_session_t *session = proxy->sessions;
+	struct kb_proxy_retries due = LIST_HEAD_INITIALIZER(due);
+	kb_proxy_session_t *session = LIST_FIRST(&proxy->retries);
 
 	while (session) {
-		kb_proxy_session_t *next = session->next;
+		kb_proxy_session_t *next = LIST_NEXT(session, retry);
 
-		if (session->retry_at && now >= session->retry_at) {
-			session->retry_at = 0;
-			if (session->selector.exhausted)
-				kb_replica_selector_reset(&session->selector);
-			kb_proxy_statement_try(session);
+		if (now >= session->retry_at) {
+			LIST_REMOVE(session, retry);
+			LIST_INSERT_HEAD(&due, session, retry);
 		}
 		session = next;
 	}
+	/* An attempt may close sessions or schedule them again. */
+	while ((session = LIST_FIRST(&due))) {
+		kb_proxy_session_set_retry(session, 0);
+		if (session->selector.exhausted)
+			kb_replica_selector_reset(&session->selector);
+		kb_proxy_statement_try(session);
+	}
 }
--- a/src/proxy_statement.c
+++ b/src/proxy_statement.c
@@ -263,8 +263,9 @@
 					    &session->caller.database,
 					    kb_clock_monotonic(proxy->clock))) {
 		session->path = KB_PROXY_PATH_REPLICA;
-		session->retry_at = kb_clock_monotonic(proxy->clock) +
-				    READ_RETRY_INTERVAL_MS * KB_NS_PER_MS;
+		kb_proxy_session_set_retry(
+			session, kb_clock_monotonic(proxy->clock) +
+					 READ_RETRY_INTERVAL_MS * KB_NS_PER_MS);
 		return;
 	}
 	if (!target || !host) {
--- a/src/proxy_statement.h
+++ b/src/proxy_statement.h
@@ -24,8 +24,9 @@
 	kb_time_t deadline;
 	/* Time that the transaction has spent in statements. */
 	kb_time_t spent;
-	/* When to try again, or 0. */
+	/* When to try again, or 0; sessions that will are in a list. */
 	kb_time_t retry_at;
+	LIST_ENTRY(kb_proxy_session) retry;
 	kb_replica_selector_t selector;
 	kb_proxy_path_t path;
 	unsigned attempts;
@@ -38,6 +39,9 @@
 	int followed_hint;
 };
 
+/* Sets the time of the next attempt; 0 for none. */
+void kb_proxy_session_set_retry(kb_proxy_session_t *session, kb_time_t at);
+
 /* Starts the next attempt at the current statement. */
 void kb_proxy_statement_try(kb_proxy_session_t *session);
 
--- a/src/proxy_vacancy.c
+++ b/src/proxy_vacancy.c
@@ -37,13 +37,11 @@
 	vacancy->reports = 0;
 	vacancy->highest_term = 0;
 	memset(&vacancy->primary, 0, sizeof(vacancy->primary));
-	for (size_t i = 0; i < targets->count; i++) {
-		const kb_target_entry_t *target = &targets->entries[i];
+	for (const kb_target_entry_t *target =
+		     kb_target_list_first(targets, kb_name_str(&group->name));
+	     target; target = kb_target_list_next(target)) {
 		kb_proxy_probe_t *probe;
 
-		if (!kb_name_is(&target->place.group,
-				kb_name_str(&group->name)))
-			continue;
 		vacancy->probed++;
 		probe = kb_proxy_probe_get(group, target);
 		/* A probe already in flight may predate this check. */
--- a/src/proxy_watermark.c
+++ b/src/proxy_watermark.c
@@ -78,6 +78,7 @@
 	if (now - group->used_at > IN_USE_S * KB_NS_PER_S)
 		group->in_use_since = now;
 	group->used_at = now;
+	group->quiet = 0;
 }
 
 /* Groups not in use take turns; replies show whether holders are reachable. */
--- a/src/replica_selector.c
+++ b/src/replica_selector.c
@@ -139,14 +139,13 @@
 	selector->include = kb_point_compare(aged, selector->own_commit) >= 0
 				    ? aged
 				    : selector->own_commit;
-	for (size_t i = 0; i < proxy->targets.count; i++) {
-		const kb_target_entry_t *target = &proxy->targets.entries[i];
+	for (const kb_target_entry_t *target = kb_target_list_first(
+		     &proxy->targets, kb_name_str(&group->name));
+	     target; target = kb_target_list_next(target)) {
 		const kb_proxy_load_t *load;
 		int64_t cost;
 
-		if (!kb_name_is(&target->place.group,
-				kb_name_str(&group->name)) ||
-		    target->leaving || is_primary(group, target) ||
+		if (target->leaving || is_primary(group, target) ||
 		    is_excluded(selector, &target->place.target))
 			continue;
 		load = kb_proxy_load_get(proxy,
--- a/tests/test_proxy_result.cc
+++ b/tests/test_proxy_result.cc
@@ -36,7 +36,7 @@
 		kb_proxy_session_close(session);
 		kb_databases_finish(&proxy->databases);
 		kb_proxy_stats_finish(&proxy->stats);
-		free(proxy->loads);
+		kb_proxy_loads_finish(proxy.get());
 	}
 
 	void configure()
--- a/tests/test_replica_selector.cc
+++ b/tests/test_replica_selector.cc
@@ -50,7 +50,7 @@
 	~ReplicaSelector() override
 	{
 		kb_target_list_finish(&proxy->targets);
-		free(proxy->loads);
+		kb_proxy_loads_finish(proxy.get());
 	}
 
 	void place(const char *centre, const char *region)
