Visit only hosts that something is expected of in a tick

The check of the connections to other hosts walked all of them in each tick of 20 ms, though only those with a call in flight, a failure or a key that left the store can need anything. The connections now put their host into a list when a call starts while none is in flight, and when they are lost; a tick takes idle hosts out again.

Silence is counted from the first tick after the call, as before.

--- a/src/hosts.c
+++ b/src/hosts.c
@@ -21,6 +21,22 @@
 	hosts->generation++;
 }
 
+void kb_hosts_set_active(kb_host_t *host, int active)
+{
+	if (host->active == active)
+		return;
+	host->active = active;
+	if (active)
+		LIST_INSERT_HEAD(&host->hosts->active, host, active_entry);
+	else
+		LIST_REMOVE(host, active_entry);
+}
+
+static void on_active(void *ctx)
+{
+	kb_hosts_set_active(ctx, 1);
+}
+
 static kb_host_t *add_host(kb_hosts_t *hosts, const kb_name_t *name)
 {
 	size_t capacity =
@@ -39,6 +55,7 @@
 	if (!host)
 		return NULL;
 	host->name = *name;
+	host->hosts = hosts;
 	host->live = 1;
 	hosts->hosts[hosts->count++] = host;
 	HASH_ADD_KEYPTR(by_name, hosts->by_name, host->name.data,
@@ -74,6 +91,8 @@
 	kb_rpc_peer_init(&host->peer, hosts->loop,
 			 kb_name_str(&info->endpoint.address),
 			 info->endpoint.port, CALLS_PER_HOST);
+	host->peer.active = on_active;
+	host->peer.ctx = host;
 	return host;
 }
 
--- a/src/hosts.h
+++ b/src/hosts.h
@@ -5,6 +5,7 @@
 #include "rpc_peer.h"
 #include "settings.h"
 
+#include <sys/queue.h>
 #include <uthash.h>
 
 KB_BEGIN_DECLS
@@ -52,6 +53,10 @@
 	int pinging;
 	/* RPC connection; not used in the entry of this host. */
 	kb_rpc_peer_t peer;
+	struct kb_hosts *hosts;
+	/* In the list of active hosts. */
+	int active;
+	LIST_ENTRY(kb_host) active_entry;
 	UT_hash_handle by_name;
 } kb_host_t;
 
@@ -64,6 +69,8 @@
 	kb_host_t *self;
 	/* Index of the hosts by name. */
 	kb_host_t *by_name;
+	/* Hosts with calls in flight or a state that may change with time. */
+	LIST_HEAD(kb_active_hosts, kb_host) active;
 	/*
 	 * Incremented when a host was added or its location, capacity or state
 	 * changed. Rankings of an older generation are out of date.
@@ -90,6 +97,12 @@
 /* Records that the state of a host has changed. */
 void kb_hosts_changed(kb_hosts_t *hosts);
 
+/*
+ * Adds a host to the active ones, or removes it. A host is added by itself when
+ * a call to it is started or its connection is lost.
+ */
+void kb_hosts_set_active(kb_host_t *host, int active);
+
 KB_END_DECLS
 
 #endif
--- a/src/proxy_hosts.c
+++ b/src/proxy_hosts.c
@@ -53,6 +53,7 @@
 	/* Of several calls that fail together, the first one counts. */
 	if (host->self || (host->failed && now < host->ping_at))
 		return;
+	kb_hosts_set_active(host, 1);
 	if (!host->failed) {
 		kb_log(KB_EVENT_MEMBER_SUSPECTED, "peer=%s result=%s",
 		       host->name.data, kb_result_name(result));
@@ -80,6 +81,7 @@
 	if (!host || host->self || host->unlisted_at)
 		return;
 	host->unlisted_at = now;
+	kb_hosts_set_active(host, 1);
 	kb_hosts_changed(&proxy->hosts);
 }
 
@@ -114,6 +116,7 @@
 	host->unlisted_at = 0;
 	/* A key that was written again may be that of a restarted process. */
 	host->ping_at = now;
+	kb_hosts_set_active(host, 1);
 	kb_hosts_changed(&proxy->hosts);
 }
 
@@ -183,7 +186,7 @@
 		host->lost_seen = lost;
 		kb_proxy_host_failed(proxy, host, KB_ERR_CLOSED);
 	}
-	if (!peer->call_count ||
+	if (!peer->call_count || !host->silent_since ||
 	    host->received_seen != peer->counters.received_bytes) {
 		host->received_seen = peer->counters.received_bytes;
 		host->silent_since = now;
@@ -211,24 +214,33 @@
 	}
 }
 
+static void tick_host(kb_proxy_t *proxy, kb_host_t *host, kb_time_t now)
+{
+	check_peer(proxy, host, now);
+	if (host->failed && host->live && !host->pinging &&
+	    now >= host->ping_at)
+		ping(proxy, host);
+	if (host->live && host->unlisted_at &&
+	    now - host->unlisted_at > UNREGISTERED_TIMEOUT_S * KB_NS_PER_S) {
+		kb_log(KB_EVENT_MEMBER_DEAD, "peer=%s", host->name.data);
+		host->live = 0;
+		kb_hosts_changed(&proxy->hosts);
+	}
+	if (host->peer.call_count || (host->live && host->failed) ||
+	    (host->live && host->unlisted_at))
+		return;
+	host->silent_since = 0;
+	kb_hosts_set_active(host, 0);
+}
+
 void kb_proxy_hosts_tick(kb_proxy_t *proxy, kb_time_t now)
 {
-	for (size_t i = 0; i < proxy->hosts.count; i++) {
-		kb_host_t *host = proxy->hosts.hosts[i];
-
-		if (host->self)
-			continue;
-		check_peer(proxy, host, now);
-		if (host->failed && host->live && !host->pinging &&
-		    now >= host->ping_at)
-			ping(proxy, host);
-		if (host->live && host->unlisted_at &&
-		    now - host->unlisted_at >
-			    UNREGISTERED_TIMEOUT_S * KB_NS_PER_S) {
-			kb_log(KB_EVENT_MEMBER_DEAD, "peer=%s",
-			       host->name.data);
-			host->live = 0;
-			kb_hosts_changed(&proxy->hosts);
-		}
+	kb_host_t *host = LIST_FIRST(&proxy->hosts.active);
+
+	while (host) {
+		kb_host_t *next = LIST_NEXT(host, active_entry);
+
+		tick_host(proxy, host, now);
+		host = next;
 	}
 }
--- a/src/rpc_peer.c
+++ b/src/rpc_peer.c
@@ -200,6 +200,12 @@
 	}
 }
 
+static void set_active(const kb_rpc_peer_t *peer)
+{
+	if (peer->active)
+		peer->active(peer->ctx);
+}
+
 static void on_event(struct bufferevent *stream, short what, void *arg)
 {
 	kb_rpc_peer_t *peer = arg;
@@ -221,6 +227,7 @@
 		kb_log(KB_EVENT_RPC_CONNECTION_LOST, "peer=%s:%u",
 		       peer->address.data, peer->port);
 	}
+	set_active(peer);
 	peer_disconnect(peer, result);
 }
 
@@ -320,7 +327,8 @@
 	else
 		peer->oldest = pending;
 	peer->pending = pending;
-	peer->call_count++;
+	if (!peer->call_count++)
+		set_active(peer);
 	peer->counters.calls++;
 	return KB_OK;
 
--- a/src/rpc_peer.h
+++ b/src/rpc_peer.h
@@ -69,6 +69,12 @@
 	/* Incremented at each disconnect; ties a call to its connection. */
 	uint64_t generation;
 	kb_rpc_peer_counters_t counters;
+	/*
+	 * Called when a call is started while none is pending, and when the
+	 * connection was lost; may be NULL.
+	 */
+	void (*active)(void *ctx);
+	void *ctx;
 } kb_rpc_peer_t;
 
 /* Initializes a peer; at most `call_limit` calls may be pending at a time. */
--- a/tests/test_proxy_scale.cc
+++ b/tests/test_proxy_scale.cc
@@ -1,6 +1,7 @@
 #include "fake_server.h"
 #include "fake_time.h"
 #include "proxy_internal.h"
+#include "rpc_frame.h"
 
 #include <gtest/gtest.h>
 #include <algorithm>
@@ -275,3 +276,54 @@
 	kb_proxy_group_mark_used(view.group(1), view.clock.now);
 	EXPECT_FALSE(view.group(1)->quiet);
 }
+
+/* A tick visits only the hosts that something is expected of. */
+TEST(ProxyScale, IdleHostsAreNotVisited)
+{
+	for (size_t hosts : { 300, 3600 }) {
+		View view(hosts, 1);
+		kb_hosts_t *table = &view.proxy->hosts;
+		auto count = [&] {
+			const kb_host_t *host;
+			size_t active = 0;
+
+			LIST_FOREACH(host, &table->active, active_entry)
+			active++;
+			return active;
+		};
+		kb_host_t *host = table->hosts[hosts / 2];
+
+		kb_proxy_hosts_tick(view.proxy.get(), view.clock.now);
+		EXPECT_EQ(0u, count());
+		kb_proxy_host_failed(view.proxy.get(), host, KB_ERR_TIMEOUT);
+		EXPECT_EQ(1u, count());
+		view.clock.now = host->ping_at;
+		kb_proxy_hosts_tick(view.proxy.get(), view.clock.now);
+		EXPECT_TRUE(host->pinging);
+		EXPECT_EQ(1u, count());
+	}
+}
+
+/* A call after a long time without any does not look unanswered at once. */
+TEST(ProxyScale, SilenceIsCountedFromTheCall)
+{
+	View view(10, 1);
+	kb_host_t *host = view.proxy->hosts.hosts[5];
+	char nothing = 0;
+	kb_rpc_call_t call = {};
+
+	call.encode = kb_rpc_frame_xdr_empty;
+	call.decode = kb_rpc_frame_xdr_empty;
+	call.args = &nothing;
+	call.res_size = 1;
+	call.timeout = KB_NS_PER_S;
+	call.done = [](void *, kb_result_t, void *) {};
+	kb_proxy_hosts_tick(view.proxy.get(), view.clock.now);
+	view.clock.now += 60 * KB_NS_PER_S;
+	ASSERT_EQ(KB_OK, kb_rpc_peer_call(&host->peer, &call));
+	kb_proxy_hosts_tick(view.proxy.get(), view.clock.now);
+	EXPECT_FALSE(host->failed);
+	view.clock.now += 400 * MS;
+	kb_proxy_hosts_tick(view.proxy.get(), view.clock.now);
+	EXPECT_TRUE(host->failed);
+}
