Do not use a primary of an earlier term than the last one known

A host that takes a group over looks for its primary.

Watermarks tell each host in use of a group its primary's term. The monitor now starts from that term, as one does that has served before: the old primary is not used, and a replica is promoted in a later term if the new one stays silent.

Before: AnEarlierPrimaryIsNotUsedThoughTheNewOneIsSilent serves the old primary with the call left out. After: it passes.

--- a/src/monitor.c
+++ b/src/monitor.c
@@ -76,6 +76,12 @@
 	monitor->ops->bind(monitor->ctx, NULL);
 }
 
+void kb_monitor_require_term(kb_monitor_t *monitor, uint64_t term)
+{
+	if (monitor->state == KB_MONITOR_FINDING && term > monitor->term)
+		monitor->term = term;
+}
+
 kb_monitor_probe_t *kb_monitor_find_probe(kb_monitor_t *monitor,
 					  kb_str_t target)
 {
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -151,6 +151,12 @@
 void kb_monitor_set_active(kb_monitor_t *monitor, int holds_lease,
 			   kb_time_t now);
 
+/*
+ * Tells a monitor that looks for the primary that a later term than those of
+ * the targets that answer is known: an earlier primary is not used.
+ */
+void kb_monitor_require_term(kb_monitor_t *monitor, uint64_t term);
+
 /* Runs the actions that are due; `targets` are those of all groups. */
 void kb_monitor_tick(kb_monitor_t *monitor, const kb_target_list_t *targets,
 		     kb_time_t now);
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -194,6 +194,7 @@
 		kb_proxy_group_hand_over(group, now);
 	serves = group->lease.role == KB_LEASE_SERVING;
 	kb_monitor_set_active(&group->monitor, serves, now);
+	kb_monitor_require_term(&group->monitor, group->primary_term);
 	kb_monitor_tick(&group->monitor, &proxy->targets, now);
 	kb_proxy_vacancy_tick(group, now);
 	if (serves) {
--- a/tests/test_monitor.cc
+++ b/tests/test_monitor.cc
@@ -264,6 +264,23 @@
 	EXPECT_FALSE(simulation.serves("a"));
 }
 
+/* The new primary and what follows it do not answer this holder. */
+TEST(Monitor, AnEarlierPrimaryIsNotUsedThoughTheNewOneIsSilent)
+{
+	MonitorSimulation simulation;
+
+	for (const char *name : { "b", "c" }) {
+		simulation.state[name].alive = false;
+		simulation.state[name].refuses = false;
+	}
+	kb_monitor_require_term(&simulation.monitor, 2);
+	while (simulation.now < 4 * KB_NS_PER_S) {
+		simulation.run(20 * MS);
+		ASSERT_FALSE(simulation.serves("a") &&
+			     simulation.promotions.empty());
+	}
+}
+
 TEST(Monitor, ACrashedPrimaryIsReplacedByTheNewestLog)
 {
 	MonitorSimulation simulation;
