End the first start when the store was restored before the process started

The settings of a process that starts after a restore may still name a first start. For a group whose record the restored copy lacks it then assumed that no earlier holder exists, and served without asking the other hosts, while the holder of before may serve on. A process whose first copy of the store is of a later era than the first one does not count as started with the fleet.

Before: AStoreThatWasRestoredBeforeTheStartEndsTheFirstStart fails, as only a change of the era within the process's life ended the first start (by reading; the function under test is new). Assumed: eras begin at 0 or 1, as the stand-in's. The two functions on restores move to src/proxy_restore.c.

--- a/src/proxy.c
+++ b/src/proxy.c
@@ -107,33 +107,6 @@
 	}
 }
 
-/* Whether the store has this host's key, as far as is known. */
-static int is_registered(const kb_proxy_t *proxy)
-{
-	return !proxy->mirror.revision ||
-	       kb_mirror_find(&proxy->mirror,
-			      kb_name_str(&proxy->registration.key));
-}
-
-/* Acts on a store that was restored from an older copy. */
-static void check_restore(kb_proxy_t *proxy, kb_time_t now)
-{
-	int64_t before = proxy->checked_revision;
-	int64_t revision = proxy->mirror.revision;
-
-	proxy->checked_revision = revision;
-	if (!before || kb_store_era(revision) == kb_store_era(before))
-		return;
-	kb_log(KB_EVENT_STORE_RESTORED,
-	       "era=%" PRId64 " number=%" PRId64 " before=%" PRId64,
-	       kb_store_era(revision), kb_store_number(revision),
-	       kb_store_number(before));
-	proxy->store_restored = 1;
-	kb_proxy_groups_on_restore(proxy, now);
-	if (!is_registered(proxy))
-		kb_registration_refresh(&proxy->registration);
-}
-
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct timeval interval = { 0, KB_PROXY_TICK_INTERVAL_MS * 1000 };
@@ -144,8 +117,9 @@
 	(void)what;
 	event_add(proxy->tick, &interval);
 	kb_proxy_sync_tick(proxy, now);
-	check_restore(proxy, now);
-	kb_registration_tick(&proxy->registration, is_registered(proxy));
+	kb_proxy_check_restore(proxy, now);
+	kb_registration_tick(&proxy->registration,
+			     kb_proxy_is_registered(proxy));
 	kb_proxy_hosts_tick(proxy, now);
 	kb_proxy_groups_tick(proxy, now);
 	kb_proxy_gates_tick(proxy, now);
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -131,21 +131,6 @@
 	kb_lease_on_key(&group->lease, &record, entry->revision, now);
 }
 
-void kb_proxy_groups_on_restore(kb_proxy_t *proxy, kb_time_t now)
-{
-	for (size_t i = 0; i < proxy->group_count; i++) {
-		kb_proxy_group_t *group = proxy->groups[i];
-		char key[KB_PROXY_LEASE_KEY_MAX_BYTES];
-
-		group->quiet = 0;
-		kb_lease_on_restore(&group->lease);
-		kb_proxy_lease_key(group, key);
-		if (!kb_mirror_find(&proxy->mirror, kb_str_from(key)))
-			kb_lease_on_key(&group->lease, NULL,
-					proxy->mirror.revision, now);
-	}
-}
-
 /*
  * Whether hosts may still be missing in the membership, as the whole fleet
  * starts for the first time. A holder that is chosen among too few hosts would
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -255,8 +255,6 @@
 void kb_proxy_groups_tick(kb_proxy_t *proxy, kb_time_t now);
 void kb_proxy_group_on_key(kb_proxy_t *proxy, kb_str_t key,
 			   const kb_mirror_entry_t *entry);
-/* Tells the leases that the store was restored. */
-void kb_proxy_groups_on_restore(kb_proxy_t *proxy, kb_time_t now);
 /* Fills in the present commit watermark if this host serves the group. */
 void kb_proxy_group_local_watermark(kb_proxy_group_t *group, kbs_stamp *stamp);
 /* Fills in the newest watermark stored here, unless it is too old. */
@@ -380,6 +378,12 @@
  */
 int kb_proxy_discovery_is_done(const kb_proxy_t *proxy, kb_time_t now);
 
+/* proxy_restore.c */
+/* Whether the store has this host's key, as far as is known. */
+int kb_proxy_is_registered(const kb_proxy_t *proxy);
+/* Acts on a store that was restored from an older copy. */
+void kb_proxy_check_restore(kb_proxy_t *proxy, kb_time_t now);
+
 /* proxy_session.c */
 void kb_proxy_sessions_tick(kb_proxy_t *proxy, kb_time_t now);
 
--- a/src/store.h
+++ b/src/store.h
@@ -18,6 +18,8 @@
  */
 #define KB_STORE_NUMBER_BITS 40
 #define KB_STORE_NUMBER_MAX ((INT64_C(1) << KB_STORE_NUMBER_BITS) - 1)
+/* Highest era of a store that was never restored. */
+#define KB_STORE_FIRST_ERA 1
 #define KB_STORE_ERA_MAX (INT64_MAX >> KB_STORE_NUMBER_BITS)
 
 static inline int64_t kb_store_revision(int64_t era, int64_t number)
--- a/tests/test_proxy_scale.cc
+++ b/tests/test_proxy_scale.cc
@@ -327,3 +327,26 @@
 	kb_proxy_hosts_tick(view.proxy.get(), view.clock.now);
 	EXPECT_TRUE(host->failed);
 }
+
+/* The settings of a process that starts after a restore name a first start. */
+TEST(ProxyRestore, AStoreThatWasRestoredBeforeTheStartEndsTheFirstStart)
+{
+	for (int64_t era : { 0, 1, 2, 7 }) {
+		View view(10, 2);
+
+		view.settings.first_start = 1;
+		kb_proxy_group_get(view.proxy.get(), KB_STR("first"));
+		EXPECT_TRUE(
+			kb_proxy_group_find(view.proxy.get(), KB_STR("first"))
+				->lease.first_start);
+		kb_proxy_check_restore(view.proxy.get(), view.clock.now);
+		view.proxy->mirror.revision = kb_store_revision(era, 20);
+		kb_proxy_check_restore(view.proxy.get(), view.clock.now);
+		kb_proxy_group_get(view.proxy.get(), KB_STR("second"));
+		for (kb_str_t name : { KB_STR("first"), KB_STR("second") })
+			EXPECT_EQ(era <= 1,
+				  kb_proxy_group_find(view.proxy.get(), name)
+					  ->lease.first_start)
+				<< era;
+	}
+}
