Take up the backlog of a group in the order of what can be met

Statements that waited for the lease went to the target's queue in no order. One that is accepted there may expire behind more important ones that come later, instead of being refused at once. They are now queued in the order in which the target serves them: those that can meet their objective first, by priority and objective, late ones after them, the oldest promise last.

Hosts of another region get 200 ms for a connection during a start, those of the own one 100 ms as before.

--- a/src/proxy_held.c
+++ b/src/proxy_held.c
@@ -1,5 +1,6 @@
 #include "proxy_internal.h"
 
+#include "load/backlog_order.h"
 #include "load/start_wait.h"
 
 #include <stdlib.h>
@@ -43,6 +44,41 @@
 	return 1;
 }
 
+static kb_backlog_entry_t entry_of(const kb_held_run_t *held)
+{
+	return (kb_backlog_entry_t){
+		.priority = held->args->priority,
+		.objective = held->received_at +
+			     held->args->objective_left_us * KB_NS_PER_US,
+	};
+}
+
+static int compare(const void *a, const void *b, void *now)
+{
+	kb_backlog_entry_t x = entry_of(*(kb_held_run_t *const *)a);
+	kb_backlog_entry_t y = entry_of(*(kb_held_run_t *const *)b);
+
+	return kb_backlog_order_compare(&x, &y, *(kb_time_t *)now);
+}
+
+/* Puts the statements into the order in which they are taken up. */
+static kb_held_run_t *sort(kb_held_run_t *held, size_t count, kb_time_t now)
+{
+	kb_held_run_t **all = calloc(count + 1, sizeof(*all));
+	kb_held_run_t *first;
+
+	if (!all)
+		return held;
+	for (size_t i = 0; held; held = held->next)
+		all[i++] = held;
+	qsort_r(all, count, sizeof(*all), compare, &now);
+	for (size_t i = 0; i < count; i++)
+		all[i]->next = all[i + 1];
+	first = all[0];
+	free(all);
+	return first;
+}
+
 /* Queues a statement with the time that it has left. */
 static void run(kb_proxy_group_t *group, kb_held_run_t *held, kb_time_t now)
 {
@@ -61,6 +97,8 @@
 				   kb_name_str(&group->proxy->self.name));
 	kb_held_run_t *held = group->held;
 
+	if (is_serving && held)
+		held = sort(held, group->held_count, now);
 	/* Callbacks may add others. */
 	group->held = NULL;
 	group->held_count = 0;
--- a/src/proxy_hosts.c
+++ b/src/proxy_hosts.c
@@ -24,9 +24,11 @@
 	/*
 	 * The same for the first time after the start of this process, and as
 	 * long as it has no copy of the store. The others may be starting, too:
-	 * one that was off when a connection was begun may be up by now.
+	 * one that was off when a connection was begun may be up by now. Hosts
+	 * of another region are further away.
 	 */
 	STARTING_CONNECT_TIMEOUT_MS = 100,
+	STARTING_FAR_CONNECT_TIMEOUT_MS = 200,
 	STARTING_MS = 2000,
 };
 
@@ -175,14 +177,17 @@
 	host->pinging = !kb_proxy_host_call(proxy, host, &rpc);
 }
 
-static kb_time_t connect_timeout(const kb_proxy_t *proxy, kb_time_t now)
+static kb_time_t connect_timeout(const kb_proxy_t *proxy, const kb_host_t *host,
+				 kb_time_t now)
 {
-	int is_starting = !proxy->mirror.revision ||
-			  now - proxy->started_at < STARTING_MS * KB_NS_PER_MS;
+	kb_time_t ms = CONNECT_TIMEOUT_MS;
 
-	return (is_starting ? STARTING_CONNECT_TIMEOUT_MS
-			    : CONNECT_TIMEOUT_MS) *
-	       KB_NS_PER_MS;
+	if (!proxy->mirror.revision ||
+	    now - proxy->started_at < STARTING_MS * KB_NS_PER_MS)
+		ms = kb_name_is(&host->region, kb_name_str(&proxy->self.region))
+			     ? STARTING_CONNECT_TIMEOUT_MS
+			     : STARTING_FAR_CONNECT_TIMEOUT_MS;
+	return ms * KB_NS_PER_MS;
 }
 
 /*
@@ -208,7 +213,7 @@
 	}
 	silent_for = now - host->silent_since;
 	if (!peer->connected) {
-		if (silent_for >= connect_timeout(proxy, now)) {
+		if (silent_for >= connect_timeout(proxy, host, now)) {
 			kb_proxy_host_failed(proxy, host, KB_ERR_TIMEOUT);
 			kb_rpc_peer_reset(peer);
 			host->silent_since = now;
--- a/tests/test_start_wait.cc
+++ b/tests/test_start_wait.cc
@@ -1,6 +1,8 @@
 #include "fake_server.h"
 #include "fake_time.h"
+#include "load/backlog_order.h"
 #include "load/start_wait.h"
+#include "load/pool_conn.h"
 #include "proxy_statement.h"
 
 #include <gtest/gtest.h>
@@ -288,3 +290,47 @@
 	EXPECT_EQ(KB_ERR_NOT_GATE, results[0]);
 	EXPECT_EQ(KB_ERR_ROLLED_BACK, results[1]);
 }
+
+/*
+ * A target that serves 100 statements in the time that they have is asked for
+ * 200. In the order of their arrival it would accept some of the less important
+ * ones that expire behind others.
+ */
+TEST_F(StartWait, WhatMattersMostIsTakenUpFirst)
+{
+	std::vector<kbs_run_args> args(READS);
+	size_t important = 0;
+
+	set_holder("self");
+	for (size_t i = 0; i < READS; i++)
+		args[i].priority = i % 2;
+	for (kbs_run_args &each : args)
+		run(&each, TIME + 20 * MS);
+	group->lease.role = KB_LEASE_SERVING;
+	pass_held(20 * MS);
+	for (const kb_pool_job_t *job = group->pool.jobs; job; job = job->next)
+		important += job->args->priority == 0;
+	EXPECT_EQ(READS / 2, important);
+	EXPECT_EQ(READS / 2, group->pool.job_count);
+	EXPECT_EQ(READS / 2, results.size());
+}
+
+TEST(BacklogOrder, LateStatementsComeLastTheOldestAtTheEnd)
+{
+	const kb_backlog_entry_t in_order[] = {
+		{ 0, 1000 * MS }, { 0, 1500 * MS }, { 1, 1000 * MS },
+		{ 1, 1100 * MS }, { 0, 900 * MS },  { 0, 100 * MS },
+		{ 1, 950 * MS },
+	};
+	const size_t count = sizeof(in_order) / sizeof(in_order[0]);
+
+	for (size_t i = 0; i < count; i++)
+		for (size_t j = 0; j < count; j++) {
+			int expected = (i > j) - (i < j);
+
+			EXPECT_EQ(expected, kb_backlog_order_compare(
+						    &in_order[i], &in_order[j],
+						    1000 * MS))
+				<< i << " and " << j;
+		}
+}
