Ask the holder first only for the first watermark

A change of a group's record gave the holder time to answer at any moment, so that voters, which know of a vacancy, were asked later after a takeover. Only a host that has just started needs that.

--- a/src/proxy_watermark.c
+++ b/src/proxy_watermark.c
@@ -144,7 +144,8 @@
 	kb_time_t age = kb_proxy_group_watermark_age(group, now);
 
 	/* After a start the holder has as long, too. */
-	if (age > now - group->record_received_at)
+	if (!kb_watermarks_newest(&group->watermarks) &&
+	    age > now - group->record_received_at)
 		age = now - group->record_received_at;
 	if (set->count && (age > timeout || kb_proxy_group_unserved_time(
 						    group, now) > timeout)) {
