--- a/tests/test_teams.cc
+++ b/tests/test_teams.cc
@@ -100,7 +100,18 @@
 	EXPECT_EQ(2u, teams.count);
 }
 
-TEST_F(Teams, DigestsDifferAndHoldNoKey)
+TEST_F(Teams, ADigestIsOneThatOperatorsCanCompute)
+{
+	static const unsigned char abc[] = { 0xcf, 0x4a, 0xb7, 0x91, 0xc6, 0x2b,
+					     0x8d, 0x2b, 0x21, 0x09, 0xc9, 0x02,
+					     0x75, 0x28, 0x78, 0x16 };
+	kb_key_digest_t digest = kb_key_digest(KB_STR("abc"));
+
+	ASSERT_EQ(sizeof(abc), sizeof(digest.bytes));
+	EXPECT_EQ(0, memcmp(abc, digest.bytes, sizeof(abc)));
+}
+
+TEST_F(Teams, ADigestHoldsNoKey)
 {
 	std::string key(2 * KB_KEY_DIGEST_BYTES, 'k');
 	kb_key_digest_t digest = kb_key_digest({ key.data(), key.size() });
