Declare the functions of callers' keys in a header of their own

The hash table of keys is cleared before its entries are freed, as the analyzer does not see that the macros of an iteration look at none that was.

--- a/src/proxy_keys.c
+++ b/src/proxy_keys.c
@@ -1,6 +1,7 @@
-#include "proxy_internal.h"
+#include "proxy_keys.h"
 
 #include "log.h"
+#include "proxy_internal.h"
 
 #include <inttypes.h>
 #include <sodium.h>
--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -1,6 +1,7 @@
 #include "proxy_statement.h"
 
 #include "log.h"
+#include "proxy_keys.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/src/teams.c
+++ b/src/teams.c
@@ -19,13 +19,14 @@
 
 void kb_teams_finish(kb_teams_t *teams)
 {
-	kb_team_key_t *key;
-	kb_team_key_t *next;
+	kb_team_key_t *key = teams->keys;
+
+	HASH_CLEAR(hh, teams->keys);
+	while (key) {
+		kb_team_key_t *next = key->hh.next;
 
-	HASH_ITER(hh, teams->keys, key, next)
-	{
-		HASH_DEL(teams->keys, key);
 		free(key);
+		key = next;
 	}
 	free(teams->teams);
 	memset(teams, 0, sizeof(*teams));
