--- a/tests/test_docs_tables.cc
+++ b/tests/test_docs_tables.cc
@@ -32,6 +32,17 @@
 	return rows;
 }
 
+TEST(DocsTables, LogEventsHaveNumbersOfTheirOwn)
+{
+	size_t count;
+	const kb_event_info_t *events = kb_log_catalogue(&count);
+	std::set<int> numbers;
+
+	for (size_t i = 0; i < count; i++)
+		EXPECT_TRUE(numbers.insert((int)events[i].event).second)
+			<< events[i].name;
+}
+
 TEST(DocsTables, LogEventsMatchTheCatalogue)
 {
 	std::set<std::string> expected;
