Count a statement that would end late as late

While more work comes than a target can serve, its queue sent the statement whose objective came first, also if it could not end by then. Under a lasting shortage that one is always about to be late, so that slots went to answers that came late.

A statement now counts as late if it would end after its objective, by the mean service time of the pool. Ruled out: a change of the order among those in time, which stays by class and objective.

--- a/src/load/pool_queue.c
+++ b/src/load/pool_queue.c
@@ -46,6 +46,8 @@
 {
 	kb_pool_job_t *best = NULL;
 
+	/* One that would end after its objective counts as late already. */
+	now += pool->service_time;
 	for (kb_pool_job_t *job = pool->jobs; job; job = job->next) {
 		if (job->transaction ? !is_free(pool, job->transaction)
 				     : pool->paused || !has_idle)
