Let the pause between attempts of a statement grow

The pause is now a quarter of the time that the statement has waited, 30 to 500 ms: it is delayed by at most a quarter of that time when it can be served. The last attempt is made shortly before the deadline.

--- a/src/proxy_result.c
+++ b/src/proxy_result.c
@@ -1,12 +1,11 @@
 #include "proxy_statement.h"
 
+#include "load/retry_pause.h"
 #include "log.h"
 
 #include <inttypes.h>
 
 enum {
-	/* Pause before a retry when no other target can be tried at once. */
-	RETRY_PAUSE_MS = 30,
 	/* Statements with less time left than this are not retried. */
 	RETRY_TIME_LEFT_MIN_MS = 20,
 	/* Callers are told to retry after this time if no target answered. */
@@ -90,6 +89,20 @@
 	}
 }
 
+/* Time of the next attempt; the last one is made shortly before the deadline.
+ */
+static kb_time_t next_attempt_at(const kb_proxy_session_t *session,
+				 kb_time_t now)
+{
+	kb_time_t at = now + kb_retry_pause(now - session->began_at);
+	kb_time_t last =
+		session->deadline - RETRY_TIME_LEFT_MIN_MS * KB_NS_PER_MS;
+
+	return at > last && now + KB_RETRY_PAUSE_MIN_MS * KB_NS_PER_MS <= last
+		       ? last
+		       : at;
+}
+
 /* Marks a replica as failed that rejected what another target served. */
 static void mark_failed(kb_proxy_session_t *session, kb_time_t now)
 {
@@ -171,7 +184,7 @@
 	}
 	session->retry_at = now;
 	if (!replica || session->selector.exhausted)
-		session->retry_at += RETRY_PAUSE_MS * KB_NS_PER_MS;
+		session->retry_at = next_attempt_at(session, now);
 	if (session->retry_at + RETRY_TIME_LEFT_MIN_MS * KB_NS_PER_MS >
 	    session->deadline) {
 		kb_proxy_statement_finish(
--- a/tests/test_proxy_result.cc
+++ b/tests/test_proxy_result.cc
@@ -142,3 +142,24 @@
 	ASSERT_EQ(1u, answers.size());
 	EXPECT_EQ(KB_ERR_UNKNOWN, answers[0]);
 }
+
+/* No holder is known: the statement waits for one until its deadline. */
+TEST_F(ProxyResult, AStatementThatWaitsIsTriedAFewTimesUntilItsDeadline)
+{
+	kb_time_t began = clock.now;
+	kb_time_t last = 0;
+	uint64_t retries = 0;
+
+	query(KB_QUERY_WRITE);
+	while (answers.empty()) {
+		clock.now += 5 * MS;
+		kb_proxy_sessions_tick(proxy.get(), clock.now);
+		if (proxy->stats.retries != retries)
+			last = clock.now;
+		retries = proxy->stats.retries;
+	}
+	EXPECT_EQ(KB_ERR_NO_PRIMARY, answers[0]);
+	EXPECT_LE(retries, 15u);
+	EXPECT_LE(began + 770 * MS, last);
+	EXPECT_GE(began + 800 * MS, clock.now);
+}
