Do not ask or wait for replicas that are far behind

After a cut of its primary both replicas of a group stood at the position of its start for 13 s (traced: 98, while the primary went past 240); the replicas receive nothing for 6 s after a cut. Hosts forgot that after 0.1 s and asked again; reads waited for the replicas for 60 % of their objective while the primary was busy, then went there late.

The watermarks tell the time by which a log is behind what a read asks for. A replica is left alone for a quarter of it, 0.1 to 0.5 s; a read waits only if the log can be there in time. Nothing changes for a replica that is less than 0.4 s behind.

--- a/src/replica_selector.c
+++ b/src/replica_selector.c
@@ -1,13 +1,13 @@
 #include "replica_selector.h"
 
+#include "load/replica_lag.h"
+
 enum {
 	/* Latency of a message to another data centre and another region. */
 	COST_NEAR_US = 1000,
 	COST_FAR_US = 20000,
 	/* Added for the primary, which is kept free for writes. */
 	COST_PRIMARY_US = 60000,
-	/* A replica is likely to lack a point that it lacked this recently. */
-	POSITION_MAX_AGE_MS = 100,
 	/* The queue length reported by the holder is used for this time. */
 	QUEUE_MAX_AGE_MS = 500,
 	/* Share of a read's time for which it may wait for replicas. */
@@ -96,13 +96,24 @@
 	return service + service * ahead / slots;
 }
 
-/* Whether the target has recently reported that its log lacks the point. */
-static int is_lagging(const kb_proxy_load_t *load, kb_point_t include,
-		      kb_time_t now)
+/* Whether the target is likely to lack the point that it must include. */
+static int is_lagging(kb_replica_selector_t *selector,
+		      const kb_proxy_group_t *group,
+		      const kb_proxy_load_t *load, kb_time_t now)
 {
-	return load && load->position_at &&
-	       now - load->position_at <= POSITION_MAX_AGE_MS * KB_NS_PER_MS &&
-	       kb_point_compare(load->position, include) < 0;
+	kb_time_t deficit;
+
+	if (!load || !load->position_at ||
+	    kb_point_compare(load->position, selector->include) >= 0)
+		return 0;
+	deficit = kb_watermarks_deficit(&group->watermarks, load->position,
+					selector->include);
+	if (now - load->position_at > kb_replica_lag_hold(deficit))
+		return 0;
+	if (!selector->lagging || deficit < selector->least_deficit)
+		selector->least_deficit = deficit;
+	selector->lagging = 1;
+	return 1;
 }
 
 static int64_t cost_of(const kb_proxy_t *proxy, const kb_target_entry_t *target,
@@ -151,10 +162,8 @@
 			continue;
 		load = kb_proxy_load_get(proxy,
 					 kb_name_str(&target->place.target));
-		if (is_lagging(load, selector->include, now)) {
-			selector->lagging = 1;
+		if (is_lagging(selector, group, load, now))
 			continue;
-		}
 		cost = cost_of(proxy, target, load, now);
 		if (best && cost >= best_cost)
 			continue;
@@ -181,5 +190,7 @@
 	return selector->lagging && group->load.waiting >= group->load.slots &&
 	       group->load.slots &&
 	       now - group->load_at <= QUEUE_MAX_AGE_MS * KB_NS_PER_MS &&
-	       now - selector->began_at < time * WAIT_PERCENT / 100;
+	       kb_replica_lag_is_worth_waiting(
+		       selector->least_deficit,
+		       selector->began_at + time * WAIT_PERCENT / 100 - now);
 }
--- a/src/replica_selector.h
+++ b/src/replica_selector.h
@@ -30,6 +30,8 @@
 	int exhausted;
 	/* Replicas were skipped because their logs lack `include`. */
 	int lagging;
+	/* Least time by which one of these is behind `include`. */
+	kb_time_t least_deficit;
 } kb_replica_selector_t;
 
 void kb_replica_selector_init(kb_replica_selector_t *selector,
--- a/src/watermarks.c
+++ b/src/watermarks.c
@@ -57,3 +57,21 @@
 	}
 	return 0;
 }
+
+kb_time_t kb_watermarks_deficit(const kb_watermarks_t *watermarks,
+				kb_point_t end, kb_point_t point)
+{
+	kb_time_t past_end = 0;
+
+	if (kb_point_compare(end, point) >= 0)
+		return 0;
+	for (size_t i = 0; i < watermarks->count; i++) {
+		const kb_watermark_t *watermark = watermark_at(watermarks, i);
+
+		if (!past_end && kb_point_compare(watermark->point, end) > 0)
+			past_end = watermark->at;
+		if (kb_point_compare(watermark->point, point) >= 0)
+			return watermark->at - past_end;
+	}
+	return past_end ? kb_watermarks_newest(watermarks) - past_end : 0;
+}
--- a/src/watermarks.h
+++ b/src/watermarks.h
@@ -45,6 +45,15 @@
 int kb_watermarks_lower_bound(const kb_watermarks_t *watermarks,
 			      kb_time_t bound, kb_point_t *point);
 
+/*
+ * Returns the time by which a log that ends at `end` is behind `point`: from
+ * the first watermark past `end` to the first one at `point`. Of a log that
+ * ends before all watermarks only the part that they cover counts. 0 if it
+ * contains the point.
+ */
+kb_time_t kb_watermarks_deficit(const kb_watermarks_t *watermarks,
+				kb_point_t end, kb_point_t point);
+
 /* Returns the newest watermark, or NULL. */
 const kb_watermark_t *kb_watermarks_last(const kb_watermarks_t *watermarks);
 
--- a/tests/test_replica_selector.cc
+++ b/tests/test_replica_selector.cc
@@ -204,3 +204,31 @@
 					   clock.now + c.spent));
 	}
 }
+
+/* After a cut both logs are seconds behind: waiting would not help. */
+TEST_F(ReplicaSelector, DoesNotWaitForReplicasThatAreFarBehind)
+{
+	group->watermarks = {};
+	for (int i = 60; i > 0; i--)
+		stamp(i * 50 * MS, 100 - (uint64_t)i);
+	queue(5);
+	at("n", 20, 10 * MS);
+	at("f", 20, 10 * MS);
+	begin();
+	EXPECT_EQ("", next());
+	EXPECT_FALSE(kb_replica_selector_should_wait(&selector, group.get(),
+						     &database, clock.now));
+}
+
+TEST_F(ReplicaSelector, AReplicaFarBehindIsNotAskedAgainSoon)
+{
+	group->watermarks = {};
+	for (int i = 60; i > 0; i--)
+		stamp(i * 50 * MS, 100 - (uint64_t)i);
+	at("n", 20, 200 * MS);
+	begin();
+	EXPECT_EQ("f", next());
+	at("n", 20, 600 * MS);
+	begin();
+	EXPECT_EQ("n", next());
+}
