Do not move a group while statements wait for its target

Holders that were replaced during a cut got their groups back 3 s after its end, in the middle of a burst: a hundred statements of a second were retried as `not-gate` for each of three groups.

A group is now moved to a nearer holder only while fewer statements wait than its target has slots, or after 15 s.

--- a/src/proxy_placement.c
+++ b/src/proxy_placement.c
@@ -1,5 +1,6 @@
 #include "proxy_internal.h"
 
+#include "load/move_time.h"
 #include "log.h"
 
 enum {
@@ -18,8 +19,6 @@
 	 * are stopping, too.
 	 */
 	PASS_ON_DELAY_MS = 400,
-	/* A host must be the better holder for this time to get the group. */
-	REBALANCE_DELAY_S = 3,
 	/* Interval of the checks for a better holder. */
 	REBALANCE_INTERVAL_MS = 100,
 };
@@ -240,7 +239,8 @@
 	}
 	if (!group->better_host_since)
 		group->better_host_since = now;
-	if (now - group->better_host_since < REBALANCE_DELAY_S * KB_NS_PER_S)
+	if (!kb_move_time_has_come(now - group->better_host_since,
+				   group->pool.job_count, group->pool.slots))
 		return;
 	kb_log(KB_EVENT_HOLD_STATE, "group=%s nearer=%s primary=%s",
 	       group->name.data, best->name.data,
