Refuse at the gate what its target would refuse

The gate of a replica behind a cut kept reads in its queue until their deadline, since opening a connection may take 1 s: 70 to 152 reads of each second of a cut ended so after 1.2 s on average, although another target could have served them.

A gate now judges by its own connections. A target that has failed twice and not answered for 0.25 s is silent: what waits for it is refused, and one statement in 0.25 s is let through to find out. A read for a position that the target lacked less than 50 ms ago is refused without asking it; the answer has the position, as the target's own would have.

--- a/src/proxy_gate.c
+++ b/src/proxy_gate.c
@@ -1,5 +1,7 @@
 #include "proxy_internal.h"
 
+#include "log.h"
+
 #include <stdlib.h>
 
 enum {
@@ -17,16 +19,33 @@
 	return 1;
 }
 
-static void ignore_event(void *ctx, kb_target_event_t sign, kb_point_t point)
+static void on_target_event(void *ctx, kb_target_event_t event,
+			    kb_point_t point)
 {
-	(void)ctx;
-	(void)sign;
-	(void)point;
+	kb_proxy_gate_t *gate = ctx;
+
+	kb_target_belief_on_event(&gate->belief, event, point,
+				  kb_clock_monotonic(gate->proxy->clock));
+}
+
+/* Another target may serve what waits for one that does not answer. */
+static void check_silence(kb_proxy_gate_t *gate, kb_time_t now)
+{
+	int silent = kb_target_belief_is_silent(&gate->belief, now);
+
+	if (silent != gate->silent)
+		kb_log(KB_EVENT_TARGET_SILENT, "target=%s silent=%d",
+		       gate->target.data, silent);
+	gate->silent = silent;
+	if (silent)
+		kb_link_pool_refuse_waiting(
+			&gate->pool, KB_ERR_UNREACHABLE,
+			"the target does not answer this host");
 }
 
 static const kb_link_pool_ops_t pool_ops = {
 	.may_serve = always_may_serve,
-	.on_target_event = ignore_event,
+	.on_target_event = on_target_event,
 };
 
 static kb_proxy_gate_t *find_gate(const kb_proxy_t *proxy, kb_str_t target)
@@ -74,11 +93,27 @@
 	return share > GATE_CONNECTIONS_MIN ? share : GATE_CONNECTIONS_MIN;
 }
 
+/* Refuses a statement that the target would not run. */
+static void refuse(kb_proxy_gate_t *gate, kb_target_verdict_t verdict,
+		   kb_run_done_fn_t *done, void *ctx)
+{
+	kbs_run_res res = { .result = KB_ERR_UNREACHABLE };
+
+	if (verdict == KB_TARGET_LAGS) {
+		res.result = KB_ERR_NOT_FRESH;
+		res.point = kb_point_to(gate->belief.position);
+	}
+	gate->proxy->stats.refused_by_gates++;
+	kb_link_pool_load(&gate->pool, &res.load);
+	done(ctx, &res);
+}
+
 void kb_proxy_gate_run(kb_proxy_t *proxy, const kb_target_entry_t *target,
 		       const kbs_run_args *args, kb_run_done_fn_t *done,
 		       void *ctx)
 {
 	kb_proxy_gate_t *gate = get_gate(proxy, target);
+	kb_target_verdict_t verdict = KB_TARGET_SEND;
 
 	if (!gate || (target->leaving && !args->transaction)) {
 		kbs_run_res res = { .result = KB_ERR_DRAINING };
@@ -89,6 +124,14 @@
 	gate->used_at = kb_clock_monotonic(proxy->clock);
 	kb_link_pool_bind(&gate->pool, &target->place, target->slots,
 			  connection_limit(proxy, target));
+	if (!args->transaction)
+		verdict = kb_target_belief_judge(&gate->belief,
+						 kb_point_from(args->include),
+						 gate->used_at);
+	if (verdict != KB_TARGET_SEND) {
+		refuse(gate, verdict, done, ctx);
+		return;
+	}
 	kb_link_pool_run(&gate->pool, args, done, ctx);
 }
 
@@ -123,6 +166,7 @@
 		kb_proxy_gate_t *gate = proxy->gates[i];
 
 		kb_link_pool_tick(&gate->pool);
+		check_silence(gate, now);
 		if (gate->pool.conns &&
 		    (now - gate->used_at > GATE_IDLE_S * KB_NS_PER_S ||
 		     serves_primary(gate)))
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -7,6 +7,7 @@
 #include "hosts.h"
 #include "lease.h"
 #include "load/link_pool.h"
+#include "load/target_belief.h"
 #include "monitor.h"
 #include "proxy_stats.h"
 #include "registration.h"
@@ -144,6 +145,9 @@
 	kb_proxy_t *proxy;
 	kb_name_t target;
 	kb_link_pool_t pool;
+	kb_target_belief_t belief;
+	/* The last check found the target silent. */
+	int silent;
 	kb_time_t used_at;
 } kb_proxy_gate_t;
 
--- a/src/proxy_stats.c
+++ b/src/proxy_stats.c
@@ -97,4 +97,8 @@
 				"Sessions refused.", stats->sessions_refused);
 	kb_metrics_text_counter(out, "host_calls_total",
 				"Calls to other hosts.", stats->host_calls);
+	kb_metrics_text_counter(
+		out, "gate_refusals_total",
+		"Statements refused for a target that would not run them.",
+		stats->refused_by_gates);
 }
