Refuse statements for a group behind a cut at once

During a cut between 55 and 31 hosts statements for groups whose holder is on the other side waited for their whole time-out of 1 s, or were refused only after 2.5 s without service. On the side that reaches the store another host took the key of each group and waited there for the voters of the former holder; as it wrote its record again every 0.3 s, each record restarted the clock of 2.5 s, and statements asked it about 20 times each (`not-gate`).

- A group that was not served for 0.7 s is behind a cut if most voters of the holder that served last are silent.
Then no change of holder can be seen from here, while the holder may serve on the other side: statements are refused at once and their sessions closed, so that callers try another host.
Voters in doubt are pinged.
- A statement is not sent to a holder that is silent, which could only make the outcome of a write unknown; it waits for news.
- Only a record that names another holder restarts the clock.
The fixture of test_proxy_watermark said "names another holder" but left the name unchanged; it names one now, and a record that the same holder writes again is tested besides.

Ruled out: statements relayed by other hosts. Of all pairs of hosts 676 and 589 suspected each other across the cut and none within a side, so nobody reaches both.

--- a/src/hosts.h
+++ b/src/hosts.h
@@ -41,6 +41,10 @@
 	 */
 	int failed;
 	unsigned failures;
+	/* The failure was a silence, not a connection refused or lost. */
+	int silent;
+	/* Last time at which it was verified by a ping that it answers. */
+	kb_time_t verified_at;
 	kb_time_t ping_at;
 	/* Bytes received from it and connections lost at the last check. */
 	uint64_t received_seen;
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -94,6 +94,8 @@
 KB_EVENT(1812, REQUEST_RETRIED, INFO, "a request is retried on another target")
 KB_EVENT(1813, SESSION_MALFORMED, WARN, "malformed message from a caller")
 KB_EVENT(1814, LOG_SUPPRESSED, WARN, "log lines were dropped")
+KB_EVENT(1815, GROUP_BEHIND_CUT, WARN,
+	 "the hosts that decide who serves a group became silent or answer again")
 KB_EVENT(1816, TARGET_SILENT, WARN,
 	 "a target stopped answering this host or answers again")
 
--- a/src/proxy_hosts.c
+++ b/src/proxy_hosts.c
@@ -19,6 +19,8 @@
 	PING_AFTER_MS = 200,
 	/* The connection is reset if the ping has no reply after this time. */
 	PING_TIMEOUT_MS = 500,
+	/* A host in doubt is pinged at most once in this time. */
+	VERIFY_INTERVAL_MS = 250,
 	/* Timeout of opening a connection. */
 	CONNECT_TIMEOUT_MS = 300,
 };
@@ -57,6 +59,7 @@
 		kb_log(KB_EVENT_MEMBER_SUSPECTED, "peer=%s result=%s",
 		       host->name.data, kb_result_name(result));
 		host->failed = 1;
+		host->silent = result == KB_ERR_TIMEOUT;
 		kb_hosts_changed(&proxy->hosts);
 	}
 	schedule_ping(host, result, now);
@@ -168,6 +171,15 @@
 	host->pinging = !kb_proxy_host_call(proxy, host, &rpc);
 }
 
+void kb_proxy_host_verify(kb_proxy_t *proxy, kb_host_t *host, kb_time_t now)
+{
+	if (host->self || !host->live || host->pinging ||
+	    now - host->verified_at < VERIFY_INTERVAL_MS * KB_NS_PER_MS)
+		return;
+	host->verified_at = now;
+	ping(proxy, host);
+}
+
 /*
  * Resets connections on which nothing is received any more. Bytes of a reply
  * that is not complete yet count: a long one may take a while on a slow link.
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -107,9 +107,11 @@
 	uint64_t primary_term;
 	/* Last time at which a holder is known to have served it, or 0. */
 	kb_time_t served_at;
-	/* Revision of the holder's record, and when it was received. */
-	int64_t record_revision;
+	/* Holder that the store names, and when that was first received. */
+	kb_name_t record_holder;
 	kb_time_t record_received_at;
+	/* The last check found the group served behind a cut, if at all. */
+	int cut_off;
 	kb_time_t watermark_requested_at;
 	/* Index of the voter that was last asked for a watermark. */
 	size_t watermark_voter;
@@ -306,6 +308,16 @@
 void kb_proxy_probe_reach(kb_proxy_group_t *group, kb_rpc_request_t *request,
 			  const kbs_reach_args *args);
 
+/* proxy_reach.c */
+/*
+ * Whether the group is served, if at all, by hosts that this one does not
+ * reach, see kb_cut_off_decide(). Pings the voters whose state is in doubt.
+ */
+int kb_proxy_group_is_cut_off(kb_proxy_group_t *group, kb_time_t now);
+/* Whether statements wait for news of a holder that is silent; pings it. */
+int kb_proxy_group_should_hold(kb_proxy_group_t *group, kb_host_t *holder,
+			       kb_time_t now);
+
 /* proxy_vacancy.c */
 void kb_proxy_vacancy_tick(kb_proxy_group_t *group, kb_time_t now);
 /* Prolongs the vacancy check; fills in a watermark if the group is vacant. */
@@ -334,6 +346,8 @@
 /* Records a failed call: no work is given to the host for some time. */
 void kb_proxy_host_failed(kb_proxy_t *proxy, kb_host_t *host,
 			  kb_result_t result);
+/* Pings a host that may be silent, unless that was done just before. */
+void kb_proxy_host_verify(kb_proxy_t *proxy, kb_host_t *host, kb_time_t now);
 /*
  * Starts a call to another host. The callback must free the call's `ctx`. If
  * the call cannot be started, `ctx` is freed here and no callback is made.
--- a/src/proxy_lease.c
+++ b/src/proxy_lease.c
@@ -270,8 +270,10 @@
 	};
 	kb_proxy_group_t *group = ctx;
 
-	if (group->record_revision != lease->revision) {
-		group->record_revision = lease->revision;
+	/* A record that its holder has written again names no other one. */
+	if (!kb_name_is(&group->record_holder,
+			kb_name_str(&lease->record.holder))) {
+		group->record_holder = lease->record.holder;
 		group->record_received_at =
 			kb_clock_monotonic(group->proxy->clock);
 	}
--- a/src/proxy_statement.c
+++ b/src/proxy_statement.c
@@ -9,6 +9,8 @@
 	READ_RETRY_INTERVAL_MS = 30,
 	/* Added to the timeout of a call for the transit of the answer. */
 	CALL_TIMEOUT_MARGIN_MS = 200,
+	/* Another host can be tried after this time. */
+	OTHER_HOST_RETRY_AFTER_MS = 10,
 };
 
 /* One attempt at a statement. */
@@ -216,6 +218,21 @@
 	}
 }
 
+/* Another host may serve what this one cannot bring to its holder. */
+static void refuse_cut_off(kb_proxy_session_t *session)
+{
+	kbs_run_res res = {
+		.result = KB_ERR_NO_PRIMARY,
+		.message = kb_text_view(
+			KB_STR("the hosts that hold the group are silent")),
+		.retry_us =
+			OTHER_HOST_RETRY_AFTER_MS * KB_NS_PER_MS / KB_NS_PER_US,
+	};
+
+	session->proxy->stats.cut_off++;
+	kb_proxy_statement_finish(session, &res, KB_ERR_NO_PRIMARY, "");
+}
+
 /* Sends the statement to the host that holds the group. */
 static void try_primary(kb_proxy_session_t *session)
 {
@@ -227,6 +244,10 @@
 	session->target.len = 0;
 	session->target.data[0] = 0;
 	session->selector.include = (kb_point_t){ 0 };
+	if (group && kb_proxy_group_is_cut_off(group, now)) {
+		refuse_cut_off(session);
+		return;
+	}
 	if (session->holder_hint.len)
 		host = kb_hosts_find(&session->proxy->hosts,
 				     kb_name_str(&session->holder_hint));
@@ -239,7 +260,8 @@
 		kb_proxy_statement_finish(
 			session, NULL, KB_ERR_NO_PRIMARY,
 			"no host that holds the group is reached");
-	else if (host)
+	else if (host &&
+		 !(group && kb_proxy_group_should_hold(group, host, now)))
 		send_attempt(session, host);
 	else
 		kb_proxy_statement_on_result(session, NULL, KB_ERR_NO_PRIMARY);
--- a/src/proxy_stats.c
+++ b/src/proxy_stats.c
@@ -97,6 +97,10 @@
 				"Sessions refused.", stats->sessions_refused);
 	kb_metrics_text_counter(out, "host_calls_total",
 				"Calls to other hosts.", stats->host_calls);
+	kb_metrics_text_counter(
+		out, "cut_off_total",
+		"Statements refused, as the group is behind a cut.",
+		stats->cut_off);
 	kb_metrics_text_counter(
 		out, "gate_refusals_total",
 		"Statements refused for a target that would not run them.",
--- a/src/proxy_stats.h
+++ b/src/proxy_stats.h
@@ -29,6 +29,8 @@
 	uint64_t sessions;
 	uint64_t sessions_refused;
 	uint64_t host_calls;
+	/* Refused at once, as the group is behind a cut. */
+	uint64_t cut_off;
 	/* Refused by gates, as the target would not have run them. */
 	uint64_t refused_by_gates;
 	gsl_histogram *latency[KB_PROXY_PATH_COUNT];
--- a/tests/test_proxy_watermark.cc
+++ b/tests/test_proxy_watermark.cc
@@ -55,10 +55,11 @@
 		return kb_proxy_group_is_vacant(group.get(), clock.now);
 	}
 
-	/* The store names another holder at `revision`. */
-	void change_holder(int64_t revision)
+	/* The store names `holder` at `revision`. */
+	void change_holder(int64_t revision, const char *holder)
 	{
 		group->lease.revision = revision;
+		kb_name_set(&group->lease.record.holder, kb_str_from(holder));
 		kb_proxy_lease_ops.changed(group.get(), &group->lease);
 	}
 };
@@ -102,12 +103,18 @@
 {
 	learn(1, false);
 	clock.now += 4000 * MS;
-	change_holder(7);
+	change_holder(7, "a");
 	EXPECT_EQ(0, unserved_ms());
 	clock.now += 1000 * MS;
 	/* A change of the role without one of the holder has no effect. */
-	change_holder(7);
+	change_holder(7, "a");
 	EXPECT_EQ(1000, unserved_ms());
+	/* Nor has a record that its holder writes again with other voters. */
+	change_holder(8, "a");
+	EXPECT_EQ(1000, unserved_ms());
+	change_holder(9, "b");
+	EXPECT_EQ(0, unserved_ms());
+	clock.now += 1000 * MS;
 	learn(2, false);
 	EXPECT_EQ(0, unserved_ms());
 }
