--- a/src/load/pool_queue.c
+++ b/src/load/pool_queue.c
@@ -310,6 +310,8 @@
 
 kb_pool_job_t *kb_pool_choose_job(kb_link_pool_t *pool, kb_time_t now)
 {
+	/* One that would end after its objective counts as late already. */
+	now += pool->service_time;
 	return pool->named_teams ? choose_among_teams(pool, now)
 				 : choose_in_order(pool, now);
 }
