Test a pool of teams under random events

A checker looks at the target's side only: no statement on another team's connection, no connection above the limit when it is opened, each statement ends once.

--- a/tests/fake_link_connector.h
+++ b/tests/fake_link_connector.h
@@ -18,6 +18,8 @@
 	bool closed = false;
 	/* Team that it was opened for. */
 	std::string team;
+	/* Connections that existed when it was opened, with itself. */
+	size_t opened_as = 0;
 	/* Whether the attempt to open it has not ended. */
 	bool opening = true;
 	/* Whether a command is unanswered, and the last one sent. */
@@ -60,6 +62,7 @@
 		link->connector = connector;
 		link->team = std::string(place->team.data, place->team.len);
 		connector->links.push_back(link);
+		link->opened_as = connector->open_count();
 		return &link->base;
 	}
 
