Let bursts catch up and teams share a full target

Load replays of 75 skewed teams showed three faults:

- A large team's usual bursts waited behind a flood as if they were one.
A team that asked for less than its share may now catch up on a bounded credit.
Advancing the virtual time by the clock was tried as well; the others' p99 was no better.
- A team with one connection did not get a second while the slots were in use, and its queue grew.
It now grows up to what is sent at once.
- At a target that accepts fewer connections than the limit, teams without a connection waited although the pool had idle ones of other teams.
What the target left is now taken as the limit for a while.

--- a/src/load/fair_queue.c
+++ b/src/load/fair_queue.c
@@ -153,9 +153,9 @@
 		return KB_ERR_OVERLOADED;
 	class = &queue->classes[flow->class_index];
 	if (!class->queued)
-		kb_stride_join(&class->stride, &queue->class_clock);
+		kb_stride_join(&class->stride, &queue->class_clock, 0);
 	if (!flow->queued)
-		kb_stride_join(&flow->stride, &class->flow_clock);
+		kb_stride_join(&flow->stride, &class->flow_clock, 0);
 	entry->flow = flow;
 	entry->priority = priority;
 	kb_fair_list_append(&flow->queues[priority], entry);
--- a/src/load/link_pool.c
+++ b/src/load/link_pool.c
@@ -148,7 +148,7 @@
 	unsigned used = used_slots(pool) - pool->share.opening;
 	unsigned half = pool->slots / 2 ? pool->slots / 2 : 1;
 
-	room->saturated = used >= send_limit(pool);
+	room->in_flight = send_limit(pool);
 	if (room->shared)
 		room->parallel =
 			pool->slots > used + half ? pool->slots - used : half;
--- a/src/load/link_pool.h
+++ b/src/load/link_pool.h
@@ -99,6 +99,9 @@
 	kb_time_t open_blocked_until;
 	/* The last attempt found no free connection at the target. */
 	int target_full;
+	/* Connections that it left to this pool, assumed until a time. */
+	unsigned full_limit;
+	kb_time_t full_until;
 	uint64_t next_transaction;
 	uint64_t next_job;
 	int dispatching;
--- a/src/load/pool_conn.h
+++ b/src/load/pool_conn.h
@@ -22,6 +22,8 @@
 	POOL_OPEN_RETRY_DELAY_MS = 100,
 	/* Added if the target was full and the pool has connections. */
 	POOL_FULL_RETRY_DELAY_MS = 400,
+	/* A pool with teams takes a full target's limit as known this long. */
+	POOL_FULL_LIMIT_MS = 2000,
 	/* Attempts to send a statement that has not run. */
 	POOL_ATTEMPTS_MAX = 4,
 	/* Largest number of queued statements. */
--- a/src/load/pool_conn_answer.c
+++ b/src/load/pool_conn_answer.c
@@ -195,6 +195,23 @@
 		kb_pool_conn_close(conn);
 }
 
+/*
+ * With connections of its own the pool can wait for others to close, or close
+ * another team's instead.
+ */
+static void record_full_target(kb_link_pool_t *pool, kb_time_t now)
+{
+	if (pool->conn_count < 2)
+		return;
+	if (!pool->named_teams) {
+		pool->open_blocked_until +=
+			POOL_FULL_RETRY_DELAY_MS * KB_NS_PER_MS;
+		return;
+	}
+	pool->full_limit = pool->conn_count - 1;
+	pool->full_until = now + POOL_FULL_LIMIT_MS * KB_NS_PER_MS;
+}
+
 static void on_opened(void *ctx, kb_result_t result, kb_point_t point)
 {
 	kb_pool_conn_t *conn = ctx;
@@ -216,10 +233,8 @@
 	pool->target_full = result == KB_ERR_TOO_MANY;
 	pool->open_blocked_until =
 		now + POOL_OPEN_RETRY_DELAY_MS * KB_NS_PER_MS;
-	/* With connections of its own the pool can wait for others to close. */
-	if (pool->target_full && pool->conn_count > 1)
-		pool->open_blocked_until +=
-			POOL_FULL_RETRY_DELAY_MS * KB_NS_PER_MS;
+	if (pool->target_full)
+		record_full_target(pool, now);
 	conn->link = NULL;
 	kb_pool_conn_close(conn);
 	if (result != KB_ERR_TOO_MANY)
--- a/src/load/pool_queue.c
+++ b/src/load/pool_queue.c
@@ -70,6 +70,11 @@
 	list->count--;
 }
 
+static kb_time_t credit_of(const kb_link_pool_t *pool)
+{
+	return pool->service_time * KB_POOL_CREDIT * (kb_time_t)pool->slots;
+}
+
 void kb_pool_job_requeue(kb_link_pool_t *pool, kb_pool_job_t *job)
 {
 	kb_pool_team_t *team = job->team;
@@ -82,7 +87,8 @@
 	pool->jobs = job;
 	pool->job_count++;
 	if (!team->queued++)
-		kb_stride_join(&team->stride, &pool->team_clock);
+		kb_stride_join(&team->stride, &pool->team_clock,
+			       credit_of(pool));
 	list_add(&team->classes[class_of(job)].on_time[kind], job);
 	if (kind != KB_POOL_JOB_IN_TRANSACTION)
 		kb_team_use_wait(&team->use, kind == KB_POOL_JOB_BEGIN,
@@ -113,9 +119,14 @@
 
 kb_team_room_t kb_pool_room(const kb_link_pool_t *pool)
 {
-	return (kb_team_room_t){ .limit = pool->limit,
-				 .parallel = pool->slots,
-				 .shared = pool->named_teams != 0 };
+	kb_team_room_t room = { .limit = pool->limit,
+				.parallel = pool->slots,
+				.shared = pool->named_teams != 0 };
+
+	if (kb_clock_monotonic(pool->clock) < pool->full_until &&
+	    pool->full_limit < room.limit)
+		room.limit = pool->full_limit;
+	return room;
 }
 
 /* Whether a transaction has no statement running, or has ended. */
@@ -276,7 +287,7 @@
 			if (!heads[i] || is_ahead(pool, heads[i], &least))
 				continue;
 			kb_stride_join(&pool->classes[choice.rank],
-				       &pool->class_clock);
+				       &pool->class_clock, 0);
 			if (!best.job || is_better(pool, &choice, &best))
 				best = choice;
 		}
--- a/src/load/pool_queue.h
+++ b/src/load/pool_queue.h
@@ -17,6 +17,12 @@
 	KB_POOL_LEAD_MAX = 2,
 	/* The same for a statement of an open transaction, for each slot. */
 	KB_POOL_TRANSACTION_LEAD_MAX = 2,
+	/*
+	 * Mean service times, for each slot, that a team which asked for less
+	 * than its share may catch up on, so that its bursts are served as if
+	 * nobody else had a queue.
+	 */
+	KB_POOL_CREDIT = 3,
 };
 
 /* Returns the connection that an open transaction holds, or NULL. */
--- a/src/load/pool_team.c
+++ b/src/load/pool_team.c
@@ -24,7 +24,7 @@
 		free(team);
 		return NULL;
 	}
-	kb_stride_join(&team->stride, &pool->team_clock);
+	kb_stride_join(&team->stride, &pool->team_clock, 0);
 	HASH_ADD_KEYPTR(hh, pool->teams, team->name.data, team->name.len, team);
 	pool->named_teams += name.len != 0;
 	kb_team_share_add(&pool->share, &team->use);
--- a/src/load/stride.c
+++ b/src/load/stride.c
@@ -1,9 +1,12 @@
 #include "stride.h"
 
-void kb_stride_join(kb_stride_t *party, const kb_stride_clock_t *clock)
+void kb_stride_join(kb_stride_t *party, const kb_stride_clock_t *clock,
+		    kb_time_t credit)
 {
-	if (party->virtual_time < clock->virtual_time)
-		party->virtual_time = clock->virtual_time;
+	kb_time_t least = clock->virtual_time - credit;
+
+	if (party->virtual_time < least)
+		party->virtual_time = least;
 }
 
 void kb_stride_advance(kb_stride_clock_t *clock, const kb_stride_t *party)
--- a/src/load/stride.h
+++ b/src/load/stride.h
@@ -9,7 +9,7 @@
  * Stride scheduling: parties that compete share service time by weight. The
  * next one served is the one whose virtual time, the service received divided
  * by the weight, is the least. A party that had nothing to do does not save up
- * service, but keeps what it received ahead of the others.
+ * service beyond a credit, but keeps what it received ahead of the others.
  */
 typedef struct kb_stride {
 	kb_time_t virtual_time;
@@ -20,8 +20,12 @@
 	kb_time_t virtual_time;
 } kb_stride_clock_t;
 
-/* Lets a party that had nothing to do compete again. */
-void kb_stride_join(kb_stride_t *party, const kb_stride_clock_t *clock);
+/*
+ * Lets a party that had nothing to do compete again. Of the service that it did
+ * not ask for it may catch up on `credit`.
+ */
+void kb_stride_join(kb_stride_t *party, const kb_stride_clock_t *clock,
+		    kb_time_t credit);
 
 /* Advances the clock to a party that is being served. */
 void kb_stride_advance(kb_stride_clock_t *clock, const kb_stride_t *party);
--- a/src/load/team_share.c
+++ b/src/load/team_share.c
@@ -148,14 +148,17 @@
 	return team->peak > team->last_peak ? team->peak : team->last_peak;
 }
 
-/* Connections that a team could do without, judged by its recent use. */
+/* Connections beyond the first that a team did not use of late. */
 static unsigned surplus_of(const kb_team_use_t *team, kb_time_t now)
 {
 	unsigned conns = kb_team_use_conns(team);
 	unsigned peak = recent_peak(team, now);
 	unsigned idle = team->conns[KB_TEAM_CONN_IDLE];
-	unsigned surplus = conns > peak ? conns - peak : 0;
+	unsigned surplus;
 
+	/* How often a team is used decides about its last connection. */
+	peak = peak ? peak : 1;
+	surplus = conns > peak ? conns - peak : 0;
 	return surplus < idle ? surplus : idle;
 }
 
@@ -215,7 +218,9 @@
 	wanted = startable(share, team, room);
 	if (!room->shared || !kb_team_use_conns(team))
 		return wanted > opening;
-	return !room->saturated && wanted > opening + returning(team);
+	if (opening + returning(team) >= room->in_flight)
+		return 0;
+	return wanted > opening + returning(team);
 }
 
 /* Whether `a` gets a connection before `b`. */
--- a/src/load/team_share.h
+++ b/src/load/team_share.h
@@ -16,7 +16,7 @@
 	/* For this long a team is known to need what it used at once. */
 	KB_TEAM_PEAK_WINDOW_MS = 5000,
 	/* Half-life of the count by which teams that are used often stay. */
-	KB_TEAM_RATE_HALF_LIFE_MS = 30000,
+	KB_TEAM_RATE_HALF_LIFE_MS = 120000,
 	/*
 	 * A connection whose team has statements waiting is kept open for this
 	 * time, and closed only for a team that has waited for it.
@@ -86,8 +86,8 @@
 	unsigned limit;
 	/* Largest number of connections that are opened at a time. */
 	unsigned parallel;
-	/* The target's slots are in use: more connections would not help. */
-	int saturated;
+	/* Statements that the target is sent at once. */
+	unsigned in_flight;
 	/*
 	 * Connections belong to teams. Otherwise there is one team, which has
 	 * nobody to leave room for.
