--- a/src/proxy.c
+++ b/src/proxy.c
@@ -1,7 +1,6 @@
 #include "proxy_internal.h"
 
 #include "log.h"
-#include "metrics_text.h"
 
 #include <event2/event.h>
 #include <inttypes.h>
@@ -31,10 +30,14 @@
 		group->connections = limits->connections;
 		group->monitor.durable = limits->durable;
 	}
+	kb_proxy_loans_on_configuration(proxy);
 	kb_log(KB_EVENT_CONFIG_IN_FORCE,
-	       "version=%" PRIu64 " databases=%zu groups=%zu revision=%" PRId64,
+	       "version=%" PRIu64
+	       " databases=%zu groups=%zu teams=%zu revision=%" PRId64,
 	       proxy->databases.version, proxy->databases.database_count,
-	       proxy->databases.group_count, proxy->mirror.revision);
+	       proxy->databases.group_count, proxy->databases.teams.count,
+	       proxy->mirror.revision);
+	kb_proxy_teams_log_ignored(proxy);
 }
 
 static void apply_target(kb_proxy_t *proxy, kb_str_t key,
@@ -150,6 +153,7 @@
 	for (size_t i = 0; i < proxy->group_count; i++)
 		kb_proxy_group_tick(proxy->groups[i], now);
 	kb_proxy_gates_tick(proxy, now);
+	kb_proxy_loans_tick(proxy, now);
 	kb_proxy_sessions_tick(proxy, now);
 	kb_sync_feed_tick(&proxy->feed, now);
 }
@@ -216,6 +220,8 @@
 					      &proxy->self);
 	if (!result)
 		result = add_seeds(proxy, settings);
+	if (!result)
+		result = kb_proxy_loans_init(proxy);
 	if (!result)
 		result = kb_proxy_serve(proxy);
 	if (result)
@@ -270,6 +276,7 @@
 	if (proxy->has_server)
 		kb_rpc_server_finish(&proxy->server);
 	kb_hosts_finish(&proxy->hosts);
+	kb_proxy_loans_finish(proxy);
 	free(proxy->gates);
 	free(proxy->groups);
 	free(proxy->loads);
@@ -328,67 +335,3 @@
 			return 0;
 	return 1;
 }
-
-static void write_pool(struct evbuffer *out, const char *name,
-		       const kb_link_pool_t *pool, uint64_t value)
-{
-	kb_metrics_text_value(out, name, "target", pool->place.target.data,
-			      (double)value);
-}
-
-static void write_pools(kb_proxy_t *proxy, struct evbuffer *out,
-			const char *name, size_t offset, const char *help)
-{
-	kb_metrics_text_family(out, name, "counter", help);
-	for (size_t i = 0; i < proxy->gate_count; i++) {
-		const kb_link_pool_t *pool = &proxy->gates[i]->pool;
-
-		write_pool(out, name, pool,
-			   *(const uint64_t *)((const char *)&pool->counters +
-					       offset));
-	}
-	for (size_t i = 0; i < proxy->group_count; i++) {
-		const kb_link_pool_t *pool = &proxy->groups[i]->pool;
-
-		if (pool->place.target.len)
-			write_pool(out, name, pool,
-				   *(const uint64_t *)((const char *)&pool
-							       ->counters +
-						       offset));
-	}
-}
-
-void kb_proxy_write_metrics(kb_proxy_t *proxy, struct evbuffer *out)
-{
-	kb_proxy_stats_write(&proxy->stats, out);
-	kb_metrics_text_family(out, "sessions", "gauge", "Open sessions.");
-	kb_metrics_text_value(out, "sessions", NULL, NULL,
-			      (double)proxy->session_count);
-	kb_metrics_text_family(out, "configuration_version", "gauge",
-			       "Version of the configuration in force.");
-	kb_metrics_text_value(out, "configuration_version", NULL, NULL,
-			      (double)proxy->databases.version);
-	kb_metrics_text_family(
-		out, "hold_serving", "gauge",
-		"Whether this host may serve a group's primary.");
-	for (size_t i = 0; i < proxy->group_count; i++)
-		kb_metrics_text_value(
-			out, "hold_serving", "group",
-			proxy->groups[i]->name.data,
-			kb_lease_may_serve(&proxy->groups[i]->lease,
-					   kb_clock_monotonic(proxy->clock)));
-#define POOL(member) offsetof(kb_link_pool_counters_t, member)
-	write_pools(proxy, out, "target_statements_total", POOL(statements),
-		    "Statements sent to a target.");
-	write_pools(proxy, out, "target_connections_total", POOL(opened),
-		    "Connections opened to a target.");
-	write_pools(proxy, out, "target_lost_total", POOL(lost),
-		    "Connections lost to a target.");
-	write_pools(proxy, out, "target_refused_total", POOL(refused),
-		    "Statements refused before they waited.");
-	write_pools(proxy, out, "target_expired_total", POOL(expired),
-		    "Statements whose time passed while they waited.");
-	write_pools(proxy, out, "target_silent_total", POOL(timeouts),
-		    "Statements whose answer was held lost.");
-#undef POOL
-}
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -8,6 +8,7 @@
 #include "lease.h"
 #include "load/link_pool.h"
 #include "monitor.h"
+#include "proxy_loans.h"
 #include "proxy_stats.h"
 #include "registration.h"
 #include "rng.h"
@@ -33,6 +34,7 @@
 	KB_PROXY_RPC_RECHECK = 107,
 	KB_PROXY_RPC_LAST_GRANT = 108,
 	KB_PROXY_RPC_FEED = 109,
+	KB_PROXY_RPC_LOAN = 110,
 	/* Interval of the periodic work. */
 	KB_PROXY_TICK_INTERVAL_MS = 20,
 	/* Timeout of a short call between hosts. */
@@ -95,6 +97,8 @@
 	kb_host_ranking_t ranking;
 	/* Hosts of this region that may relay the group's watermarks. */
 	kb_host_ranking_t relays;
+	/* Accounts of teams while this host holds the group. */
+	kb_team_accounts_t accounts;
 	/* Connections to the primary while this host holds the group. */
 	kb_link_pool_t pool;
 	kb_watermarks_t watermarks;
@@ -225,6 +229,7 @@
 	kb_time_t stop_started_at;
 	kb_proxy_session_t *sessions;
 	size_t session_count;
+	kb_proxy_loans_t loans;
 	kb_proxy_stats_t stats;
 };
 
@@ -268,6 +273,13 @@
 
 /* Formats the key of the group's lease in the store. */
 void kb_proxy_lease_key(const kb_proxy_group_t *group, char *key);
+/*
+ * Asks a host for a grant of the group's lease. If the call cannot be started,
+ * no callback is made.
+ */
+kb_result_t kb_proxy_request_grant(kb_proxy_group_t *group, kb_host_t *host,
+				   int serving, kb_rpc_done_fn_t *done,
+				   void *ctx);
 extern const kb_lease_ops_t kb_proxy_lease_ops;
 extern const kb_monitor_ops_t kb_proxy_monitor_ops;
 
@@ -355,9 +367,20 @@
  */
 int kb_proxy_discovery_is_done(const kb_proxy_t *proxy, kb_time_t now);
 
+/* proxy_keeper.c */
+void kb_proxy_keeper_tick(kb_proxy_group_t *group, kb_time_t now);
+
 /* proxy_session.c */
 void kb_proxy_sessions_tick(kb_proxy_t *proxy, kb_time_t now);
 
+/* proxy_teams.c */
+/* Sets the session's team as kb_teams_authenticate() does; logs a refusal. */
+kb_result_t kb_proxy_teams_authenticate(kb_proxy_t *proxy,
+					kb_caller_session_t *caller,
+					kb_str_t id);
+/* Logs how many teams and keys of the configuration cannot be used. */
+void kb_proxy_teams_log_ignored(const kb_proxy_t *proxy);
+
 KB_END_DECLS
 
 #endif
