Use the parameter of a defect in builds without defects

A function whose only use of a parameter is KB_HAS_DEFECT() did not compile in a build without tests, where warnings are errors (src/confirm.c, unused parameter).

--- a/src/defect.h
+++ b/src/defect.h
@@ -28,7 +28,7 @@
 
 #else
 
-#define KB_HAS_DEFECT(params, name) 0
+#define KB_HAS_DEFECT(params, name) ((void)(params), 0)
 
 #endif
 
