Prefer one replica for the reads of a team

With 75 skewed teams and room for 40 at a replica, no choice of the pool opens fewer than 8 connections for each 100 statements if all teams read from both replicas. Hosts now prefer the replica of their region with the highest rendezvous score for the team, by as much as it takes to open a connection: a queue of two or three statements outweighs it. Asking gates which teams are connected was ruled out: a message for a small gain.

--- a/src/proxy_session.c
+++ b/src/proxy_session.c
@@ -78,6 +78,7 @@
 	kb_replica_selector_init(&session->selector, &caller->database,
 				 caller->committed,
 				 kb_clock_monotonic(session->proxy->clock));
+	kb_name_set(&session->selector.team, kb_text_str(caller->args.team));
 	kb_proxy_statement_try(session);
 }
 
--- a/src/replica_selector.c
+++ b/src/replica_selector.c
@@ -1,5 +1,7 @@
 #include "replica_selector.h"
 
+#include "rendezvous.h"
+
 enum {
 	/* Latency of a message to another data centre and another region. */
 	COST_NEAR_US = 1000,
@@ -15,6 +17,11 @@
 	/* A target that failed within this time is tried after others. */
 	FAILED_PENALTY_MS = 500,
 	COST_FAILED_US = 400000,
+	/*
+	 * Added for replicas other than the one that is likely to have a
+	 * connection of the team: the time to open one.
+	 */
+	COST_OTHER_REPLICA_US = 12000,
 	/* Half-life of a load reported by a gate. */
 	LOAD_HALF_LIFE_MS = 100,
 	/* Margin for the time from the caller's sending to the arrival here. */
@@ -119,12 +126,53 @@
 	return cost;
 }
 
+/* Whether a replica may serve the read, as far as this host knows. */
+static int is_candidate(const kb_replica_selector_t *selector,
+			const kb_proxy_group_t *group,
+			const kb_target_entry_t *target)
+{
+	return kb_name_is(&target->place.group, kb_name_str(&group->name)) &&
+	       !target->leaving && !is_primary(group, target) &&
+	       !is_excluded(selector, &target->place.target);
+}
+
+/*
+ * Returns the replica of this region that all hosts prefer for the team, so
+ * that teams with few statements need a connection at one replica only. Returns
+ * NULL without a team or without a replica.
+ */
+static const kb_target_entry_t *
+find_preferred(const kb_replica_selector_t *selector, const kb_proxy_t *proxy,
+	       const kb_proxy_group_t *group)
+{
+	const kb_target_entry_t *best = NULL;
+	uint64_t best_score = 0;
+
+	for (size_t i = 0; selector->team.len && i < proxy->targets.count;
+	     i++) {
+		const kb_target_entry_t *target = &proxy->targets.entries[i];
+		uint64_t score;
+
+		if (!is_candidate(selector, group, target) ||
+		    latency(proxy, &target->data_centre) > COST_NEAR_US)
+			continue;
+		score = kb_rendezvous_score(kb_name_str(&target->place.target),
+					    kb_name_str(&selector->team));
+		if (best && score <= best_score)
+			continue;
+		best = target;
+		best_score = score;
+	}
+	return best;
+}
+
 const kb_target_entry_t *
 kb_replica_selector_next(kb_replica_selector_t *selector, kb_proxy_t *proxy,
 			 kb_proxy_group_t *group)
 {
 	kb_time_t now = kb_clock_monotonic(proxy->clock);
 	const kb_target_entry_t *best = NULL;
+	const kb_target_entry_t *preferred;
 	int64_t best_cost = 0;
 	int64_t primary_cost;
 	kb_point_t aged;
@@ -139,15 +187,13 @@
 	selector->include = kb_point_compare(aged, selector->own_commit) >= 0
 				    ? aged
 				    : selector->own_commit;
+	preferred = find_preferred(selector, proxy, group);
 	for (size_t i = 0; i < proxy->targets.count; i++) {
 		const kb_target_entry_t *target = &proxy->targets.entries[i];
 		const kb_proxy_load_t *load;
 		int64_t cost;
 
-		if (!kb_name_is(&target->place.group,
-				kb_name_str(&group->name)) ||
-		    target->leaving || is_primary(group, target) ||
-		    is_excluded(selector, &target->place.target))
+		if (!is_candidate(selector, group, target))
 			continue;
 		load = kb_proxy_load_get(proxy,
 					 kb_name_str(&target->place.target));
@@ -156,6 +202,8 @@
 			continue;
 		}
 		cost = cost_of(proxy, target, load, now);
+		if (preferred && target != preferred)
+			cost += COST_OTHER_REPLICA_US;
 		if (best && cost >= best_cost)
 			continue;
 		best = target;
--- a/src/replica_selector.h
+++ b/src/replica_selector.h
@@ -12,6 +12,8 @@
 /* State of the selection of a replica for a read. */
 typedef struct kb_replica_selector {
 	kb_read_consistency_t consistency;
+	/* Team of the caller, or empty. */
+	kb_name_t team;
 	/* The read must see commits acknowledged before this time. */
 	kb_time_t bound;
 	/* Newest commit of the session, or zero. */
--- a/tests/team_load.h
+++ b/tests/team_load.h
@@ -69,6 +69,8 @@
 		bool rests;
 		/* Transaction that it commits, or 0. */
 		uint64_t commits;
+		/* Time on its way, in addition. */
+		kb_time_t on_its_way = 0;
 	};
 
 	struct Sent {
@@ -95,6 +97,7 @@
 	std::vector<std::unique_ptr<Sent>> sent;
 	std::map<std::string, kb_time_t> costs;
 	std::map<std::string, TeamOutcome> outcomes;
+	size_t sorted = 0;
 	size_t next = 0;
 	size_t seen = 0;
 	std::vector<FakeLink *> links;
@@ -188,12 +191,20 @@
 		return (kb_time_t)((6 + 49 * x * x) * (double)KB_NS_PER_MS);
 	}
 
-	void play(kb_time_t until)
+	void sort_arrivals()
 	{
+		if (sorted == arrivals.size())
+			return;
+		sorted = arrivals.size();
 		std::sort(arrivals.begin(), arrivals.end(),
 			  [](const Arrival &a, const Arrival &b) {
 				  return a.at < b.at;
 			  });
+	}
+
+	void play(kb_time_t until)
+	{
+		sort_arrivals();
 		while (time.now < start + until) {
 			time.now += STEP;
 			while (!commits.empty() && commits[0].at <= time.now) {
@@ -253,7 +264,8 @@
 		if (entry->statement.result)
 			outcome.failed++;
 		else
-			outcome.took.push_back(time.now - arrival.at);
+			outcome.took.push_back(time.now - arrival.at +
+					       arrival.on_its_way);
 	}
 
 	void serve()
--- a/tests/test_replica_selector.cc
+++ b/tests/test_replica_selector.cc
@@ -204,3 +204,29 @@
 					   clock.now + c.spent));
 	}
 }
+
+/* The same replica on every host while loads are alike, another otherwise. */
+TEST_F(ReplicaSelector, PrefersOneReplicaForATeam)
+{
+	size_t at_second = 0;
+
+	add("n2", "near");
+	for (int i = 0; i < 20; i++) {
+		std::string team = "team" + std::to_string(i);
+
+		kb_name_set(&selector.team, kb_str_from(team.c_str()));
+		std::string first = next();
+		EXPECT_EQ(first, next());
+		at_second += first == "n2";
+		load(first.c_str())->load.slots = 1;
+		load(first.c_str())->load.waiting = 3;
+		load(first.c_str())->load.service_us = 10000;
+		load(first.c_str())->at = clock.now;
+		EXPECT_NE(first, next());
+		load(first.c_str())->load.waiting = 0;
+		load(first.c_str())->load.service_us = 0;
+		load(first.c_str())->at = 0;
+	}
+	EXPECT_GT(at_second, 4u);
+	EXPECT_LT(at_second, 16u);
+}
