--- a/src/proxy.c
+++ b/src/proxy.c
@@ -37,7 +37,7 @@
 	       proxy->databases.version, proxy->databases.database_count,
 	       proxy->databases.group_count, proxy->databases.teams.count,
 	       proxy->mirror.revision);
-	kb_proxy_teams_log_ignored(proxy);
+	kb_proxy_keys_log_ignored(proxy);
 }
 
 static void apply_target(kb_proxy_t *proxy, kb_str_t key,
@@ -155,6 +155,7 @@
 	kb_proxy_gates_tick(proxy, now);
 	kb_proxy_loans_tick(proxy, now);
 	kb_proxy_sessions_tick(proxy, now);
+	kb_proxy_start_tick(proxy, now);
 	kb_sync_feed_tick(&proxy->feed, now);
 }
 
@@ -207,6 +208,7 @@
 	proxy->self.processor_share = settings->processor_share;
 	proxy->self.link_mbps = settings->link_mbps;
 	proxy->started_at = kb_clock_monotonic(proxy->clock);
+	kb_start_phases_init(&proxy->start, proxy->started_at);
 	proxy->mirror.changed = on_mirror_changed;
 	proxy->mirror.ctx = proxy;
 	kb_sync_feed_init(&proxy->feed, &proxy->mirror);
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -9,6 +9,7 @@
 #include "load/link_pool.h"
 #include "monitor.h"
 #include "proxy_loans.h"
+#include "proxy_start.h"
 #include "proxy_stats.h"
 #include "registration.h"
 #include "rng.h"
@@ -116,6 +117,10 @@
 	kb_time_t watermark_requested_at;
 	/* Index of the voter that was last asked for a watermark. */
 	size_t watermark_voter;
+	kb_watermark_waiter_t *watermark_waiters;
+	kb_held_run_t *held;
+	size_t held_count;
+	kb_start_group_phases_t start;
 	kb_proxy_vacancy_t vacancy;
 	/* Last use by a caller, and start of the present period of use. */
 	kb_time_t used_at;
@@ -211,6 +216,7 @@
 	size_t load_count;
 	struct event *tick;
 	kb_time_t started_at;
+	kb_start_phases_t start;
 	/* Place of this host among those that pass on the store's changes. */
 	kb_sync_tree_t tree;
 	/* Calls of other hosts for changes. */
@@ -353,7 +359,7 @@
 /* Starts the RPC server for calls of other hosts. */
 kb_result_t kb_proxy_serve(kb_proxy_t *proxy);
 /* Runs a statement as the gate of its target or the holder of its group. */
-void kb_proxy_run_local(kb_proxy_t *proxy, const kbs_run_args *args,
+void kb_proxy_run_local(kb_proxy_t *proxy, kbs_run_args *args,
 			kb_run_done_fn_t *done, void *ctx);
 
 /* proxy_sync.c */
@@ -373,13 +379,13 @@
 /* proxy_session.c */
 void kb_proxy_sessions_tick(kb_proxy_t *proxy, kb_time_t now);
 
-/* proxy_teams.c */
+/* proxy_keys.c */
 /* Sets the session's team as kb_teams_authenticate() does; logs a refusal. */
-kb_result_t kb_proxy_teams_authenticate(kb_proxy_t *proxy,
-					kb_caller_session_t *caller,
-					kb_str_t id);
+kb_result_t kb_proxy_keys_authenticate(kb_proxy_t *proxy,
+				       kb_caller_session_t *caller,
+				       kb_str_t id);
 /* Logs how many teams and keys of the configuration cannot be used. */
-void kb_proxy_teams_log_ignored(const kb_proxy_t *proxy);
+void kb_proxy_keys_log_ignored(const kb_proxy_t *proxy);
 
 KB_END_DECLS
 
