Report teams that wait, and what a pool closes and holds back

Counters by target, not by team: connections closed for another team's, and transactions that waited for others of their team.

A team all of whose connections were pinned counted as one that has connections, and had to wait until another had rested for 2 s (DisplacedConnectionsAndHeldBackTransactionsAreCounted); it now counts as one without. A replica's preference no longer sends reads to the primary: only the expected time is compared with the primary's.

--- a/src/load/link_pool.c
+++ b/src/load/link_pool.c
@@ -1,4 +1,5 @@
 #include "pool_queue.h"
+#include "pool_report.h"
 
 #include <stdlib.h>
 
@@ -172,8 +173,10 @@
 		next = kb_team_share_next_opening(&pool->share, &room, now);
 		if (!next.team)
 			return;
-		if (next.closed)
+		if (next.closed) {
 			close_idle_conn(pool, next.closed);
+			pool->counters.displaced++;
+		}
 		/* The first member of the team's entry. */
 		if (kb_pool_conn_open(pool, (kb_pool_team_t *)next.team))
 			return;
@@ -228,6 +231,13 @@
 	done(ctx, &res);
 }
 
+static int may_begin(const kb_link_pool_t *pool, const kb_pool_team_t *team)
+{
+	const kb_team_room_t room = kb_pool_room(pool);
+
+	return kb_team_share_begins_left(&pool->share, &team->use, &room) != 0;
+}
+
 void kb_link_pool_run(kb_link_pool_t *pool, const kbs_run_args *args,
 		      kb_run_done_fn_t *done, void *ctx)
 {
@@ -275,6 +285,8 @@
 				   "the target cannot serve it in time");
 		return;
 	}
+	if (args->transactional && !args->transaction && !may_begin(pool, team))
+		pool->counters.held_back++;
 	kb_pool_job_requeue(pool, job);
 	kb_link_pool_dispatch(pool);
 }
@@ -324,6 +336,7 @@
 
 	kb_pool_conn_free_closed(pool);
 	kb_pool_teams_prune(pool, now);
+	kb_pool_report(pool, now);
 	/* Ending jobs may queue new ones; these are sent after the loop. */
 	pool->dispatching = 1;
 	next = expire_jobs(pool, now);
--- a/src/load/link_pool.h
+++ b/src/load/link_pool.h
@@ -56,6 +56,10 @@
 	uint64_t expired;
 	uint64_t timeouts;
 	uint64_t resets;
+	/* Idle connections closed for one of another team. */
+	uint64_t displaced;
+	/* Transactions that had to wait for others of their team to end. */
+	uint64_t held_back;
 } kb_link_pool_counters_t;
 
 /*
@@ -106,6 +110,8 @@
 	uint64_t next_transaction;
 	uint64_t next_job;
 	int dispatching;
+	/* Time from which a waiting team is logged. */
+	kb_time_t next_report;
 	kb_link_pool_counters_t counters;
 	/* When refused callers are to return. */
 	kb_return_pace_t returns;
--- a/src/load/team_share.c
+++ b/src/load/team_share.c
@@ -234,6 +234,12 @@
 	return a->waiting_since < b->waiting_since;
 }
 
+/* Connections of a team that its open transactions do not hold. */
+static unsigned usable(const kb_team_use_t *team)
+{
+	return kb_team_use_conns(team) - team->transactions;
+}
+
 /* Whether `team` may lose an idle connection to `needy`. */
 static int may_close(const kb_team_use_t *team, const kb_team_use_t *needy,
 		     kb_time_t now)
@@ -244,11 +250,12 @@
 		return 0;
 	if (all_waiting(team))
 		return now - team->opened_at >= hold &&
-		       now - needy->waiting_since >= hold &&
-		       !kb_team_use_conns(needy);
-	if (kb_team_use_conns(needy) && kb_team_use_conns(team) == 1)
+		       now - needy->waiting_since >= hold && !usable(needy);
+	if (!usable(needy))
+		return 1;
+	if (kb_team_use_conns(team) == 1)
 		return now - team->used_at >= KB_TEAM_REST_MS * KB_NS_PER_MS;
-	return !kb_team_use_conns(needy) || surplus_of(team, now) > 0;
+	return surplus_of(team, now) > 0;
 }
 
 static int closes_before(const kb_team_use_t *a, const kb_team_use_t *b,
--- a/src/proxy_metrics.c
+++ b/src/proxy_metrics.c
@@ -56,6 +56,10 @@
 		    "Statements sent to a target.");
 	write_pools(proxy, out, "target_connections_total", POOL(opened),
 		    "Connections opened to a target.");
+	write_pools(proxy, out, "target_displaced_total", POOL(displaced),
+		    "Connections closed for one of another team.");
+	write_pools(proxy, out, "target_held_back_total", POOL(held_back),
+		    "Transactions that waited for others of their team.");
 	write_pools(proxy, out, "target_lost_total", POOL(lost),
 		    "Connections lost to a target.");
 	write_pools(proxy, out, "target_refused_total", POOL(refused),
--- a/src/replica_selector.c
+++ b/src/replica_selector.c
@@ -174,6 +174,7 @@
 	const kb_target_entry_t *best = NULL;
 	const kb_target_entry_t *preferred;
 	int64_t best_cost = 0;
+	int64_t best_expected = 0;
 	int64_t primary_cost;
 	kb_point_t aged;
 
@@ -191,6 +192,7 @@
 	for (size_t i = 0; i < proxy->targets.count; i++) {
 		const kb_target_entry_t *target = &proxy->targets.entries[i];
 		const kb_proxy_load_t *load;
+		int64_t expected;
 		int64_t cost;
 
 		if (!is_candidate(selector, group, target))
@@ -201,17 +203,20 @@
 			selector->lagging = 1;
 			continue;
 		}
-		cost = cost_of(proxy, target, load, now);
+		expected = cost_of(proxy, target, load, now);
+		cost = expected;
 		if (preferred && target != preferred)
 			cost += COST_OTHER_REPLICA_US;
 		if (best && cost >= best_cost)
 			continue;
 		best = target;
 		best_cost = cost;
+		best_expected = expected;
 	}
 	primary_cost = COST_PRIMARY_US +
 		       expected_time(&group->load, now - group->load_at, 0);
-	if (!best || (primary_cost < best_cost && !selector->excluded_count))
+	if (!best ||
+	    (primary_cost < best_expected && !selector->excluded_count))
 		return NULL;
 	selector->exhausted = 0;
 	return best;
--- a/tests/test_pool_teams.cc
+++ b/tests/test_pool_teams.cc
@@ -279,3 +279,30 @@
 	for (const auto &statement : all)
 		EXPECT_EQ(1, statement->ended) << statement->id;
 }
+
+TEST_F(PoolTeams, DisplacedConnectionsAndHeldBackTransactionsAreCounted)
+{
+	for (const char *team : { "a", "b", "c", "d", "e" }) {
+		run(team);
+		serve_all();
+	}
+	EXPECT_EQ(1u, pool.counters.displaced);
+	for (int i = 0; i < 3; i++) {
+		begin("a");
+		serve_all();
+	}
+	EXPECT_EQ(1u, pool.counters.held_back);
+}
+
+/* At most one line a second, about the team that has waited for longest. */
+TEST_F(PoolTeams, WaitingTeamIsReportedOnceInASecond)
+{
+	run("a");
+	pass(100 * MS);
+	run("b");
+	EXPECT_EQ(0, pool.next_report);
+	pass(100 * MS);
+	EXPECT_EQ(time.now + 1000 * MS, pool.next_report);
+	pass(10 * MS);
+	EXPECT_EQ(time.now + 990 * MS, pool.next_report);
+}
