--- a/src/replica_selector.c
+++ b/src/replica_selector.c
@@ -136,10 +136,16 @@
 	       !is_excluded(selector, &target->place.target);
 }
 
+static int is_far(const kb_proxy_t *proxy, const kb_target_entry_t *target)
+{
+	return latency(proxy, &target->data_centre) > COST_NEAR_US;
+}
+
 /*
- * Returns the replica of this region that all hosts prefer for the team, so
- * that teams with few statements need a connection at one replica only. Returns
- * NULL without a team or without a replica.
+ * Returns the replica that all hosts of this region prefer for the team, so
+ * that teams with few statements need a connection at one replica only: one of
+ * this region if there is any. Returns NULL without a team or without a
+ * replica.
  */
 static const kb_target_entry_t *
 find_preferred(const kb_replica_selector_t *selector, const kb_proxy_t *proxy,
@@ -153,12 +159,13 @@
 		const kb_target_entry_t *target = &proxy->targets.entries[i];
 		uint64_t score;
 
-		if (!is_candidate(selector, group, target) ||
-		    latency(proxy, &target->data_centre) > COST_NEAR_US)
+		if (!is_candidate(selector, group, target))
 			continue;
 		score = kb_rendezvous_score(kb_name_str(&target->place.target),
 					    kb_name_str(&selector->team));
-		if (best && score <= best_score)
+		if (best && (is_far(proxy, target) != is_far(proxy, best)
+				     ? is_far(proxy, target)
+				     : score <= best_score))
 			continue;
 		best = target;
 		best_score = score;
