--- a/src/monitor.c
+++ b/src/monitor.c
@@ -76,6 +76,12 @@
 	monitor->ops->bind(monitor->ctx, NULL);
 }
 
+void kb_monitor_require_term(kb_monitor_t *monitor, uint64_t term)
+{
+	if (monitor->state == KB_MONITOR_FINDING && term > monitor->term)
+		monitor->term = term;
+}
+
 kb_monitor_probe_t *kb_monitor_find_probe(kb_monitor_t *monitor,
 					  kb_str_t target)
 {
@@ -95,13 +101,12 @@
 			    targets, kb_name_str(&monitor->probes[i].target)))
 			monitor->probes[kept++] = monitor->probes[i];
 	monitor->probe_count = kept;
-	for (size_t i = 0; i < targets->count; i++) {
-		const kb_target_entry_t *entry = &targets->entries[i];
+	for (const kb_target_entry_t *entry = kb_target_list_first(
+		     targets, kb_name_str(&monitor->group));
+	     entry; entry = kb_target_list_next(entry)) {
 		kb_monitor_probe_t *probe;
 
-		if (!kb_name_is(&entry->place.group,
-				kb_name_str(&monitor->group)) ||
-		    kb_monitor_find_probe(monitor,
+		if (kb_monitor_find_probe(monitor,
 					  kb_name_str(&entry->place.target)) ||
 		    monitor->probe_count == KB_MONITOR_TARGETS_MAX)
 			continue;
--- a/src/replica_selector.c
+++ b/src/replica_selector.c
@@ -126,13 +126,12 @@
 	return cost;
 }
 
-/* Whether a replica may serve the read, as far as this host knows. */
+/* Whether a target of the group may serve the read as a replica. */
 static int is_candidate(const kb_replica_selector_t *selector,
 			const kb_proxy_group_t *group,
 			const kb_target_entry_t *target)
 {
-	return kb_name_is(&target->place.group, kb_name_str(&group->name)) &&
-	       !target->leaving && !is_primary(group, target) &&
+	return !target->leaving && !is_primary(group, target) &&
 	       !is_excluded(selector, &target->place.target);
 }
 
@@ -154,9 +153,11 @@
 	const kb_target_entry_t *best = NULL;
 	uint64_t best_score = 0;
 
-	for (size_t i = 0; selector->team.len && i < proxy->targets.count;
-	     i++) {
-		const kb_target_entry_t *target = &proxy->targets.entries[i];
+	if (!selector->team.len)
+		return NULL;
+	for (const kb_target_entry_t *target = kb_target_list_first(
+		     &proxy->targets, kb_name_str(&group->name));
+	     target; target = kb_target_list_next(target)) {
 		uint64_t score;
 
 		if (!is_candidate(selector, group, target))
@@ -196,8 +197,9 @@
 				    ? aged
 				    : selector->own_commit;
 	preferred = find_preferred(selector, proxy, group);
-	for (size_t i = 0; i < proxy->targets.count; i++) {
-		const kb_target_entry_t *target = &proxy->targets.entries[i];
+	for (const kb_target_entry_t *target = kb_target_list_first(
+		     &proxy->targets, kb_name_str(&group->name));
+	     target; target = kb_target_list_next(target)) {
 		const kb_proxy_load_t *load;
 		int64_t expected;
 		int64_t cost;
