--- a/tests/test_replica_affinity.cc
+++ b/tests/test_replica_affinity.cc
@@ -36,7 +36,7 @@
 	~Host()
 	{
 		kb_target_list_finish(&proxy->targets);
-		free(proxy->loads);
+		kb_proxy_loads_finish(proxy.get());
 	}
 
 	void add(const char *name, const char *centre)
