Send targets statements at the pace of their answers

A pool sends a target its slots and one more from the first connection on, whatever it answered. Where the settings call for it (targets.pace, or `pool` among targets.contracts), it now asks the pace of the target: statements outside of open transactions wait while as many are in flight as the target was found to have room for. The time to come back, the expected wait and the load that other hosts see follow the slots that were found.

--- a/src/load/link_pool.c
+++ b/src/load/link_pool.c
@@ -1,3 +1,4 @@
+#include "pool_pace.h"
 #include "pool_queue.h"
 
 #include <stdlib.h>
@@ -39,8 +40,9 @@
 /* Time until a retry may succeed: when the present queue has been served. */
 static kb_time_t retry_after(kb_link_pool_t *pool)
 {
-	unsigned slots = pool->slots ? pool->slots : 1;
-	kb_time_t interval = pool->service_time / (kb_time_t)slots;
+	unsigned slots = kb_pace_slots(&pool->pace, pool->slots);
+	kb_time_t interval =
+		pool->service_time / (kb_time_t)(slots ? slots : 1);
 
 	return kb_return_pace_next(&pool->returns, interval * pool->job_count,
 				   interval, now_of(pool));
@@ -193,9 +195,12 @@
 	while (now >= pool->send_blocked_until &&
 	       pool->ops->may_serve(pool->ctx, now) &&
 	       used_slots(pool) < send_limit(pool)) {
-		kb_pool_job_t *job = kb_pool_choose_job(pool, now);
 		kb_pool_conn_t *conn;
+		kb_pool_job_t *job;
 
+		kb_pool_pace_hold(pool, used_slots(pool) - pool->share.opening,
+				  send_limit(pool), now);
+		job = kb_pool_choose_job(pool, now);
 		if (!job)
 			break;
 		conn = choose_conn(pool, job);
@@ -205,6 +210,7 @@
 					   "the transaction has ended");
 			continue;
 		}
+		kb_pool_pace_on_sent(conn);
 		kb_pool_conn_start(conn, job);
 	}
 	close_surplus(pool);
@@ -340,6 +346,8 @@
 	if (pool->jobs && pool->send_blocked_until > now &&
 	    pool->send_blocked_until < next)
 		next = pool->send_blocked_until;
+	if (pool->jobs && kb_pace_next(&pool->pace, now) < next)
+		next = kb_pace_next(&pool->pace, now);
 	if (pool->jobs && pool->open_blocked_until > now &&
 	    pool->open_blocked_until < next)
 		next = pool->open_blocked_until;
@@ -360,6 +368,6 @@
 {
 	load->waiting = pool->job_count;
 	load->running = used_slots(pool);
-	load->slots = pool->slots;
+	load->slots = kb_pace_slots(&pool->pace, pool->slots);
 	load->service_us = pool->service_time / KB_NS_PER_US;
 }
--- a/src/load/link_pool.h
+++ b/src/load/link_pool.h
@@ -2,6 +2,7 @@
 #define KB_LINK_POOL_H
 
 #include "link.h"
+#include "pace.h"
 #include "return_pace.h"
 #include "session_values.h"
 #include "stride.h"
@@ -52,6 +53,10 @@
 	uint64_t open_failed;
 	uint64_t lost;
 	uint64_t statements;
+	/* Statements that the target rejected as overloaded. */
+	uint64_t rejected;
+	/* Statements that may be in flight now. */
+	uint64_t allowed;
 	uint64_t refused;
 	uint64_t expired;
 	uint64_t timeouts;
@@ -95,6 +100,15 @@
 	kb_time_t service_time;
 	/* The same for commands that need no slot: the network round trip. */
 	kb_time_t round_trip;
+	/* Finds how many statements the target can have in flight. */
+	kb_pace_t pace;
+	/* Only statements of open transactions may be sent now. */
+	int pace_holds;
+	/* Statements in flight when the present one is sent. */
+	unsigned pace_ahead;
+	/* What was last logged about the pace, and when to log again. */
+	int pace_reduced;
+	kb_time_t pace_report_at;
 	/* Times before which no job is started and no connection opened. */
 	kb_time_t send_blocked_until;
 	kb_time_t open_blocked_until;
--- a/src/load/link_pool_end.c
+++ b/src/load/link_pool_end.c
@@ -56,6 +56,7 @@
 			    kb_name_str(&place->endpoint.address)) ||
 		pool->place.endpoint.port != place->endpoint.port;
 
+	kb_pace_bind(&pool->pace, slots, moved);
 	pool->slots = slots;
 	pool->limit = limit;
 	pool->place = *place;
--- a/src/load/pool_conn.c
+++ b/src/load/pool_conn.c
@@ -1,6 +1,7 @@
 #include "pool_conn_internal.h"
 
 #include "pool_command.h"
+#include "pool_pace.h"
 #include "pool_queue.h"
 
 #include <stdlib.h>
@@ -296,6 +297,7 @@
 	if (now >= lost_at && !conn->slot_released) {
 		conn->slot_released = 1;
 		pool->counters.timeouts++;
+		kb_pool_pace_on_silent(conn);
 		pool->ops->on_target_event(pool->ctx, KB_TARGET_EVENT_TIMED_OUT,
 					   (kb_point_t){ 0 });
 		if (conn->state == KB_POOL_CONN_CLOSED)
--- a/src/load/pool_conn.h
+++ b/src/load/pool_conn.h
@@ -99,6 +99,7 @@
 	kb_pool_job_t *job;
 	kb_link_command_kind_t sent_kind;
 	kb_time_t sent_at;
+	kb_pace_mark_t pace_mark;
 	/* Time of the last change of state. */
 	kb_time_t since;
 	kb_time_t idle_timeout;
--- a/src/load/pool_conn_answer.c
+++ b/src/load/pool_conn_answer.c
@@ -2,6 +2,7 @@
 
 #include "log.h"
 #include "pool_command.h"
+#include "pool_pace.h"
 #include "pool_queue.h"
 
 enum {
@@ -106,6 +107,7 @@
 	kbs_run_res res;
 
 	update_service_time(conn);
+	kb_pool_pace_on_reply(conn, reply->result);
 	if (!reply->result && !pool->ops->may_serve(pool->ctx, now)) {
 		discard_result(conn);
 		return;
@@ -182,6 +184,8 @@
 	else
 		kb_pool_job_refuse(pool, job, KB_ERR_OVERLOADED,
 				   "the connection could not be prepared");
+	if (reply->result == KB_ERR_OVERLOADED)
+		kb_pool_pace_on_reply(conn, reply->result);
 	if (reply->result == KB_ERR_OVERLOADED)
 		pool->send_blocked_until =
 			kb_clock_monotonic(pool->clock) +
@@ -205,6 +209,7 @@
 		kb_pool_conn_set_state(conn, KB_POOL_CONN_IDLE);
 		pool->target_full = 0;
 		pool->counters.opened++;
+		kb_pace_on_opened(&pool->pace);
 		pool->ops->on_target_event(pool->ctx, KB_TARGET_EVENT_ANSWERED,
 					   point);
 		kb_link_pool_dispatch(pool);
@@ -264,6 +269,7 @@
 	kb_pool_conn_retry_or_fail(conn,
 				   "the connection to the target was lost");
 	kb_pool_conn_close(conn);
+	kb_pool_pace_on_lost(pool);
 	pool->ops->on_target_event(pool->ctx, KB_TARGET_EVENT_CONNECTION_LOST,
 				   (kb_point_t){ 0 });
 	kb_link_pool_dispatch(pool);
--- a/src/load/pool_queue.c
+++ b/src/load/pool_queue.c
@@ -151,7 +151,8 @@
 
 	while (best && !is_free(pool, best->transaction))
 		best = best->list_next;
-	if (pool->paused || !team->use.conns[KB_TEAM_CONN_IDLE])
+	if (pool->paused || pool->pace_holds ||
+	    !team->use.conns[KB_TEAM_CONN_IDLE])
 		return best;
 	for (int kind = 0; kind < KB_POOL_JOB_IN_TRANSACTION; kind++) {
 		kb_pool_job_t *job = lists[kind].first;
@@ -366,10 +367,11 @@
 kb_time_t kb_pool_expected_wait(const kb_link_pool_t *pool,
 				const kb_pool_job_t *job, kb_time_t now)
 {
-	unsigned slots = pool->slots ? pool->slots : 1;
+	unsigned slots = kb_pace_slots(&pool->pace, pool->slots);
 	unsigned ahead = pool->named_teams ? count_shared(pool, job)
 					   : count_ahead(pool, job, now);
 
+	slots = slots ? slots : 1;
 	return pool->service_time * (kb_time_t)(ahead + 1) / (kb_time_t)slots;
 }
 
--- a/src/proxy_metrics.c
+++ b/src/proxy_metrics.c
@@ -10,9 +10,10 @@
 }
 
 static void write_pools(kb_proxy_t *proxy, struct evbuffer *out,
-			const char *name, size_t offset, const char *help)
+			const char *name, const char *type, size_t offset,
+			const char *help)
 {
-	kb_metrics_text_family(out, name, "counter", help);
+	kb_metrics_text_family(out, name, type, help);
 	for (size_t i = 0; i < proxy->gate_count; i++) {
 		const kb_link_pool_t *pool = &proxy->gates[i]->pool;
 
@@ -52,18 +53,24 @@
 			kb_lease_may_serve(&proxy->groups[i]->lease,
 					   kb_clock_monotonic(proxy->clock)));
 #define POOL(member) offsetof(kb_link_pool_counters_t, member)
-	write_pools(proxy, out, "target_statements_total", POOL(statements),
-		    "Statements sent to a target.");
-	write_pools(proxy, out, "target_connections_total", POOL(opened),
-		    "Connections opened to a target.");
-	write_pools(proxy, out, "target_lost_total", POOL(lost),
+	write_pools(proxy, out, "target_statements_total", "counter",
+		    POOL(statements), "Statements sent to a target.");
+	write_pools(proxy, out, "target_connections_total", "counter",
+		    POOL(opened), "Connections opened to a target.");
+	write_pools(proxy, out, "target_lost_total", "counter", POOL(lost),
 		    "Connections lost to a target.");
-	write_pools(proxy, out, "target_refused_total", POOL(refused),
-		    "Statements refused before they waited.");
-	write_pools(proxy, out, "target_expired_total", POOL(expired),
+	write_pools(proxy, out, "target_in_flight_limit", "gauge",
+		    POOL(allowed), "Statements that may be in flight.");
+	write_pools(proxy, out, "target_rejected_total", "counter",
+		    POOL(rejected),
+		    "Statements that a target rejected as overloaded.");
+	write_pools(proxy, out, "target_refused_total", "counter",
+		    POOL(refused), "Statements refused before they waited.");
+	write_pools(proxy, out, "target_expired_total", "counter",
+		    POOL(expired),
 		    "Statements whose time passed while they waited.");
-	write_pools(proxy, out, "target_silent_total", POOL(timeouts),
-		    "Statements whose answer was held lost.");
+	write_pools(proxy, out, "target_silent_total", "counter",
+		    POOL(timeouts), "Statements whose answer was held lost.");
 #undef POOL
 	kb_proxy_loans_write_metrics(proxy, out);
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -106,6 +106,11 @@
 
 	kb_time_t drain_grace;
 
+	/* Targets are sent statements at a pace found from their answers. */
+	int pace;
+	/* Rules that the deployment is held to, joined by commas. */
+	char contracts[KB_SETTINGS_PATH_MAX_BYTES];
+
 	/* Fraction, 0 to 1, of the requests to trace that do not arrive with a
 	 * sampled trace context. */
 	double trace_sampling;
@@ -117,6 +122,9 @@
 kb_str_t kb_settings_region(const kb_settings_t *settings,
 			    const kb_name_t *data_centre);
 
+/* Whether targets are sent statements at a pace found from their answers. */
+int kb_settings_has_pace(const kb_settings_t *settings);
+
 /* Parses "ADDRESS:PORT" or "[ADDRESS]:PORT" with an IP address. */
 kb_result_t kb_endpoint_parse(kb_str_t text, kb_endpoint_t *endpoint);
 
