Keep a team's account in up to five shares

Cause: during a cut of all hosts into two halves (a users' deployment, seconds 3 to 10) the largest team's three keepers were all on one side; the hosts of the other refused some 400 of its operations a second as no-keeper.

Ruled out: relays, since no host reaches both sides; a reserve for each host.

Change: five shares instead of three. Of eight groups, four on each side, each side then has a keeper of every team.

--- a/src/load/team_limit.h
+++ b/src/load/team_limit.h
@@ -7,7 +7,7 @@
 
 enum {
 	/* A team's limit is divided among at most this many keepers. */
-	KB_TEAM_SHARES_MAX = 3,
+	KB_TEAM_SHARES_MAX = 5,
 };
 
 /* What a limit of a rate and a burst allows in a sliding window. */
--- a/tests/test_cut_off.cc
+++ b/tests/test_cut_off.cc
@@ -46,9 +46,9 @@
 		set_voters(&group->lease.record.voters, { "v1", "v2", "v3" });
 		kb_name_set(&group->lease.record.holder, KB_STR("v1"));
 		configure();
-		EXPECT_EQ(KB_OK,
-			  kb_proxy_session_open(&session, proxy.get(),
-						KB_STR("db"), on_answer, this));
+		EXPECT_EQ(KB_OK, kb_proxy_session_open(&session, proxy.get(),
+						       KB_STR("db"), KB_STR(""),
+						       on_answer, this));
 		kb_proxy_group_mark_used(group.get(), clock.now);
 		served();
 	}
--- a/tests/test_proxy_loans.cc
+++ b/tests/test_proxy_loans.cc
@@ -192,7 +192,8 @@
 	{
 		ASSERT_EQ(KB_OK,
 			  kb_proxy_session_open(&session, host.proxy.get(),
-						KB_STR("db"), on_answer, this));
+						KB_STR("db"), KB_STR(""),
+						on_answer, this));
 		session->caller.args.team = kb_text_view(kb_str_from(team));
 	}
 
