--- a/src/load/pool_queue.c
+++ b/src/load/pool_queue.c
@@ -387,13 +387,13 @@
 int kb_pool_queue_is_full(const kb_link_pool_t *pool,
 			  const kb_pool_team_t *team)
 {
-	unsigned with_queue = team->queued == 0;
+	unsigned with_queue = 1;
 
 	if (pool->job_count < POOL_JOBS_MAX)
 		return 0;
 	for (const kb_pool_team_t *other = pool->teams; other;
 	     other = other->hh.next)
-		with_queue += other->queued != 0;
+		with_queue += other != team && other->queued;
 	/* A team below its share of the queue may exceed the length. */
 	return team->queued >= POOL_JOBS_MAX / with_queue;
 }
--- a/src/load/team_share.c
+++ b/src/load/team_share.c
@@ -7,7 +7,7 @@
 };
 
 /* A team that has started less than this is forgotten with its connections. */
-static const double RATE_NEGLIGIBLE = 0.1;
+static const double rate_negligible = 0.1;
 
 void kb_team_share_add(kb_team_share_t *share, kb_team_use_t *team)
 {
@@ -54,7 +54,7 @@
 int kb_team_use_is_idle(const kb_team_use_t *team, kb_time_t now)
 {
 	return !team->waiting && !team->begins && !kb_team_use_conns(team) &&
-	       rate_at(team, now) < RATE_NEGLIGIBLE;
+	       rate_at(team, now) < rate_negligible;
 }
 
 static unsigned all_waiting(const kb_team_use_t *team)
--- a/tests/test_pool_teams.cc
+++ b/tests/test_pool_teams.cc
@@ -306,3 +306,74 @@
 	pass(10 * MS);
 	EXPECT_EQ(time.now + 990 * MS, pool.next_report);
 }
+
+/* A flood is refused for its own queue; the others are not. */
+TEST_F(PoolTeams, AFloodingTeamWaitsBehindItself)
+{
+	std::vector<Statement *> others;
+
+	for (const char *team : { "a", "b" }) {
+		run(team);
+		serve_all();
+	}
+	for (int i = 0; i < 400; i++)
+		run("a");
+	EXPECT_GT(pool.counters.refused, 0u);
+	EXPECT_EQ(KB_ERR_OVERLOADED, all.back()->result);
+	EXPECT_FALSE(all.back()->offered);
+	for (int i = 0; i < 3; i++)
+		others.push_back(&run("b"));
+	/* The flood's running statements end first. */
+	for (int i = 0; i < 12; i++)
+		for (size_t j = 0; j < connector.links.size(); j++)
+			if (connector.links[j]->waiting)
+				connector.answer(connector.links[j]);
+	for (const Statement *other : others) {
+		EXPECT_EQ(1, other->ended);
+		EXPECT_EQ(KB_OK, other->result);
+	}
+	EXPECT_GT(pool.job_count, 50u);
+}
+
+/* Of two teams with one class each the lower class is served too. */
+TEST_F(PoolTeams, TheLastClassIsNotStarved)
+{
+	std::vector<Statement *> low;
+	size_t ended = 0;
+
+	for (const char *team : { "a", "b" }) {
+		run(team);
+		serve_all();
+	}
+	for (int i = 0; i < 120; i++) {
+		Statement &high = prepare("a", KBS_READ);
+
+		high.args.priority = 0;
+		submit(high);
+		low.push_back(&prepare(i % 2 ? "a" : "b", KBS_READ));
+		low.back()->args.priority = 3;
+		submit(*low.back());
+	}
+	for (int i = 0; i < 60; i++)
+		for (size_t j = 0; j < connector.links.size(); j++)
+			if (connector.links[j]->waiting)
+				connector.answer(connector.links[j]);
+	for (const Statement *statement : low)
+		ended += statement->ended && !statement->result;
+	EXPECT_GT(ended, 5u);
+}
+
+/* A team whose connections its transactions hold counts as one without. */
+TEST_F(PoolTeams, PinnedConnectionsDoNotCountAsTheTeamsOwn)
+{
+	for (const char *team : { "a", "b", "c", "d" }) {
+		run(team);
+		serve_all();
+	}
+	begin("a");
+	serve_all();
+	Statement &next = run("a");
+	serve_all();
+	EXPECT_EQ(1, next.ended);
+	EXPECT_EQ(2u, open_count("a"));
+}
