--- a/src/log_events.h
+++ b/src/log_events.h
@@ -21,6 +21,9 @@
 KB_EVENT(1103, TARGET_MALFORMED, WARN, "malformed message from a target")
 KB_EVENT(1104, TARGET_COMMAND_DROPPED, WARN, "command queue of a target is full")
 KB_EVENT(1105, TEAM_WAITS, INFO, "a team waits for a connection to a target")
+KB_EVENT(1105, TARGET_PACE_CUT, INFO, "fewer statements are sent to a target")
+KB_EVENT(1106, TARGET_PACE_FULL, INFO,
+	 "a target is sent as many statements as its slots run again")
 
 KB_EVENT(1200, GATE_OPENED, INFO, "host became the gate of a target")
 KB_EVENT(1201, GATE_CLOSED, INFO, "host is no longer the gate of a target")
@@ -100,6 +103,10 @@
 KB_EVENT(1814, LOG_SUPPRESSED, WARN, "log lines were dropped")
 KB_EVENT(1815, LIMIT_REACHED, INFO, "requests of a team were refused for its limit")
 KB_EVENT(1816, KEY_REFUSED, INFO, "a caller's key identifies no team")
+KB_EVENT(1817, GROUP_BEHIND_CUT, WARN,
+	 "the hosts that decide who serves a group became silent or answer again")
+KB_EVENT(1818, TARGET_SILENT, WARN,
+	 "a target stopped answering this host or answers again")
 
 KB_EVENT(1900, RPC_CONNECTION_LOST, WARN, "connection to a host lost")
 KB_EVENT(1901, RPC_VERSION_REFUSED, WARN, "message of an unsupported version")
