--- a/src/proxy_gate.c
+++ b/src/proxy_gate.c
@@ -138,7 +138,8 @@
 		    now - gate->used_at <= GATE_IDLE_S * KB_NS_PER_S)
 			continue;
 		proxy->gates[i--] = proxy->gates[--proxy->gate_count];
-		HASH_DELETE(by_target, proxy->gates_by_target, gate);
+		if (proxy->gates_by_target)
+			HASH_DELETE(by_target, proxy->gates_by_target, gate);
 		kb_proxy_gate_free(gate);
 	}
 }
