Give a host that is new time for the connection

A host that was called in the moment in which it became known counted as silent since the start of the clock, so that its connection was reset within the same turn of the loop. Since calls without a connection do not count as waiting any more, each first call for a copy of the store ended that way, and the next host was asked, which may have been off.

--- a/src/proxy_hosts.c
+++ b/src/proxy_hosts.c
@@ -205,7 +205,8 @@
 		host->lost_seen = lost;
 		kb_proxy_host_failed(proxy, host, KB_ERR_CLOSED);
 	}
-	if (!peer->call_count ||
+	/* A host may be called as soon as it is known. */
+	if (!peer->call_count || !host->silent_since ||
 	    host->received_seen != peer->counters.received_bytes) {
 		host->received_seen = peer->counters.received_bytes;
 		host->silent_since = now;
--- a/tests/test_proxy_sync.cc
+++ b/tests/test_proxy_sync.cc
@@ -198,6 +198,28 @@
 	EXPECT_GE(asked.size(), 3u);
 }
 
+/* A host that is called in the moment in which it is learned of. */
+TEST_F(ProxySync, AHostThatIsNewHasTimeForTheConnection)
+{
+	kb_host_t *asked = nullptr;
+
+	kb_proxy_sync_tick(proxy.get(), clock.now);
+	list({ "self", "a", "b", "c", "d" });
+	kb_proxy_sync_tick(proxy.get(), clock.now);
+	for (size_t i = 0; i < proxy->hosts.count; i++)
+		if (proxy->hosts.hosts[i]->peer.call_count)
+			asked = proxy->hosts.hosts[i];
+	ASSERT_NE(nullptr, asked);
+	kb_proxy_hosts_tick(proxy.get(), clock.now);
+	clock.now += 80 * MS;
+	kb_proxy_hosts_tick(proxy.get(), clock.now);
+	EXPECT_EQ(1u, asked->peer.call_count);
+	EXPECT_FALSE(asked->failed);
+	clock.now += 40 * MS;
+	kb_proxy_hosts_tick(proxy.get(), clock.now);
+	EXPECT_TRUE(asked->failed);
+}
+
 TEST_F(ProxySync, ParentsTakeTurns)
 {
 	kb_host_t *first = add_host("a", 200);
