Ask keepers of this region first

Half of the calls for loans crossed regions: their bytes are priced and their callers wait 16 ms. A share that has lately denied is not preferred, or the near one runs dry while the others are full.

--- a/src/load/team_allowance.c
+++ b/src/load/team_allowance.c
@@ -13,6 +13,8 @@
 	HEDGE_DELAY_MAX_MS = 80,
 	/* Pause after a call to a keeper failed. */
 	FAILURE_PAUSE_MS = 50,
+	/* A near keeper is not preferred for this after its denial. */
+	NEAR_AFTER_DENIAL_MS = 2000,
 	/* Returning callers are spread over this time. */
 	RETRY_SPREAD_MS = 1000,
 	/* One part of 8 of a round trip enters the smoothed one. */
@@ -153,33 +155,57 @@
 	return delay;
 }
 
-unsigned kb_team_allowance_wanted(const kb_team_allowance_t *allowance,
-				  kb_time_t now, unsigned *share)
+/* Whether the share is preferred: near, and not short of operations lately. */
+static int is_near(const kb_allowance_share_t *share, kb_time_t now)
+{
+	return share->near &&
+	       now - share->denied_until >= NEAR_AFTER_DENIAL_MS * KB_NS_PER_MS;
+}
+
+/*
+ * Finds a share that may be asked among those that are near, or the others.
+ * Returns 0 if there is none, and -1 if an answer is to be waited for first.
+ */
+static int find_share(const kb_team_allowance_t *allowance, int near,
+		      kb_time_t now, unsigned *share)
 {
 	unsigned count = allowance->share_count;
-	double ahead = demand_at(allowance, now) * DEMAND_COVERED_MS / 1000;
-	unsigned operations = allowance->waiting;
 
-	if (!operations)
-		return 0;
-	if (operations < ahead)
-		operations = (unsigned)ahead;
-	if (operations > OPERATIONS_MAX)
-		operations = OPERATIONS_MAX;
 	for (unsigned i = 0; i < count; i++) {
 		unsigned candidate = (allowance->preferred + i) % count;
 		const kb_allowance_share_t *s = &allowance->shares[candidate];
 
+		if (is_near(s, now) != near)
+			continue;
 		if (s->asking && now - s->asked_at < hedge_delay(s))
-			return 0;
-		if (!is_open(s, now) || s->asking)
+			return -1;
+		if (s->asking || !is_open(s, now))
 			continue;
 		*share = candidate;
-		return operations;
+		return 1;
 	}
 	return 0;
 }
 
+unsigned kb_team_allowance_wanted(const kb_team_allowance_t *allowance,
+				  kb_time_t now, unsigned *share)
+{
+	double ahead = demand_at(allowance, now) * DEMAND_COVERED_MS / 1000;
+	unsigned operations = allowance->waiting;
+	int found;
+
+	if (!operations)
+		return 0;
+	if (operations < ahead)
+		operations = (unsigned)ahead;
+	if (operations > OPERATIONS_MAX)
+		operations = OPERATIONS_MAX;
+	found = find_share(allowance, 1, now, share);
+	if (!found)
+		found = find_share(allowance, 0, now, share);
+	return found > 0 ? operations : 0;
+}
+
 void kb_team_allowance_asked(kb_team_allowance_t *allowance, unsigned share,
 			     kb_time_t now)
 {
--- a/src/load/team_allowance.h
+++ b/src/load/team_allowance.h
@@ -18,6 +18,9 @@
 	kb_time_t denied_until;
 	/* The keeper was not reached; it is asked again then. */
 	kb_time_t failed_until;
+	/* The keeper is in this region: it is asked before those that are not.
+	 */
+	int near;
 	/* Smoothed time that its answers take. */
 	kb_time_t round_trip;
 } kb_allowance_share_t;
--- a/src/proxy_loan_call.c
+++ b/src/proxy_loan_call.c
@@ -39,11 +39,10 @@
 			      unsigned share)
 {
 	const kb_name_t *hint = &team->hints[share];
-	kb_proxy_group_t *group;
+	const kb_proxy_group_t *group = team->groups[share];
 
 	if (hint->len)
 		return kb_hosts_find(&proxy->hosts, kb_name_str(hint));
-	group = kb_proxy_group_find(proxy, kb_name_str(&team->keepers[share]));
 	if (!group || !group->lease.known)
 		return NULL;
 	return kb_hosts_find(&proxy->hosts,
@@ -194,12 +193,26 @@
 	take_loan(proxy, team, request->share, &proxy->self.name, now, &loan);
 }
 
+/* Notes which keepers are in this region. */
+static void locate_keepers(kb_proxy_t *proxy, kb_proxy_team_t *team)
+{
+	for (unsigned i = 0; i < team->share_count; i++) {
+		const kb_host_t *host = find_keeper(proxy, team, i);
+
+		team->allowance.shares[i].near =
+			host && kb_name_is(&host->region,
+					   kb_name_str(&proxy->self.region));
+	}
+}
+
 /* Asks the keepers of one team; returns the number of calls to make. */
 static size_t ask(kb_proxy_t *proxy, kb_proxy_team_t *team, request_t *requests,
 		  size_t room, kb_time_t now)
 {
 	size_t count = 0;
 
+	if (team->first)
+		locate_keepers(proxy, team);
 	while (count < room && team->first) {
 		request_t request = { .team = team };
 
--- a/src/proxy_loans.h
+++ b/src/proxy_loans.h
@@ -23,6 +23,7 @@
 	/* The groups whose holders keep the shares. */
 	unsigned share_count;
 	kb_name_t keepers[KB_TEAM_SHARES_MAX];
+	struct kb_proxy_group *groups[KB_TEAM_SHARES_MAX];
 	kb_limit_share_t share;
 	/* Holders named by hosts that do not hold the groups, or empty. */
 	kb_name_t hints[KB_TEAM_SHARES_MAX];
--- a/src/proxy_team.c
+++ b/src/proxy_team.c
@@ -53,8 +53,11 @@
 		team->share = kb_team_limit_share(entry->rate, entry->burst,
 						  team->share_count, tolerance);
 	choose_keepers(team, databases);
-	for (unsigned i = 0; i < KB_TEAM_SHARES_MAX; i++)
+	for (unsigned i = 0; i < team->share_count; i++) {
 		team->hints[i].len = 0;
+		team->groups[i] = kb_proxy_group_find(
+			proxy, kb_name_str(&team->keepers[i]));
+	}
 	kb_team_allowance_configure(&team->allowance, team->share_count,
 				    kb_team_limit_lifetime(tolerance));
 }
--- a/tests/limit_simulation.h
+++ b/tests/limit_simulation.h
@@ -393,6 +393,9 @@
 		if (dead(host) || frozen(host))
 			return;
 		pump(a, team);
+		for (unsigned i = 0; i < KB_TEAM_SHARES_MAX; i++)
+			a.state.shares[i].near =
+				near(host, groups_[keeper(team, i)].holder);
 		while (unsigned wanted = kb_team_allowance_wanted(&a.state, now,
 								  &share)) {
 			kb_team_allowance_asked(&a.state, share, now);
@@ -449,9 +452,15 @@
 		}
 	}
 
+	/* Whether two hosts are in one region. */
+	static bool near(size_t a, size_t b)
+	{
+		return a % 2 == b % 2;
+	}
+
 	kb_time_t delay(size_t a, size_t b)
 	{
-		kb_time_t base = a % 2 == b % 2 ? 500000 : 8 * MS;
+		kb_time_t base = near(a, b) ? 500000 : 8 * MS;
 
 		return base + (kb_time_t)random(2 * MS) + late_min +
 		       (kb_time_t)random((uint64_t)(late - late_min) + 1);
--- a/tests/test_team_allowance.cc
+++ b/tests/test_team_allowance.cc
@@ -103,6 +103,18 @@
 	EXPECT_EQ(2u, ask());
 }
 
+TEST_F(TeamAllowance, AsksKeepersThatAreNearFirst)
+{
+	allowance.waiting = 1;
+	allowance.shares[1].near = 1;
+	allowance.shares[2].near = 1;
+	EXPECT_EQ(2u, ask());
+	lend(1, 0, 300 * MS);
+	EXPECT_EQ(4u, ask());
+	lend(2, 0, 300 * MS);
+	EXPECT_EQ(1u, ask());
+}
+
 TEST_F(TeamAllowance, SpreadsTheTimesAtWhichCallersReturn)
 {
 	kb_time_t least = 10 * S, most = 0;
