--- a/src/log_events.h
+++ b/src/log_events.h
@@ -99,9 +99,6 @@
 KB_EVENT(1814, LOG_SUPPRESSED, WARN, "log lines were dropped")
 KB_EVENT(1815, LIMIT_REACHED, INFO, "requests of a team were refused for its limit")
 KB_EVENT(1816, KEY_REFUSED, INFO, "a caller's key identifies no team")
-KB_EVENT(1815, KEY_REFUSED, INFO, "a caller's key identifies no team")
-KB_EVENT(1816, LIMIT_REACHED, INFO,
-	 "requests of a team were refused for its limit")
 
 KB_EVENT(1900, RPC_CONNECTION_LOST, WARN, "connection to a host lost")
 KB_EVENT(1901, RPC_VERSION_REFUSED, WARN, "message of an unsupported version")
--- a/tests/test_proxy_loans.cc
+++ b/tests/test_proxy_loans.cc
@@ -48,6 +48,7 @@
 		kb_proxy_loans_finish(proxy.get());
 		kb_databases_finish(&proxy->databases);
 		kb_proxy_stats_finish(&proxy->stats);
+		HASH_CLEAR(by_name, proxy->groups_by_name);
 		if (proxy->groups) {
 			kb_team_accounts_finish(&proxy->groups[0]->accounts);
 			free(proxy->groups[0]);
@@ -76,6 +77,7 @@
 		next.database_count = 1;
 		kb_name_set(&next.databases[0].name, KB_STR("db"));
 		kb_name_set(&next.databases[0].group, KB_STR("g"));
+		next.databases[0].is_public = 1;
 		next.databases[0].timeout = 800 * MS;
 		next.databases[0].objective = 400 * MS;
 		next.groups = static_cast<kb_group_limits_t *>(
@@ -146,6 +148,8 @@
 		proxy->group_count = 1;
 		group->proxy = proxy.get();
 		kb_name_set(&group->name, KB_STR("g"));
+		HASH_ADD_KEYPTR(by_name, proxy->groups_by_name,
+				group->name.data, group->name.len, group);
 		group->lease.known = 1;
 		kb_name_set(&group->lease.record.holder, kb_str_from(holder));
 		kb_team_accounts_init(&group->accounts, 1);
@@ -192,7 +196,8 @@
 	{
 		ASSERT_EQ(KB_OK,
 			  kb_proxy_session_open(&session, host.proxy.get(),
-						KB_STR("db"), on_answer, this));
+						KB_STR("db"), KB_STR(""),
+						on_answer, this));
 		session->caller.args.team = kb_text_view(kb_str_from(team));
 	}
 
