--- a/src/gen/kumquat_session.h
+++ b/src/gen/kumquat_session.h
@@ -237,6 +237,7 @@
 	int result;
 	u_int operations;
 	quad_t retry_us;
+	quad_t queue_us;
 	kbs_text holder;
 };
 typedef struct kbs_loan kbs_loan;
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -229,6 +229,8 @@
 	unsigned int operations;
 	/* Time until more may be lent, in microseconds; 0 if all was lent. */
 	hyper retry_us;
+	/* Time in which all that were denied could be served. */
+	hyper queue_us;
 	/* Host that holds the group as the answering host knows, or empty. */
 	kbs_text holder;
 };
--- a/src/gen/kumquat_session_xdr.c
+++ b/src/gen/kumquat_session_xdr.c
@@ -444,6 +444,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->retry_us))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->queue_us))
+		 return FALSE;
 	 if (!xdr_kbs_text (xdrs, &objp->holder))
 		 return FALSE;
 	return TRUE;
--- a/src/load/team_account.c
+++ b/src/load/team_account.c
@@ -9,6 +9,8 @@
 	/* Bounds of the time until a denied host asks again. */
 	RETRY_MIN_MS = 5,
 	RETRY_MAX_MS = 1000,
+	/* Bound of the queue that callers are told. */
+	QUEUE_MAX_MS = 5000,
 	/* Answer to hosts that ask for a team that may run nothing. */
 	RETRY_NEVER_MS = 5000,
 };
@@ -138,6 +140,24 @@
 						  : RETRY_MIN_MS * KB_NS_PER_MS;
 }
 
+/*
+ * Returns the time in which `missing` operations more and those that were
+ * denied before are served. Each of them asks the other shares, too.
+ */
+static kb_time_t queue_time(kb_team_account_t *account, unsigned missing,
+			    kb_time_t now)
+{
+	kb_time_t last = now + QUEUE_MAX_MS * KB_NS_PER_MS;
+
+	if (account->queue_until < now)
+		account->queue_until = now;
+	account->queue_until +=
+		earning_time(account, missing) / KB_TEAM_SHARES_MAX;
+	if (account->queue_until > last)
+		account->queue_until = last;
+	return account->queue_until - now;
+}
+
 kb_team_loan_t kb_team_accounts_lend(kb_team_accounts_t *accounts,
 				     kb_str_t team,
 				     const kb_limit_share_t *share,
@@ -145,7 +165,7 @@
 				     kb_time_t now)
 {
 	kb_team_account_t *account = get_account(accounts, team, share, since);
-	kb_team_loan_t loan = { 0, RETRY_MAX_MS * KB_NS_PER_MS };
+	kb_team_loan_t loan = { .retry = RETRY_MAX_MS * KB_NS_PER_MS };
 	unsigned available;
 
 	accounts->counters.asked += operations;
@@ -168,5 +188,6 @@
 	account->contended_until = now + CONTENDED_MS * KB_NS_PER_MS;
 	loan.retry = retry_time(accounts, account, operations - loan.operations,
 				now);
+	loan.queue = queue_time(account, operations - loan.operations, now);
 	return loan;
 }
--- a/src/load/team_account.h
+++ b/src/load/team_account.h
@@ -14,6 +14,8 @@
 	unsigned operations;
 	/* Time until more may be lent; 0 if all was lent. */
 	kb_time_t retry;
+	/* Time in which all that were denied could be served. */
+	kb_time_t queue;
 } kb_team_loan_t;
 
 /* A team's share: a token bucket. */
@@ -26,6 +28,8 @@
 	kb_time_t contended_until;
 	/* Time at which the hosts that were denied would all be served. */
 	kb_time_t backlog_until;
+	/* The same for the operations that were denied, by all shares. */
+	kb_time_t queue_until;
 	UT_hash_handle by_team;
 } kb_team_account_t;
 
--- a/src/load/team_allowance.c
+++ b/src/load/team_allowance.c
@@ -15,8 +15,8 @@
 	FAILURE_PAUSE_MS = 50,
 	/* A near keeper is not preferred for this after its denial. */
 	NEAR_AFTER_DENIAL_MS = 2000,
-	/* Returning callers are spread over this time. */
-	RETRY_SPREAD_MS = 1000,
+	/* Returning callers are spread over this time at least. */
+	RETRY_SPREAD_MS = 500,
 	/* One part of 8 of a round trip enters the smoothed one. */
 	ROUND_TRIP_WEIGHT = 8,
 };
@@ -85,6 +85,28 @@
 	return least;
 }
 
+/*
+ * Returns when a refused caller should come back, which is not before `left`:
+ * after those that were refused before it on this host, and among those that
+ * were on all hosts.
+ */
+static kb_time_t return_time(kb_team_allowance_t *allowance, kb_time_t left,
+			     kb_time_t now)
+{
+	kb_time_t turn = kb_return_pace_next(
+		&allowance->pace, left, left / allowance->share_count, now);
+	kb_time_t queue = turn + RETRY_SPREAD_MS * KB_NS_PER_MS;
+
+	for (unsigned i = 0; i < allowance->share_count; i++) {
+		kb_time_t until = allowance->shares[i].queue_until;
+
+		if (until - now > queue)
+			queue = until - now;
+	}
+	return turn + (kb_time_t)kb_rng_below(&allowance->rng,
+					      (uint64_t)(queue - turn));
+}
+
 kb_allowance_verdict_t kb_team_allowance_take(kb_team_allowance_t *allowance,
 					      kb_time_t now,
 					      kb_allowance_ticket_t *ticket,
@@ -114,8 +136,7 @@
 	}
 	if (open || !left)
 		return KB_ALLOWANCE_WAIT;
-	*retry = left + (kb_time_t)kb_rng_below(&allowance->rng,
-						RETRY_SPREAD_MS * KB_NS_PER_MS);
+	*retry = return_time(allowance, left, now);
 	return KB_ALLOWANCE_REFUSED;
 }
 
@@ -236,6 +257,12 @@
 	}
 }
 
+void kb_team_allowance_on_queue(kb_team_allowance_t *allowance, unsigned share,
+				kb_time_t queue, kb_time_t now)
+{
+	allowance->shares[share].queue_until = now + queue;
+}
+
 void kb_team_allowance_redirected(kb_team_allowance_t *allowance,
 				  unsigned share)
 {
--- a/src/load/team_allowance.h
+++ b/src/load/team_allowance.h
@@ -1,8 +1,9 @@
 #ifndef KB_TEAM_ALLOWANCE_H
 #define KB_TEAM_ALLOWANCE_H
 
-#include "team_limit.h"
+#include "return_pace.h"
 #include "rng.h"
+#include "team_limit.h"
 
 KB_BEGIN_DECLS
 
@@ -16,6 +17,8 @@
 	kb_time_t asked_at;
 	/* The keeper has no more to lend until then. */
 	kb_time_t denied_until;
+	/* Until then others are served that were denied before. */
+	kb_time_t queue_until;
 	/* The keeper was not reached; it is asked again then. */
 	kb_time_t failed_until;
 	/* The keeper is in this region: it is asked before those that are not.
@@ -56,6 +59,8 @@
 	/* Operations a second, smoothed, as of `demand_at`. */
 	double demand;
 	kb_time_t demand_at;
+	/* Turns of the callers that were refused. */
+	kb_return_pace_t pace;
 	kb_rng_t rng;
 } kb_team_allowance_t;
 
@@ -99,11 +104,18 @@
 void kb_team_allowance_asked(kb_team_allowance_t *allowance, unsigned share,
 			     kb_time_t now);
 
-/* Takes the answer to the request that was sent at `asked_at`. */
+/*
+ * Takes the answer to the request that was sent at `asked_at`: `operations`
+ * are lent, and more may be after `retry`, or it is 0.
+ */
 void kb_team_allowance_on_loan(kb_team_allowance_t *allowance, unsigned share,
 			       kb_time_t asked_at, unsigned operations,
 			       kb_time_t retry, kb_time_t now);
 
+/* Takes the time in which a share serves those that it has denied. */
+void kb_team_allowance_on_queue(kb_team_allowance_t *allowance, unsigned share,
+				kb_time_t queue, kb_time_t now);
+
 /* Another host is the keeper; it can be asked at once. */
 void kb_team_allowance_redirected(kb_team_allowance_t *allowance,
 				  unsigned share);
--- a/src/proxy_keeper.c
+++ b/src/proxy_keeper.c
@@ -54,6 +54,7 @@
 	loan->result = KB_OK;
 	loan->operations = lent.operations;
 	loan->retry_us = lent.retry / KB_NS_PER_US;
+	loan->queue_us = lent.queue / KB_NS_PER_US;
 }
 
 void kb_proxy_loans_serve(void *ctx, kb_rpc_request_t *request, void *raw)
--- a/src/proxy_loan_call.c
+++ b/src/proxy_loan_call.c
@@ -70,6 +70,8 @@
 		kb_team_allowance_on_loan(&team->allowance, share, sent_at,
 					  loan->operations,
 					  loan->retry_us * KB_NS_PER_US, now);
+		kb_team_allowance_on_queue(&team->allowance, share,
+					   loan->queue_us * KB_NS_PER_US, now);
 		return;
 	}
 	if (!holder.len || team->hints[share].len || kb_name_is(host, holder)) {
--- a/tests/limit_simulation.h
+++ b/tests/limit_simulation.h
@@ -557,12 +557,15 @@
 			asked_at = now;
 			kb_team_allowance_asked(&a.state, share, now);
 		}
-		if (lent.served)
+		if (lent.served) {
 			kb_team_allowance_on_loan(&a.state, share, asked_at,
 						  lent.loan.operations,
 						  lent.loan.retry, now);
-		else
+			kb_team_allowance_on_queue(&a.state, share,
+						   lent.loan.queue, now);
+		} else {
 			kb_team_allowance_on_failure(&a.state, share, now);
+		}
 		work(host, team);
 	}
 };
--- a/tests/test_team_account.cc
+++ b/tests/test_team_account.cc
@@ -143,6 +143,17 @@
 	EXPECT_GT(most - least, 200 * MS);
 }
 
+TEST_F(TeamAccount, TellsTheQueueOfAllThatWereDenied)
+{
+	/* 90 a second over all shares, which are asked for the same. */
+	EXPECT_NEAR(1.0, (double)lend(90).queue / (double)S, 0.01);
+	EXPECT_NEAR(2.0, (double)lend(90).queue / (double)S, 0.01);
+	now += S;
+	EXPECT_EQ(0, lend(10).queue);
+	for (int i = 0; i < 10; i++)
+		EXPECT_LE(lend(900).queue, 5 * S);
+}
+
 TEST_F(TeamAccount, ATeamWithoutARateGetsItsInitialTokensOnly)
 {
 	share = kb_team_limit_share(0, 0, 1, &tolerance);
--- a/tests/test_team_allowance.cc
+++ b/tests/test_team_allowance.cc
@@ -95,7 +95,7 @@
 	lend(2, 0, 400 * MS);
 	EXPECT_EQ(KB_ALLOWANCE_REFUSED, take());
 	EXPECT_GE(retry, 200 * MS);
-	EXPECT_LE(retry, 1200 * MS);
+	EXPECT_LE(retry, 800 * MS);
 	EXPECT_EQ(0u, ask());
 	/* The first denial to end counts. */
 	now += 200 * MS;
@@ -132,6 +132,26 @@
 	EXPECT_GT(most - least, 500 * MS);
 }
 
+TEST_F(TeamAllowance, SpreadsReturnsOverTheQueueOfAllHosts)
+{
+	kb_time_t most = 0;
+
+	allowance.waiting = 1;
+	for (unsigned share = 0; share < 3; share++) {
+		ask();
+		lend(share, 0, 30 * MS);
+		kb_team_allowance_on_queue(&allowance, share, 4 * S, now);
+	}
+	for (int i = 0; i < 50; i++) {
+		ASSERT_EQ(KB_ALLOWANCE_REFUSED, take());
+		/* After the turn of each caller before it. */
+		EXPECT_GE(retry, (30 + 10 * (i + 1)) * MS);
+		EXPECT_LE(retry, 4 * S + 500 * MS);
+		most = std::max(most, retry);
+	}
+	EXPECT_GT(most, 2 * S);
+}
+
 TEST_F(TeamAllowance, AsksAnotherShareIfTheFirstIsSlow)
 {
 	allowance.waiting = 1;
