--- a/tests/limit_simulation.h
+++ b/tests/limit_simulation.h
@@ -393,6 +393,9 @@
 		if (dead(host) || frozen(host))
 			return;
 		pump(a, team);
+		for (unsigned i = 0; i < KB_TEAM_SHARES_MAX; i++)
+			a.state.shares[i].near =
+				near(host, groups_[keeper(team, i)].holder);
 		while (unsigned wanted = kb_team_allowance_wanted(&a.state, now,
 								  &share)) {
 			kb_team_allowance_asked(&a.state, share, now);
@@ -449,9 +452,15 @@
 		}
 	}
 
+	/* Whether two hosts are in one region. */
+	static bool near(size_t a, size_t b)
+	{
+		return a % 2 == b % 2;
+	}
+
 	kb_time_t delay(size_t a, size_t b)
 	{
-		kb_time_t base = a % 2 == b % 2 ? 500000 : 8 * MS;
+		kb_time_t base = near(a, b) ? 500000 : 8 * MS;
 
 		return base + (kb_time_t)random(2 * MS) + late_min +
 		       (kb_time_t)random((uint64_t)(late - late_min) + 1);
@@ -548,12 +557,15 @@
 			asked_at = now;
 			kb_team_allowance_asked(&a.state, share, now);
 		}
-		if (lent.served)
+		if (lent.served) {
 			kb_team_allowance_on_loan(&a.state, share, asked_at,
 						  lent.loan.operations,
 						  lent.loan.retry, now);
-		else
+			kb_team_allowance_on_queue(&a.state, share,
+						   lent.loan.queue, now);
+		} else {
 			kb_team_allowance_on_failure(&a.state, share, now);
+		}
 		work(host, team);
 	}
 };
