--- a/src/load/link_pool.c
+++ b/src/load/link_pool.c
@@ -1,4 +1,6 @@
+#include "pool_pace.h"
 #include "pool_queue.h"
+#include "pool_report.h"
 
 #include <stdlib.h>
 
@@ -39,8 +41,9 @@
 /* Time until a retry may succeed: when the present queue has been served. */
 static kb_time_t retry_after(kb_link_pool_t *pool)
 {
-	unsigned slots = pool->slots ? pool->slots : 1;
-	kb_time_t interval = pool->service_time / (kb_time_t)slots;
+	unsigned slots = kb_pace_slots(&pool->pace, pool->slots);
+	kb_time_t interval =
+		pool->service_time / (kb_time_t)(slots ? slots : 1);
 
 	return kb_return_pace_next(&pool->returns, interval * pool->job_count,
 				   interval, now_of(pool));
@@ -149,7 +152,7 @@
 	unsigned used = used_slots(pool) - pool->share.opening;
 	unsigned half = pool->slots / 2 ? pool->slots / 2 : 1;
 
-	room->saturated = used >= send_limit(pool);
+	room->in_flight = send_limit(pool);
 	if (room->shared)
 		room->parallel =
 			pool->slots > used + half ? pool->slots - used : half;
@@ -172,8 +175,10 @@
 		next = kb_team_share_next_opening(&pool->share, &room, now);
 		if (!next.team)
 			return;
-		if (next.closed)
+		if (next.closed) {
 			close_idle_conn(pool, next.closed);
+			pool->counters.displaced++;
+		}
 		/* The first member of the team's entry. */
 		if (kb_pool_conn_open(pool, (kb_pool_team_t *)next.team))
 			return;
@@ -193,9 +198,12 @@
 	while (now >= pool->send_blocked_until &&
 	       pool->ops->may_serve(pool->ctx, now) &&
 	       used_slots(pool) < send_limit(pool)) {
-		kb_pool_job_t *job = kb_pool_choose_job(pool, now);
 		kb_pool_conn_t *conn;
+		kb_pool_job_t *job;
 
+		kb_pool_pace_hold(pool, used_slots(pool) - pool->share.opening,
+				  send_limit(pool), now);
+		job = kb_pool_choose_job(pool, now);
 		if (!job)
 			break;
 		conn = choose_conn(pool, job);
@@ -205,6 +213,7 @@
 					   "the transaction has ended");
 			continue;
 		}
+		kb_pool_pace_on_sent(conn);
 		kb_pool_conn_start(conn, job);
 	}
 	close_surplus(pool);
@@ -228,6 +237,13 @@
 	done(ctx, &res);
 }
 
+static int may_begin(const kb_link_pool_t *pool, const kb_pool_team_t *team)
+{
+	const kb_team_room_t room = kb_pool_room(pool);
+
+	return kb_team_share_begins_left(&pool->share, &team->use, &room) != 0;
+}
+
 void kb_link_pool_run(kb_link_pool_t *pool, const kbs_run_args *args,
 		      kb_run_done_fn_t *done, void *ctx)
 {
@@ -275,6 +291,8 @@
 				   "the target cannot serve it in time");
 		return;
 	}
+	if (args->transactional && !args->transaction && !may_begin(pool, team))
+		pool->counters.held_back++;
 	kb_pool_job_requeue(pool, job);
 	kb_link_pool_dispatch(pool);
 }
@@ -324,6 +342,7 @@
 
 	kb_pool_conn_free_closed(pool);
 	kb_pool_teams_prune(pool, now);
+	kb_pool_report(pool, now);
 	/* Ending jobs may queue new ones; these are sent after the loop. */
 	pool->dispatching = 1;
 	next = expire_jobs(pool, now);
@@ -340,6 +359,8 @@
 	if (pool->jobs && pool->send_blocked_until > now &&
 	    pool->send_blocked_until < next)
 		next = pool->send_blocked_until;
+	if (pool->jobs && kb_pace_next(&pool->pace, now) < next)
+		next = kb_pace_next(&pool->pace, now);
 	if (pool->jobs && pool->open_blocked_until > now &&
 	    pool->open_blocked_until < next)
 		next = pool->open_blocked_until;
@@ -360,6 +381,6 @@
 {
 	load->waiting = pool->job_count;
 	load->running = used_slots(pool);
-	load->slots = pool->slots;
+	load->slots = kb_pace_slots(&pool->pace, pool->slots);
 	load->service_us = pool->service_time / KB_NS_PER_US;
 }
--- a/src/load/link_pool_end.c
+++ b/src/load/link_pool_end.c
@@ -56,12 +56,14 @@
 			    kb_name_str(&place->endpoint.address)) ||
 		pool->place.endpoint.port != place->endpoint.port;
 
+	kb_pace_bind(&pool->pace, slots, moved);
 	pool->slots = slots;
 	pool->limit = limit;
 	pool->place = *place;
 	if (moved) {
 		pool->open_blocked_until = 0;
 		pool->send_blocked_until = 0;
+		pool->full_until = 0;
 		pool->dispatching = 1;
 		close_conns(pool, "the group has another primary");
 		pool->dispatching = 0;
--- a/src/load/pool_conn.h
+++ b/src/load/pool_conn.h
@@ -22,6 +22,8 @@
 	POOL_OPEN_RETRY_DELAY_MS = 100,
 	/* Added if the target was full and the pool has connections. */
 	POOL_FULL_RETRY_DELAY_MS = 400,
+	/* A pool with teams takes a full target's limit as known this long. */
+	POOL_FULL_LIMIT_MS = 2000,
 	/* Attempts to send a statement that has not run. */
 	POOL_ATTEMPTS_MAX = 4,
 	/* Largest number of queued statements. */
@@ -99,6 +101,7 @@
 	kb_pool_job_t *job;
 	kb_link_command_kind_t sent_kind;
 	kb_time_t sent_at;
+	kb_pace_mark_t pace_mark;
 	/* Time of the last change of state. */
 	kb_time_t since;
 	kb_time_t idle_timeout;
--- a/src/load/pool_queue.c
+++ b/src/load/pool_queue.c
@@ -2,6 +2,11 @@
 
 #include "pool_team.h"
 
+enum {
+	/* Service times vary; an answer needs its way to the caller, too. */
+	LATE_SERVICE_TIMES = 2,
+};
+
 kb_pool_conn_t *kb_pool_find_transaction(const kb_link_pool_t *pool,
 					 uint64_t transaction)
 {
@@ -70,6 +75,11 @@
 	list->count--;
 }
 
+static kb_time_t credit_of(const kb_link_pool_t *pool)
+{
+	return pool->service_time * KB_POOL_CREDIT * (kb_time_t)pool->slots;
+}
+
 void kb_pool_job_requeue(kb_link_pool_t *pool, kb_pool_job_t *job)
 {
 	kb_pool_team_t *team = job->team;
@@ -82,7 +92,8 @@
 	pool->jobs = job;
 	pool->job_count++;
 	if (!team->queued++)
-		kb_stride_join(&team->stride, &pool->team_clock);
+		kb_stride_join(&team->stride, &pool->team_clock,
+			       credit_of(pool));
 	list_add(&team->classes[class_of(job)].on_time[kind], job);
 	if (kind != KB_POOL_JOB_IN_TRANSACTION)
 		kb_team_use_wait(&team->use, kind == KB_POOL_JOB_BEGIN,
@@ -113,9 +124,14 @@
 
 kb_team_room_t kb_pool_room(const kb_link_pool_t *pool)
 {
-	return (kb_team_room_t){ .limit = pool->limit,
-				 .parallel = pool->slots,
-				 .shared = pool->named_teams != 0 };
+	kb_team_room_t room = { .limit = pool->limit,
+				.parallel = pool->slots,
+				.shared = pool->named_teams != 0 };
+
+	if (kb_clock_monotonic(pool->clock) < pool->full_until &&
+	    pool->full_limit < room.limit)
+		room.limit = pool->full_limit;
+	return room;
 }
 
 /* Whether a transaction has no statement running, or has ended. */
@@ -151,7 +167,8 @@
 
 	while (best && !is_free(pool, best->transaction))
 		best = best->list_next;
-	if (pool->paused || !team->use.conns[KB_TEAM_CONN_IDLE])
+	if (pool->paused || pool->pace_holds ||
+	    !team->use.conns[KB_TEAM_CONN_IDLE])
 		return best;
 	for (int kind = 0; kind < KB_POOL_JOB_IN_TRANSACTION; kind++) {
 		kb_pool_job_t *job = lists[kind].first;
@@ -276,7 +293,7 @@
 			if (!heads[i] || is_ahead(pool, heads[i], &least))
 				continue;
 			kb_stride_join(&pool->classes[choice.rank],
-				       &pool->class_clock);
+				       &pool->class_clock, 0);
 			if (!best.job || is_better(pool, &choice, &best))
 				best = choice;
 		}
@@ -310,6 +327,8 @@
 
 kb_pool_job_t *kb_pool_choose_job(kb_link_pool_t *pool, kb_time_t now)
 {
+	/* One that may end after its objective counts as late already. */
+	now += pool->service_time * LATE_SERVICE_TIMES;
 	return pool->named_teams ? choose_among_teams(pool, now)
 				 : choose_in_order(pool, now);
 }
@@ -366,23 +385,24 @@
 kb_time_t kb_pool_expected_wait(const kb_link_pool_t *pool,
 				const kb_pool_job_t *job, kb_time_t now)
 {
-	unsigned slots = pool->slots ? pool->slots : 1;
+	unsigned slots = kb_pace_slots(&pool->pace, pool->slots);
 	unsigned ahead = pool->named_teams ? count_shared(pool, job)
 					   : count_ahead(pool, job, now);
 
+	slots = slots ? slots : 1;
 	return pool->service_time * (kb_time_t)(ahead + 1) / (kb_time_t)slots;
 }
 
 int kb_pool_queue_is_full(const kb_link_pool_t *pool,
 			  const kb_pool_team_t *team)
 {
-	unsigned with_queue = team->queued == 0;
+	unsigned with_queue = 1;
 
 	if (pool->job_count < POOL_JOBS_MAX)
 		return 0;
 	for (const kb_pool_team_t *other = pool->teams; other;
 	     other = other->hh.next)
-		with_queue += other->queued != 0;
+		with_queue += other != team && other->queued;
 	/* A team below its share of the queue may exceed the length. */
 	return team->queued >= POOL_JOBS_MAX / with_queue;
 }
--- a/src/replica_selector.h
+++ b/src/replica_selector.h
@@ -12,6 +12,8 @@
 /* State of the selection of a replica for a read. */
 typedef struct kb_replica_selector {
 	kb_read_consistency_t consistency;
+	/* Team of the caller, or empty. */
+	kb_name_t team;
 	/* The read must see commits acknowledged before this time. */
 	kb_time_t bound;
 	/* Newest commit of the session, or zero. */
@@ -30,6 +32,8 @@
 	int exhausted;
 	/* Replicas were skipped because their logs lack `include`. */
 	int lagging;
+	/* Least time by which one of these is behind `include`. */
+	kb_time_t least_deficit;
 } kb_replica_selector_t;
 
 void kb_replica_selector_init(kb_replica_selector_t *selector,
