--- a/src/proxy.c
+++ b/src/proxy.c
@@ -1,6 +1,7 @@
 #include "proxy_internal.h"
 
 #include "log.h"
+#include "proxy_keys.h"
 
 #include <event2/event.h>
 #include <inttypes.h>
--- a/tests/test_session_keys.cc
+++ b/tests/test_session_keys.cc
@@ -3,9 +3,9 @@
 namespace
 {
 
-const std::vector<KeyOfTeam> RED = { { "red", "r1" } };
-const std::vector<KeyOfTeam> BLUE = { { "blue", "r1" } };
-const std::vector<KeyOfTeam> OTHERS = { { "red", "r2" }, { "blue", "b1" } };
+const std::vector<KeyOfTeam> red = { { "red", "r1" } };
+const std::vector<KeyOfTeam> blue = { { "blue", "r1" } };
+const std::vector<KeyOfTeam> others = { { "red", "r2" }, { "blue", "b1" } };
 
 /* Runs a single statement and returns the team that it ran for, or "!". */
 std::string run_single(Caller *caller)
@@ -31,9 +31,9 @@
 		std::vector<KeyOfTeam> keys;
 		kb_result_t result;
 	} cases[] = {
-		{ "known", "r1", RED, KB_OK },
-		{ "unknown", "r9", RED, KB_ERR_UNAUTHENTICATED },
-		{ "missing", "", RED, KB_ERR_UNAUTHENTICATED },
+		{ "known", "r1", red, KB_OK },
+		{ "unknown", "r9", red, KB_ERR_UNAUTHENTICATED },
+		{ "missing", "", red, KB_ERR_UNAUTHENTICATED },
 		{ "of no team", "r1", {}, KB_ERR_UNAUTHENTICATED },
 		{ "of two teams",
 		  "r1",
@@ -55,7 +55,7 @@
 TEST(SessionKeys, APublicDatabaseNeedsNone)
 {
 	for (const char *key : { "", "r1", "r9" }) {
-		Caller caller(key, RED, true);
+		Caller caller(key, red, true);
 
 		EXPECT_EQ(KB_OK, caller.opened) << key;
 		EXPECT_EQ("", run_single(&caller)) << key;
@@ -64,7 +64,7 @@
 
 TEST(SessionKeys, ADatabaseThatIsNoLongerPublicNeedsAKey)
 {
-	Caller with("r1", RED, true), without("", RED, true);
+	Caller with("r1", red, true), without("", red, true);
 
 	with.database.is_public = without.database.is_public = 0;
 	EXPECT_EQ("red", run_single(&with));
@@ -76,23 +76,23 @@
 
 TEST(SessionKeys, ARemovedKeyEndsSingleStatements)
 {
-	Caller caller("r1", RED);
+	Caller caller("r1", red);
 
 	EXPECT_EQ("red", run_single(&caller));
-	caller.set_keys(OTHERS);
+	caller.set_keys(others);
 	EXPECT_EQ("!", run_single(&caller));
 	EXPECT_EQ("id", caller.authenticated_id);
 	EXPECT_EQ("!", run_single(&caller));
-	caller.set_keys(RED);
+	caller.set_keys(red);
 	EXPECT_EQ("red", run_single(&caller));
 }
 
 TEST(SessionKeys, ARemovedKeyEndsPreparedStatements)
 {
-	Caller caller("r1", RED);
+	Caller caller("r1", red);
 
 	caller.query(KB_QUERY_PREPARE_READ, "s1", "q2c");
-	caller.set_keys(OTHERS);
+	caller.set_keys(others);
 	caller.query(KB_QUERY_EXECUTE, "s1", "1a4");
 	EXPECT_EQ(KB_ERR_UNAUTHENTICATED, caller.answer.result);
 	EXPECT_EQ(0, caller.runs);
@@ -100,10 +100,10 @@
 
 TEST(SessionKeys, AnOpenTransactionOutlivesItsKey)
 {
-	Caller caller("r1", RED);
+	Caller caller("r1", red);
 
 	caller.query(KB_QUERY_BEGIN);
-	caller.set_keys(OTHERS);
+	caller.set_keys(others);
 	caller.query(KB_QUERY_WRITE, "", "1a4 x");
 	EXPECT_EQ("red", caller.team());
 	caller.ran(KB_OK, 3);
@@ -119,13 +119,13 @@
 
 TEST(SessionKeys, AKeyMovesToAnotherTeamFromTheNextTransactionOn)
 {
-	Caller caller("r1", RED);
+	Caller caller("r1", red);
 
 	caller.query(KB_QUERY_BEGIN);
 	caller.query(KB_QUERY_READ, "", "1a4");
 	EXPECT_EQ("red", caller.team());
 	caller.ran(KB_OK, 3);
-	caller.set_keys(BLUE);
+	caller.set_keys(blue);
 	caller.query(KB_QUERY_READ, "", "1a4");
 	EXPECT_EQ("red", caller.team());
 	caller.ran(KB_OK, 3);
@@ -137,20 +137,20 @@
 
 TEST(SessionKeys, AKeyThatBecomesAmbiguousIdentifiesNobody)
 {
-	Caller caller("r1", RED);
+	Caller caller("r1", red);
 
 	caller.set_keys({ { "red", "r1" }, { "blue", "r1" } });
 	EXPECT_EQ("!", run_single(&caller));
-	caller.set_keys(BLUE);
+	caller.set_keys(blue);
 	EXPECT_EQ("blue", run_single(&caller));
 }
 
 TEST(SessionKeys, AConfigurationMayLoseAndGetTeams)
 {
-	Caller caller("r1", RED), keyless;
+	Caller caller("r1", red), keyless;
 
 	EXPECT_EQ("", run_single(&keyless));
-	keyless.set_keys(RED);
+	keyless.set_keys(red);
 	EXPECT_EQ("!", run_single(&keyless));
 	caller.teams.configured = keyless.teams.configured = 0;
 	EXPECT_EQ("", run_single(&caller));
