--- a/src/load/pool_queue.c
+++ b/src/load/pool_queue.c
@@ -2,6 +2,11 @@
 
 #include "pool_team.h"
 
+enum {
+	/* Service times vary; an answer needs its way to the caller, too. */
+	LATE_SERVICE_TIMES = 2,
+};
+
 kb_pool_conn_t *kb_pool_find_transaction(const kb_link_pool_t *pool,
 					 uint64_t transaction)
 {
@@ -322,8 +327,8 @@
 
 kb_pool_job_t *kb_pool_choose_job(kb_link_pool_t *pool, kb_time_t now)
 {
-	/* One that would end after its objective counts as late already. */
-	now += pool->service_time;
+	/* One that may end after its objective counts as late already. */
+	now += pool->service_time * LATE_SERVICE_TIMES;
 	return pool->named_teams ? choose_among_teams(pool, now)
 				 : choose_in_order(pool, now);
 }
--- a/src/load/team_allowance.c
+++ b/src/load/team_allowance.c
@@ -13,8 +13,10 @@
 	HEDGE_DELAY_MAX_MS = 80,
 	/* Pause after a call to a keeper failed. */
 	FAILURE_PAUSE_MS = 50,
-	/* Returning callers are spread over this time. */
-	RETRY_SPREAD_MS = 1000,
+	/* A near keeper is not preferred for this after its denial. */
+	NEAR_AFTER_DENIAL_MS = 2000,
+	/* Returning callers are spread over this time at least. */
+	RETRY_SPREAD_MS = 500,
 	/* One part of 8 of a round trip enters the smoothed one. */
 	ROUND_TRIP_WEIGHT = 8,
 };
@@ -83,6 +85,28 @@
 	return least;
 }
 
+/*
+ * Returns when a refused caller should come back, which is not before `left`:
+ * after those that were refused before it on this host, and among those that
+ * were on all hosts.
+ */
+static kb_time_t return_time(kb_team_allowance_t *allowance, kb_time_t left,
+			     kb_time_t now)
+{
+	kb_time_t turn = kb_return_pace_next(
+		&allowance->pace, left, left / allowance->share_count, now);
+	kb_time_t queue = turn + RETRY_SPREAD_MS * KB_NS_PER_MS;
+
+	for (unsigned i = 0; i < allowance->share_count; i++) {
+		kb_time_t until = allowance->shares[i].queue_until;
+
+		if (until - now > queue)
+			queue = until - now;
+	}
+	return turn + (kb_time_t)kb_rng_below(&allowance->rng,
+					      (uint64_t)(queue - turn));
+}
+
 kb_allowance_verdict_t kb_team_allowance_take(kb_team_allowance_t *allowance,
 					      kb_time_t now,
 					      kb_allowance_ticket_t *ticket,
@@ -112,8 +136,7 @@
 	}
 	if (open || !left)
 		return KB_ALLOWANCE_WAIT;
-	*retry = left + (kb_time_t)kb_rng_below(&allowance->rng,
-						RETRY_SPREAD_MS * KB_NS_PER_MS);
+	*retry = return_time(allowance, left, now);
 	return KB_ALLOWANCE_REFUSED;
 }
 
@@ -153,33 +176,57 @@
 	return delay;
 }
 
-unsigned kb_team_allowance_wanted(const kb_team_allowance_t *allowance,
-				  kb_time_t now, unsigned *share)
+/* Whether the share is preferred: near, and not short of operations lately. */
+static int is_near(const kb_allowance_share_t *share, kb_time_t now)
+{
+	return share->near &&
+	       now - share->denied_until >= NEAR_AFTER_DENIAL_MS * KB_NS_PER_MS;
+}
+
+/*
+ * Finds a share that may be asked among those that are near, or the others.
+ * Returns 0 if there is none, and -1 if an answer is to be waited for first.
+ */
+static int find_share(const kb_team_allowance_t *allowance, int near,
+		      kb_time_t now, unsigned *share)
 {
 	unsigned count = allowance->share_count;
-	double ahead = demand_at(allowance, now) * DEMAND_COVERED_MS / 1000;
-	unsigned operations = allowance->waiting;
 
-	if (!operations)
-		return 0;
-	if (operations < ahead)
-		operations = (unsigned)ahead;
-	if (operations > OPERATIONS_MAX)
-		operations = OPERATIONS_MAX;
 	for (unsigned i = 0; i < count; i++) {
 		unsigned candidate = (allowance->preferred + i) % count;
 		const kb_allowance_share_t *s = &allowance->shares[candidate];
 
+		if (is_near(s, now) != near)
+			continue;
 		if (s->asking && now - s->asked_at < hedge_delay(s))
-			return 0;
-		if (!is_open(s, now) || s->asking)
+			return -1;
+		if (s->asking || !is_open(s, now))
 			continue;
 		*share = candidate;
-		return operations;
+		return 1;
 	}
 	return 0;
 }
 
+unsigned kb_team_allowance_wanted(const kb_team_allowance_t *allowance,
+				  kb_time_t now, unsigned *share)
+{
+	double ahead = demand_at(allowance, now) * DEMAND_COVERED_MS / 1000;
+	unsigned operations = allowance->waiting;
+	int found;
+
+	if (!operations)
+		return 0;
+	if (operations < ahead)
+		operations = (unsigned)ahead;
+	if (operations > OPERATIONS_MAX)
+		operations = OPERATIONS_MAX;
+	found = find_share(allowance, 1, now, share);
+	if (!found)
+		found = find_share(allowance, 0, now, share);
+	return found > 0 ? operations : 0;
+}
+
 void kb_team_allowance_asked(kb_team_allowance_t *allowance, unsigned share,
 			     kb_time_t now)
 {
@@ -210,6 +257,12 @@
 	}
 }
 
+void kb_team_allowance_on_queue(kb_team_allowance_t *allowance, unsigned share,
+				kb_time_t queue, kb_time_t now)
+{
+	allowance->shares[share].queue_until = now + queue;
+}
+
 void kb_team_allowance_redirected(kb_team_allowance_t *allowance,
 				  unsigned share)
 {
