--- a/src/log_events.h
+++ b/src/log_events.h
@@ -20,13 +20,10 @@
 
 KB_EVENT(1103, TARGET_MALFORMED, WARN, "malformed message from a target")
 KB_EVENT(1104, TARGET_COMMAND_DROPPED, WARN, "command queue of a target is full")
-KB_EVENT(1105, TARGET_PACE_CUT, INFO, "fewer statements are sent to a target")
-KB_EVENT(1106, TARGET_PACE_FULL, INFO,
 KB_EVENT(1105, TEAM_WAITS, INFO, "a team waits for a connection to a target")
 KB_EVENT(1106, TARGET_PACE_CUT, INFO, "fewer statements are sent to a target")
 KB_EVENT(1107, TARGET_PACE_FULL, INFO,
 	 "a target is sent as many statements as its slots run again")
-KB_EVENT(1107, TEAM_WAITS, INFO, "a team waits for a connection to a target")
 
 KB_EVENT(1200, GATE_OPENED, INFO, "host became the gate of a target")
 KB_EVENT(1201, GATE_CLOSED, INFO, "host is no longer the gate of a target")
