--- a/tests/test_proxy_scale.cc
+++ b/tests/test_proxy_scale.cc
@@ -47,10 +47,11 @@
 
 	~View()
 	{
+		/* The table is part of the groups. */
+		HASH_CLEAR(by_name, proxy->groups_by_name);
 		for (size_t i = 0; i < proxy->group_count; i++)
 			kb_proxy_group_free(proxy->groups[i]);
 		free(proxy->groups);
-		HASH_CLEAR(by_name, proxy->groups_by_name);
 		for (size_t i = 0; i < proxy->hosts.count; i++)
 			kb_rpc_peer_finish(&proxy->hosts.hosts[i]->peer);
 		kb_hosts_finish(&proxy->hosts);
