--- a/src/proxy_loans.c
+++ b/src/proxy_loans.c
@@ -164,6 +164,13 @@
 	event_active(proxy->loans.flush, 0, 0);
 }
 
+/* A refusal leaves the caller half of the time to try another host. */
+static kb_time_t longest_wait(const kb_database_t *database)
+{
+	return (database->objective ? database->objective : database->timeout) /
+	       2;
+}
+
 int kb_proxy_loans_admit(kb_proxy_session_t *session)
 {
 	kb_proxy_t *proxy = session->proxy;
@@ -190,7 +197,7 @@
 			break;
 		}
 	}
-	session->loan_until = now + session->caller.database.objective / 2;
+	session->loan_until = now + longest_wait(&session->caller.database);
 	enqueue(team, session);
 	kb_proxy_loans_wake(proxy);
 	return 0;
