--- a/src/load/link_pool_end.c
+++ b/src/load/link_pool_end.c
@@ -63,6 +63,7 @@
 	if (moved) {
 		pool->open_blocked_until = 0;
 		pool->send_blocked_until = 0;
+		pool->pace_reduced = 0;
 		pool->full_until = 0;
 		pool->dispatching = 1;
 		close_conns(pool, "the group has another primary");
