--- a/src/load/pool_queue.c
+++ b/src/load/pool_queue.c
@@ -2,6 +2,11 @@
 
 #include "pool_team.h"
 
+enum {
+	/* Service times vary; an answer needs its way to the caller, too. */
+	LATE_SERVICE_TIMES = 2,
+};
+
 kb_pool_conn_t *kb_pool_find_transaction(const kb_link_pool_t *pool,
 					 uint64_t transaction)
 {
@@ -322,8 +327,8 @@
 
 kb_pool_job_t *kb_pool_choose_job(kb_link_pool_t *pool, kb_time_t now)
 {
-	/* One that would end after its objective counts as late already. */
-	now += pool->service_time;
+	/* One that may end after its objective counts as late already. */
+	now += pool->service_time * LATE_SERVICE_TIMES;
 	return pool->named_teams ? choose_among_teams(pool, now)
 				 : choose_in_order(pool, now);
 }
@@ -391,13 +396,13 @@
 int kb_pool_queue_is_full(const kb_link_pool_t *pool,
 			  const kb_pool_team_t *team)
 {
-	unsigned with_queue = team->queued == 0;
+	unsigned with_queue = 1;
 
 	if (pool->job_count < POOL_JOBS_MAX)
 		return 0;
 	for (const kb_pool_team_t *other = pool->teams; other;
 	     other = other->hh.next)
-		with_queue += other->queued != 0;
+		with_queue += other != team && other->queued;
 	/* A team below its share of the queue may exceed the length. */
 	return team->queued >= POOL_JOBS_MAX / with_queue;
 }
