--- a/src/load/pool_queue.c
+++ b/src/load/pool_queue.c
@@ -25,14 +25,14 @@
 					: KB_POOL_JOB_STATEMENT;
 }
 
-static unsigned class_of(const kb_pool_job_t *job)
+unsigned kb_pool_job_class(const kb_pool_job_t *job)
 {
 	unsigned class = job->args->priority + (job->transaction == 0);
 
 	return class < KB_POOL_CLASSES ? class : KB_POOL_CLASSES - 1;
 }
 
-static int precedes(const kb_pool_job_t *a, const kb_pool_job_t *b)
+int kb_pool_job_precedes(const kb_pool_job_t *a, const kb_pool_job_t *b)
 {
 	if (a->objective != b->objective)
 		return a->objective < b->objective;
@@ -43,7 +43,7 @@
 {
 	kb_pool_job_t *before = list->last;
 
-	while (before && precedes(job, before))
+	while (before && kb_pool_job_precedes(job, before))
 		before = before->list_prev;
 	job->list = list;
 	job->list_prev = before;
@@ -94,7 +94,7 @@
 	if (!team->queued++)
 		kb_stride_join(&team->stride, &pool->team_clock,
 			       credit_of(pool));
-	list_add(&team->classes[class_of(job)].on_time[kind], job);
+	list_add(&team->classes[kb_pool_job_class(job)].on_time[kind], job);
 	if (kind != KB_POOL_JOB_IN_TRANSACTION)
 		kb_team_use_wait(&team->use, kind == KB_POOL_JOB_BEGIN,
 				 kb_clock_monotonic(pool->clock));
@@ -173,7 +173,7 @@
 	for (int kind = 0; kind < KB_POOL_JOB_IN_TRANSACTION; kind++) {
 		kb_pool_job_t *job = lists[kind].first;
 
-		if (!job || (best && !precedes(job, best)))
+		if (!job || (best && !kb_pool_job_precedes(job, best)))
 			continue;
 		if (kind == KB_POOL_JOB_STATEMENT ||
 		    kb_team_share_begins_left(&pool->share, &team->use, &room))
@@ -252,7 +252,7 @@
 	if (a->job->team != b->job->team)
 		return kb_stride_before(&a->job->team->stride,
 					&b->job->team->stride);
-	return precedes(a->job, b->job);
+	return kb_pool_job_precedes(a->job, b->job);
 }
 
 /* The least service that a team with a job that can be sent has received. */
@@ -332,77 +332,3 @@
 	return pool->named_teams ? choose_among_teams(pool, now)
 				 : choose_in_order(pool, now);
 }
-
-/* Whether `a`, without teams, is served before `b`. */
-static int is_before(const kb_pool_job_t *a, const kb_pool_job_t *b,
-		     kb_time_t now)
-{
-	int a_late = a->objective < now;
-	int b_late = b->objective < now;
-
-	if (a_late != b_late)
-		return b_late;
-	if (class_of(a) != class_of(b))
-		return class_of(a) < class_of(b);
-	return precedes(a, b);
-}
-
-static unsigned count_ahead(const kb_link_pool_t *pool,
-			    const kb_pool_job_t *job, kb_time_t now)
-{
-	unsigned ahead = 0;
-
-	for (const kb_pool_job_t *other = pool->jobs; other;
-	     other = other->next)
-		ahead += (unsigned)is_before(other, job, now);
-	return ahead;
-}
-
-/* Jobs of a team that are served before one of class `class`. */
-static unsigned count_own(const kb_pool_team_t *team, unsigned class)
-{
-	unsigned count = 0;
-
-	for (size_t i = 0; i <= class; i++)
-		for (int kind = 0; kind < KB_POOL_JOB_KINDS; kind++)
-			count += team->classes[i].on_time[kind].count;
-	return count;
-}
-
-/* Jobs ahead, by the share of the job's team among those with a queue. */
-static unsigned count_shared(const kb_link_pool_t *pool,
-			     const kb_pool_job_t *job)
-{
-	unsigned competing = 1;
-
-	for (const kb_pool_team_t *team = pool->teams; team;
-	     team = team->hh.next)
-		competing += team != job->team && team->queued;
-	return (unsigned)kb_stride_expected(count_own(job->team, class_of(job)),
-					    pool->job_count, 1, competing);
-}
-
-kb_time_t kb_pool_expected_wait(const kb_link_pool_t *pool,
-				const kb_pool_job_t *job, kb_time_t now)
-{
-	unsigned slots = kb_pace_slots(&pool->pace, pool->slots);
-	unsigned ahead = pool->named_teams ? count_shared(pool, job)
-					   : count_ahead(pool, job, now);
-
-	slots = slots ? slots : 1;
-	return pool->service_time * (kb_time_t)(ahead + 1) / (kb_time_t)slots;
-}
-
-int kb_pool_queue_is_full(const kb_link_pool_t *pool,
-			  const kb_pool_team_t *team)
-{
-	unsigned with_queue = 1;
-
-	if (pool->job_count < POOL_JOBS_MAX)
-		return 0;
-	for (const kb_pool_team_t *other = pool->teams; other;
-	     other = other->hh.next)
-		with_queue += other != team && other->queued;
-	/* A team below its share of the queue may exceed the length. */
-	return team->queued >= POOL_JOBS_MAX / with_queue;
-}
--- a/src/load/pool_queue.h
+++ b/src/load/pool_queue.h
@@ -29,6 +29,12 @@
 kb_pool_conn_t *kb_pool_find_transaction(const kb_link_pool_t *pool,
 					 uint64_t transaction);
 
+/* Returns the class of a job; 0 is served first. */
+unsigned kb_pool_job_class(const kb_pool_job_t *job);
+
+/* Whether `a` is served before `b` of the same class. */
+int kb_pool_job_precedes(const kb_pool_job_t *a, const kb_pool_job_t *b);
+
 /* Puts a job that has not run into the queue. */
 void kb_pool_job_requeue(kb_link_pool_t *pool, kb_pool_job_t *job);
 
--- a/src/load/team_account.c
+++ b/src/load/team_account.c
@@ -151,8 +151,8 @@
 
 	if (account->queue_until < now)
 		account->queue_until = now;
-	account->queue_until +=
-		earning_time(account, missing) / KB_TEAM_SHARES_MAX;
+	account->queue_until += earning_time(account, missing) /
+				(kb_time_t)account->share.shares;
 	if (account->queue_until > last)
 		account->queue_until = last;
 	return account->queue_until - now;
--- a/src/load/team_limit.c
+++ b/src/load/team_limit.c
@@ -7,6 +7,8 @@
 	LIFETIME_MIN_MS = 200,
 	/* Changes of a share's keeper in a window that the slack covers. */
 	KEEPER_CHANGES = 5,
+	/* Operations in a share of a limit that has the most shares. */
+	SHARE_CAPACITY_MIN = 8,
 };
 
 /* Part of the slack by which buckets are larger than the burst. */
@@ -25,6 +27,8 @@
 	double capacity = total_capacity(burst, tolerance);
 	unsigned shares = KB_TEAM_SHARES_MAX;
 
+	if (capacity < SHARE_CAPACITY_MIN * KB_TEAM_SHARES_MAX)
+		shares = KB_TEAM_SHARES_SMALL;
 	if (shares > keepers)
 		shares = (unsigned)keepers;
 	if (capacity < shares)
@@ -50,6 +54,7 @@
 		.capacity = total_capacity(burst, tolerance) / shares,
 		.initial = (1 - CAPACITY_SLACK) * tolerance->slack /
 			   (KEEPER_CHANGES * shares),
+		.shares = shares,
 	};
 
 	share.initial = fmin(share.initial, share.capacity);
--- a/src/load/team_limit.h
+++ b/src/load/team_limit.h
@@ -8,6 +8,8 @@
 enum {
 	/* A team's limit is divided among at most this many keepers. */
 	KB_TEAM_SHARES_MAX = 5,
+	/* The same for a limit whose shares would hold few operations. */
+	KB_TEAM_SHARES_SMALL = 3,
 };
 
 /* What a limit of a rate and a burst allows in a sliding window. */
@@ -26,11 +28,14 @@
 	double capacity;
 	/* Tokens of a new keeper, whose predecessor may have lent all. */
 	double initial;
+	/* Number of shares of the limit. */
+	unsigned shares;
 } kb_limit_share_t;
 
 /*
  * Returns the number of shares of a limit that `keepers` can keep. A share
- * holds at least one operation.
+ * holds at least one operation. More shares keep a team served behind a cut;
+ * a small burst in many buckets would leave single ones empty.
  */
 unsigned kb_team_limit_shares(double burst,
 			      const kb_limit_tolerance_t *tolerance,
--- a/src/proxy_gate.c
+++ b/src/proxy_gate.c
@@ -78,8 +78,7 @@
 	gate->target = target->place.target;
 	kb_link_pool_init(&gate->pool, &pool_ops, gate, proxy->setup.connector,
 			  proxy->clock, kb_rng_next(&proxy->rng) >> 1);
-	kb_pace_init(&gate->pool.pace,
-		     kb_settings_has_pace(proxy->setup.settings));
+	kb_pace_init(&gate->pool.pace, proxy->setup.settings->pace);
 	gates[proxy->gate_count++] = gate;
 	HASH_ADD_KEYPTR(by_target, proxy->gates_by_target, gate->target.data,
 			gate->target.len, gate);
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -97,8 +97,7 @@
 	kb_link_pool_init(&group->pool, &pool_ops, group,
 			  proxy->setup.connector, proxy->clock,
 			  kb_rng_next(&proxy->rng) >> 1);
-	kb_pace_init(&group->pool.pace,
-		     kb_settings_has_pace(proxy->setup.settings));
+	kb_pace_init(&group->pool.pace, proxy->setup.settings->pace);
 	groups[proxy->group_count++] = group;
 	HASH_ADD_KEYPTR(by_name, proxy->groups_by_name, group->name.data,
 			group->name.len, group);
--- a/src/settings.c
+++ b/src/settings.c
@@ -198,18 +198,3 @@
 			return kb_name_str(&settings->data_centres[i].region);
 	return KB_STR("");
 }
-
-int kb_settings_has_pace(const kb_settings_t *settings)
-{
-	static const char word[] = "pool";
-	const char *at = settings->contracts;
-
-	while (!settings->pace && *at) {
-		size_t len = strcspn(at, ",");
-
-		if (kb_str_equal((kb_str_t){ at, len }, kb_str_from(word)))
-			return 1;
-		at += len + (at[len] == ',');
-	}
-	return settings->pace;
-}
--- a/src/settings.h
+++ b/src/settings.h
@@ -108,8 +108,6 @@
 
 	/* Targets are sent statements at a pace found from their answers. */
 	int pace;
-	/* Rules that the deployment is held to, joined by commas. */
-	char contracts[KB_SETTINGS_PATH_MAX_BYTES];
 
 	/* Fraction, 0 to 1, of the requests to trace that do not arrive with a
 	 * sampled trace context. */
@@ -122,9 +120,6 @@
 kb_str_t kb_settings_region(const kb_settings_t *settings,
 			    const kb_name_t *data_centre);
 
-/* Whether targets are sent statements at a pace found from their answers. */
-int kb_settings_has_pace(const kb_settings_t *settings);
-
 /* Parses "ADDRESS:PORT" or "[ADDRESS]:PORT" with an IP address. */
 kb_result_t kb_endpoint_parse(kb_str_t text, kb_endpoint_t *endpoint);
 
--- a/src/settings_value.c
+++ b/src/settings_value.c
@@ -358,7 +358,6 @@
 	{ "drain", "grace", set_duration, AT(drain_grace), 0, 3600 * SECOND,
 	  "duration" },
 	{ "targets", "pace", set_flag, AT(pace), 0, 0, "flag" },
-	{ "targets", "contracts", set_path, AT(contracts), 0, 0, "words" },
 	{ "trace", "sampling", set_percent, AT(trace_sampling), 0, 0,
 	  "percentage" },
 	{ "trace", "file", set_path, AT(trace_path), 0, 0, "path" },
--- a/tests/test_cut_off.cc
+++ b/tests/test_cut_off.cc
@@ -2,6 +2,7 @@
 #include "fake_time.h"
 #include "load/cut_off.h"
 #include "proxy_statement.h"
+#include "group_index.h"
 
 #include <gtest/gtest.h>
 #include <memory>
@@ -35,6 +36,7 @@
 		proxy->group_count = 1;
 		group->proxy = proxy.get();
 		kb_name_set(&group->name, KB_STR("g"));
+		index_group(proxy.get(), group.get());
 		kb_name_set(&proxy->self.name, KB_STR("self"));
 		EXPECT_EQ(KB_OK, kb_proxy_stats_init(&proxy->stats));
 		EXPECT_EQ(KB_OK, kb_hosts_init_at(&proxy->hosts, loop.base,
@@ -56,6 +58,7 @@
 	~CutOff() override
 	{
 		kb_proxy_session_close(session);
+		clear_group_index(proxy.get());
 		kb_hosts_finish(&proxy->hosts);
 		kb_databases_finish(&proxy->databases);
 		kb_proxy_stats_finish(&proxy->stats);
--- a/tests/test_first_watermark.cc
+++ b/tests/test_first_watermark.cc
@@ -1,6 +1,7 @@
 #include "fake_server.h"
 #include "fake_time.h"
 #include "proxy_internal.h"
+#include "group_index.h"
 
 #include <event2/listener.h>
 #include <gtest/gtest.h>
@@ -42,6 +43,7 @@
 		proxy->group_count = 1;
 		group->proxy = proxy.get();
 		kb_name_set(&group->name, KB_STR("g"));
+		index_group(proxy.get(), group.get());
 		address.sin_family = AF_INET;
 		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 		ASSERT_EQ(KB_OK, kb_rpc_server_init(&server, loop.base,
@@ -64,6 +66,7 @@
 	void TearDown() override
 	{
 		kb_proxy_group_end_watermark_calls(group.get());
+		clear_group_index(proxy.get());
 		kb_rpc_peer_finish(&peer);
 		kb_rpc_server_finish(&server);
 	}
--- a/tests/test_proxy_watermark.cc
+++ b/tests/test_proxy_watermark.cc
@@ -1,6 +1,7 @@
 #include "fake_server.h"
 #include "fake_time.h"
 #include "proxy_internal.h"
+#include "group_index.h"
 
 #include <gtest/gtest.h>
 #include <memory>
@@ -30,6 +31,12 @@
 		proxy->groups = groups;
 		proxy->group_count = 1;
 		kb_name_set(&group->name, KB_STR("g"));
+		index_group(proxy.get(), group.get());
+	}
+
+	~ProxyWatermark() override
+	{
+		clear_group_index(proxy.get());
 	}
 
 	void learn(uint64_t position, bool vacant)
--- a/tests/test_start_wait.cc
+++ b/tests/test_start_wait.cc
@@ -4,6 +4,7 @@
 #include "load/start_wait.h"
 #include "load/pool_conn.h"
 #include "proxy_statement.h"
+#include "group_index.h"
 
 #include <gtest/gtest.h>
 #include <memory>
@@ -46,6 +47,7 @@
 		proxy->group_count = 1;
 		group->proxy = proxy.get();
 		kb_name_set(&group->name, KB_STR("g"));
+		index_group(proxy.get(), group.get());
 		kb_name_set(&proxy->self.name, KB_STR("self"));
 		kb_link_pool_init(&group->pool, &pool_ops, group.get(), nullptr,
 				  &clock.base, 1);
@@ -69,6 +71,7 @@
 		kb_link_pool_finish(&group->pool);
 		for (kb_proxy_session_t *session : sessions)
 			kb_proxy_session_close(session);
+		clear_group_index(proxy.get());
 		kb_databases_finish(&proxy->databases);
 		kb_proxy_stats_finish(&proxy->stats);
 		kb_target_list_finish(&proxy->targets);
--- a/tests/test_target_belief.cc
+++ b/tests/test_target_belief.cc
@@ -17,6 +17,7 @@
       protected:
 	FakeTime time;
 	FakeLinkConnector connector;
+	kb_settings_t settings{};
 	std::unique_ptr<kb_proxy_t> proxy = std::make_unique<kb_proxy_t>();
 	kb_target_entry_t target{};
 	std::vector<std::unique_ptr<Statement>> reads;
@@ -29,6 +30,7 @@
 		*proxy = {};
 		proxy->clock = &time.base;
 		proxy->setup.connector = &connector.base;
+		proxy->setup.settings = &settings;
 		kb_name_set(&target.place.group, KB_STR("g"));
 		kb_name_set(&target.place.target, KB_STR("r"));
 		kb_name_set(&target.place.endpoint.address,
