Keep a team's account in up to four shares

Change: four shares at most, three for small limits.

Before: TeamLimits.RefuseNothingOnACalmDay/1 fails. After: the 75 tests of limits pass.

--- a/src/load/team_limit.h
+++ b/src/load/team_limit.h
@@ -7,7 +7,7 @@
 
 enum {
 	/* A team's limit is divided among at most this many keepers. */
-	KB_TEAM_SHARES_MAX = 5,
+	KB_TEAM_SHARES_MAX = 4,
 	/* The same for a limit whose shares would hold few operations. */
 	KB_TEAM_SHARES_SMALL = 3,
 };
