--- a/src/load/pool_wait.c
+++ b/src/load/pool_wait.c
@@ -47,8 +47,9 @@
 	for (const kb_pool_team_t *team = pool->teams; team;
 	     team = team->hh.next)
 		competing += team != job->team && team->queued;
-	return (unsigned)kb_stride_expected(count_own(job->team, kb_pool_job_class(job)),
-					    pool->job_count, 1, competing);
+	return (unsigned)kb_stride_expected(
+		count_own(job->team, kb_pool_job_class(job)), pool->job_count,
+		1, competing);
 }
 
 kb_time_t kb_pool_expected_wait(const kb_link_pool_t *pool,
--- a/tests/limit_simulation.cc
+++ b/tests/limit_simulation.cc
@@ -27,8 +27,8 @@
 	for (unsigned i = 0; i < KB_TEAM_SHARES_MAX; i++)
 		a.state.shares[i].near =
 			near(host, groups_[keeper(team, i)].holder);
-	while (unsigned wanted = kb_team_allowance_wanted(&a.state, now,
-							  &share)) {
+	while (unsigned wanted =
+		       kb_team_allowance_wanted(&a.state, now, &share)) {
 		kb_team_allowance_asked(&a.state, share, now);
 		ask(host, team, share, wanted);
 		pump(a, team);
@@ -66,8 +66,8 @@
 
 	while (!a.queue.empty()) {
 		Waiting waiting = a.queue.front();
-		kb_allowance_verdict_t verdict = kb_team_allowance_take(
-			&a.state, now, &ticket, &retry);
+		kb_allowance_verdict_t verdict =
+			kb_team_allowance_take(&a.state, now, &ticket, &retry);
 
 		if (verdict == KB_ALLOWANCE_WAIT && now < waiting.until)
 			return;
@@ -101,7 +101,8 @@
 	return !cut_off(a) && !cut_off(b) && uniform() > loss;
 }
 
-void LimitSimulation::ask(size_t host, size_t team, unsigned share, unsigned operations)
+void LimitSimulation::ask(size_t host, size_t team, unsigned share,
+			  unsigned operations)
 {
 	Allowance &a = hosts_[host].teams[team];
 	size_t g = keeper(team, share);
@@ -134,15 +135,15 @@
 				    hosts_[host].frozen_until),
 			   [=] {
 				   if (hosts_[host].life == life)
-					   answer(host, team, share,
-						  call, asked_at, loan);
+					   answer(host, team, share, call,
+						  asked_at, loan);
 			   });
 		});
 	});
 }
 
-void LimitSimulation::time_out(size_t host, size_t team, unsigned share, uint64_t call,
-	      uint64_t life)
+void LimitSimulation::time_out(size_t host, size_t team, unsigned share,
+			       uint64_t call, uint64_t life)
 {
 	if (hosts_[host].life != life)
 		return;
@@ -153,25 +154,25 @@
 		answer(host, team, share, call, 0, {});
 }
 
-LimitSimulation::Lent LimitSimulation::lend(size_t g, size_t host, size_t team, unsigned operations)
+LimitSimulation::Lent LimitSimulation::lend(size_t g, size_t host, size_t team,
+					    unsigned operations)
 {
 	kb_team_accounts_t *accounts = account_at(g, host);
 	std::string name = std::to_string(team);
 	kb_limit_share_t share = kb_team_limit_share(
 		teams[team].rate, teams[team].burst,
-		kb_team_limit_shares(teams[team].burst, &tolerance,
-				     GROUPS),
+		kb_team_limit_shares(teams[team].burst, &tolerance, GROUPS),
 		&tolerance);
 
 	if (!accounts)
 		return {};
-	return { true, kb_team_accounts_lend(
-			       accounts, { name.data(), name.size() },
-			       &share, 0, operations, now) };
+	return { true,
+		 kb_team_accounts_lend(accounts, { name.data(), name.size() },
+				       &share, 0, operations, now) };
 }
 
-void LimitSimulation::answer(size_t host, size_t team, unsigned share, uint64_t call,
-	    kb_time_t asked_at, Lent lent)
+void LimitSimulation::answer(size_t host, size_t team, unsigned share,
+			     uint64_t call, kb_time_t asked_at, Lent lent)
 {
 	Allowance &a = hosts_[host].teams[team];
 
@@ -184,10 +185,10 @@
 	}
 	if (lent.served) {
 		kb_team_allowance_on_loan(&a.state, share, asked_at,
-					  lent.loan.operations,
-					  lent.loan.retry, now);
-		kb_team_allowance_on_queue(&a.state, share,
-					   lent.loan.queue, now);
+					  lent.loan.operations, lent.loan.retry,
+					  now);
+		kb_team_allowance_on_queue(&a.state, share, lent.loan.queue,
+					   now);
 	} else {
 		kb_team_allowance_on_failure(&a.state, share, now);
 	}
