Do not read a queued statement's arguments when it ends

Cause: unlinking a job read its arguments again to know its kind, which the caller may have freed by then, as a finish of the pool does in tests; found by the address sanitizer (heap-use-after-free in kind_of). Also: teardown order of two fixtures, and an import that moved with the soak's callers.

Change: the kind is kept in the job.

--- a/soak/explain.py
+++ b/soak/explain.py
@@ -18,7 +18,8 @@
 import urllib.request
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from soak import Host, ask  # noqa: E402
+from callers import ask  # noqa: E402
+from soak import Host  # noqa: E402
 from standin import Platform  # noqa: E402
 
 FAILED, HOLD, LEAD, STORE_LOST = 1811, 1310, 1309, 1605
--- a/src/load/pool_conn.h
+++ b/src/load/pool_conn.h
@@ -52,6 +52,8 @@
 	kb_time_t objective;
 	kb_pool_team_t *team;
 	unsigned attempts;
+	/* Its kind when it was queued. */
+	int queued_kind;
 	/* Open transaction that it belongs to, or 0. */
 	uint64_t transaction;
 	/* Set once the statement itself was sent, not only preparations. */
--- a/src/load/pool_queue.c
+++ b/src/load/pool_queue.c
@@ -94,6 +94,7 @@
 	if (!team->queued++)
 		kb_stride_join(&team->stride, &pool->team_clock,
 			       credit_of(pool));
+	job->queued_kind = (int)kind;
 	list_add(&team->classes[kb_pool_job_class(job)].on_time[kind], job);
 	if (kind != KB_POOL_JOB_IN_TRANSACTION)
 		kb_team_use_wait(&team->use, kind == KB_POOL_JOB_BEGIN,
@@ -102,7 +103,7 @@
 
 kb_pool_job_t *kb_pool_job_unlink(kb_link_pool_t *pool, kb_pool_job_t *job)
 {
-	kb_pool_job_kind_t kind = kind_of(job);
+	kb_pool_job_kind_t kind = (kb_pool_job_kind_t)job->queued_kind;
 
 	if (!job->list)
 		return job;
--- a/tests/test_proxy_scale.cc
+++ b/tests/test_proxy_scale.cc
@@ -49,11 +49,12 @@
 	{
 		/* The table is part of the groups. */
 		HASH_CLEAR(by_name, proxy->groups_by_name);
+		/* Calls that end refer to groups. */
+		for (size_t i = 0; i < proxy->hosts.count; i++)
+			kb_rpc_peer_finish(&proxy->hosts.hosts[i]->peer);
 		for (size_t i = 0; i < proxy->group_count; i++)
 			kb_proxy_group_free(proxy->groups[i]);
 		free(proxy->groups);
-		for (size_t i = 0; i < proxy->hosts.count; i++)
-			kb_rpc_peer_finish(&proxy->hosts.hosts[i]->peer);
 		kb_hosts_finish(&proxy->hosts);
 		kb_target_list_finish(&proxy->targets);
 		kb_proxy_loads_finish(proxy.get());
--- a/tests/test_target_belief.cc
+++ b/tests/test_target_belief.cc
@@ -42,6 +42,7 @@
 
 	~Gate() override
 	{
+		HASH_CLEAR(by_target, proxy->gates_by_target);
 		for (size_t i = 0; i < proxy->gate_count; i++)
 			kb_proxy_gate_free(proxy->gates[i]);
 		free(proxy->gates);
