--- a/tests/test_cut_off.cc
+++ b/tests/test_cut_off.cc
@@ -62,7 +62,7 @@
 		kb_hosts_finish(&proxy->hosts);
 		kb_databases_finish(&proxy->databases);
 		kb_proxy_stats_finish(&proxy->stats);
-		free(proxy->loads);
+		kb_proxy_loads_finish(proxy.get());
 	}
 
 	void configure()
--- a/tests/test_start_wait.cc
+++ b/tests/test_start_wait.cc
@@ -75,7 +75,7 @@
 		kb_databases_finish(&proxy->databases);
 		kb_proxy_stats_finish(&proxy->stats);
 		kb_target_list_finish(&proxy->targets);
-		free(proxy->loads);
+		kb_proxy_loads_finish(proxy.get());
 	}
 
 	void read()
