Announce an order to promote before it is sent

The primary of a group was silent for 1.9 s, its holder ordered a promotion, the primary answered again and the holder was killed before the promotion took effect. The next holder served the old primary.

Cause: the order was known only to the process that had sent it. Nothing on the targets shows an accepted promotion before it takes effect, so a new or restarted holder took the old primary for the present one. A holder that loses its lease while alive, one that asks again after 2 s, and one whose ordered target's entry expires lost the order in the same way.

Now a holder announces the order, in the record of the lease or, if the store does not confirm that within 0.3 s, to the voters with its renewals. A new holder has read the record or is told by one of its voters. While an order is open it uses no primary of its term or of an earlier one, and repeats the order to the same target.

Why it works: each set of voters with which a later holder can serve has a member that knows of the order, or the record that it had to read has it; and of two writes of the record at the same time, one fails.

--- a/src/gen/kumquat_session.h
+++ b/src/gen/kumquat_session.h
@@ -146,11 +146,19 @@
 };
 typedef struct kbs_feed_res kbs_feed_res;
 
+struct kbs_order {
+	u_quad_t number;
+	u_quad_t term;
+	kbs_text target;
+};
+typedef struct kbs_order kbs_order;
+
 struct kbs_grant_args {
 	kbs_text group;
 	kbs_text holder;
 	u_quad_t revision;
 	bool_t serving;
+	kbs_order order;
 };
 typedef struct kbs_grant_args kbs_grant_args;
 
@@ -158,6 +166,7 @@
 	bool_t granted;
 	quad_t quiet_us;
 	quad_t store_age_us;
+	kbs_order order;
 };
 typedef struct kbs_grant_res kbs_grant_res;
 
@@ -265,6 +274,7 @@
 extern  bool_t xdr_kbs_sync_args (XDR *, kbs_sync_args*);
 extern  bool_t xdr_kbs_sync_res (XDR *, kbs_sync_res*);
 extern  bool_t xdr_kbs_feed_res (XDR *, kbs_feed_res*);
+extern  bool_t xdr_kbs_order (XDR *, kbs_order*);
 extern  bool_t xdr_kbs_grant_args (XDR *, kbs_grant_args*);
 extern  bool_t xdr_kbs_grant_res (XDR *, kbs_grant_res*);
 extern  bool_t xdr_kbs_look_args (XDR *, kbs_look_args*);
@@ -295,6 +305,7 @@
 extern bool_t xdr_kbs_sync_args ();
 extern bool_t xdr_kbs_sync_res ();
 extern bool_t xdr_kbs_feed_res ();
+extern bool_t xdr_kbs_order ();
 extern bool_t xdr_kbs_grant_args ();
 extern bool_t xdr_kbs_grant_res ();
 extern bool_t xdr_kbs_look_args ();
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -138,6 +138,15 @@
 	opaque data<KBS_FEED_MAX>;
 };
 
+/* The last order to promote a target of a group. */
+struct kbs_order {
+	/* 0: the sender knows of none. */
+	unsigned hyper number;
+	unsigned hyper term;
+	/* Empty if the order was withdrawn. */
+	kbs_text target;
+};
+
 /* The holder of a group asks a candidate not to take the group over. */
 struct kbs_grant_args {
 	kbs_text group;
@@ -145,6 +154,7 @@
 	unsigned hyper revision;
 	/* Whether the sender serves the group now. */
 	bool serving;
+	kbs_order order;
 };
 
 struct kbs_grant_res {
@@ -153,6 +163,7 @@
 	hyper quiet_us;
 	/* Time since this host reached the store itself, in microseconds. */
 	hyper store_age_us;
+	kbs_order order;
 };
 
 /* The store's key of a group names the receiver now. */
--- a/src/gen/kumquat_session_xdr.c
+++ b/src/gen/kumquat_session_xdr.c
@@ -264,6 +264,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_kbs_order (XDR *xdrs, kbs_order *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_kbs_text (xdrs, &objp->target))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_kbs_grant_args (XDR *xdrs, kbs_grant_args *objp)
 {
@@ -277,6 +291,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->serving))
 		 return FALSE;
+	 if (!xdr_kbs_order (xdrs, &objp->order))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -291,6 +307,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->store_age_us))
 		 return FALSE;
+	 if (!xdr_kbs_order (xdrs, &objp->order))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/lease.h
+++ b/src/lease.h
@@ -1,13 +1,12 @@
 #ifndef KB_LEASE_H
 #define KB_LEASE_H
 
+#include "lease_ranking.h"
 #include "lease_record.h"
 
 KB_BEGIN_DECLS
 
 enum {
-	/* Hosts of a ranking; those after them do not take over. */
-	KB_LEASE_HOSTS_MAX = 24,
 	/* Validity of a renewal, counted from when it was sent. */
 	KB_LEASE_DURATION_MS = 900,
 	/* Interval of renewals; four are sent within the validity of one. */
@@ -50,6 +49,11 @@
 	KB_LEASE_AVOIDED_S = 8,
 	/* A voter that has granted no renewal for this is replaced. */
 	KB_LEASE_VOTER_TIMEOUT_MS = 700,
+	/*
+	 * An order that the store has not confirmed for this is only told to
+	 * the voters.
+	 */
+	KB_LEASE_ORDER_STORE_TIMEOUT_MS = 300,
 	/* The holder stops serving this long before the lease expires. */
 	KB_LEASE_SAFETY_MARGIN_MS = 50,
 };
@@ -75,15 +79,6 @@
 
 typedef struct kb_lease kb_lease_t;
 
-/*
- * Live hosts in order of preference: the current voters, as they can take over
- * fastest, then others that are suitable as a holder or voter.
- */
-typedef struct kb_lease_ranking {
-	size_t count;
-	kb_name_t hosts[KB_LEASE_HOSTS_MAX];
-} kb_lease_ranking_t;
-
 /* An operation that is not answered is retried. */
 typedef struct kb_lease_ops {
 	/* Reads the key; kb_lease_on_read() follows with `sent_at`. */
@@ -164,6 +159,11 @@
  * that knows of the new era grants renewals of an earlier one only to the
  * holder that has its last grant.
  *
+ * Orders: a holder that is about to request a promotion first announces it, in
+ * the record or, while the store does not confirm that, with its renewals to
+ * the voters. So each later holder knows of it: it has read the record, or one
+ * of the voters that grant its renewals tells it.
+ *
  * All times come from a clock that also runs while the machine is suspended.
  */
 struct kb_lease {
@@ -198,6 +198,10 @@
 	/* Revision of the key at `as_of`, or 0; writes are conditioned on it.
 	 */
 	int64_t key_revision;
+	/* The last order to promote a target that this host knows of. */
+	kb_promotion_order_t order;
+	/* Time at which this host, the holder, began to announce it. */
+	kb_time_t ordered_at;
 	/* Revision of the key at the takeover; used as fencing token. */
 	int64_t token;
 	/* In role KB_LEASE_WAITING: time from which it may settle the lease. */
@@ -306,6 +310,18 @@
 		       kb_time_t sent_at, int granted, kb_time_t exclusive_time,
 		       kb_time_t now);
 
+/*
+ * Announces the order to promote `target`, or with NULL withdraws the last one.
+ * `term` is the highest term known. Returns whether each later holder will know
+ * of it; if not, it is to be called again. Always 0 if this host does not
+ * serve.
+ */
+int kb_lease_announce_order(kb_lease_t *lease, const kb_name_t *target,
+			    uint64_t term, kb_time_t now);
+
+/* Takes an order that another host knows of. */
+void kb_lease_learn_order(kb_lease_t *lease, const kb_promotion_order_t *order);
+
 /* Takes notice that the store was restored, whatever the key shows. */
 void kb_lease_on_restore(kb_lease_t *lease);
 
--- a/src/lease_internal.h
+++ b/src/lease_internal.h
@@ -72,6 +72,12 @@
  */
 void kb_lease_rewrite_restored(kb_lease_t *lease, kb_time_t now);
 
+/*
+ * Writes the holder's record with an order that it lacks. Returns 0 if it has
+ * it, or if it cannot be written now.
+ */
+int kb_lease_write_order(kb_lease_t *lease, kb_time_t now);
+
 void kb_lease_begin_read(kb_lease_t *lease, kb_time_t now);
 /* Writes `pending` in the known era, conditioned on the known key. */
 void kb_lease_begin_write(kb_lease_t *lease, kb_time_t now);
--- /dev/null
+++ b/src/lease_order.c
@@ -0,0 +1,70 @@
+#include "lease_internal.h"
+
+/*
+ * Whether so many voters besides this host know the order that each set of
+ * voters with which a later holder can serve contains one of them. This host
+ * may lose what it knows by a restart.
+ */
+static int known_to_voters(const kb_lease_t *lease, const kb_voter_set_t *set)
+{
+	size_t knowing = 0;
+
+	for (size_t i = 0; i < lease->grant_count; i++)
+		if (lease->grants[i].granted &&
+		    lease->grants[i].sent_at >= lease->ordered_at &&
+		    kb_voter_set_contains(set, &lease->grants[i].voter))
+			knowing++;
+	return knowing >= set->count - set->count / 2;
+}
+
+static int known_to_store(const kb_lease_t *lease)
+{
+	return lease->revision && !lease->restored &&
+	       kb_promotion_order_equal(&lease->record.order, &lease->order);
+}
+
+int kb_lease_announce_order(kb_lease_t *lease, const kb_name_t *target,
+			    uint64_t term, kb_time_t now)
+{
+	static const kb_name_t none;
+	const kb_name_t *name = target ? target : &none;
+
+	if (lease->role != KB_LEASE_SERVING)
+		return 0;
+	if (lease->order.term != term ||
+	    !kb_lease_names_equal(&lease->order.target, name)) {
+		lease->order.number++;
+		lease->order.term = term;
+		lease->order.target = *name;
+		lease->ordered_at = now;
+		/* The next tick renews, and so tells the voters. */
+		lease->renewals_sent_at = 0;
+	}
+	if (known_to_store(lease))
+		return 1;
+	return now - lease->ordered_at >=
+		       KB_LEASE_ORDER_STORE_TIMEOUT_MS * KB_NS_PER_MS &&
+	       known_to_voters(lease, &lease->record.voters) &&
+	       (!lease->rewriting ||
+		known_to_voters(lease, &lease->pending.voters));
+}
+
+void kb_lease_learn_order(kb_lease_t *lease, const kb_promotion_order_t *order)
+{
+	if (order->number > lease->order.number)
+		lease->order = *order;
+}
+
+int kb_lease_write_order(kb_lease_t *lease, kb_time_t now)
+{
+	if (lease->role != KB_LEASE_SERVING || lease->rewriting ||
+	    !lease->revision ||
+	    kb_promotion_order_equal(&lease->record.order, &lease->order))
+		return 0;
+	lease->pending = lease->record;
+	lease->preparing = 0;
+	lease->rewriting = 1;
+	kb_lease_rebuild_grants(lease);
+	kb_lease_begin_write(lease, now);
+	return 1;
+}
--- a/src/lease_record.c
+++ b/src/lease_record.c
@@ -11,18 +11,28 @@
 	return array;
 }
 
+static json_t *format_order(const kb_promotion_order_t *order)
+{
+	if (!order->number)
+		return NULL;
+	return json_pack("{s:I,s:I,s:s}", "number", (json_int_t)order->number,
+			 "term", (json_int_t)order->term, "target",
+			 order->target.data);
+}
+
 char *kb_lease_record_format(const kb_lease_record_t *record)
 {
 	json_t *json;
 	char *text;
 
-	json = json_pack("{s:s,s:I,s:b,s:b,s:o,s:o,s:b}", "holder",
+	json = json_pack("{s:s,s:I,s:b,s:b,s:o,s:o,s:b,s:o*}", "holder",
 			 record->holder.data, "era", (json_int_t)record->era,
 			 "released", record->released, "settled",
 			 record->settled, "candidates",
 			 format_set(&record->voters), "former",
 			 format_set(&record->former_voters), "formerLost",
-			 record->former_unknown);
+			 record->former_unknown, "promotion",
+			 format_order(&record->order));
 	text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	json_decref(json);
 	return text;
@@ -47,25 +57,46 @@
 	return KB_OK;
 }
 
+/* A record without an order is of a group without a promotion. */
+static kb_result_t read_order(kb_promotion_order_t *order, json_t *json)
+{
+	const char *target;
+	json_int_t number;
+	json_int_t term;
+
+	if (!json)
+		return KB_OK;
+	if (json_unpack(json, "{s:I,s:I,s:s}", "number", &number, "term", &term,
+			"target", &target) ||
+	    number < 0 || term < 0 ||
+	    kb_name_set(&order->target, kb_str_from(target)))
+		return KB_ERR_PROTOCOL;
+	order->number = (uint64_t)number;
+	order->term = (uint64_t)term;
+	return KB_OK;
+}
+
 kb_result_t kb_lease_record_parse(kb_lease_record_t *record, kb_str_t text)
 {
 	json_t *json = json_loadb(text.data, text.len, 0, NULL);
 	kb_result_t result = KB_ERR_PROTOCOL;
 	json_t *voters;
 	json_t *former_voters;
+	json_t *order = NULL;
 	const char *holder;
 	/* A record without it is of the time before stores had eras. */
 	json_int_t era = 0;
 
 	memset(record, 0, sizeof(*record));
 	if (json &&
-	    !json_unpack(json, "{s:s,s?I,s:b,s:b,s:o,s:o,s:b}", "holder",
+	    !json_unpack(json, "{s:s,s?I,s:b,s:b,s:o,s:o,s:b,s?o}", "holder",
 			 &holder, "era", &era, "released", &record->released,
 			 "settled", &record->settled, "candidates", &voters,
 			 "former", &former_voters, "formerLost",
-			 &record->former_unknown) &&
+			 &record->former_unknown, "promotion", &order) &&
 	    *holder && !kb_name_set(&record->holder, kb_str_from(holder)) &&
-	    !read_set(&record->voters, voters))
+	    !read_set(&record->voters, voters) &&
+	    !read_order(&record->order, order))
 		result = read_set(&record->former_voters, former_voters);
 	record->era = era;
 	json_decref(json);
--- a/src/lease_record.h
+++ b/src/lease_record.h
@@ -1,7 +1,7 @@
 #ifndef KB_LEASE_RECORD_H
 #define KB_LEASE_RECORD_H
 
-#include "str.h"
+#include "promotion_order.h"
 
 KB_BEGIN_DECLS
 
@@ -37,6 +37,8 @@
 	 */
 	kb_voter_set_t former_voters;
 	int former_unknown;
+	/* The last order to promote a target of the group. */
+	kb_promotion_order_t order;
 } kb_lease_record_t;
 
 /* Whether a host is one of the voters. */
--- a/src/lease_restore.c
+++ b/src/lease_restore.c
@@ -22,6 +22,8 @@
 	/* It tells a host that has started whom it may ask. */
 	if (!lease->known && record)
 		lease->record = *record;
+	if (record)
+		kb_lease_learn_order(lease, &record->order);
 	kb_lease_set_known(lease, now);
 	lease->as_of = revision;
 	lease->key_revision = record ? revision : 0;
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -50,6 +50,11 @@
 KB_EVENT(1312, HOLD_FENCED, INFO,
 	 "other hosts have granted a renewal that excludes former ones")
 
+KB_EVENT(1313, PROMOTION_REPEATED, WARN,
+	 "an order to promote is repeated, as it may be open")
+KB_EVENT(1314, PROMOTION_WITHDRAWN, WARN,
+	 "an order to promote was refused and is withdrawn")
+
 KB_EVENT(1400, MEMBER_JOINED, INFO, "host joined or returned")
 KB_EVENT(1401, MEMBER_LEAVING, INFO, "host is leaving and accepts no new work")
 KB_EVENT(1402, MEMBER_SUSPECTED, DEBUG, "host does not answer probes")
--- a/src/monitor.c
+++ b/src/monitor.c
@@ -69,6 +69,7 @@
 	monitor->former_primary.len = 0;
 	monitor->planned = 0;
 	monitor->releasing = 0;
+	monitor->order_state = KB_ORDER_OPEN;
 	monitor->gap_start = now;
 	kb_monitor_set_state(monitor,
 			     holds_lease ? KB_MONITOR_FINDING : KB_MONITOR_IDLE,
@@ -181,6 +182,7 @@
 	monitor->newest = report->received;
 	monitor->promotee.len = 0;
 	monitor->promotion_open_until = 0;
+	monitor->order_state = KB_ORDER_NONE;
 	monitor->planned = 0;
 	monitor->ops->bind(monitor->ctx, primary);
 	kb_log(KB_EVENT_PRIMARY_SERVES,
@@ -197,6 +199,8 @@
 static void tick_finding(kb_monitor_t *monitor, const kb_target_list_t *targets,
 			 kb_time_t now)
 {
+	const kb_monitor_probe_t *ordered = kb_monitor_find_probe(
+		monitor, kb_name_str(&monitor->order.target));
 	const kb_monitor_probe_t *best = NULL;
 	uint64_t highest = 0;
 	size_t answered;
@@ -215,13 +219,12 @@
 		    (!best || probe->report.term > best->report.term))
 			best = probe;
 	}
-	/* The primary that is found is about to be replaced. */
-	if (now < monitor->promotion_open_until &&
-	    (!best || best->report.term <= monitor->promotion_term)) {
-		/* Probe all targets again. */
+	if (best ? kb_monitor_is_order_open(monitor, &best->target,
+					    best->report.term)
+		 : ordered && ordered->answered_at > monitor->state_since) {
 		if (!missing ||
 		    spent >= KB_MONITOR_FIND_TIMEOUT_MS * KB_NS_PER_MS)
-			monitor->state_since = now;
+			kb_monitor_resolve_order(monitor, now);
 		return;
 	}
 	if (best && best->report.term >= highest &&
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -1,6 +1,7 @@
 #ifndef KB_MONITOR_H
 #define KB_MONITOR_H
 
+#include "promotion_order.h"
 #include "target_list.h"
 
 KB_BEGIN_DECLS
@@ -66,6 +67,18 @@
 	int rejected;
 } kb_monitor_probe_t;
 
+/* What this holder knows about the last order. */
+typedef enum kb_order_state {
+	/* It may take effect: accepted, not answered or of another holder. */
+	KB_ORDER_OPEN,
+	/* It is over, or its only request was refused. */
+	KB_ORDER_NONE,
+	/* Its first request is not answered yet. */
+	KB_ORDER_SENT,
+	/* The platform has refused to repeat an open order. */
+	KB_ORDER_REPEAT_REFUSED,
+} kb_order_state_t;
+
 typedef struct kb_monitor kb_monitor_t;
 
 typedef struct kb_monitor_ops {
@@ -73,6 +86,12 @@
 	void (*probe)(void *ctx, const kb_target_entry_t *target);
 	void (*step_down)(void *ctx, const kb_target_entry_t *target,
 			  uint64_t term);
+	/*
+	 * Announces the order to promote `target`, or with NULL withdraws the
+	 * last one; `term` is the highest term known. Returns whether each
+	 * later holder of the lease will know of it; else it is called again.
+	 */
+	int (*announce)(void *ctx, const kb_name_t *target, uint64_t term);
 	/* Requests a promotion; kb_monitor_on_promoted() follows. */
 	void (*promote)(void *ctx, const kb_target_entry_t *target);
 	/*
@@ -114,19 +133,26 @@
 	size_t probe_count;
 	kb_monitor_probe_t probes[KB_MONITOR_TARGETS_MAX];
 	/*
-	 * Target being promoted or, during a switchover, the replica that is
-	 * waited for; empty while there is none.
+	 * Target that is or will be promoted or, during a switchover, the
+	 * replica that is waited for; empty while there is none.
 	 */
 	kb_name_t promotee;
 	kb_time_t promotee_since;
+	/* Term in which it reported to be the primary before; 0 if it did not.
+	 */
+	uint64_t promotee_term;
 	int promotion_sent;
+	/*
+	 * The last order of any holder. Until a primary of a later term is
+	 * found, no earlier one is used.
+	 */
+	kb_promotion_order_t order;
+	kb_order_state_t order_state;
 	/*
 	 * Until then a promotion that was requested may take effect; 0 if none
 	 * may. Outlives the lease, as the request does.
 	 */
 	kb_time_t promotion_open_until;
-	/* Highest term known when it was requested. */
-	uint64_t promotion_term;
 	/* The lease is about to be released: no promotion is requested. */
 	int releasing;
 	int planned;
@@ -157,6 +183,13 @@
  */
 void kb_monitor_require_term(kb_monitor_t *monitor, uint64_t term);
 
+/*
+ * Takes the last order that is known, also from former holders. A primary that
+ * it may replace is no longer used.
+ */
+void kb_monitor_set_order(kb_monitor_t *monitor,
+			  const kb_promotion_order_t *order, kb_time_t now);
+
 /* Runs the actions that are due; `targets` are those of all groups. */
 void kb_monitor_tick(kb_monitor_t *monitor, const kb_target_list_t *targets,
 		     kb_time_t now);
--- a/src/monitor_internal.h
+++ b/src/monitor_internal.h
@@ -26,7 +26,32 @@
 			      const kb_target_entry_t *primary,
 			      const kb_target_report_t *report, kb_time_t now);
 
+/* Highest term that this holder knows of. */
+uint64_t kb_monitor_highest_term(const kb_monitor_t *monitor);
+
+/* Whether the last order may still replace the primary of `term`. */
+int kb_monitor_is_order_open(const kb_monitor_t *monitor,
+			     const kb_name_t *primary, uint64_t term);
+/*
+ * While the last order may replace the primary that was found: waits for it,
+ * repeats it, or withdraws it if it was refused. Called once all targets have
+ * had time to answer.
+ */
+void kb_monitor_resolve_order(kb_monitor_t *monitor, kb_time_t now);
+/*
+ * Whether `primary` may be served in spite of the last order: that is over, or
+ * is withdrawn as this holder knows that `primary` was promoted.
+ */
+int kb_monitor_end_order(kb_monitor_t *monitor,
+			 const kb_monitor_probe_t *primary);
+/* Announces the order to promote `promotee`, then requests the promotion. */
+void kb_monitor_send_order(kb_monitor_t *monitor,
+			   const kb_target_list_t *targets, kb_time_t now);
+
 void kb_monitor_begin_promotion(kb_monitor_t *monitor, kb_time_t now);
+/* Begins to promote `target`, without a poll of the replicas. */
+void kb_monitor_promote_target(kb_monitor_t *monitor, const kb_name_t *target,
+			       kb_time_t now);
 void kb_monitor_tick_promoting(kb_monitor_t *monitor,
 			       const kb_target_list_t *targets, kb_time_t now);
 void kb_monitor_tick_switchover(kb_monitor_t *monitor,
--- /dev/null
+++ b/src/monitor_order.c
@@ -0,0 +1,173 @@
+#include "monitor_internal.h"
+
+#include "log.h"
+
+#include <inttypes.h>
+
+uint64_t kb_monitor_highest_term(const kb_monitor_t *monitor)
+{
+	uint64_t highest = monitor->term;
+
+	for (size_t i = 0; i < monitor->probe_count; i++)
+		if (monitor->probes[i].report.term > highest)
+			highest = monitor->probes[i].report.term;
+	return highest;
+}
+
+int kb_monitor_is_order_open(const kb_monitor_t *monitor,
+			     const kb_name_t *primary, uint64_t term)
+{
+	const kb_promotion_order_t *order = &monitor->order;
+
+	if (!order->target.len || term > order->term)
+		return 0;
+	/* It had taken effect before the order was repeated. */
+	return term < order->term ||
+	       !kb_name_is(&order->target, kb_name_str(primary));
+}
+
+void kb_monitor_set_order(kb_monitor_t *monitor,
+			  const kb_promotion_order_t *order, kb_time_t now)
+{
+	monitor->order = *order;
+	if ((monitor->state != KB_MONITOR_SERVING &&
+	     monitor->state != KB_MONITOR_SUSPECTING &&
+	     monitor->state != KB_MONITOR_SWITCHOVER) ||
+	    !kb_monitor_is_order_open(
+		    monitor, &monitor->primary.place.target, monitor->term))
+		return;
+	monitor->has_primary = 0;
+	monitor->order_state = KB_ORDER_OPEN;
+	monitor->gap_start = now;
+	kb_monitor_set_state(monitor, KB_MONITOR_FINDING, now);
+	monitor->ops->abort(monitor->ctx);
+	monitor->ops->bind(monitor->ctx, NULL);
+}
+
+/* Returns whether the order is withdrawn for each later holder, too. */
+static int withdraw_order(kb_monitor_t *monitor)
+{
+	if (!monitor->ops->announce(monitor->ctx, NULL, monitor->order.term))
+		return 0;
+	kb_log(KB_EVENT_PROMOTION_WITHDRAWN,
+	       "group=%s target=%s term=%" PRIu64 " number=%" PRIu64,
+	       monitor->group.data, monitor->order.target.data,
+	       monitor->order.term, monitor->order.number);
+	monitor->order.target.len = 0;
+	monitor->order_state = KB_ORDER_NONE;
+	return 1;
+}
+
+void kb_monitor_resolve_order(kb_monitor_t *monitor, kb_time_t now)
+{
+	const kb_monitor_probe_t *probe = kb_monitor_find_probe(
+		monitor, kb_name_str(&monitor->order.target));
+
+	if (now < monitor->promotion_open_until) {
+		/* Probe all targets again. */
+		monitor->state_since = now;
+		return;
+	}
+	if (monitor->order_state == KB_ORDER_NONE ||
+	    monitor->order_state == KB_ORDER_REPEAT_REFUSED) {
+		withdraw_order(monitor);
+		return;
+	}
+	if (probe && probe->answered_at > monitor->state_since) {
+		kb_log(KB_EVENT_PROMOTION_REPEATED,
+		       "group=%s target=%s term=%" PRIu64 " number=%" PRIu64,
+		       monitor->group.data, monitor->order.target.data,
+		       monitor->order.term, monitor->order.number);
+		kb_monitor_promote_target(monitor, &monitor->order.target, now);
+		return;
+	}
+	if (now - monitor->state_since >=
+	    KB_MONITOR_SILENT_TIMEOUT_MS * KB_NS_PER_MS)
+		kb_monitor_begin_promotion(monitor, now);
+}
+
+void kb_monitor_send_order(kb_monitor_t *monitor,
+			   const kb_target_list_t *targets, kb_time_t now)
+{
+	kb_str_t target = kb_name_str(&monitor->promotee);
+	const kb_target_entry_t *entry = kb_target_list_find(targets, target);
+	const kb_monitor_probe_t *probe =
+		kb_monitor_find_probe(monitor, target);
+	uint64_t term = kb_monitor_highest_term(monitor);
+
+	if (!entry || entry->leaving || !probe || probe->rejected ||
+	    now - monitor->promotee_since >
+		    KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS) {
+		/* Choose a target again. */
+		monitor->promotee.len = 0;
+		monitor->state_since = now;
+		return;
+	}
+	if (monitor->releasing ||
+	    monitor->ops->lease_left(monitor->ctx) <
+		    KB_MONITOR_MIN_LEASE_LEFT_MS * KB_NS_PER_MS)
+		return;
+	/* Primaries of the terms before an open order stay excluded. */
+	if (monitor->order.target.len && monitor->order.term > term)
+		term = monitor->order.term;
+	if (!monitor->ops->announce(monitor->ctx, &monitor->promotee, term))
+		return;
+	if (monitor->order_state == KB_ORDER_NONE || !monitor->order.target.len)
+		monitor->order_state = KB_ORDER_SENT;
+	else
+		monitor->order_state = KB_ORDER_OPEN;
+	monitor->promotion_sent = 1;
+	monitor->promotee_since = now;
+	monitor->promotee_term =
+		probe->report.is_primary ? probe->report.term : 0;
+	monitor->promotion_open_until =
+		now + KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS;
+	monitor->promotions++;
+	kb_log(KB_EVENT_PROMOTE_SENT,
+	       "group=%s target=%s received=%" PRIu64 ".%" PRIu64
+	       " newest=%" PRIu64 ".%" PRIu64 " planned=%d",
+	       monitor->group.data, probe->target.data,
+	       probe->report.received.term, probe->report.received.position,
+	       monitor->newest.term, monitor->newest.position,
+	       monitor->planned);
+	monitor->ops->promote(monitor->ctx, entry);
+}
+
+int kb_monitor_end_order(kb_monitor_t *monitor,
+			 const kb_monitor_probe_t *primary)
+{
+	return !kb_monitor_is_order_open(monitor, &primary->target,
+					 primary->report.term) ||
+	       withdraw_order(monitor);
+}
+
+void kb_monitor_on_promoted(kb_monitor_t *monitor, kb_str_t target,
+			    kb_result_t result, kb_time_t now)
+{
+	kb_monitor_probe_t *probe = kb_monitor_find_probe(monitor, target);
+	int is_first = monitor->order_state == KB_ORDER_SENT;
+
+	if (!probe || monitor->state != KB_MONITOR_PROMOTING ||
+	    !monitor->promotion_sent || !kb_name_is(&monitor->promotee, target))
+		return;
+	if (result)
+		kb_log(KB_EVENT_PROMOTION_FAILED,
+		       "group=%s target=%s result=%s", monitor->group.data,
+		       monitor->promotee.data, kb_result_name(result));
+	if (result != KB_ERR_CONFLICT && result != KB_ERR_OVERLOADED &&
+	    result != KB_ERR_UNREACHABLE) {
+		monitor->order_state = KB_ORDER_OPEN;
+		return;
+	}
+	if (is_first) {
+		monitor->order_state = KB_ORDER_NONE;
+		monitor->promotion_open_until = 0;
+	} else if (result == KB_ERR_CONFLICT) {
+		monitor->order_state = KB_ORDER_REPEAT_REFUSED;
+	}
+	if (result == KB_ERR_CONFLICT)
+		probe->rejected = 1;
+	/* The promotion was not done: choose a target again at once. */
+	monitor->promotee_since =
+		now - KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS;
+}
--- a/src/monitor_promotion.c
+++ b/src/monitor_promotion.c
@@ -23,6 +23,14 @@
 	monitor->ops->bind(monitor->ctx, NULL);
 }
 
+void kb_monitor_promote_target(kb_monitor_t *monitor, const kb_name_t *target,
+			       kb_time_t now)
+{
+	kb_monitor_begin_promotion(monitor, now);
+	monitor->promotee = *target;
+	monitor->promotee_since = now;
+}
+
 /*
  * Returns the replica with the newest log among those that have answered since
  * `after` and may be promoted, or NULL.
@@ -31,6 +39,7 @@
 					  const kb_target_list_t *targets,
 					  kb_time_t after)
 {
+	uint64_t highest = kb_monitor_highest_term(monitor);
 	kb_monitor_probe_t *best = NULL;
 
 	for (size_t i = 0; i < monitor->probe_count; i++) {
@@ -41,8 +50,12 @@
 				kb_name_is(&monitor->primary.place.target,
 					   kb_name_str(&probe->target));
 
+		/* To promote the present primary would change nothing. */
+		int is_leader = probe->report.is_primary &&
+				probe->report.term >= highest;
+
 		if (probe->rejected || probe->answered_at <= after ||
-		    is_former || !entry || entry->leaving)
+		    is_former || is_leader || !entry || entry->leaving)
 			continue;
 		if (!best || kb_point_compare(probe->report.received,
 					      best->report.received) > 0)
@@ -51,39 +64,6 @@
 	return best;
 }
 
-/* Requests the promotion of a target, if the lease lasts long enough. */
-static void send_promotion(kb_monitor_t *monitor,
-			   const kb_target_list_t *targets,
-			   kb_monitor_probe_t *probe, kb_time_t now)
-{
-	const kb_target_entry_t *entry =
-		kb_target_list_find(targets, kb_name_str(&probe->target));
-
-	if (monitor->releasing ||
-	    monitor->ops->lease_left(monitor->ctx) <
-		    KB_MONITOR_MIN_LEASE_LEFT_MS * KB_NS_PER_MS)
-		return;
-	monitor->promotee = probe->target;
-	monitor->promotion_sent = 1;
-	monitor->promotee_since = now;
-	monitor->promotion_open_until =
-		now + KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS;
-	monitor->promotion_term = monitor->term;
-	for (size_t i = 0; i < monitor->probe_count; i++)
-		if (monitor->probes[i].report.term > monitor->promotion_term)
-			monitor->promotion_term =
-				monitor->probes[i].report.term;
-	monitor->promotions++;
-	kb_log(KB_EVENT_PROMOTE_SENT,
-	       "group=%s target=%s received=%" PRIu64 ".%" PRIu64
-	       " newest=%" PRIu64 ".%" PRIu64 " planned=%d",
-	       monitor->group.data, probe->target.data,
-	       probe->report.received.term, probe->report.received.position,
-	       monitor->newest.term, monitor->newest.position,
-	       monitor->planned);
-	monitor->ops->promote(monitor->ctx, entry);
-}
-
 /*
  * Whether a target that cannot be promoted, as it is leaving or its promotion
  * was refused, has reported a newer log than `best`.
@@ -122,19 +102,33 @@
 		&probe->report, now);
 }
 
-/* Whether the target that was last ordered to lead does so by now. */
-static int took_effect_late(const kb_monitor_t *monitor,
-			    const kb_monitor_probe_t *probe)
+/*
+ * Returns a target that leads a later term than the former primary, as an
+ * earlier promotion has taken effect since, or NULL.
+ */
+static const kb_monitor_probe_t *find_successor(const kb_monitor_t *monitor)
 {
-	return probe && probe->answered_at > monitor->state_since &&
-	       probe->report.is_primary &&
-	       probe->report.term > monitor->promotion_term;
+	uint64_t highest = kb_monitor_highest_term(monitor);
+
+	for (size_t i = 0; i < monitor->probe_count; i++) {
+		const kb_monitor_probe_t *probe = &monitor->probes[i];
+
+		if (probe->answered_at > monitor->state_since &&
+		    probe->report.is_primary && probe->report.term >= highest &&
+		    (monitor->has_primary ? probe->report.term > monitor->term
+					  : monitor->order.target.len != 0) &&
+		    !kb_monitor_is_order_open(monitor, &probe->target,
+					      probe->report.term))
+			return probe;
+	}
+	return NULL;
 }
 
 static void tick_polling(kb_monitor_t *monitor, const kb_target_list_t *targets,
 			 kb_time_t now)
 {
-	kb_monitor_probe_t *best;
+	const kb_monitor_probe_t *successor;
+	const kb_monitor_probe_t *best;
 	size_t answered;
 	size_t missing = kb_monitor_probe_all(
 		monitor, targets, monitor->state_since, now, &answered);
@@ -143,9 +137,9 @@
 
 	if (!has_all && spent < KB_MONITOR_POLL_TIMEOUT_MS * KB_NS_PER_MS)
 		return;
-	best = kb_monitor_find_probe(monitor, kb_name_str(&monitor->promotee));
-	if (took_effect_late(monitor, best)) {
-		finish_promotion(monitor, targets, best, now);
+	successor = find_successor(monitor);
+	if (successor) {
+		finish_promotion(monitor, targets, successor, now);
 		return;
 	}
 	best = newest_replica(monitor, targets, monitor->state_since);
@@ -160,7 +154,9 @@
 	    (!monitor->newest.term ||
 	     kb_point_compare(best->report.received, monitor->newest) < 0))
 		return;
-	send_promotion(monitor, targets, best, now);
+	monitor->promotee = best->target;
+	monitor->promotee_since = now;
+	kb_monitor_send_order(monitor, targets, now);
 }
 
 void kb_monitor_tick_promoting(kb_monitor_t *monitor,
@@ -169,20 +165,30 @@
 	kb_monitor_probe_t *probe;
 
 	if (!monitor->promotion_sent) {
-		tick_polling(monitor, targets, now);
+		if (monitor->promotee.len)
+			kb_monitor_send_order(monitor, targets, now);
+		else
+			tick_polling(monitor, targets, now);
 		return;
 	}
-	probe = kb_monitor_find_probe(monitor, kb_name_str(&monitor->promotee));
-	if (!probe || probe->rejected ||
-	    now - monitor->promotee_since >
-		    KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS) {
+	if (now - monitor->promotee_since >
+	    KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS) {
+		if (monitor->order_state == KB_ORDER_SENT)
+			monitor->order_state = KB_ORDER_OPEN;
 		monitor->promotion_sent = 0;
+		monitor->promotee.len = 0;
 		monitor->state_since = now;
 		return;
 	}
+	/* Without its entry it cannot be probed, but may be promoted. */
+	probe = kb_monitor_find_probe(monitor, kb_name_str(&monitor->promotee));
+	if (!probe)
+		return;
 	if (probe->answered_at > monitor->promotee_since &&
-	    probe->report.is_primary && probe->report.term >= monitor->term) {
-		finish_promotion(monitor, targets, probe, now);
+	    probe->report.is_primary && probe->report.term >= monitor->term &&
+	    probe->report.term > monitor->promotee_term) {
+		if (kb_monitor_end_order(monitor, probe))
+			finish_promotion(monitor, targets, probe, now);
 		return;
 	}
 	kb_monitor_send_probe(
@@ -234,9 +240,8 @@
 	     (is_overdue && !monitor->durable &&
 	      spent >= 2 * KB_MONITOR_DRAIN_TIMEOUT_MS * KB_NS_PER_MS))) {
 		monitor->planned = 1;
-		monitor->promotee.len = 0;
-		kb_monitor_begin_promotion(monitor, now);
-		send_promotion(monitor, targets, best, now);
+		kb_monitor_promote_target(monitor, &best->target, now);
+		kb_monitor_send_order(monitor, targets, now);
 		return;
 	}
 	if (spent >= 2 * KB_MONITOR_DRAIN_TIMEOUT_MS * KB_NS_PER_MS &&
@@ -265,27 +270,3 @@
 	monitor->step_down_sent_at = now;
 	monitor->ops->step_down(monitor->ctx, entry, monitor->term);
 }
-
-void kb_monitor_on_promoted(kb_monitor_t *monitor, kb_str_t target,
-			    kb_result_t result, kb_time_t now)
-{
-	kb_monitor_probe_t *probe = kb_monitor_find_probe(monitor, target);
-
-	if (!probe || monitor->state != KB_MONITOR_PROMOTING ||
-	    !kb_name_is(&monitor->promotee, target))
-		return;
-	if (result == KB_ERR_CONFLICT) {
-		probe->rejected = 1;
-		monitor->promotion_open_until = 0;
-	} else if (result == KB_ERR_OVERLOADED ||
-		   result == KB_ERR_UNREACHABLE) {
-		/* The promotion was not done: choose a target again at once. */
-		monitor->promotee_since =
-			now - KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS;
-		monitor->promotion_open_until = 0;
-	}
-	if (result)
-		kb_log(KB_EVENT_PROMOTION_FAILED,
-		       "group=%s target=%s result=%s", monitor->group.data,
-		       monitor->promotee.data, kb_result_name(result));
-}
--- a/src/proxy_fence.c
+++ b/src/proxy_fence.c
@@ -40,6 +40,8 @@
 	const kbs_grant_res *reply = res;
 	kb_time_t now = kb_clock_monotonic(round->group->proxy->clock);
 
+	if (!result)
+		kb_proxy_learn_order(round->group, &reply->order);
 	if (!result && reply->granted) {
 		kb_time_t at = now - reply->quiet_us * KB_NS_PER_US;
 
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -190,6 +190,7 @@
 	if (serves)
 		kb_proxy_keeper_tick(group, now);
 	kb_monitor_set_active(&group->monitor, serves, now);
+	kb_monitor_set_order(&group->monitor, &group->lease.order, now);
 	kb_monitor_require_term(&group->monitor, group->primary_term);
 	kb_monitor_tick(&group->monitor, &proxy->targets, now);
 	kb_proxy_vacancy_tick(group, now);
--- a/src/proxy_lease.c
+++ b/src/proxy_lease.c
@@ -17,7 +17,8 @@
 static void wake_if_starting(kb_proxy_group_t *group)
 {
 	if (group->lease.role == KB_LEASE_WAITING ||
-	    group->monitor.state == KB_MONITOR_FINDING)
+	    group->monitor.state == KB_MONITOR_FINDING ||
+	    group->monitor.state == KB_MONITOR_PROMOTING)
 		kb_proxy_wake(group->proxy);
 }
 
@@ -133,6 +134,7 @@
 
 	free(ctx);
 	if (!result) {
+		kb_proxy_learn_order(call.group, &reply->order);
 		kb_lease_on_voter_store_age(
 			&call.group->lease, &call.voter,
 			reply->store_age_us * KB_NS_PER_US,
@@ -145,6 +147,26 @@
 	wake_if_starting(call.group);
 }
 
+kbs_order kb_proxy_order_view(const kb_promotion_order_t *order)
+{
+	return (kbs_order){
+		.number = order->number,
+		.term = order->term,
+		.target = kb_text_view(kb_name_str(&order->target)),
+	};
+}
+
+void kb_proxy_learn_order(kb_proxy_group_t *group, const kbs_order *order)
+{
+	kb_promotion_order_t learned = {
+		.number = order->number,
+		.term = order->term,
+	};
+
+	if (!kb_name_set(&learned.target, kb_text_str(order->target)))
+		kb_lease_learn_order(&group->lease, &learned);
+}
+
 kb_result_t kb_proxy_request_grant(kb_proxy_group_t *group, kb_host_t *host,
 				   int serving, kb_rpc_done_fn_t *done,
 				   void *ctx)
@@ -155,6 +177,7 @@
 		.holder = kb_text_view(kb_name_str(&proxy->self.name)),
 		.revision = (uint64_t)group->lease.revision,
 		.serving = serving,
+		.order = kb_proxy_order_view(&group->lease.order),
 	};
 	kb_rpc_call_t rpc = {
 		.procedure = KB_PROXY_RPC_GRANT,
--- a/src/proxy_monitor.c
+++ b/src/proxy_monitor.c
@@ -32,6 +32,14 @@
 				     term);
 }
 
+static int monitor_announce(void *ctx, const kb_name_t *target, uint64_t term)
+{
+	kb_proxy_group_t *group = ctx;
+
+	return kb_lease_announce_order(&group->lease, target, term,
+				       kb_clock_monotonic(group->proxy->clock));
+}
+
 typedef struct promote_call {
 	kb_proxy_group_t *group;
 	kb_name_t target;
@@ -181,6 +189,7 @@
 const kb_monitor_ops_t kb_proxy_monitor_ops = {
 	.probe = monitor_probe,
 	.step_down = monitor_step_down,
+	.announce = monitor_announce,
 	.promote = monitor_promote,
 	.query_reachability = monitor_request_reachability,
 	.hand_over = monitor_hand_over,
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -106,6 +106,10 @@
 				       kb_clock_monotonic(proxy->clock))
 				? TRUE
 				: FALSE;
+	if (res.granted)
+		kb_proxy_learn_order(group, &args->order);
+	if (group)
+		res.order = kb_proxy_order_view(&group->lease.order);
 	if (res.granted)
 		res.quiet_us = kb_lease_exclusive_time(
 				       &group->lease,
--- a/tests/lease_cluster.h
+++ b/tests/lease_cluster.h
@@ -46,6 +46,10 @@
 	REMAINS_FIRST_START,
 	/* All known hosts count as fenced when the first one grants. */
 	ONE_FENCED_HOST,
+	/* A voter does not remember the orders of a holder. */
+	FORGETS_ORDERS,
+	/* An order counts as announced before anybody knows it. */
+	UNANNOUNCED_ORDERS,
 };
 
 /* A store with the key of the lease, and hosts that may take it over. */
--- a/tests/lease_cluster_ops.h
+++ b/tests/lease_cluster_ops.h
@@ -80,6 +80,7 @@
 	kb_name_t self = lease->self;
 	int64_t revision = lease->revision;
 	int live = kb_lease_is_live(lease, sent_at);
+	kb_promotion_order_t order = lease->order;
 
 	if (!cluster.is_linked(cluster.index(host), cluster.index(other)))
 		return;
@@ -95,6 +96,10 @@
 		int granted =
 			kb_lease_grant(&other.lease, &self, requested_revision,
 				       live, cluster.now);
+		if (granted &&
+		    cluster.broken_rule != BrokenRule::FORGETS_ORDERS)
+			kb_lease_learn_order(&other.lease, &order);
+		kb_promotion_order_t known = other.lease.order;
 		kb_time_t exclusive_time =
 			cluster.broken_rule == BrokenRule::HIDES_OTHER_GRANTS
 				? KB_NS_PER_S
@@ -105,6 +110,7 @@
 				       cluster.index(other)))
 			return;
 		cluster.deliver(host, cluster.delay(), [=, &host, &cluster] {
+			kb_lease_learn_order(&host.lease, &known);
 			kb_lease_on_grant(&host.lease, &from, sent_at, granted,
 					  exclusive_time, cluster.now);
 			if (cluster.broken_rule == BrokenRule::ONE_GRANT)
--- /dev/null
+++ b/tests/test_lease_order.cc
@@ -0,0 +1,205 @@
+#include "lease_simulation.h"
+
+using namespace lease_simulation;
+
+namespace
+{
+
+/* Hosts that give an order to promote whenever they begin to serve. */
+class OrderSimulation : public Simulation
+{
+      public:
+	/* Highest number of an order that was announced. */
+	uint64_t announced = 0;
+	/* Host that is announcing an order, and the order's term. */
+	size_t announcer = SIZE_MAX;
+	uint64_t term = 0;
+
+	using Simulation::Simulation;
+
+	/* Lets the host that serves begin to announce an order. */
+	void begin_order()
+	{
+		announcer = serving_host();
+		term++;
+	}
+
+	bool is_announced()
+	{
+		kb_name_t target = name_of("t");
+		kb_lease_t &lease = hosts[announcer]->lease;
+
+		if (!is_running(*hosts[announcer]) ||
+		    !kb_lease_may_serve(&lease, now))
+			return false;
+		int known =
+			kb_lease_announce_order(&lease, &target, term, now);
+		return known || broken_rule == BrokenRule::UNANNOUNCED_ORDERS;
+	}
+
+	/* Each host that serves knows the orders that were announced. */
+	void check_orders()
+	{
+		size_t holder = serving_host();
+
+		if (announcer < hosts.size() && is_announced())
+			announced = std::max(
+				announced, hosts[announcer]->lease.order.number);
+		if (holder < hosts.size() && violation.empty() &&
+		    hosts[holder]->lease.order.number < announced)
+			violation = hosts[holder]->name +
+				    " serves without order " +
+				    std::to_string(announced) + " at " +
+				    std::to_string(now / MS) + " ms";
+	}
+
+	void run_checked(kb_time_t duration)
+	{
+		for (kb_time_t end = now + duration; now < end;) {
+			step();
+			check_orders();
+		}
+	}
+
+	void stop(size_t host, kb_time_t duration)
+	{
+		hosts[host]->alive = false;
+		hosts[host]->down_until = now + duration;
+	}
+};
+
+enum class Store { REACHED, UNREACHED_BY_HOLDER, DOWN };
+
+/*
+ * The holder stops `delay` after it began to announce an order: before its
+ * write arrives, before the answer arrives, or later. It is back after `pause`.
+ */
+std::string stop_while_announcing(uint64_t seed, Store store, kb_time_t delay,
+				  kb_time_t pause,
+				  BrokenRule broken_rule = BrokenRule::NOTHING)
+{
+	OrderSimulation simulation(5, seed, broken_rule);
+	size_t holder;
+
+	simulation.run_checked(4 * KB_NS_PER_S);
+	holder = simulation.serving_host();
+	if (store == Store::UNREACHED_BY_HOLDER)
+		simulation.hosts[holder]->store_unreachable = true;
+	simulation.store_down = store == Store::DOWN;
+	simulation.begin_order();
+	simulation.run_checked(delay);
+	simulation.stop(holder, pause);
+	simulation.hosts[holder]->store_unreachable = false;
+	simulation.run_checked(100 * MS);
+	simulation.store_down = false;
+	simulation.run_checked(5 * KB_NS_PER_S);
+	EXPECT_LT(simulation.serving_host(), simulation.hosts.size());
+	return simulation.violation;
+}
+
+std::string stop_at_every_step(uint64_t seed, Store store,
+			       BrokenRule broken_rule = BrokenRule::NOTHING)
+{
+	for (kb_time_t delay = 0; delay <= 500 * MS;
+	     delay += delay < 100 * MS ? STEP : 4 * STEP)
+		for (kb_time_t pause : { 50 * MS, 700 * MS, 3000 * MS }) {
+			std::string violation = stop_while_announcing(
+				seed, store, delay, pause, broken_rule);
+
+			if (!violation.empty())
+				return violation;
+		}
+	return "";
+}
+
+} // namespace
+
+/* review/1: a successor that does not know of an order serves too early. */
+TEST(LeaseOrder, ASuccessorKnowsEachAnnouncedOrder)
+{
+	for (Store store :
+	     { Store::REACHED, Store::UNREACHED_BY_HOLDER, Store::DOWN })
+		EXPECT_EQ("", stop_at_every_step(1, store)) << (int)store;
+}
+
+TEST(LeaseOrder, EveryBrokenRuleIsDetected)
+{
+	EXPECT_NE("", stop_at_every_step(1, Store::DOWN,
+					 BrokenRule::FORGETS_ORDERS));
+	EXPECT_NE("", stop_at_every_step(1, Store::UNREACHED_BY_HOLDER,
+					 BrokenRule::FORGETS_ORDERS));
+	EXPECT_NE("", stop_at_every_step(1, Store::REACHED,
+					 BrokenRule::UNANNOUNCED_ORDERS));
+}
+
+TEST(LeaseOrder, AnOrderIsAnnouncedWithinOneCallToTheStore)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		OrderSimulation simulation(5, seed);
+
+		simulation.run_checked(4 * KB_NS_PER_S);
+		simulation.begin_order();
+		simulation.run_checked(70 * MS);
+		EXPECT_EQ(1u, simulation.announced) << seed;
+		EXPECT_EQ(1u, simulation.record.order.number) << seed;
+	}
+}
+
+TEST(LeaseOrder, AnOrderIsAnnouncedToTheVotersWhileTheStoreIsDown)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		OrderSimulation simulation(5, seed);
+
+		simulation.run_checked(4 * KB_NS_PER_S);
+		simulation.store_down = true;
+		simulation.store_silent = seed % 2 == 0;
+		simulation.begin_order();
+		simulation.run_checked(450 * MS);
+		EXPECT_EQ(1u, simulation.announced) << seed;
+	}
+}
+
+/* A live holder loses its lease to a host that does not hear it. */
+TEST(LeaseOrder, AHostThatTakesOverFromALiveHolderKnowsItsOrder)
+{
+	for (uint64_t seed = 1; seed <= 4; seed++)
+		for (kb_time_t delay = 0; delay <= 1500 * MS;
+		     delay += 50 * MS) {
+			OrderSimulation simulation(5, seed);
+			size_t holder;
+
+			simulation.run_checked(4 * KB_NS_PER_S);
+			holder = simulation.serving_host();
+			for (size_t i = 0; i < 5; i++)
+				if (i != holder)
+					simulation.cut(i, holder);
+			simulation.run_checked(delay);
+			simulation.begin_order();
+			simulation.run_checked(4 * KB_NS_PER_S);
+			EXPECT_EQ("", simulation.violation)
+				<< seed << " " << delay / MS;
+			EXPECT_NE(holder, simulation.serving_host());
+		}
+}
+
+/* Faults of all kinds, but with a store that the holders reach. */
+TEST(LeaseOrder, RandomFaultsLoseNoOrder)
+{
+	for (uint64_t seed = 1; seed <= 100; seed++) {
+		OrderSimulation simulation(3 + seed % 5, seed);
+
+		simulation.run_checked(3 * KB_NS_PER_S);
+		for (int i = 0; i < 12; i++) {
+			simulation.random_fault();
+			simulation.store_down = false;
+			for (auto &host : simulation.hosts)
+				host->store_unreachable = false;
+			if (simulation.serving_host() <
+			    simulation.hosts.size())
+				simulation.begin_order();
+			simulation.run_checked(
+				(kb_time_t)(100 + simulation.below(2500)) * MS);
+		}
+		ASSERT_EQ("", simulation.violation) << "seed " << seed;
+	}
+}
