Promote in a durable group only what is known to be complete

The primary and then the only replica with the newest commits crashed; when that replica's entry expired, the other one was promoted, before the first was back.

Cause: the monitor counted the targets with an entry. With an entry gone, "all targets have answered" held with fewer logs than the group has, and the check of the newest known position was skipped. A holder that starts after the entry expired knows neither that position nor the target.

Ruled out: a holder that does not know the newest position (its log line shows newest ahead of received), and a replica that reports late.

Now the monitor of a durable group keeps the targets whose entries expired while they were not leaving, and the record of the lease names them for later holders. As each acknowledged commit is in two logs at least, the newest log is complete if at most one copy has not reported; or if it reaches the newest position that the holder knows. Else the group waits, refuses its statements and logs the targets that it waits for.

Monitor's functions on probes move to a file of their own; they are unchanged.

--- a/src/lease.c
+++ b/src/lease.c
@@ -168,6 +168,7 @@
 	lease->write_sent_at = now;
 	lease->pending.era = kb_store_era(lease->as_of);
 	lease->pending.order = lease->order;
+	lease->pending.copies = lease->copies;
 	lease->ops->write(lease->ctx, lease, &lease->pending,
 			  lease->key_revision, ++lease->write_number);
 }
@@ -217,6 +218,8 @@
 	lease->revision = revision;
 	lease->record = *record;
 	kb_lease_learn_order(lease, &record->order);
+	if (lease->role != KB_LEASE_SERVING)
+		lease->copies = record->copies;
 	if (!kb_lease_is_own(lease))
 		kb_lease_lose(lease);
 	else if (lease->role != KB_LEASE_NONE)
--- a/src/lease.h
+++ b/src/lease.h
@@ -200,7 +200,9 @@
 	int64_t key_revision;
 	/* The last order to promote a target that this host knows of. */
 	kb_promotion_order_t order;
-	/* Time at which this host, the holder, began to announce it. */
+	/* Those that the record names or, of the holder, is to name. */
+	kb_target_names_t copies;
+	/* Time at which this host, the holder, began to announce the order. */
 	kb_time_t ordered_at;
 	/* Revision of the key at the takeover; used as fencing token. */
 	int64_t token;
@@ -310,18 +312,6 @@
 		       kb_time_t sent_at, int granted, kb_time_t exclusive_time,
 		       kb_time_t now);
 
-/*
- * Announces the order to promote `target`, or with NULL withdraws the last one.
- * `term` is the highest term known. Returns whether each later holder will know
- * of it; if not, it is to be called again. Always 0 if this host does not
- * serve.
- */
-int kb_lease_announce_order(kb_lease_t *lease, const kb_name_t *target,
-			    uint64_t term, kb_time_t now);
-
-/* Takes an order that another host knows of. */
-void kb_lease_learn_order(kb_lease_t *lease, const kb_promotion_order_t *order);
-
 /* Takes notice that the store was restored, whatever the key shows. */
 void kb_lease_on_restore(kb_lease_t *lease);
 
--- a/src/lease_internal.h
+++ b/src/lease_internal.h
@@ -1,7 +1,7 @@
 #ifndef KB_LEASE_INTERNAL_H
 #define KB_LEASE_INTERNAL_H
 
-#include "lease.h"
+#include "lease_order.h"
 
 KB_BEGIN_DECLS
 
@@ -73,10 +73,10 @@
 void kb_lease_rewrite_restored(kb_lease_t *lease, kb_time_t now);
 
 /*
- * Writes the holder's record with an order that it lacks. Returns 0 if it has
- * it, or if it cannot be written now.
+ * Writes the holder's record with an order or with copies that it lacks.
+ * Returns 0 if it has them, or if it cannot be written now.
  */
-int kb_lease_write_order(kb_lease_t *lease, kb_time_t now);
+int kb_lease_write_facts(kb_lease_t *lease, kb_time_t now);
 
 void kb_lease_begin_read(kb_lease_t *lease, kb_time_t now);
 /* Writes `pending` in the known era, conditioned on the known key. */
--- a/src/lease_order.c
+++ b/src/lease_order.c
@@ -49,17 +49,24 @@
 		known_to_voters(lease, &lease->pending.voters));
 }
 
+void kb_lease_set_copies(kb_lease_t *lease, const kb_target_names_t *copies)
+{
+	if (lease->role == KB_LEASE_SERVING)
+		lease->copies = *copies;
+}
+
 void kb_lease_learn_order(kb_lease_t *lease, const kb_promotion_order_t *order)
 {
 	if (order->number > lease->order.number)
 		lease->order = *order;
 }
 
-int kb_lease_write_order(kb_lease_t *lease, kb_time_t now)
+int kb_lease_write_facts(kb_lease_t *lease, kb_time_t now)
 {
 	if (lease->role != KB_LEASE_SERVING || lease->rewriting ||
 	    !lease->revision ||
-	    kb_promotion_order_equal(&lease->record.order, &lease->order))
+	    (kb_promotion_order_equal(&lease->record.order, &lease->order) &&
+	     kb_target_names_equal(&lease->record.copies, &lease->copies)))
 		return 0;
 	lease->pending = lease->record;
 	lease->preparing = 0;
--- /dev/null
+++ b/src/lease_order.h
@@ -0,0 +1,27 @@
+#ifndef KB_LEASE_ORDER_H
+#define KB_LEASE_ORDER_H
+
+#include "lease.h"
+
+KB_BEGIN_DECLS
+
+/* What a holder leaves to later holders beside the lease itself. */
+
+/*
+ * Announces the order to promote `target`, or with NULL withdraws the last one.
+ * `term` is the highest term known. Returns whether each later holder will know
+ * of it; if not, it is to be called again. Always 0 if this host does not
+ * serve.
+ */
+int kb_lease_announce_order(kb_lease_t *lease, const kb_name_t *target,
+			    uint64_t term, kb_time_t now);
+
+/* Sets the targets that the holder's record is to name as copies. */
+void kb_lease_set_copies(kb_lease_t *lease, const kb_target_names_t *copies);
+
+/* Takes an order that another host knows of. */
+void kb_lease_learn_order(kb_lease_t *lease, const kb_promotion_order_t *order);
+
+KB_END_DECLS
+
+#endif
--- a/src/lease_record.c
+++ b/src/lease_record.c
@@ -20,19 +20,30 @@
 			 order->target.data);
 }
 
+static json_t *format_copies(const kb_target_names_t *copies)
+{
+	json_t *array = copies->count ? json_array() : NULL;
+
+	for (size_t i = 0; i < copies->count; i++)
+		json_array_append_new(array,
+				      json_string(copies->names[i].data));
+	return array;
+}
+
 char *kb_lease_record_format(const kb_lease_record_t *record)
 {
 	json_t *json;
 	char *text;
 
-	json = json_pack("{s:s,s:I,s:b,s:b,s:o,s:o,s:b,s:o*}", "holder",
+	json = json_pack("{s:s,s:I,s:b,s:b,s:o,s:o,s:b,s:o*,s:o*}", "holder",
 			 record->holder.data, "era", (json_int_t)record->era,
 			 "released", record->released, "settled",
 			 record->settled, "candidates",
 			 format_set(&record->voters), "former",
 			 format_set(&record->former_voters), "formerLost",
 			 record->former_unknown, "promotion",
-			 format_order(&record->order));
+			 format_order(&record->order), "copies",
+			 format_copies(&record->copies));
 	text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	json_decref(json);
 	return text;
@@ -76,6 +87,26 @@
 	return KB_OK;
 }
 
+static kb_result_t read_copies(kb_target_names_t *copies, const json_t *names)
+{
+	const json_t *name;
+	size_t i;
+
+	if (names && (!json_is_array(names) ||
+		      json_array_size(names) > KB_TARGET_NAMES_MAX))
+		return KB_ERR_PROTOCOL;
+	json_array_foreach(names, i, name)
+	{
+		kb_name_t target;
+
+		if (!json_is_string(name) ||
+		    kb_name_set(&target, kb_str_from(json_string_value(name))))
+			return KB_ERR_PROTOCOL;
+		kb_target_names_add(copies, &target);
+	}
+	return KB_OK;
+}
+
 kb_result_t kb_lease_record_parse(kb_lease_record_t *record, kb_str_t text)
 {
 	json_t *json = json_loadb(text.data, text.len, 0, NULL);
@@ -83,20 +114,23 @@
 	json_t *voters;
 	json_t *former_voters;
 	json_t *order = NULL;
+	json_t *copies = NULL;
 	const char *holder;
 	/* A record without it is of the time before stores had eras. */
 	json_int_t era = 0;
 
 	memset(record, 0, sizeof(*record));
 	if (json &&
-	    !json_unpack(json, "{s:s,s?I,s:b,s:b,s:o,s:o,s:b,s?o}", "holder",
-			 &holder, "era", &era, "released", &record->released,
-			 "settled", &record->settled, "candidates", &voters,
-			 "former", &former_voters, "formerLost",
-			 &record->former_unknown, "promotion", &order) &&
+	    !json_unpack(json, "{s:s,s?I,s:b,s:b,s:o,s:o,s:b,s?o,s?o}",
+			 "holder", &holder, "era", &era, "released",
+			 &record->released, "settled", &record->settled,
+			 "candidates", &voters, "former", &former_voters,
+			 "formerLost", &record->former_unknown, "promotion",
+			 &order, "copies", &copies) &&
 	    *holder && !kb_name_set(&record->holder, kb_str_from(holder)) &&
 	    !read_set(&record->voters, voters) &&
-	    !read_order(&record->order, order))
+	    !read_order(&record->order, order) &&
+	    !read_copies(&record->copies, copies))
 		result = read_set(&record->former_voters, former_voters);
 	record->era = era;
 	json_decref(json);
--- a/src/lease_record.h
+++ b/src/lease_record.h
@@ -2,6 +2,7 @@
 #define KB_LEASE_RECORD_H
 
 #include "promotion_order.h"
+#include "target_names.h"
 
 KB_BEGIN_DECLS
 
@@ -39,6 +40,8 @@
 	int former_unknown;
 	/* The last order to promote a target of the group. */
 	kb_promotion_order_t order;
+	/* Targets that may hold acknowledged commits of a durable group. */
+	kb_target_names_t copies;
 } kb_lease_record_t;
 
 /* Whether a host is one of the voters. */
--- a/src/lease_tick.c
+++ b/src/lease_tick.c
@@ -263,7 +263,7 @@
 	if (lease->rewriting && now - lease->write_sent_at <
 					KB_LEASE_CALL_TIMEOUT_MS * KB_NS_PER_MS)
 		return;
-	if (kb_lease_write_order(lease, now))
+	if (kb_lease_write_facts(lease, now))
 		return;
 	if (!settles &&
 	    (now - lease->write_sent_at < pause * KB_NS_PER_MS ||
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -55,6 +55,9 @@
 KB_EVENT(1314, PROMOTION_WITHDRAWN, WARN,
 	 "an order to promote was refused and is withdrawn")
 
+KB_EVENT(1315, PROMOTION_BLOCKED, WARN,
+	 "no target is known to have all acknowledged commits")
+
 KB_EVENT(1400, MEMBER_JOINED, INFO, "host joined or returned")
 KB_EVENT(1401, MEMBER_LEAVING, INFO, "host is leaving and accepts no new work")
 KB_EVENT(1402, MEMBER_SUSPECTED, DEBUG, "host does not answer probes")
--- a/src/monitor.c
+++ b/src/monitor.c
@@ -65,6 +65,8 @@
 	monitor->term = 0;
 	monitor->newest = (kb_point_t){ 0 };
 	monitor->probe_count = 0;
+	monitor->copies.count = 0;
+	monitor->blocked = 0;
 	monitor->promotee.len = 0;
 	monitor->former_primary.len = 0;
 	monitor->planned = 0;
@@ -83,57 +85,6 @@
 		monitor->term = term;
 }
 
-kb_monitor_probe_t *kb_monitor_find_probe(kb_monitor_t *monitor,
-					  kb_str_t target)
-{
-	for (size_t i = 0; i < monitor->probe_count; i++)
-		if (kb_name_is(&monitor->probes[i].target, target))
-			return &monitor->probes[i];
-	return NULL;
-}
-
-/* Keeps one probe state for each target of the group. */
-static void sync_probes(kb_monitor_t *monitor, const kb_target_list_t *targets)
-{
-	size_t kept = 0;
-
-	for (size_t i = 0; i < monitor->probe_count; i++)
-		if (kb_target_list_find(
-			    targets, kb_name_str(&monitor->probes[i].target)))
-			monitor->probes[kept++] = monitor->probes[i];
-	monitor->probe_count = kept;
-	for (const kb_target_entry_t *entry = kb_target_list_first(
-		     targets, kb_name_str(&monitor->group));
-	     entry; entry = kb_target_list_next(entry)) {
-		kb_monitor_probe_t *probe;
-
-		if (kb_monitor_find_probe(monitor,
-					  kb_name_str(&entry->place.target)) ||
-		    monitor->probe_count == KB_MONITOR_TARGETS_MAX)
-			continue;
-		probe = &monitor->probes[monitor->probe_count++];
-		memset(probe, 0, sizeof(*probe));
-		probe->target = entry->place.target;
-	}
-}
-
-void kb_monitor_send_probe(kb_monitor_t *monitor, kb_monitor_probe_t *probe,
-			   const kb_target_entry_t *entry, kb_time_t now)
-{
-	if (probe->waiting &&
-	    now - probe->sent_at < KB_MONITOR_PROBE_TIMEOUT_MS * KB_NS_PER_MS)
-		return;
-	if (probe->waiting) {
-		probe->failed_at = now;
-		probe->refused = 0;
-	}
-	if (now - probe->sent_at < KB_MONITOR_PROBE_INTERVAL_MS * KB_NS_PER_MS)
-		return;
-	probe->waiting = 1;
-	probe->sent_at = now;
-	monitor->ops->probe(monitor->ctx, entry);
-}
-
 /* The entry of a target; the last known one of the primary if it is gone. */
 static const kb_target_entry_t *find_entry(const kb_monitor_t *monitor,
 					   const kb_target_list_t *targets,
@@ -148,30 +99,6 @@
 	return entry;
 }
 
-size_t kb_monitor_probe_all(kb_monitor_t *monitor,
-			    const kb_target_list_t *targets, kb_time_t after,
-			    kb_time_t now, size_t *answered)
-{
-	size_t missing = 0;
-
-	*answered = 0;
-	for (size_t i = 0; i < monitor->probe_count; i++) {
-		kb_monitor_probe_t *probe = &monitor->probes[i];
-
-		if (probe->answered_at > after) {
-			++*answered;
-			continue;
-		}
-		missing++;
-		kb_monitor_send_probe(
-			monitor, probe,
-			kb_target_list_find(targets,
-					    kb_name_str(&probe->target)),
-			now);
-	}
-	return missing;
-}
-
 void kb_monitor_begin_serving(kb_monitor_t *monitor,
 			      const kb_target_entry_t *primary,
 			      const kb_target_report_t *report, kb_time_t now)
@@ -184,6 +111,7 @@
 	monitor->promotion_open_until = 0;
 	monitor->order_state = KB_ORDER_NONE;
 	monitor->planned = 0;
+	monitor->blocked = 0;
 	monitor->ops->bind(monitor->ctx, primary);
 	kb_log(KB_EVENT_PRIMARY_SERVES,
 	       "group=%s primary=%s term=%" PRIu64 " position=%" PRIu64
@@ -298,7 +226,9 @@
 {
 	if (monitor->state == KB_MONITOR_IDLE)
 		return;
-	sync_probes(monitor, targets);
+	kb_monitor_sync_probes(monitor, targets);
+	kb_copies_sync(&monitor->copies, targets, kb_name_str(&monitor->group),
+		       now);
 	if (monitor->has_primary)
 		refresh_primary(monitor, targets);
 	switch (monitor->state) {
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -1,13 +1,14 @@
 #ifndef KB_MONITOR_H
 #define KB_MONITOR_H
 
+#include "copies.h"
 #include "promotion_order.h"
 #include "target_list.h"
 
 KB_BEGIN_DECLS
 
 enum {
-	KB_MONITOR_TARGETS_MAX = 16,
+	KB_MONITOR_TARGETS_MAX = KB_TARGET_NAMES_MAX,
 	KB_MONITOR_PROBE_TIMEOUT_MS = 350,
 	/* Time for all targets to answer while the primary is looked up. */
 	KB_MONITOR_FIND_TIMEOUT_MS = 450,
@@ -123,6 +124,14 @@
 	kb_name_t group;
 	/* The promoted target must have all acknowledged commits. */
 	int durable;
+	/* Targets that may have them, also those without an entry. */
+	kb_copies_t copies;
+	/*
+	 * No target is known to have them all, so that none is promoted. Time
+	 * of the last log line about it.
+	 */
+	int blocked;
+	kb_time_t blocked_logged_at;
 	kb_monitor_state_t state;
 	kb_time_t state_since;
 	kb_target_entry_t primary;
@@ -190,6 +199,13 @@
 void kb_monitor_set_order(kb_monitor_t *monitor,
 			  const kb_promotion_order_t *order, kb_time_t now);
 
+/*
+ * Takes the targets that a former holder knew to hold commits, after
+ * kb_monitor_set_active().
+ */
+void kb_monitor_add_copies(kb_monitor_t *monitor,
+			   const kb_target_names_t *names, kb_time_t now);
+
 /* Runs the actions that are due; `targets` are those of all groups. */
 void kb_monitor_tick(kb_monitor_t *monitor, const kb_target_list_t *targets,
 		     kb_time_t now);
--- a/src/monitor_internal.h
+++ b/src/monitor_internal.h
@@ -10,6 +10,9 @@
 void kb_monitor_set_paused(kb_monitor_t *monitor, int paused);
 void kb_monitor_set_state(kb_monitor_t *monitor, kb_monitor_state_t state,
 			  kb_time_t now);
+/* Keeps one probe state for each target of the group. */
+void kb_monitor_sync_probes(kb_monitor_t *monitor,
+			    const kb_target_list_t *targets);
 kb_monitor_probe_t *kb_monitor_find_probe(kb_monitor_t *monitor,
 					  kb_str_t target);
 void kb_monitor_send_probe(kb_monitor_t *monitor, kb_monitor_probe_t *probe,
@@ -49,6 +52,15 @@
 			   const kb_target_list_t *targets, kb_time_t now);
 
 void kb_monitor_begin_promotion(kb_monitor_t *monitor, kb_time_t now);
+/*
+ * Whether a log has all acknowledged commits of a durable group, where each is
+ * in two logs at least: it is as new as the newest of all logs but one, or as
+ * the newest position that this holder knows. `unanswered` is the number of
+ * the targets that have not reported their position. Logs if it is not known.
+ */
+int kb_monitor_is_complete(kb_monitor_t *monitor,
+			   const kb_monitor_probe_t *best, size_t unanswered,
+			   kb_time_t now);
 /* Begins to promote `target`, without a poll of the replicas. */
 void kb_monitor_promote_target(kb_monitor_t *monitor, const kb_name_t *target,
 			       kb_time_t now);
--- a/src/monitor_order.c
+++ b/src/monitor_order.c
@@ -33,8 +33,8 @@
 	if ((monitor->state != KB_MONITOR_SERVING &&
 	     monitor->state != KB_MONITOR_SUSPECTING &&
 	     monitor->state != KB_MONITOR_SWITCHOVER) ||
-	    !kb_monitor_is_order_open(
-		    monitor, &monitor->primary.place.target, monitor->term))
+	    !kb_monitor_is_order_open(monitor, &monitor->primary.place.target,
+				      monitor->term))
 		return;
 	monitor->has_primary = 0;
 	monitor->order_state = KB_ORDER_OPEN;
--- a/src/monitor_promotion.c
+++ b/src/monitor_promotion.c
@@ -150,9 +150,8 @@
 		}
 		return;
 	}
-	if (monitor->durable && !has_all &&
-	    (!monitor->newest.term ||
-	     kb_point_compare(best->report.received, monitor->newest) < 0))
+	if (monitor->durable &&
+	    !kb_monitor_is_complete(monitor, best, missing, now))
 		return;
 	monitor->promotee = best->target;
 	monitor->promotee_since = now;
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -1,5 +1,6 @@
 #include "proxy_internal.h"
 
+#include "lease_order.h"
 #include "lease_record.h"
 #include "log.h"
 
@@ -167,6 +168,29 @@
 	       !kb_voter_set_contains(&lease->record.voters, &lease->self);
 }
 
+static void tick_monitor(kb_proxy_group_t *group, int serves, kb_time_t now)
+{
+	kb_monitor_t *monitor = &group->monitor;
+	int was_idle = monitor->state == KB_MONITOR_IDLE;
+	kb_target_names_t copies = { 0 };
+
+	kb_monitor_set_active(monitor, serves, now);
+	if (serves && was_idle)
+		kb_monitor_add_copies(monitor, &group->lease.copies, now);
+	kb_monitor_set_order(monitor, &group->lease.order, now);
+	kb_monitor_require_term(monitor, group->primary_term);
+	kb_monitor_tick(monitor, &group->proxy->targets, now);
+	if (!serves)
+		return;
+	if (monitor->durable)
+		kb_copies_names(&monitor->copies, &copies);
+	kb_lease_set_copies(&group->lease, &copies);
+	if (monitor->blocked)
+		kb_link_pool_refuse_waiting(
+			&group->pool, KB_ERR_NO_PRIMARY,
+			"no target is known to have all commits");
+}
+
 void kb_proxy_group_tick(kb_proxy_group_t *group, kb_time_t now)
 {
 	kb_proxy_t *proxy = group->proxy;
@@ -189,10 +213,7 @@
 	serves = group->lease.role == KB_LEASE_SERVING;
 	if (serves)
 		kb_proxy_keeper_tick(group, now);
-	kb_monitor_set_active(&group->monitor, serves, now);
-	kb_monitor_set_order(&group->monitor, &group->lease.order, now);
-	kb_monitor_require_term(&group->monitor, group->primary_term);
-	kb_monitor_tick(&group->monitor, &proxy->targets, now);
+	tick_monitor(group, serves, now);
 	kb_proxy_vacancy_tick(group, now);
 	if (serves) {
 		kbs_stamp stamp;
--- a/src/proxy_lease.c
+++ b/src/proxy_lease.c
@@ -1,5 +1,6 @@
 #include "proxy_internal.h"
 
+#include "lease_order.h"
 #include "lease_record.h"
 #include "log.h"
 
--- a/src/proxy_monitor.c
+++ b/src/proxy_monitor.c
@@ -1,5 +1,7 @@
 #include "proxy_internal.h"
 
+#include "lease_order.h"
+
 #include <stdlib.h>
 
 enum {
--- a/tests/lease_cluster.h
+++ b/tests/lease_cluster.h
@@ -1,7 +1,7 @@
 #ifndef KB_TESTS_LEASE_CLUSTER_H
 #define KB_TESTS_LEASE_CLUSTER_H
 
-#include "lease.h"
+#include "lease_order.h"
 #include "lease_record.h"
 #include "rng.h"
 #include "store.h"
--- a/tests/monitor_simulation.h
+++ b/tests/monitor_simulation.h
@@ -52,12 +52,17 @@
 	MonitorSimulation()
 	{
 		static const kb_monitor_ops_t ops = {
-			on_probe,     on_step_down,
-			on_announce,  on_promote,
+			on_probe,
+			on_step_down,
+			on_announce,
+			on_promote,
 			on_query_reachability,
-			on_hand_over, on_bind,
-			on_pause,     on_abort,
-			on_active,    on_lease_left,
+			on_hand_over,
+			on_bind,
+			on_pause,
+			on_abort,
+			on_active,
+			on_lease_left,
 		};
 		kb_name_t group;
 
--- a/tests/test_lease_order.cc
+++ b/tests/test_lease_order.cc
@@ -32,8 +32,7 @@
 		if (!is_running(*hosts[announcer]) ||
 		    !kb_lease_may_serve(&lease, now))
 			return false;
-		int known =
-			kb_lease_announce_order(&lease, &target, term, now);
+		int known = kb_lease_announce_order(&lease, &target, term, now);
 		return known || broken_rule == BrokenRule::UNANNOUNCED_ORDERS;
 	}
 
@@ -43,8 +42,9 @@
 		size_t holder = serving_host();
 
 		if (announcer < hosts.size() && is_announced())
-			announced = std::max(
-				announced, hosts[announcer]->lease.order.number);
+			announced =
+				std::max(announced,
+					 hosts[announcer]->lease.order.number);
 		if (holder < hosts.size() && violation.empty() &&
 		    hosts[holder]->lease.order.number < announced)
 			violation = hosts[holder]->name +
@@ -194,8 +194,7 @@
 			simulation.store_down = false;
 			for (auto &host : simulation.hosts)
 				host->store_unreachable = false;
-			if (simulation.serving_host() <
-			    simulation.hosts.size())
+			if (simulation.serving_host() < simulation.hosts.size())
 				simulation.begin_order();
 			simulation.run_checked(
 				(kb_time_t)(100 + simulation.below(2500)) * MS);
@@ -203,3 +202,33 @@
 		ASSERT_EQ("", simulation.violation) << "seed " << seed;
 	}
 }
+
+/* review/2: a holder that starts later must know of copies without entries. */
+TEST(LeaseOrder, ASuccessorKnowsTheCopiesOfADurableGroup)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		OrderSimulation simulation(5, seed);
+		kb_target_names_t copies = {};
+		size_t holder;
+
+		simulation.run_checked(4 * KB_NS_PER_S);
+		holder = simulation.serving_host();
+		for (const char *name : { "t1", "t2", "t3" }) {
+			kb_name_t target = name_of(name);
+
+			kb_target_names_add(&copies, &target);
+		}
+		kb_lease_set_copies(&simulation.hosts[holder]->lease, &copies);
+		simulation.run_checked(100 * MS);
+		for (auto &host : simulation.hosts) {
+			host->alive = false;
+			host->down_until = simulation.now + 500 * MS;
+		}
+		simulation.run_checked(5 * KB_NS_PER_S);
+		holder = simulation.serving_host();
+		ASSERT_LT(holder, simulation.hosts.size()) << seed;
+		EXPECT_TRUE(kb_target_names_equal(
+			&copies, &simulation.hosts[holder]->lease.copies))
+			<< seed;
+	}
+}
--- /dev/null
+++ b/tests/test_lease_record.cc
@@ -0,0 +1,100 @@
+#include "lease_record.h"
+
+#include <gtest/gtest.h>
+#include <cstdlib>
+#include <string>
+
+namespace
+{
+
+kb_lease_record_t example()
+{
+	kb_lease_record_t record = {};
+	kb_name_t copy;
+
+	kb_name_set(&record.holder, KB_STR("h1"));
+	record.settled = 1;
+	record.voters.count = 1;
+	record.voters.hosts[0] = record.holder;
+	record.order.number = 3;
+	record.order.term = 7;
+	kb_name_set(&record.order.target, KB_STR("t2"));
+	for (const char *name : { "t1", "t2" }) {
+		kb_name_set(&copy, kb_str_from(name));
+		kb_target_names_add(&record.copies, &copy);
+	}
+	return record;
+}
+
+std::string format(const kb_lease_record_t &record)
+{
+	char *text = kb_lease_record_format(&record);
+	std::string copy = text;
+
+	free(text);
+	return copy;
+}
+
+kb_result_t parse(kb_lease_record_t *record, const std::string &text)
+{
+	return kb_lease_record_parse(record, { text.data(), text.size() });
+}
+
+std::string replaced(std::string text, const std::string &from,
+		     const std::string &to)
+{
+	return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST(LeaseRecord, AnOrderAndCopiesAreRead)
+{
+	kb_lease_record_t record = example();
+	kb_lease_record_t read;
+
+	ASSERT_EQ(KB_OK, parse(&read, format(record)));
+	EXPECT_TRUE(kb_promotion_order_equal(&record.order, &read.order));
+	EXPECT_TRUE(kb_target_names_equal(&record.copies, &read.copies));
+}
+
+/* As hosts of an earlier version write it. */
+TEST(LeaseRecord, ARecordWithoutAnOrderOrCopiesIsRead)
+{
+	kb_lease_record_t record = example();
+	kb_lease_record_t read;
+
+	record.order = {};
+	record.copies.count = 0;
+	std::string text = format(record);
+
+	EXPECT_EQ(std::string::npos, text.find("promotion"));
+	EXPECT_EQ(std::string::npos, text.find("copies"));
+	ASSERT_EQ(KB_OK, parse(&read, text));
+	EXPECT_EQ(0u, read.order.number);
+	EXPECT_EQ(0u, read.copies.count);
+}
+
+TEST(LeaseRecord, AMalformedOrderOrCopyIsRejected)
+{
+	std::string text = format(example());
+	std::string many = "\"copies\":[";
+	kb_lease_record_t read;
+
+	for (int i = 0; i < 17; i++)
+		many += "\"t" + std::to_string(i) + "\",";
+	many.back() = ']';
+	for (const std::string &bad : {
+		     replaced(text, "\"number\":3", "\"number\":-3"),
+		     replaced(text, "\"term\":7", "\"term\":\"7\""),
+		     replaced(text, "\"target\":\"t2\"", "\"target\":2"),
+		     replaced(text, "\"target\":\"t2\"",
+			      "\"target\":\"" + std::string(300, 'x') + "\""),
+		     replaced(text, "\"copies\":[\"t1\",\"t2\"]",
+			      "\"copies\":{}"),
+		     replaced(text, "\"copies\":[\"t1\",\"t2\"]",
+			      "\"copies\":[1]"),
+		     replaced(text, "\"copies\":[\"t1\",\"t2\"]", many),
+	     })
+		EXPECT_EQ(KB_ERR_PROTOCOL, parse(&read, bad)) << bad;
+}
--- a/tests/test_monitor_order.cc
+++ b/tests/test_monitor_order.cc
@@ -34,9 +34,8 @@
 	simulation.until([&] { return !simulation.promotions.empty(); });
 	EXPECT_EQ(1u, simulation.order.number);
 	EXPECT_EQ(1u, simulation.order.term);
-	EXPECT_TRUE(kb_name_is(
-		&simulation.order.target,
-		kb_str_from(simulation.promotions[0].c_str())));
+	EXPECT_TRUE(kb_name_is(&simulation.order.target,
+			       kb_str_from(simulation.promotions[0].c_str())));
 }
 
 TEST(MonitorOrder, ASwitchoverIsAnnouncedBeforeItIsRequested)
