Show that a host that takes over from a live holder knows its order

A voter on the other side of the cut hears no holder, but reaches the store, and takes the lease over while the holder, alive and with a majority, sends its order. When the cut ends, the former holder grants the new one's renewal, which ends all waits; the new holder finds the old primary 81 ms later.

Two files are formatted.

--- a/src/monitor_copies.c
+++ b/src/monitor_copies.c
@@ -44,9 +44,9 @@
 	char list[LIST_MAX_BYTES];
 
 	unanswered += kb_copies_missing(&monitor->copies);
-	if (unanswered <= 1 || (monitor->newest.term &&
-				kb_point_compare(best->report.received,
-						 monitor->newest) >= 0)) {
+	if (unanswered <= 1 ||
+	    (monitor->newest.term &&
+	     kb_point_compare(best->report.received, monitor->newest) >= 0)) {
 		monitor->blocked = 0;
 		return 1;
 	}
--- a/tests/test_lease_order.cc
+++ b/tests/test_lease_order.cc
@@ -182,6 +182,39 @@
 		}
 }
 
+/*
+ * primary-cut-heals: a voter that hears nobody takes over from a holder that
+ * serves with the others, and the cut ends as the holder gives its order.
+ */
+TEST(LeaseOrder, AnIsolatedVoterThatTakesOverKnowsTheOrder)
+{
+	size_t replaced = 0;
+
+	for (uint64_t seed = 1; seed <= 4; seed++)
+		for (kb_time_t delay = 300 * MS; delay <= 1500 * MS;
+		     delay += 30 * MS) {
+			OrderSimulation simulation(5, seed);
+			size_t holder;
+			size_t voter;
+
+			simulation.run_checked(4 * KB_NS_PER_S);
+			holder = simulation.serving_host();
+			voter = (holder + 1) % 5;
+			for (size_t i = 0; i < 5; i++)
+				if (i != voter)
+					simulation.cut(i, voter);
+			simulation.run_checked(delay);
+			simulation.begin_order();
+			simulation.run_checked(40 * MS);
+			simulation.broken_links.clear();
+			simulation.run_checked(3 * KB_NS_PER_S);
+			EXPECT_EQ("", simulation.violation)
+				<< seed << " " << delay / MS;
+			replaced += simulation.serving_host() == voter;
+		}
+	EXPECT_GT(replaced, 0u);
+}
+
 /* Faults of all kinds, but with a store that the holders reach. */
 TEST(LeaseOrder, RandomFaultsLoseNoOrder)
 {
--- a/tests/test_monitor_copies.cc
+++ b/tests/test_monitor_copies.cc
@@ -63,8 +63,7 @@
 	EXPECT_TRUE(group.monitor.blocked);
 	group.state["b"].alive = true;
 	group.add("b");
-	EXPECT_LE(group.until([&] { return group.serves("b"); }),
-		  KB_NS_PER_S);
+	EXPECT_LE(group.until([&] { return group.serves("b"); }), KB_NS_PER_S);
 	EXPECT_FALSE(group.monitor.blocked);
 }
 
@@ -82,8 +81,7 @@
 	group.run(2 * KB_NS_PER_S);
 	EXPECT_TRUE(group.promotions.empty());
 	group.add("b");
-	EXPECT_LE(group.until([&] { return group.serves("b"); }),
-		  KB_NS_PER_S);
+	EXPECT_LE(group.until([&] { return group.serves("b"); }), KB_NS_PER_S);
 }
 
 /* A holder that started after the entry had expired knows it by the record. */
@@ -124,8 +122,7 @@
 	group.state["c"].position = 120;
 	group.lose("b");
 	group.kill("a", true);
-	EXPECT_LE(group.until([&] { return group.serves("c"); }),
-		  1200 * MS);
+	EXPECT_LE(group.until([&] { return group.serves("c"); }), 1200 * MS);
 }
 
 /* Its log was passed on to a target that replaces it. */
