Show that odd entries of targets end no host and stop no host reading

Other operators reported hosts that ended again and again, or stopped following the list of targets, at an entry that is nested very deeply, has a number that is too large, or a port out of range. This can't happen here: the JSON library bounds the depth and the numbers, the parser of addresses bounds the port, and an entry that can't be read names no target. A table shows it at the decoder; the soak writes such entries before each configuration, so that a host that stops there misses the configuration, and fails if a host ends by itself.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -245,6 +245,9 @@
                 await self.fault(self.random.choice(self.options.faults))
         await asyncio.sleep(4)
         await self.check_service()
+        self.records.violations += [
+            f"{h.name} ended by itself, status {h.process.returncode}"
+            for h in self.hosts if h.process.returncode is not None]
         self.stopped = True
         await asyncio.wait(tasks, timeout=15)
         self.store_calls = self.platform.store.calls
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -272,6 +272,19 @@
                 self.store.put(key, value)
 
 
+DEPTH = 100_000
+# Entries of another writer among those of the targets, which name no target.
+ODD_ENTRIES = {
+    "servers/odd-nested": b"[" * DEPTH + b"]" * DEPTH,
+    "servers/odd-number": b'{"slots": ' + b"9" * 400 + b"}",
+    "servers/odd-port": (
+        b'{"service": "ga", "address": "127.0.0.1:99999", "zone": "z1",'
+        b' "slots": 2, "state": "ready", "db_role": "primary"}'),
+    "servers/odd-bytes": b"\xff\x00\xfe",
+    "servers/" + "odd" * 60: b"{}",
+}
+
+
 class Door:
     """An address of the platform that can turn its callers away."""
 
@@ -311,7 +324,12 @@
 
     def configure(self, version, added=()):
         """Writes a configuration; `added` names databases of the first group.
+
+        Odd entries precede it, so that hosts which stop reading at one of them
+        do not get the configuration.
         """
+        for key, value in ODD_ENTRIES.items():
+            self.store.put(key, value)
         routes = [{"name": f"r-{host}", "host": host, "prefix": "/",
                    "type": "primary", "timeout_ms": 1000,
                    "target_latency_ms": 500, "priority": 1,
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -49,8 +49,12 @@
 	kb_name_t target;
 
 	memset(&item, 0, sizeof(item));
-	if (platform->ops->target(platform, key, &target))
+	if (platform->ops->target(platform, key, &target)) {
+		kb_log(KB_EVENT_STORE_ENTRY_MALFORMED,
+		       "key=%.*s revision=%" PRId64, KB_STR_ARG(key),
+		       entry ? entry->revision : 0);
 		return;
+	}
 	if (!entry ||
 	    platform->ops->decode(platform, entry->key, entry->value, &item)) {
 		if (entry)
--- a/tests/test_platform_catalog.cc
+++ b/tests/test_platform_catalog.cc
@@ -253,6 +253,52 @@
 		EXPECT_EQ(12u, target.started_at_ms);
 		EXPECT_EQ(!strcmp(c.name, "leaving"), target.leaving);
 	}
+}
+
+/*
+ * Such an entry of another writer must not end the process, nor keep it from
+ * reading on.
+ */
+TEST(PlatformCatalog, RejectsTargetEntriesBeyondAllLimits)
+{
+	const std::string digits(400, '9');
+	const size_t depth = 300000;
+	std::vector<std::string> values = {
+		std::string(depth, '['),
+		std::string(depth, '[') + std::string(depth, ']'),
+		R"({"service":"huvo","slots":)" + std::string(depth, '[') +
+			std::string(depth, ']') + "}",
+	};
+	std::string objects;
+
+	for (size_t i = 0; i < depth; i++)
+		objects += R"({"a":)";
+	values.push_back(objects + "1" + std::string(depth, '}'));
+	for (const std::string &number :
+	     { digits, "-" + digits, std::string("1e999"),
+	       std::string("9223372036854775808") })
+		for (const char *field : { "slots", "born", "seq", "cold_ms" })
+			values.push_back(R"({"service":"huvo",)"
+					 R"("address":"10.1.0.9:8080",)"
+					 R"("zone":"a","state":"ready",)"
+					 R"("db_role":"replica","slots":2,")" +
+					 std::string(field) + "\":" + number +
+					 "}");
+	for (const std::string &port :
+	     { std::string("0"), std::string("65536"), std::string("-1"),
+	       std::string("+80"), std::string("8080 "), digits })
+		values.push_back(R"({"service":"huvo","address":"10.1.0.9:)" +
+				 port +
+				 R"(","zone":"a","state":"ready",)"
+				 R"("db_role":"replica","slots":2})");
+	for (const std::string &value : values) {
+		kb_target_entry_t target;
+
+		EXPECT_EQ(KB_ERR_PROTOCOL,
+			  kb_platform_catalog_decode_target(
+				  KB_STR("i-1"), to_str(value), &target))
+			<< value.substr(0, 200);
+	}
 	/* Bytes that are not valid UTF-8. */
 	kb_target_entry_t target;
 	EXPECT_EQ(KB_ERR_PROTOCOL,
