Keep the order of the later term when two have one number

A holder that tells an order to a minority of the voters only and is then replaced leaves its number to be used again by its successor, whose majority has not heard of it. A later holder that learned of the first one before the second would have used a primary between their terms. Found by reading; no caller saw it. The test fails without the comparison of terms.

--- a/src/lease_order.c
+++ b/src/lease_order.c
@@ -57,7 +57,10 @@
 
 void kb_lease_learn_order(kb_lease_t *lease, const kb_promotion_order_t *order)
 {
-	if (order->number > lease->order.number)
+	/* A holder may reuse a number that only few voters have been told. */
+	if (order->number > lease->order.number ||
+	    (order->number == lease->order.number &&
+	     order->term > lease->order.term))
 		lease->order = *order;
 }
 
--- a/tests/test_lease_order.cc
+++ b/tests/test_lease_order.cc
@@ -132,6 +132,21 @@
 					 BrokenRule::UNANNOUNCED_ORDERS));
 }
 
+/* A former holder told a minority of the voters an order of that number. */
+TEST(LeaseOrder, OfTwoOrdersOfANumberTheOneOfTheLaterTermIsKept)
+{
+	OrderSimulation simulation(3, 1);
+	kb_lease_t &lease = simulation.hosts[0]->lease;
+	kb_promotion_order_t order = { 5, 7, name_of("t1") };
+	kb_promotion_order_t other = { 5, 8, name_of("t2") };
+
+	kb_lease_learn_order(&lease, &order);
+	kb_lease_learn_order(&lease, &other);
+	EXPECT_EQ(8u, lease.order.term);
+	kb_lease_learn_order(&lease, &order);
+	EXPECT_EQ(8u, lease.order.term);
+}
+
 TEST(LeaseOrder, AnOrderIsAnnouncedWithinOneCallToTheStore)
 {
 	for (uint64_t seed = 1; seed <= 20; seed++) {
