Let the soak kill the host that has ordered a promotion

The primary is silent until a holder orders a promotion, and answers again while the holder is killed; the holder is back 0.1 s later.

A host that is stopped in that moment is back after 0.1 s, too (0.5 s).

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -31,7 +31,7 @@
 FAULTS = ["kill-host", "stop-host", "freeze-host", "kill-primary",
           "freeze-primary", "store-down", "store-restored", "kill-all",
           "config", "release-primary", "stop-promoter", "remove-key",
-          "move-key", "turn-away"]
+          "move-key", "turn-away", "kill-promoter"]
 SETTINGS = """[host]
 name = {name}
 data_centre = z1
@@ -117,8 +117,8 @@
         await asyncio.sleep(1)
         primary.state = "ready"
 
-    async def stop_promoter(self, group, primary):
-        """Stops the host that has ordered the promotion of another primary.
+    async def end_promoter(self, group, primary, number):
+        """Sends a signal to the host that has ordered the promotion of another primary.
 
         The old primary is silent until the order and leads until it takes
         effect.
@@ -132,8 +132,8 @@
         if len(group.promoters) > ordered:
             host = next(h for h in self.hosts
                         if h.name == group.promoters[ordered])
-            host.signal(signal.SIGTERM)
-            await self.restart(host, 0.5)
+            host.signal(number)
+            await self.restart(host, 0.1)
 
     def disturbance(self):
         return self.keys.disturbance() if self.keys else \
@@ -212,7 +212,9 @@
         elif name == "release-primary":
             await self.release(group, primary)
         elif name == "stop-promoter":
-            await self.stop_promoter(group, primary)
+            await self.end_promoter(group, primary, signal.SIGTERM)
+        elif name == "kill-promoter":
+            await self.end_promoter(group, primary, signal.SIGKILL)
         elif name == "kill-all":
             for each in self.hosts:
                 each.signal(signal.SIGKILL)
