Take the soak's ports from below those of outgoing connections

Its log shows why: while it was down, an outgoing connection of another host got its port (RPC_MALFORMED names 127.0.0.1:56165, h4's own port of sessions, as the peer), so that it could not listen on it again. Ports were picked by the kernel, from the range of outgoing connections.

Ports of hosts and targets, which start again on the same one, now lie below that range.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -16,7 +16,6 @@
 import os
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -24,6 +23,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from callers import CALLERS, Caller, Records  # noqa: E402
 from keys import BOUND_S, TEAMS, Keys  # noqa: E402
+from ports import free_port  # noqa: E402
 from standin import Platform  # noqa: E402
 
 # Two readers, each of which polls the store every 0.25 s at most.
@@ -54,12 +54,6 @@
 """
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Host:
     """One process of the daemon."""
 
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -8,6 +8,7 @@
 import base64
 import json
 
+from ports import free_port
 from standin_store import Store
 
 
@@ -27,7 +28,7 @@
         self.applied = 0
         self.slots = asyncio.Semaphore(slots)
         self.server = None
-        self.port = 0
+        self.port = free_port()
         self.running = asyncio.Event()
         self.running.set()
         self.conns = set()
@@ -51,7 +52,6 @@
             self.role = "replica"
         self.server = await asyncio.start_server(
             self.serve, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
 
     async def crash(self):
         self.server.close()
