--- a/tests/test_target_link.cc
+++ b/tests/test_target_link.cc
@@ -233,3 +233,16 @@
 		  target.answers[0]);
 	EXPECT_EQ((Answer{ "paid", "t" }), target.answers[1]);
 }
+
+/* Guards against an answer that is given to the next client of a connection. */
+TEST(TargetLink, DataAfterReadyEndsTheConnection)
+{
+	for (const char *extra : { "ROW paid\r\n", "READY I 1.1\r\n", "\n" }) {
+		OpenLink target;
+
+		target.read("ROW open\r\nDONE s\r\nREADY I 1.1\r\n" +
+			    std::string(extra));
+		EXPECT_EQ(KB_ERR_PROTOCOL, target.lost);
+		EXPECT_EQ(0u, target.answers.size());
+	}
+}
