Refuse to write a field that its reader would take for several

One that contains CR LF, or a space before the last field, is a message or a field of its own for the reader. Texts of callers and targets can't contain CR LF, since they come from lines; names of a configuration, entries of targets and answers of other hosts can.

kb_line_write() now returns KB_ERR_INVALID and writes nothing.

Before: no such check (the return value is new).

--- a/src/log_events.h
+++ b/src/log_events.h
@@ -24,6 +24,7 @@
 KB_EVENT(1106, TARGET_PACE_CUT, INFO, "fewer statements are sent to a target")
 KB_EVENT(1107, TARGET_PACE_FULL, INFO,
 	 "a target is sent as many statements as its slots run again")
+KB_EVENT(1108, COMMAND_MALFORMED, WARN, "a command cannot be sent as one message")
 
 KB_EVENT(1200, GATE_OPENED, INFO, "host became the gate of a target")
 KB_EVENT(1201, GATE_CLOSED, INFO, "host is no longer the gate of a target")
@@ -115,6 +116,7 @@
 	 "the hosts that decide who serves a group became silent or answer again")
 KB_EVENT(1818, TARGET_SILENT, WARN,
 	 "a target stopped answering this host or answers again")
+KB_EVENT(1819, ANSWER_MALFORMED, WARN, "an answer cannot be sent as messages")
 
 KB_EVENT(1900, RPC_CONNECTION_LOST, WARN, "connection to a host lost")
 KB_EVENT(1901, RPC_VERSION_REFUSED, WARN, "message of an unsupported version")
--- a/tests/test_line.cc
+++ b/tests/test_line.cc
@@ -71,6 +71,34 @@
 	}
 }
 
+/* Guards against a field that its reader takes for several. */
+TEST(Line, AFieldThatWouldBeSeveralIsNotWritten)
+{
+	struct {
+		const char *first, *last;
+		kb_result_t result;
+	} cases[] = {
+		{ "ERR", "a b\nc\r", KB_OK },
+		{ "SET", "", KB_OK },
+		{ "ROW", "x\r\nDONE y", KB_ERR_INVALID },
+		{ "a b", "c", KB_ERR_INVALID },
+		{ "a\r\nBYE", "c", KB_ERR_INVALID },
+	};
+
+	for (const auto &c : cases) {
+		struct evbuffer *output = evbuffer_new();
+		kb_str_t fields[] = { kb_str_from(c.first),
+				      kb_str_from(c.last) };
+		size_t len =
+			c.result ? 0 : strlen(c.first) + strlen(c.last) + 3;
+
+		EXPECT_EQ(c.result, kb_line_write(output, fields, 2))
+			<< c.first;
+		EXPECT_EQ(len, evbuffer_get_length(output)) << c.first;
+		evbuffer_free(output);
+	}
+}
+
 TEST(Line, WordsEndAtOneBlank)
 {
 	kb_str_t rest = KB_STR("READ  1a4 x y");
--- a/tests/test_target_link.cc
+++ b/tests/test_target_link.cc
@@ -246,3 +246,15 @@
 		EXPECT_EQ(0u, target.answers.size());
 	}
 }
+
+/* Guards against a name that begins a command of its own. */
+TEST(TargetLink, ACommandThatWouldBeSeveralIsNotSent)
+{
+	OpenLink target;
+
+	EXPECT_EQ(KB_ERR_INVALID,
+		  target.send(KB_LINK_COMMAND_WRITE, "a x\r\nQUERY j COMMIT"));
+	target.read("DONE s\r\nREADY I 1.1\r\n");
+	EXPECT_EQ("START g host t-1\r\nQUERY i READ item\r\n",
+		  target.server.received);
+}
