Keep the position to which an incomplete line was searched

A caller that sends a line of 1 MiB byte by byte makes the host search 2^39 bytes. No run of that was made.

It stays one byte before the end, as the last byte may be the CR of a line end.

Before: no such position. After: Line.NoByteOfALineInPiecesIsSearchedTwice passes, with line ends, carriage returns and line feeds split at each byte.

--- a/tests/test_line.cc
+++ b/tests/test_line.cc
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <gtest/gtest.h>
 #include <string>
+#include <vector>
 
 TEST(Line, CompleteLinesAreReadAndOthersRejected)
 {
@@ -33,10 +34,12 @@
 		SCOPED_TRACE(c.name);
 		struct evbuffer *input = evbuffer_new();
 		char *line = nullptr;
+		size_t searched = 0;
 		size_t len = 0;
 
 		evbuffer_add(input, c.input.data(), c.input.size());
-		EXPECT_EQ(c.result, kb_line_read(input, &line, &len));
+		EXPECT_EQ(c.result,
+			  kb_line_read(input, &searched, &line, &len));
 		if (c.result == KB_OK) {
 			EXPECT_EQ(c.line, std::string(line, len));
 		}
@@ -60,10 +63,11 @@
 		kb_str_t fields[] = { KB_STR("QUERY"),
 				      { text.data(), text.size() } };
 		char *line = nullptr;
+		size_t searched = 0;
 		size_t len = 0;
 
 		kb_line_write(stream, fields, 2);
-		ASSERT_EQ(KB_OK, kb_line_read(stream, &line, &len));
+		ASSERT_EQ(KB_OK, kb_line_read(stream, &searched, &line, &len));
 		EXPECT_EQ("QUERY " + text, std::string(line, len));
 		EXPECT_EQ(0u, evbuffer_get_length(stream));
 		free(line);
@@ -71,6 +75,32 @@
 	}
 }
 
+/* Guards against a search that begins anew with each byte that arrives. */
+TEST(Line, NoByteOfALineInPiecesIsSearchedTwice)
+{
+	const std::string input = "READ a\r\r\nQUERY\n\r\n\r\n";
+	struct evbuffer *stream = evbuffer_new();
+	std::vector<std::string> lines;
+	size_t searched = 0;
+
+	for (char byte : input) {
+		char *line = nullptr;
+		size_t len = 0;
+
+		evbuffer_add(stream, &byte, 1);
+		if (kb_line_read(stream, &searched, &line, &len)) {
+			EXPECT_EQ(evbuffer_get_length(stream) - 1, searched);
+			continue;
+		}
+		EXPECT_EQ(0u, searched);
+		lines.emplace_back(line, len);
+		free(line);
+	}
+	EXPECT_EQ((std::vector<std::string>{ "READ a\r", "QUERY\n", "" }),
+		  lines);
+	evbuffer_free(stream);
+}
+
 /* Guards against a field that its reader takes for several. */
 TEST(Line, AFieldThatWouldBeSeveralIsNotWritten)
 {
