Record the term of a primary before it is served

Cause: a process that starts knew no term and took the highest that answered within 0.45 s. The new log line 1316 shows what stops it since: the record still names the order of the promotion, which shuts out its term and those before. Where the record names no order, a withdrawn one or one of several terms before, the same end was reached (three tests).

A holder now serves a primary only once each later holder knows its term, by the order that promoted it or by one that is recorded for this. Whether a primary may be served is one predicate, kb_monitor_may_serve(). An order whose effect is known is not repeated.

Before (sources of the parent, tests of this commit): ARestartedHolderKnowsA- TermThatBeganWithoutAnOrder, -TheTermOfAWithdrawnOrder, -ATermAfterThatOfThe- LastOrder, APrimaryIsServedOnlyOnceItsTermIsRecorded and AnOrderThatTookEffect- IsNotRepeated of MonitorTerm failed. After: all of Monitor* pass.

It works as the floor survives the process: it is in the record or with a majority of the voters before the first statement of the term. The simulated platform of the tests now counts terms, as a promotion always set term 2.

--- a/src/log_events.h
+++ b/src/log_events.h
@@ -58,6 +58,8 @@
 
 KB_EVENT(1315, PROMOTION_BLOCKED, WARN,
 	 "no target is known to have all acknowledged commits")
+KB_EVENT(1316, PRIMARY_NOT_USED, WARN,
+	 "a primary is not used as a later term or an open order is known")
 
 KB_EVENT(1400, MEMBER_JOINED, INFO, "host joined or returned")
 KB_EVENT(1401, MEMBER_LEAVING, INFO, "host is leaving and accepts no new work")
--- a/src/monitor.c
+++ b/src/monitor.c
@@ -4,6 +4,11 @@
 
 #include <inttypes.h>
 
+enum {
+	/* Interval of the log lines about a primary that is not used. */
+	LOG_INTERVAL_S = 2,
+};
+
 static const char *const state_names[] = {
 	[KB_MONITOR_IDLE] = "idle",
 	[KB_MONITOR_FINDING] = "finding",
@@ -72,6 +77,7 @@
 	monitor->planned = 0;
 	monitor->releasing = 0;
 	monitor->order_state = KB_ORDER_OPEN;
+	monitor->unused_logged_at = 0;
 	monitor->gap_start = now;
 	kb_monitor_set_state(monitor,
 			     holds_lease ? KB_MONITOR_FINDING : KB_MONITOR_IDLE,
@@ -124,45 +130,69 @@
 	kb_monitor_set_state(monitor, KB_MONITOR_SERVING, now);
 }
 
+/* Returns the primary of the highest term that has answered, or NULL. */
+static const kb_monitor_probe_t *find_primary(const kb_monitor_t *monitor)
+{
+	const kb_monitor_probe_t *best = NULL;
+
+	for (size_t i = 0; i < monitor->probe_count; i++) {
+		const kb_monitor_probe_t *probe = &monitor->probes[i];
+
+		if (probe->answered_at > monitor->state_since &&
+		    probe->report.is_primary &&
+		    (!best || probe->report.term > best->report.term))
+			best = probe;
+	}
+	return best;
+}
+
+static void log_unused(kb_monitor_t *monitor, const kb_monitor_probe_t *primary,
+		       kb_time_t now)
+{
+	if (monitor->unused_logged_at &&
+	    now - monitor->unused_logged_at < LOG_INTERVAL_S * KB_NS_PER_S)
+		return;
+	monitor->unused_logged_at = now;
+	kb_log(KB_EVENT_PRIMARY_NOT_USED,
+	       "group=%s primary=%s term=%" PRIu64 " known_term=%" PRIu64
+	       " ordered=%s ordered_after=%" PRIu64 " number=%" PRIu64,
+	       monitor->group.data, primary->target.data, primary->report.term,
+	       kb_monitor_highest_term(monitor), monitor->order.target.data,
+	       monitor->order.term, monitor->order.number);
+}
+
 static void tick_finding(kb_monitor_t *monitor, const kb_target_list_t *targets,
 			 kb_time_t now)
 {
 	const kb_monitor_probe_t *ordered = kb_monitor_find_probe(
 		monitor, kb_name_str(&monitor->order.target));
-	const kb_monitor_probe_t *best = NULL;
-	uint64_t highest = 0;
 	size_t answered;
 	size_t missing = kb_monitor_probe_all(
 		monitor, targets, monitor->state_since, now, &answered);
+	const kb_monitor_probe_t *primary = find_primary(monitor);
 	kb_time_t spent = now - monitor->state_since;
+	int is_complete =
+		!missing || spent >= KB_MONITOR_FIND_TIMEOUT_MS * KB_NS_PER_MS;
 
-	for (size_t i = 0; i < monitor->probe_count; i++) {
-		const kb_monitor_probe_t *probe = &monitor->probes[i];
-
-		if (probe->answered_at <= monitor->state_since)
-			continue;
-		if (probe->report.term > highest)
-			highest = probe->report.term;
-		if (probe->report.is_primary &&
-		    (!best || probe->report.term > best->report.term))
-			best = probe;
-	}
-	if (best ? kb_monitor_is_order_open(monitor, &best->target,
-					    best->report.term)
-		 : ordered && ordered->answered_at > monitor->state_since) {
-		if (!missing ||
-		    spent >= KB_MONITOR_FIND_TIMEOUT_MS * KB_NS_PER_MS)
-			kb_monitor_resolve_order(monitor, now);
+	if (primary && kb_monitor_may_serve(monitor, &primary->target,
+					    primary->report.term)) {
+		if (is_complete &&
+		    kb_monitor_record_term(monitor, &primary->target,
+					   primary->report.term))
+			kb_monitor_begin_serving(
+				monitor,
+				kb_target_list_find(
+					targets, kb_name_str(&primary->target)),
+				&primary->report, now);
 		return;
 	}
-	if (best && best->report.term >= highest &&
-	    best->report.term >= monitor->term &&
-	    (!missing || spent >= KB_MONITOR_FIND_TIMEOUT_MS * KB_NS_PER_MS)) {
-		kb_monitor_begin_serving(
-			monitor,
-			kb_target_list_find(targets,
-					    kb_name_str(&best->target)),
-			&best->report, now);
+	if (primary && is_complete)
+		log_unused(monitor, primary, now);
+	if (!kb_monitor_is_order_over(monitor) &&
+	    (primary ||
+	     (ordered && ordered->answered_at > monitor->state_since))) {
+		if (is_complete)
+			kb_monitor_resolve_order(monitor, now);
 		return;
 	}
 	if (answered &&
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -89,8 +89,9 @@
 			  uint64_t term);
 	/*
 	 * Announces the order to promote `target`, or with NULL withdraws the
-	 * last one; `term` is the highest term known. Returns whether each
-	 * later holder of the lease will know of it; else it is called again.
+	 * last one; `term` is the highest term known, or that before the term
+	 * which `target` leads already. Returns whether each later holder of
+	 * the lease will know of it; else it is called again.
 	 */
 	int (*announce)(void *ctx, const kb_name_t *target, uint64_t term);
 	/* Requests a promotion; kb_monitor_on_promoted() follows. */
@@ -157,6 +158,8 @@
 	 */
 	kb_promotion_order_t order;
 	kb_order_state_t order_state;
+	/* Time of the last log line about a primary that is not used. */
+	kb_time_t unused_logged_at;
 	/*
 	 * Until then a promotion that was requested may take effect; 0 if none
 	 * may. Outlives the lease, as the request does.
--- a/src/monitor_internal.h
+++ b/src/monitor_internal.h
@@ -35,18 +35,27 @@
 /* Whether the last order may still replace the primary of `term`. */
 int kb_monitor_is_order_open(const kb_monitor_t *monitor,
 			     const kb_name_t *primary, uint64_t term);
+/* Whether the last order has taken effect, as a later term is known. */
+int kb_monitor_is_order_over(const kb_monitor_t *monitor);
+/*
+ * Whether the primary of `term` may be served: neither the last order nor a
+ * target that has answered nor this host's watermarks show a later term.
+ */
+int kb_monitor_may_serve(const kb_monitor_t *monitor, const kb_name_t *primary,
+			 uint64_t term);
+/*
+ * Lets each later holder know that no primary of an earlier term than `term`
+ * may be served. Returns whether it does; if not, it is to be called again
+ * before `primary` is served.
+ */
+int kb_monitor_record_term(kb_monitor_t *monitor, const kb_name_t *primary,
+			   uint64_t term);
 /*
  * While the last order may replace the primary that was found: waits for it,
  * repeats it, or withdraws it if it was refused. Called once all targets have
  * had time to answer.
  */
 void kb_monitor_resolve_order(kb_monitor_t *monitor, kb_time_t now);
-/*
- * Whether `primary` may be served in spite of the last order: that is over, or
- * is withdrawn as this holder knows that `primary` was promoted.
- */
-int kb_monitor_end_order(kb_monitor_t *monitor,
-			 const kb_monitor_probe_t *primary);
 /* Announces the order to promote `promotee`, then requests the promotion. */
 void kb_monitor_send_order(kb_monitor_t *monitor,
 			   const kb_target_list_t *targets, kb_time_t now);
--- a/src/monitor_order.c
+++ b/src/monitor_order.c
@@ -26,6 +26,47 @@
 	       !kb_name_is(&order->target, kb_name_str(primary));
 }
 
+int kb_monitor_is_order_over(const kb_monitor_t *monitor)
+{
+	return !monitor->order.target.len ||
+	       kb_monitor_highest_term(monitor) > monitor->order.term;
+}
+
+int kb_monitor_may_serve(const kb_monitor_t *monitor, const kb_name_t *primary,
+			 uint64_t term)
+{
+	const kb_promotion_order_t *order = &monitor->order;
+
+	if (kb_monitor_is_order_open(monitor, primary, term))
+		return 0;
+	/* A withdrawn order names the term in which the group goes on. */
+	return term >= kb_monitor_highest_term(monitor) &&
+	       (order->target.len || term >= order->term);
+}
+
+/*
+ * Whether the last order tells each later holder that a primary of an earlier
+ * term than `term` must not be used.
+ */
+static int is_term_recorded(const kb_promotion_order_t *order,
+			    const kb_name_t *primary, uint64_t term)
+{
+	if (!order->target.len)
+		return term == order->term || (term <= 1 && !order->term);
+	return term == order->term + 1 ||
+	       (term == order->term &&
+		kb_name_is(&order->target, kb_name_str(primary)));
+}
+
+int kb_monitor_record_term(kb_monitor_t *monitor, const kb_name_t *primary,
+			   uint64_t term)
+{
+	if (is_term_recorded(&monitor->order, primary, term))
+		return 1;
+	return monitor->ops->announce(monitor->ctx, primary,
+				      term ? term - 1 : 0);
+}
+
 void kb_monitor_set_order(kb_monitor_t *monitor,
 			  const kb_promotion_order_t *order, kb_time_t now)
 {
@@ -33,8 +74,8 @@
 	if ((monitor->state != KB_MONITOR_SERVING &&
 	     monitor->state != KB_MONITOR_SUSPECTING &&
 	     monitor->state != KB_MONITOR_SWITCHOVER) ||
-	    !kb_monitor_is_order_open(monitor, &monitor->primary.place.target,
-				      monitor->term))
+	    kb_monitor_may_serve(monitor, &monitor->primary.place.target,
+				 monitor->term))
 		return;
 	monitor->has_primary = 0;
 	monitor->order_state = KB_ORDER_OPEN;
@@ -107,8 +148,8 @@
 	    monitor->ops->lease_left(monitor->ctx) <
 		    KB_MONITOR_MIN_LEASE_LEFT_MS * KB_NS_PER_MS)
 		return;
-	/* Primaries of the terms before an open order stay excluded. */
-	if (monitor->order.target.len && monitor->order.term > term)
+	/* Primaries of the terms before the last order stay excluded. */
+	if (monitor->order.term > term)
 		term = monitor->order.term;
 	if (!monitor->ops->announce(monitor->ctx, &monitor->promotee, term))
 		return;
@@ -133,14 +174,6 @@
 	monitor->ops->promote(monitor->ctx, entry);
 }
 
-int kb_monitor_end_order(kb_monitor_t *monitor,
-			 const kb_monitor_probe_t *primary)
-{
-	return !kb_monitor_is_order_open(monitor, &primary->target,
-					 primary->report.term) ||
-	       withdraw_order(monitor);
-}
-
 void kb_monitor_on_promoted(kb_monitor_t *monitor, kb_str_t target,
 			    kb_result_t result, kb_time_t now)
 {
--- a/src/monitor_promotion.c
+++ b/src/monitor_promotion.c
@@ -82,11 +82,17 @@
 	return 0;
 }
 
-/* Serves the target whose promotion has taken effect. */
+/*
+ * Serves the target whose promotion has taken effect, once its term is
+ * recorded.
+ */
 static void finish_promotion(kb_monitor_t *monitor,
 			     const kb_target_list_t *targets,
 			     const kb_monitor_probe_t *probe, kb_time_t now)
 {
+	if (!kb_monitor_record_term(monitor, &probe->target,
+				    probe->report.term))
+		return;
 	if (monitor->has_primary) {
 		monitor->former_primary = monitor->primary.place.target;
 		monitor->former_primary_since = now;
@@ -108,17 +114,15 @@
  */
 static const kb_monitor_probe_t *find_successor(const kb_monitor_t *monitor)
 {
-	uint64_t highest = kb_monitor_highest_term(monitor);
-
 	for (size_t i = 0; i < monitor->probe_count; i++) {
 		const kb_monitor_probe_t *probe = &monitor->probes[i];
 
 		if (probe->answered_at > monitor->state_since &&
-		    probe->report.is_primary && probe->report.term >= highest &&
+		    probe->report.is_primary &&
 		    (monitor->has_primary ? probe->report.term > monitor->term
 					  : monitor->order.target.len != 0) &&
-		    !kb_monitor_is_order_open(monitor, &probe->target,
-					      probe->report.term))
+		    kb_monitor_may_serve(monitor, &probe->target,
+					 probe->report.term))
 			return probe;
 	}
 	return NULL;
@@ -186,8 +190,7 @@
 	if (probe->answered_at > monitor->promotee_since &&
 	    probe->report.is_primary && probe->report.term >= monitor->term &&
 	    probe->report.term > monitor->promotee_term) {
-		if (kb_monitor_end_order(monitor, probe))
-			finish_promotion(monitor, targets, probe, now);
+		finish_promotion(monitor, targets, probe, now);
 		return;
 	}
 	kb_monitor_send_probe(
--- a/tests/monitor_simulation.h
+++ b/tests/monitor_simulation.h
@@ -4,6 +4,7 @@
 #include "monitor.h"
 
 #include <gtest/gtest.h>
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -140,13 +141,18 @@
 	void promote(const std::string &name, kb_time_t delay)
 	{
 		events.emplace(now + delay, [this, name] {
-			if (state[name].primary)
+			uint64_t highest = 0;
+
+			for (auto &target : state)
+				highest = std::max(highest, target.second.term);
+			if (state[name].primary && state[name].term == highest)
 				return;
-			/* The old primary leads its own term. */
+			state[name].primary = true;
+			state[name].term = highest + 1;
+			/* A former primary leads its own term. */
 			for (auto &other : state)
 				if (!other.second.primary)
-					other.second.term = 2;
-			state[name].primary = true;
+					other.second.term = highest + 1;
 		});
 	}
 
