Keep an order open when the platform refuses another target

What callers could see, by reading: an ordered target is silent to a new holder, which orders another one; the platform refuses that.

Cause: KB_ORDER_REPEAT_REFUSED was set whichever target was refused, and the record names the last order only, so that a successor could not tell either.

An order now names the target of the one that it replaces unless a later term shows that this is over, in the record and in renewals. While such an order is open, the refusal of another target ends nothing; the holder asks the platform again for the earlier one, and withdraws once that is refused, too.

Hosts of before read such a record, but not a renewal that carries an order.

--- a/src/gen/kumquat_session.h
+++ b/src/gen/kumquat_session.h
@@ -150,6 +150,7 @@
 	u_quad_t number;
 	u_quad_t term;
 	kbs_text target;
+	kbs_text earlier;
 };
 typedef struct kbs_order kbs_order;
 
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -144,6 +144,8 @@
 	unsigned hyper term;
 	/* Empty if the order was withdrawn. */
 	kbs_text target;
+	/* Target of an order that it replaced, or empty. */
+	kbs_text earlier;
 };
 
 /* The holder of a group asks a candidate not to take the group over. */
--- a/src/gen/kumquat_session_xdr.c
+++ b/src/gen/kumquat_session_xdr.c
@@ -275,6 +275,8 @@
 		 return FALSE;
 	 if (!xdr_kbs_text (xdrs, &objp->target))
 		 return FALSE;
+	 if (!xdr_kbs_text (xdrs, &objp->earlier))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/lease_order.c
+++ b/src/lease_order.c
@@ -33,9 +33,7 @@
 		return 0;
 	if (lease->order.term != term ||
 	    !kb_lease_names_equal(&lease->order.target, name)) {
-		lease->order.number++;
-		lease->order.term = term;
-		lease->order.target = *name;
+		kb_promotion_order_replace(&lease->order, name, term);
 		lease->ordered_at = now;
 		/* The next tick renews, and so tells the voters. */
 		lease->renewals_sent_at = 0;
--- a/src/lease_record.c
+++ b/src/lease_record.c
@@ -15,9 +15,10 @@
 {
 	if (!order->number)
 		return NULL;
-	return json_pack("{s:I,s:I,s:s}", "number", (json_int_t)order->number,
-			 "term", (json_int_t)order->term, "target",
-			 order->target.data);
+	return json_pack(
+		"{s:I,s:I,s:s,s:s*}", "number", (json_int_t)order->number,
+		"term", (json_int_t)order->term, "target", order->target.data,
+		"earlier", order->earlier.len ? order->earlier.data : NULL);
 }
 
 static json_t *format_copies(const kb_target_names_t *copies)
@@ -72,15 +73,17 @@
 static kb_result_t read_order(kb_promotion_order_t *order, json_t *json)
 {
 	const char *target;
+	const char *earlier = "";
 	json_int_t number;
 	json_int_t term;
 
 	if (!json)
 		return KB_OK;
-	if (json_unpack(json, "{s:I,s:I,s:s}", "number", &number, "term", &term,
-			"target", &target) ||
+	if (json_unpack(json, "{s:I,s:I,s:s,s?s}", "number", &number, "term",
+			&term, "target", &target, "earlier", &earlier) ||
 	    number < 0 || term < 0 ||
-	    kb_name_set(&order->target, kb_str_from(target)))
+	    kb_name_set(&order->target, kb_str_from(target)) ||
+	    kb_name_set(&order->earlier, kb_str_from(earlier)))
 		return KB_ERR_PROTOCOL;
 	order->number = (uint64_t)number;
 	order->term = (uint64_t)term;
--- a/src/monitor.c
+++ b/src/monitor.c
@@ -77,6 +77,7 @@
 	monitor->planned = 0;
 	monitor->releasing = 0;
 	monitor->order_state = KB_ORDER_OPEN;
+	monitor->earlier_order = monitor->order.earlier;
 	monitor->unused_logged_at = 0;
 	monitor->gap_start = now;
 	kb_monitor_set_state(monitor,
@@ -116,6 +117,7 @@
 	monitor->promotee.len = 0;
 	monitor->promotion_open_until = 0;
 	monitor->order_state = KB_ORDER_NONE;
+	monitor->earlier_order.len = 0;
 	monitor->planned = 0;
 	monitor->blocked = 0;
 	monitor->ops->bind(monitor->ctx, primary);
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -76,7 +76,10 @@
 	KB_ORDER_NONE,
 	/* Its first request is not answered yet. */
 	KB_ORDER_SENT,
-	/* The platform has refused to repeat an open order. */
+	/*
+	 * The platform has refused to repeat an open order, and no earlier one
+	 * is open.
+	 */
 	KB_ORDER_REPEAT_REFUSED,
 } kb_order_state_t;
 
@@ -158,6 +161,11 @@
 	 */
 	kb_promotion_order_t order;
 	kb_order_state_t order_state;
+	/*
+	 * Target of an order that the last one has replaced, and that may still
+	 * take effect; empty if there is none.
+	 */
+	kb_name_t earlier_order;
 	/* Time of the last log line about a primary that is not used. */
 	kb_time_t unused_logged_at;
 	/*
--- a/src/monitor_order.c
+++ b/src/monitor_order.c
@@ -67,9 +67,36 @@
 				      term ? term - 1 : 0);
 }
 
+/* Remembers the target of an open order that another order replaces. */
+static void keep_earlier_order(kb_monitor_t *monitor, const kb_name_t *next,
+			       uint64_t term)
+{
+	const kb_name_t *target = &monitor->order.target;
+	const kb_monitor_probe_t *probe =
+		kb_monitor_find_probe(monitor, kb_name_str(target));
+
+	if (next->len && term <= monitor->order.term &&
+	    monitor->order_state == KB_ORDER_OPEN &&
+	    !kb_monitor_is_order_over(monitor) &&
+	    !kb_name_is(next, kb_name_str(target)) &&
+	    !(probe && probe->rejected))
+		monitor->earlier_order = *target;
+	if (kb_name_is(next, kb_name_str(&monitor->earlier_order)))
+		monitor->earlier_order.len = 0;
+}
+
 void kb_monitor_set_order(kb_monitor_t *monitor,
 			  const kb_promotion_order_t *order, kb_time_t now)
 {
+	int is_new = order->number != monitor->order.number;
+
+	if (monitor->state == KB_MONITOR_IDLE)
+		monitor->earlier_order = order->earlier;
+	else if (is_new)
+		keep_earlier_order(monitor, &order->target, order->term);
+	if (monitor->state == KB_MONITOR_FINDING && is_new &&
+	    !monitor->earlier_order.len)
+		monitor->earlier_order = order->earlier;
 	monitor->order = *order;
 	if ((monitor->state != KB_MONITOR_SERVING &&
 	     monitor->state != KB_MONITOR_SUSPECTING &&
@@ -151,6 +178,7 @@
 	/* Primaries of the terms before the last order stay excluded. */
 	if (monitor->order.term > term)
 		term = monitor->order.term;
+	keep_earlier_order(monitor, &monitor->promotee, term);
 	if (!monitor->ops->announce(monitor->ctx, &monitor->promotee, term))
 		return;
 	if (monitor->order_state == KB_ORDER_NONE || !monitor->order.target.len)
@@ -195,7 +223,9 @@
 	if (is_first) {
 		monitor->order_state = KB_ORDER_NONE;
 		monitor->promotion_open_until = 0;
-	} else if (result == KB_ERR_CONFLICT) {
+	} else if (result == KB_ERR_CONFLICT &&
+		   !kb_monitor_find_probe(
+			   monitor, kb_name_str(&monitor->earlier_order))) {
 		monitor->order_state = KB_ORDER_REPEAT_REFUSED;
 	}
 	if (result == KB_ERR_CONFLICT)
--- a/src/monitor_promotion.c
+++ b/src/monitor_promotion.c
@@ -147,6 +147,14 @@
 		return;
 	}
 	best = newest_replica(monitor, targets, monitor->state_since);
+	if (!best && kb_monitor_find_probe(
+			     monitor, kb_name_str(&monitor->earlier_order))) {
+		/* The platform tells whether it may still take effect. */
+		monitor->promotee = monitor->earlier_order;
+		monitor->promotee_since = now;
+		kb_monitor_send_order(monitor, targets, now);
+		return;
+	}
 	if (!best || (monitor->durable && newer_log_exists(monitor, best))) {
 		if (spent >= KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS) {
 			kb_monitor_set_state(monitor, KB_MONITOR_FINDING, now);
--- a/src/promotion_order.h
+++ b/src/promotion_order.h
@@ -16,8 +16,20 @@
 	uint64_t term;
 	/* Target that is to lead; empty if the order was withdrawn. */
 	kb_name_t target;
+	/*
+	 * Target of an order that this one has replaced; empty if there is
+	 * none. That order may still take effect unless it was refused.
+	 */
+	kb_name_t earlier;
 } kb_promotion_order_t;
 
+/*
+ * Replaces an order by the next one. If that names another target and no later
+ * term, it keeps the replaced one's target as `earlier`.
+ */
+void kb_promotion_order_replace(kb_promotion_order_t *order,
+				const kb_name_t *target, uint64_t term);
+
 int kb_promotion_order_equal(const kb_promotion_order_t *a,
 			     const kb_promotion_order_t *b);
 
--- a/src/proxy_lease.c
+++ b/src/proxy_lease.c
@@ -158,6 +158,7 @@
 	view->number = order->number;
 	view->term = order->term;
 	view->target = kb_text_view(kb_name_str(&order->target));
+	view->earlier = kb_text_view(kb_name_str(&order->earlier));
 	return view;
 }
 
@@ -169,7 +170,8 @@
 		return;
 	learned.number = order->number;
 	learned.term = order->term;
-	if (!kb_name_set(&learned.target, kb_text_str(order->target)))
+	if (!kb_name_set(&learned.target, kb_text_str(order->target)) &&
+	    !kb_name_set(&learned.earlier, kb_text_str(order->earlier)))
 		kb_lease_learn_order(&group->lease, &learned);
 }
 
--- a/tests/monitor_simulation.h
+++ b/tests/monitor_simulation.h
@@ -132,9 +132,10 @@
 	/* The order that a former holder has announced. */
 	void announce(const char *target, uint64_t term)
 	{
-		order.number++;
-		order.term = term;
-		kb_name_set(&order.target, kb_str_from(target));
+		kb_name_t name;
+
+		kb_name_set(&name, kb_str_from(target));
+		kb_promotion_order_replace(&order, &name, term);
 	}
 
 	/* The platform carries out a promotion. */
--- a/tests/test_lease_order.cc
+++ b/tests/test_lease_order.cc
@@ -137,8 +137,8 @@
 {
 	OrderSimulation simulation(3, 1);
 	kb_lease_t &lease = simulation.hosts[0]->lease;
-	kb_promotion_order_t order = { 5, 7, name_of("t1") };
-	kb_promotion_order_t other = { 5, 8, name_of("t2") };
+	kb_promotion_order_t order = { 5, 7, name_of("t1"), {} };
+	kb_promotion_order_t other = { 5, 8, name_of("t2"), {} };
 
 	kb_lease_learn_order(&lease, &order);
 	kb_lease_learn_order(&lease, &other);
@@ -147,6 +147,29 @@
 	EXPECT_EQ(8u, lease.order.term);
 }
 
+/* Guards against a replaced order that a successor takes for ended. */
+TEST(LeaseOrder, AnOrderNamesTheOneThatItReplacesUnlessThatIsOver)
+{
+	struct {
+		const char *target;
+		uint64_t term;
+		const char *earlier;
+	} steps[] = {
+		{ "b", 1, "" },	 { "c", 1, "b" }, { "c", 1, "b" },
+		{ "b", 1, "c" }, { "d", 1, "c" }, { "d", 2, "" },
+		{ "e", 2, "d" }, { "", 2, "" },	  { "f", 2, "" },
+	};
+	kb_promotion_order_t order = {};
+
+	for (const auto &step : steps) {
+		kb_name_t target = name_of(step.target);
+
+		kb_promotion_order_replace(&order, &target, step.term);
+		EXPECT_STREQ(step.earlier, order.earlier.data);
+	}
+	EXPECT_EQ(9u, order.number);
+}
+
 TEST(LeaseOrder, AnOrderIsAnnouncedWithinOneCallToTheStore)
 {
 	for (uint64_t seed = 1; seed <= 20; seed++) {
--- a/tests/test_lease_record.cc
+++ b/tests/test_lease_record.cc
@@ -19,6 +19,7 @@
 	record.order.number = 3;
 	record.order.term = 7;
 	kb_name_set(&record.order.target, KB_STR("t2"));
+	kb_name_set(&record.order.earlier, KB_STR("t3"));
 	for (const char *name : { "t1", "t2" }) {
 		kb_name_set(&copy, kb_str_from(name));
 		kb_target_names_add(&record.copies, &copy);
@@ -88,6 +89,7 @@
 		     replaced(text, "\"number\":3", "\"number\":-3"),
 		     replaced(text, "\"term\":7", "\"term\":\"7\""),
 		     replaced(text, "\"target\":\"t2\"", "\"target\":2"),
+		     replaced(text, "\"earlier\":\"t3\"", "\"earlier\":3"),
 		     replaced(text, "\"target\":\"t2\"",
 			      "\"target\":\"" + std::string(300, 'x') + "\""),
 		     replaced(text, "\"copies\":[\"t1\",\"t2\"]",
--- a/tests/test_monitor_order.cc
+++ b/tests/test_monitor_order.cc
@@ -208,3 +208,73 @@
 	simulation.until([&] { return simulation.serves("b"); });
 	EXPECT_EQ((std::vector<std::string>{ "b" }), simulation.promotions);
 }
+
+/*
+ * The ordered target is silent, and the platform refuses another one. That is
+ * no sign that the first order is over.
+ */
+TEST(MonitorOrder, TheRefusalOfAnotherTargetDoesNotEndAnOpenOrder)
+{
+	for (kb_time_t silent : { 3, 4, 6 }) {
+		MonitorSimulation simulation;
+
+		simulation.announce("b", 1);
+		simulation.state["b"].alive = false;
+		simulation.state["b"].refuses = false;
+		simulation.state["c"].promotable = false;
+		simulation.promote("b", silent * KB_NS_PER_S);
+		simulation.events.emplace(
+			simulation.now + silent * KB_NS_PER_S,
+			[&] { simulation.state["b"].alive = true; });
+		simulation.change_holder();
+		while (simulation.bound.empty()) {
+			ASSERT_LT(simulation.now, 11 * KB_NS_PER_S);
+			simulation.run(20 * MS);
+		}
+		/* The former primary serves only if it was promoted again. */
+		EXPECT_GT(simulation.monitor.term, 1u) << simulation.bound;
+	}
+}
+
+/*
+ * The same, but the holder dies after it has announced the order to the other
+ * target, or after that was refused: its successor knows of both orders.
+ */
+TEST(MonitorOrder, ASuccessorKnowsTheOpenOrderThatAnotherOneReplaced)
+{
+	for (kb_time_t life = 0; life <= 3000 * MS; life += 20 * MS) {
+		MonitorSimulation simulation;
+
+		simulation.announce("b", 1);
+		simulation.state["b"].alive = false;
+		simulation.state["b"].refuses = false;
+		simulation.state["c"].promotable = false;
+		simulation.change_holder();
+		simulation.run(life);
+		simulation.change_holder();
+		/* The platform carries out no order but the first one. */
+		simulation.promotion_delay = 60 * KB_NS_PER_S;
+		for (int i = 0; i < 400; i++) {
+			simulation.run(20 * MS);
+			ASSERT_FALSE(simulation.bound == "a" &&
+				     simulation.monitor.term == 1)
+				<< life / MS;
+		}
+	}
+}
+
+/* Both are refused, so that no order is open any more. */
+TEST(MonitorOrder, OrdersThatAreAllRefusedAreWithdrawn)
+{
+	MonitorSimulation simulation;
+
+	simulation.announce("b", 1);
+	simulation.state["b"].alive = false;
+	simulation.state["b"].refuses = false;
+	simulation.state["b"].promotable = false;
+	simulation.state["c"].promotable = false;
+	simulation.change_holder();
+	EXPECT_LE(simulation.until([&] { return simulation.serves("a"); }),
+		  12 * KB_NS_PER_S);
+	EXPECT_EQ(0u, simulation.order.target.len);
+}
