Let a voter tell the order to a host that has read another record

By reading: a voter tells a new holder the last order unless the store's record contains it, as far as the voter knows. After a restore to a copy from before the order the new holder has read an older record than the voter, whose grant then lacks the order, and it may serve the primary that the order replaces (ONE).

A voter now leaves the order out only if the asking host has read the revision of the record that contains it.

--- a/src/lease_order.c
+++ b/src/lease_order.c
@@ -47,10 +47,13 @@
 		known_to_voters(lease, &lease->pending.voters));
 }
 
-const kb_promotion_order_t *kb_lease_unrecorded_order(const kb_lease_t *lease)
+const kb_promotion_order_t *kb_lease_unrecorded_order(const kb_lease_t *lease,
+						      int64_t revision)
 {
-	return lease->order.number && !known_to_store(lease) ? &lease->order
-							     : NULL;
+	/* Another revision may be that of a restored, older record. */
+	int is_known = known_to_store(lease) && lease->revision == revision;
+
+	return lease->order.number && !is_known ? &lease->order : NULL;
 }
 
 void kb_lease_set_copies(kb_lease_t *lease, const kb_target_names_t *copies)
--- a/src/lease_order.h
+++ b/src/lease_order.h
@@ -20,10 +20,12 @@
 void kb_lease_set_copies(kb_lease_t *lease, const kb_target_names_t *copies);
 
 /*
- * Returns the last order if the record does not contain it, as far as this host
- * knows, else NULL. Renewals and their answers carry it.
+ * Returns the last order unless a host that has read `revision` of the key
+ * knows it from the record, as far as this host can tell, else NULL. Renewals
+ * and their answers carry it.
  */
-const kb_promotion_order_t *kb_lease_unrecorded_order(const kb_lease_t *lease);
+const kb_promotion_order_t *kb_lease_unrecorded_order(const kb_lease_t *lease,
+						      int64_t revision);
 
 /* Takes an order that another host knows of. */
 void kb_lease_learn_order(kb_lease_t *lease, const kb_promotion_order_t *order);
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -196,7 +196,8 @@
  * Returns `view`, filled in with the order of the group that the store's record
  * lacks, or NULL if there is none. Valid until the group's lease changes.
  */
-kbs_order *kb_proxy_order_view(const kb_proxy_group_t *group, kbs_order *view);
+kbs_order *kb_proxy_order_view(const kb_proxy_group_t *group, int64_t revision,
+			       kbs_order *view);
 /* Takes an order that another host has sent, unless it is NULL. */
 void kb_proxy_learn_order(kb_proxy_group_t *group, const kbs_order *order);
 
--- a/src/proxy_lease.c
+++ b/src/proxy_lease.c
@@ -148,10 +148,11 @@
 	wake_if_starting(call.group);
 }
 
-kbs_order *kb_proxy_order_view(const kb_proxy_group_t *group, kbs_order *view)
+kbs_order *kb_proxy_order_view(const kb_proxy_group_t *group, int64_t revision,
+			       kbs_order *view)
 {
 	const kb_promotion_order_t *order =
-		kb_lease_unrecorded_order(&group->lease);
+		kb_lease_unrecorded_order(&group->lease, revision);
 
 	if (!order)
 		return NULL;
@@ -186,7 +187,8 @@
 		.holder = kb_text_view(kb_name_str(&proxy->self.name)),
 		.revision = (uint64_t)group->lease.revision,
 		.serving = serving,
-		.order = kb_proxy_order_view(group, &order),
+		.order = kb_proxy_order_view(group, group->lease.revision,
+					     &order),
 	};
 	kb_rpc_call_t rpc = {
 		.procedure = KB_PROXY_RPC_GRANT,
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -110,7 +110,8 @@
 	if (res.granted)
 		kb_proxy_learn_order(group, args->order);
 	if (group)
-		res.order = kb_proxy_order_view(group, &order);
+		res.order = kb_proxy_order_view(group, (int64_t)args->revision,
+						&order);
 	if (res.granted)
 		res.quiet_us = kb_lease_exclusive_time(
 				       &group->lease,
--- a/tests/lease_cluster_ops.h
+++ b/tests/lease_cluster_ops.h
@@ -81,7 +81,7 @@
 	int64_t revision = lease->revision;
 	int live = kb_lease_is_live(lease, sent_at);
 	const kb_promotion_order_t *unrecorded =
-		kb_lease_unrecorded_order(lease);
+		kb_lease_unrecorded_order(lease, revision);
 	kb_promotion_order_t order =
 		unrecorded ? *unrecorded : kb_promotion_order_t{};
 
@@ -103,7 +103,7 @@
 		    cluster.broken_rule != BrokenRule::FORGETS_ORDERS)
 			kb_lease_learn_order(&other.lease, &order);
 		const kb_promotion_order_t *unrecorded =
-			kb_lease_unrecorded_order(&other.lease);
+			kb_lease_unrecorded_order(&other.lease, revision);
 		kb_promotion_order_t known =
 			unrecorded ? *unrecorded : kb_promotion_order_t{};
 		kb_time_t exclusive_time =
@@ -158,8 +158,16 @@
 				cluster.now -
 				kb_lease_exclusive_time(&other.lease,
 							cluster.now);
+			const kb_promotion_order_t *unrecorded =
+				kb_lease_unrecorded_order(&other.lease,
+							  revision);
+			kb_promotion_order_t known =
+				unrecorded ? *unrecorded
+					   : kb_promotion_order_t{};
 			cluster.deliver(
 				host, cluster.delay(), [=, &host, &cluster] {
+					kb_lease_learn_order(&host.lease,
+							     &known);
 					round->missing--;
 					round->other_granted_at = std::max(
 						round->other_granted_at,
--- a/tests/test_lease_order.cc
+++ b/tests/test_lease_order.cc
@@ -184,7 +184,8 @@
 		EXPECT_EQ(
 			nullptr,
 			kb_lease_unrecorded_order(
-				&simulation.hosts[simulation.announcer]->lease))
+				&simulation.hosts[simulation.announcer]->lease,
+				simulation.key_revision))
 			<< seed;
 	}
 }
@@ -203,6 +204,35 @@
 	}
 }
 
+/*
+ * A host that asks a voter for a grant has read a record that the voter does
+ * not know, such as a restored one from before the order: the voter tells the
+ * order.
+ */
+TEST(LeaseOrder, AVoterTellsAnOrderThatTheRecordOfAnotherRevisionMayLack)
+{
+	OrderSimulation simulation(5, 1);
+
+	simulation.run_checked(4 * KB_NS_PER_S);
+	simulation.begin_order();
+	simulation.run_checked(300 * MS);
+	ASSERT_EQ(1u, simulation.record.order.number);
+	kb_lease_t &voter =
+		simulation.hosts[(simulation.announcer + 1) % 5]->lease;
+	kb_name_t other = name_of("other");
+	int64_t restored =
+		kb_store_revision(kb_store_era(simulation.key_revision) + 1, 1);
+
+	kb_lease_on_key(&voter, &simulation.record, simulation.key_revision,
+			simulation.now);
+	EXPECT_EQ(nullptr,
+		  kb_lease_unrecorded_order(&voter, simulation.key_revision));
+	ASSERT_TRUE(
+		kb_lease_grant(&voter, &other, restored, 0, simulation.now));
+	ASSERT_NE(nullptr, kb_lease_unrecorded_order(&voter, restored));
+	EXPECT_EQ(1u, kb_lease_unrecorded_order(&voter, restored)->number);
+}
+
 /* A live holder loses its lease to a host that does not hear it. */
 TEST(LeaseOrder, AHostThatTakesOverFromALiveHolderKnowsItsOrder)
 {
