Bound reads without a holder by the reports of all targets

Cause: such a host took the primary's position for a bound of all commits as soon as a majority of the voters that it knew had granted nothing and a majority of the targets had reported no later term. The holder had named other voters, and a promotion needs no majority of the targets. A later report of a higher term changed nothing and was forgotten by the next check; a report requested by an earlier check counted for the next; and the bound was said to hold for the beginning of the check.

Ruled out: voters (none can know of others), waiting for later reports (nothing bounds their way), the order of the reports alone (a new primary that does not answer gives the same end).

The position is now a bound for the first time at which one of the reports was requested, and only if each target has reported the primary's term. A target that had been promoted by then would have reported a later one. A target whose entry expired lately, or one without an entry to which an order is known, gives no bound. A later term ends what was concluded, is remembered, and is logged.

NeedsAMajorityOfTargetsInThePrimarysTerm expected the fault. It is replaced by NeedsAReportOfEachTargetInThePrimarysTerm, which asks for more.

--- a/src/proxy.c
+++ b/src/proxy.c
@@ -41,6 +41,23 @@
 	kb_proxy_keys_log_ignored(proxy);
 }
 
+static void remove_target(kb_proxy_t *proxy, kb_str_t target)
+{
+	const kb_target_entry_t *entry =
+		kb_target_list_find(&proxy->targets, target);
+	kb_proxy_group_t *group =
+		entry ? kb_proxy_group_find(proxy,
+					    kb_name_str(&entry->place.group))
+		      : NULL;
+	kb_time_t now = kb_clock_monotonic(proxy->clock);
+
+	if (group)
+		kb_proxy_vacancy_sync_targets(group, now);
+	kb_target_list_remove(&proxy->targets, target);
+	if (group)
+		kb_proxy_vacancy_sync_targets(group, now);
+}
+
 static void apply_target(kb_proxy_t *proxy, kb_str_t key,
 			 const kb_mirror_entry_t *entry)
 {
@@ -61,7 +78,7 @@
 			kb_log(KB_EVENT_STORE_ENTRY_MALFORMED,
 			       "key=%.*s revision=%" PRId64, KB_STR_ARG(key),
 			       entry->revision);
-		kb_target_list_remove(&proxy->targets, kb_name_str(&target));
+		remove_target(proxy, kb_name_str(&target));
 		return;
 	}
 	if (kb_target_list_put(&proxy->targets, &item.target))
--- a/src/proxy_group.h
+++ b/src/proxy_group.h
@@ -22,14 +22,17 @@
 	struct kb_proxy_reach *reach_calls;
 	/* The report is also passed to the monitor of the primary. */
 	int for_monitor;
-	/* The report is also passed to the vacancy check. */
-	int for_vacancy;
+	/* The last report, and when it was requested (0 for none). */
+	kb_target_report_t report;
+	kb_time_t report_requested_at;
 } kb_proxy_probe_t;
 
 /*
- * Check that no host holds a group. A group without a holder is vacant: no
- * commit is acknowledged, so its primary's position bounds every acknowledged
- * commit.
+ * Check that no host holds a group, and up to when the position of its primary
+ * bounds every acknowledged commit: up to the time after which each target that
+ * may lead the group was asked for its state, if all of them are in the term of
+ * that primary. Until a target answers in an earlier term it has not been
+ * promoted, so nothing was acknowledged in a later one.
  */
 typedef struct kb_proxy_vacancy {
 	/* The check is repeated until then. */
@@ -41,14 +44,15 @@
 	 */
 	int64_t revision;
 	kb_lease_denials_t denials;
-	/* Number of targets probed, and of reports received so far. */
-	unsigned probed;
-	unsigned reports;
+	/* A holder was ruled out, and the targets were asked. */
+	int probed;
+	/* Highest term that a target has reported to this host. */
 	uint64_t highest_term;
-	kb_target_report_t primary;
+	/* The targets that may lead the group, also those without an entry. */
+	kb_copies_t targets;
 	/*
-	 * The last vacancy found: the time at which the group was vacant (0 for
-	 * none), and the position and term of its primary.
+	 * The last vacancy found: the time up to which the position of its
+	 * primary bounds all commits (0 for none), that and its term.
 	 */
 	kb_time_t found_at;
 	kb_point_t point;
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -230,6 +230,9 @@
 void kb_proxy_group_request_watermark(kb_proxy_group_t *group, kb_time_t now);
 
 /* proxy_probe.c */
+/* Returns the probes of a target, or NULL if there are none yet. */
+kb_proxy_probe_t *kb_proxy_probe_find(const kb_proxy_group_t *group,
+				      const kb_target_entry_t *target);
 kb_proxy_probe_t *kb_proxy_probe_get(kb_proxy_group_t *group,
 				     const kb_target_entry_t *target);
 void kb_proxy_probes_tick(kb_proxy_group_t *group);
@@ -252,9 +255,11 @@
 void kb_proxy_vacancy_tick(kb_proxy_group_t *group, kb_time_t now);
 /* Prolongs the vacancy check; fills in a watermark if the group is vacant. */
 void kb_proxy_vacancy_watermark(kb_proxy_group_t *group, kbs_stamp *stamp);
-/* Ends a probe for the vacancy check; `report` is NULL if it failed. */
-void kb_proxy_vacancy_on_probe(kb_proxy_group_t *group, kb_str_t target,
-			       const kb_target_report_t *report);
+/* A target has reported its state, to whichever part of this host. */
+void kb_proxy_vacancy_on_report(kb_proxy_group_t *group,
+				const kb_target_report_t *report);
+/* Notes which targets have entries, before and after one is removed. */
+void kb_proxy_vacancy_sync_targets(kb_proxy_group_t *group, kb_time_t now);
 
 /* proxy_gate.c */
 void kb_proxy_gate_run(kb_proxy_t *proxy, const kb_target_entry_t *target,
--- a/src/proxy_probe.c
+++ b/src/proxy_probe.c
@@ -37,11 +37,10 @@
 	if (kind != KB_LINK_COMMAND_STATUS)
 		return;
 	answer_reach_calls(probe, report);
-	if (probe->for_vacancy) {
-		probe->for_vacancy = 0;
-		kb_proxy_vacancy_on_probe(probe->group,
-					  kb_name_str(&target->place.target),
-					  report);
+	if (report) {
+		probe->report = *report;
+		probe->report_requested_at = target->started_at;
+		kb_proxy_vacancy_on_report(probe->group, report);
 	}
 	if (probe->for_monitor) {
 		probe->for_monitor = 0;
@@ -52,19 +51,24 @@
 	}
 }
 
+kb_proxy_probe_t *kb_proxy_probe_find(const kb_proxy_group_t *group,
+				      const kb_target_entry_t *target)
+{
+	for (size_t i = 0; i < group->probe_count; i++)
+		if (kb_name_is(&group->probes[i]->probe.place.target,
+			       kb_name_str(&target->place.target)))
+			return group->probes[i];
+	return NULL;
+}
+
 kb_proxy_probe_t *kb_proxy_probe_get(kb_proxy_group_t *group,
 				     const kb_target_entry_t *target)
 {
-	kb_proxy_probe_t *probe;
-
-	for (size_t i = 0; i < group->probe_count; i++) {
-		probe = group->probes[i];
-		if (kb_name_is(&probe->probe.place.target,
-			       kb_name_str(&target->place.target))) {
-			kb_target_probe_set_place(&probe->probe,
-						  &target->place);
-			return probe;
-		}
+	kb_proxy_probe_t *probe = kb_proxy_probe_find(group, target);
+
+	if (probe) {
+		kb_target_probe_set_place(&probe->probe, &target->place);
+		return probe;
 	}
 	if (group->probe_count == KB_MONITOR_TARGETS_MAX)
 		return NULL;
--- a/src/proxy_vacancy.c
+++ b/src/proxy_vacancy.c
@@ -31,24 +31,17 @@
  */
 static void probe_targets(kb_proxy_group_t *group)
 {
-	kb_proxy_vacancy_t *vacancy = &group->vacancy;
 	const kb_target_list_t *targets = &group->proxy->targets;
 
-	vacancy->reports = 0;
-	vacancy->highest_term = 0;
-	memset(&vacancy->primary, 0, sizeof(vacancy->primary));
+	group->vacancy.probed = 1;
 	for (const kb_target_entry_t *target =
 		     kb_target_list_first(targets, kb_name_str(&group->name));
 	     target; target = kb_target_list_next(target)) {
-		kb_proxy_probe_t *probe;
+		kb_proxy_probe_t *probe = kb_proxy_probe_get(group, target);
 
-		vacancy->probed++;
-		probe = kb_proxy_probe_get(group, target);
-		/* A probe already in flight may predate this check. */
-		if (!probe || probe->probe.in_progress)
-			continue;
-		probe->for_vacancy = 1;
-		kb_target_probe_send(&probe->probe, KB_LINK_COMMAND_STATUS, 0);
+		if (probe)
+			kb_target_probe_send(&probe->probe,
+					     KB_LINK_COMMAND_STATUS, 0);
 	}
 }
 
@@ -147,41 +140,87 @@
 	ask_voters(group, now);
 }
 
+void kb_proxy_vacancy_sync_targets(kb_proxy_group_t *group, kb_time_t now)
+{
+	kb_copies_sync(&group->vacancy.targets, &group->proxy->targets,
+		       kb_name_str(&group->name), now);
+}
+
+/* Whether a target that this host can't ask may have been promoted. */
+static int may_unknown_target_lead(kb_proxy_group_t *group, uint64_t term)
+{
+	const kb_promotion_order_t *order = &group->lease.order;
+
+	kb_proxy_vacancy_sync_targets(group,
+				      kb_clock_monotonic(group->proxy->clock));
+	if (kb_copies_missing(&group->vacancy.targets))
+		return 1;
+	return order->target.len && order->term >= term &&
+	       !kb_target_list_find(&group->proxy->targets,
+				    kb_name_str(&order->target));
+}
+
 /*
- * Whether the primary still is one in the highest term known to a majority of
- * the targets. Voters isolated from the store may rule out a holder that has
- * since named other voters; if that holder promoted a primary, the targets
- * report a later term.
+ * Returns the report of the primary if the reports of all targets show that no
+ * other one had been promoted at `*at`, the first time at which one of them was
+ * requested, else NULL.
  */
-static int is_primary_current(const kb_proxy_group_t *group)
+static const kb_target_report_t *find_primary(const kb_proxy_group_t *group,
+					      kb_time_t *at)
 {
-	const kb_proxy_vacancy_t *vacancy = &group->vacancy;
+	const kb_proxy_t *proxy = group->proxy;
+	const kb_target_report_t *primary = NULL;
 
-	return vacancy->reports > vacancy->probed / 2 &&
-	       vacancy->primary.is_primary &&
-	       vacancy->primary.term >= group->primary_term &&
-	       vacancy->primary.term >= vacancy->highest_term;
+	*at = INT64_MAX;
+	for (const kb_target_entry_t *target = kb_target_list_first(
+		     &proxy->targets, kb_name_str(&group->name));
+	     target; target = kb_target_list_next(target)) {
+		const kb_proxy_probe_t *probe =
+			kb_proxy_probe_find(group, target);
+
+		if (!probe || !probe->report_requested_at ||
+		    probe->report.term != group->vacancy.highest_term)
+			return NULL;
+		if (probe->report_requested_at < *at)
+			*at = probe->report_requested_at;
+		if (kb_name_is(&group->primary,
+			       kb_name_str(&target->place.target)))
+			primary = &probe->report;
+	}
+	return primary && primary->is_primary &&
+			       primary->term >= group->primary_term
+		       ? primary
+		       : NULL;
 }
 
-void kb_proxy_vacancy_on_probe(kb_proxy_group_t *group, kb_str_t target,
-			       const kb_target_report_t *report)
+void kb_proxy_vacancy_on_report(kb_proxy_group_t *group,
+				const kb_target_report_t *report)
 {
 	kb_proxy_vacancy_t *vacancy = &group->vacancy;
+	const kb_target_report_t *primary;
 	kb_time_t last_found_at = vacancy->found_at;
-
-	if (!report || !vacancy->probed)
-		return;
-	vacancy->reports++;
-	if (report->term > vacancy->highest_term)
+	kb_time_t at;
+
+	if (report->term > vacancy->highest_term) {
+		if (last_found_at)
+			kb_log(KB_EVENT_VACANCY_ENDED,
+			       "group=%s primary=%s term=%" PRIu64
+			       " reported_term=%" PRIu64,
+			       group->name.data, group->primary.data,
+			       vacancy->term, report->term);
 		vacancy->highest_term = report->term;
-	if (kb_name_is(&group->primary, target))
-		vacancy->primary = *report;
-	if (!is_primary_current(group))
+		vacancy->found_at = 0;
+	}
+	if (!vacancy->probed)
+		return;
+	primary = find_primary(group, &at);
+	if (!primary || at <= last_found_at ||
+	    may_unknown_target_lead(group, primary->term))
 		return;
-	vacancy->found_at = vacancy->started_at;
-	vacancy->point = vacancy->primary.received;
-	vacancy->term = vacancy->primary.term;
-	if (vacancy->started_at - last_found_at > LOG_INTERVAL_S * KB_NS_PER_S)
+	vacancy->found_at = at;
+	vacancy->point = primary->received;
+	vacancy->term = primary->term;
+	if (at - last_found_at > LOG_INTERVAL_S * KB_NS_PER_S)
 		kb_log(KB_EVENT_GROUP_VACANT,
 		       "group=%s revision=%" PRId64 " primary=%s term=%" PRIu64
 		       " position=%" PRIu64,
--- a/tests/fake_link_connector.h
+++ b/tests/fake_link_connector.h
@@ -16,7 +16,8 @@
 	kb_link_t base;
 	struct FakeLinkConnector *connector;
 	bool closed = false;
-	/* Team that it was opened for. */
+	/* Target, and team that it was opened for. */
+	std::string target;
 	std::string team;
 	/* Connections that existed when it was opened, with itself. */
 	size_t opened_as = 0;
@@ -60,6 +61,8 @@
 
 		link->base = { &ops, events, ctx };
 		link->connector = connector;
+		link->target =
+			std::string(place->target.data, place->target.len);
 		link->team = std::string(place->team.data, place->team.len);
 		connector->links.push_back(link);
 		link->opened_as = connector->open_count();
--- a/tests/test_proxy_vacancy.cc
+++ b/tests/test_proxy_vacancy.cc
@@ -1,8 +1,12 @@
 #include "fake_link_connector.h"
+#include "lease_order.h"
 #include "proxy_internal.h"
 
 #include <gtest/gtest.h>
+#include <algorithm>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace
 {
@@ -53,10 +57,11 @@
 		kb_hosts_finish(&proxy->hosts);
 	}
 
-	void add(const char *name)
+	void add(const char *name, bool leaving = false)
 	{
 		kb_target_entry_t entry = {};
 
+		entry.leaving = leaving;
 		entry.place.group = group->name;
 		kb_name_set(&entry.place.target, kb_str_from(name));
 		kb_target_list_put(&proxy->targets, &entry);
@@ -94,45 +99,190 @@
 		return stamp;
 	}
 
+	/* A target answers the STATUS that it was sent last. */
 	void report(const char *target, bool primary, uint64_t term,
 		    uint64_t position)
 	{
-		kb_target_report_t report = {};
+		kb_reply_t reply = {};
+		FakeLink *link = nullptr;
 
-		report.is_primary = primary;
-		report.term = term;
-		report.received = { term, position };
-		kb_proxy_vacancy_on_probe(group.get(), kb_str_from(target),
-					  &report);
+		for (FakeLink *each : connector.links)
+			if (!each->closed && each->target == target)
+				link = each;
+		ASSERT_NE(nullptr, link) << target;
+		if (link->opening)
+			connector.opened(link);
+		ASSERT_TRUE(link->waiting) << target;
+		link->waiting = false;
+		reply.signature = reply.message = KB_STR("");
+		reply.report.is_primary = primary;
+		reply.report.term = term;
+		reply.report.received = { term, position };
+		link->base.events->answered(link->base.ctx, &reply);
+	}
+
+	/* Reports of a group without a later primary than p. */
+	void report_all(uint64_t position)
+	{
+		report("p", true, 4, position);
+		report("q", false, 4, position - 1);
+		report("r", false, 4, position - 2);
 	}
 };
 
 } // namespace
 
-TEST_F(ProxyVacancy, NeedsAMajorityOfTargetsInThePrimarysTerm)
+TEST_F(ProxyVacancy, NeedsAReportOfEachTargetInThePrimarysTerm)
 {
 	time.now += 2000 * MS;
 	EXPECT_FALSE(ask().valid);
-	EXPECT_EQ(3u, group->vacancy.probed);
+	EXPECT_TRUE(group->vacancy.probed);
 	report("p", true, 4, 70);
-	EXPECT_FALSE(ask().valid) << "one target of three is no majority";
+	EXPECT_FALSE(ask().valid) << "one target of three";
 	report("q", false, 4, 69);
+	EXPECT_FALSE(ask().valid) << "two targets of three";
+	report("r", false, 4, 10);
 	kbs_stamp stamp = ask();
 	EXPECT_TRUE(stamp.valid);
 	EXPECT_TRUE(stamp.vacant);
 	EXPECT_EQ(70u, stamp.point.position);
 }
 
-TEST_F(ProxyVacancy, ATargetInALaterTermRulesItOut)
+/*
+ * review/5: reads are bounded by the position of a replaced primary. The three
+ * targets report in each order; q was promoted, r has received nothing since.
+ */
+TEST_F(ProxyVacancy, AReplacedPrimaryBoundsNothingInWhateverOrderTargetsReport)
+{
+	std::vector<std::string> order = { "p", "q", "r" };
+
+	do {
+		/* Each order is that of a host which has heard of nothing. */
+		kb_proxy_probes_finish(group.get());
+		group->vacancy = {};
+		time.now += 2000 * MS;
+		ask();
+		for (const std::string &target : order) {
+			if (target == "q")
+				report("q", true, 5, 80);
+			else
+				report(target.c_str(), target == "p", 4, 70);
+			EXPECT_FALSE(ask().valid)
+				<< order[0] << order[1] << order[2];
+		}
+	} while (std::next_permutation(order.begin(), order.end()));
+}
+
+/* The new primary does not answer at all. */
+TEST_F(ProxyVacancy, ASilentTargetMayHaveBeenPromoted)
+{
+	time.now += 2000 * MS;
+	ask();
+	report("p", true, 4, 70);
+	report("r", false, 4, 70);
+	EXPECT_FALSE(ask().valid);
+}
+
+/* A later term that was reported once is not forgotten by the next check. */
+TEST_F(ProxyVacancy, ALaterTermIsRememberedByLaterChecks)
 {
 	time.now += 2000 * MS;
 	ask();
 	report("q", false, 5, 80);
 	report("p", true, 4, 70);
 	report("r", false, 4, 70);
+	time.now += 300 * MS;
+	ask();
+	report_all(71);
+	EXPECT_FALSE(ask().valid);
+}
+
+TEST_F(ProxyVacancy, ALaterTermEndsAVacancyThatWasFound)
+{
+	time.now += 2000 * MS;
+	ask();
+	report_all(70);
+	EXPECT_TRUE(ask().valid);
+	time.now += 300 * MS;
+	ask();
+	report("q", true, 5, 80);
 	EXPECT_FALSE(ask().valid);
 }
 
+/* A target that is promoted after it reported its term has acknowledged none
+ * of the commits up to the request for that report. */
+TEST_F(ProxyVacancy, HoldsUpToTheFirstRequestForAReport)
+{
+	time.now += 2000 * MS;
+	ask();
+	kb_time_t requested_at = time.now;
+	report("q", false, 4, 69);
+	report("r", false, 4, 69);
+	time.now += 260 * MS;
+	ask();
+	report("p", true, 4, 90);
+	kbs_stamp stamp = ask();
+	ASSERT_TRUE(stamp.valid);
+	EXPECT_EQ(90u, stamp.point.position);
+	EXPECT_EQ(time.now - requested_at, stamp.age_us * KB_NS_PER_US);
+	/* The next reports move it on. */
+	report("q", false, 4, 69);
+	report("r", false, 4, 69);
+	EXPECT_EQ(requested_at, group->vacancy.found_at);
+	time.now += 260 * MS;
+	ask();
+	report("p", true, 4, 95);
+	EXPECT_EQ(requested_at + 260 * MS, group->vacancy.found_at);
+}
+
+/* Its entry expired, but it may be back and be promoted behind the cut. */
+TEST_F(ProxyVacancy, ATargetWhoseEntryExpiredMayHaveBeenPromoted)
+{
+	time.now += 2000 * MS;
+	kb_proxy_vacancy_sync_targets(group.get(), time.now);
+	kb_target_list_remove(&proxy->targets, KB_STR("r"));
+	kb_proxy_vacancy_sync_targets(group.get(), time.now);
+	ask();
+	report("p", true, 4, 70);
+	report("q", false, 4, 70);
+	EXPECT_FALSE(ask().valid);
+}
+
+TEST_F(ProxyVacancy, ATargetThatHasLeftIsNotWaitedFor)
+{
+	time.now += 2000 * MS;
+	add("r", true);
+	kb_proxy_vacancy_sync_targets(group.get(), time.now);
+	kb_target_list_remove(&proxy->targets, KB_STR("r"));
+	kb_proxy_vacancy_sync_targets(group.get(), time.now);
+	ask();
+	report("p", true, 4, 70);
+	report("q", false, 4, 70);
+	EXPECT_TRUE(ask().valid);
+}
+
+/* The voters on this side have been told of an order to an unknown target. */
+TEST_F(ProxyVacancy, AnOpenOrderToATargetWithoutAnEntryRulesItOut)
+{
+	kb_promotion_order_t order = {};
+
+	order.number = 1;
+	order.term = 4;
+	kb_name_set(&order.target, KB_STR("x"));
+	kb_lease_learn_order(&group->lease, &order);
+	time.now += 2000 * MS;
+	ask();
+	report_all(70);
+	EXPECT_FALSE(ask().valid);
+	add("x");
+	time.now += 300 * MS;
+	ask();
+	report_all(71);
+	EXPECT_FALSE(ask().valid);
+	report("x", false, 4, 60);
+	EXPECT_TRUE(ask().valid);
+}
+
 TEST_F(ProxyVacancy, APrimaryThatSteppedDownRulesItOut)
 {
 	time.now += 2000 * MS;
@@ -149,18 +299,17 @@
 	grant();
 	time.now += (KB_LEASE_DURATION_MS - 100) * MS;
 	ask();
-	EXPECT_EQ(0u, group->vacancy.probed);
+	EXPECT_TRUE(connector.links.empty());
 	time.now += 400 * MS;
 	ask();
-	EXPECT_EQ(3u, group->vacancy.probed);
+	EXPECT_EQ(3u, connector.links.size());
 }
 
 TEST_F(ProxyVacancy, IsReportedForAShortTimeAndForItsRevisionOnly)
 {
 	time.now += 2000 * MS;
 	ask();
-	report("p", true, 4, 70);
-	report("q", false, 4, 70);
+	report_all(70);
 	EXPECT_TRUE(ask().valid);
 	group->lease.revision++;
 	EXPECT_FALSE(ask().valid);
