Tell the effect of a replaced order from that of the last one

By reading: a holder orders c while its order to b, in the same term, is open, and dies.

The last order names the one that it replaced. The target of that is served in the next term only once the platform has refused the last order; then the record is written for it, so that a later holder need not ask.

--- a/src/monitor_internal.h
+++ b/src/monitor_internal.h
@@ -33,15 +33,15 @@
 uint64_t kb_monitor_highest_term(const kb_monitor_t *monitor);
 
 /* Whether the last order may still replace the primary of `term`. */
-int kb_monitor_is_order_open(const kb_monitor_t *monitor,
-			     const kb_name_t *primary, uint64_t term);
+int kb_monitor_is_order_open(kb_monitor_t *monitor, const kb_name_t *primary,
+			     uint64_t term);
 /* Whether the last order has taken effect, as a later term is known. */
-int kb_monitor_is_order_over(const kb_monitor_t *monitor);
+int kb_monitor_is_order_over(kb_monitor_t *monitor);
 /*
  * Whether the primary of `term` may be served: neither the last order nor a
  * target that has answered nor this host's watermarks show a later term.
  */
-int kb_monitor_may_serve(const kb_monitor_t *monitor, const kb_name_t *primary,
+int kb_monitor_may_serve(kb_monitor_t *monitor, const kb_name_t *primary,
 			 uint64_t term);
 /*
  * Lets each later holder know that no primary of an earlier term than `term`
--- a/src/monitor_order.c
+++ b/src/monitor_order.c
@@ -14,25 +14,44 @@
 	return highest;
 }
 
-int kb_monitor_is_order_open(const kb_monitor_t *monitor,
-			     const kb_name_t *primary, uint64_t term)
+/* Whether the effect of an earlier order could be taken for that of the last.
+ */
+static int has_earlier_order(kb_monitor_t *monitor)
 {
 	const kb_promotion_order_t *order = &monitor->order;
+	const kb_monitor_probe_t *probe =
+		kb_monitor_find_probe(monitor, kb_name_str(&order->target));
+
+	return order->earlier.len && !(probe && probe->rejected);
+}
 
-	if (!order->target.len || term > order->term)
+int kb_monitor_is_order_open(kb_monitor_t *monitor, const kb_name_t *primary,
+			     uint64_t term)
+{
+	const kb_promotion_order_t *order = &monitor->order;
+
+	if (!order->target.len)
 		return 0;
-	/* It had taken effect before the order was repeated. */
+	if (term == order->term + 1)
+		return has_earlier_order(monitor) &&
+		       kb_name_is(&order->earlier, kb_name_str(primary));
+	/* If they are equal, it had taken effect before it was repeated. */
 	return term < order->term ||
-	       !kb_name_is(&order->target, kb_name_str(primary));
+	       (term == order->term &&
+		!kb_name_is(&order->target, kb_name_str(primary)));
 }
 
-int kb_monitor_is_order_over(const kb_monitor_t *monitor)
+int kb_monitor_is_order_over(kb_monitor_t *monitor)
 {
+	uint64_t last = monitor->order.term;
+
+	if (has_earlier_order(monitor))
+		last++;
 	return !monitor->order.target.len ||
-	       kb_monitor_highest_term(monitor) > monitor->order.term;
+	       kb_monitor_highest_term(monitor) > last;
 }
 
-int kb_monitor_may_serve(const kb_monitor_t *monitor, const kb_name_t *primary,
+int kb_monitor_may_serve(kb_monitor_t *monitor, const kb_name_t *primary,
 			 uint64_t term)
 {
 	const kb_promotion_order_t *order = &monitor->order;
@@ -53,9 +72,10 @@
 {
 	if (!order->target.len)
 		return term == order->term || (term <= 1 && !order->term);
-	return term == order->term + 1 ||
-	       (term == order->term &&
-		kb_name_is(&order->target, kb_name_str(primary)));
+	if (term == order->term)
+		return kb_name_is(&order->target, kb_name_str(primary));
+	return term == order->term + 1 &&
+	       !kb_name_is(&order->earlier, kb_name_str(primary));
 }
 
 int kb_monitor_record_term(kb_monitor_t *monitor, const kb_name_t *primary,
--- a/src/monitor_promotion.c
+++ b/src/monitor_promotion.c
@@ -112,7 +112,7 @@
  * Returns a target that leads a later term than the former primary, as an
  * earlier promotion has taken effect since, or NULL.
  */
-static const kb_monitor_probe_t *find_successor(const kb_monitor_t *monitor)
+static const kb_monitor_probe_t *find_successor(kb_monitor_t *monitor)
 {
 	for (size_t i = 0; i < monitor->probe_count; i++) {
 		const kb_monitor_probe_t *probe = &monitor->probes[i];
--- a/tests/test_monitor_order.cc
+++ b/tests/test_monitor_order.cc
@@ -263,6 +263,44 @@
 	}
 }
 
+/*
+ * The holder has ordered c while its order to b was open, and dies. The effect
+ * of the order to b is no sign that the one to c is over.
+ */
+TEST(MonitorOrder, TheEffectOfAReplacedOrderDoesNotEndTheLastOne)
+{
+	for (kb_time_t left = 0; left <= 1500 * MS; left += 100 * MS) {
+		MonitorSimulation simulation;
+
+		simulation.announce("b", 1);
+		simulation.announce("c", 1);
+		simulation.promote("b", 0);
+		simulation.promote("c", left);
+		simulation.change_holder();
+		expect_unserved(simulation, "b",
+				[&] { return simulation.serves("c"); });
+		EXPECT_EQ(3u, simulation.monitor.term);
+	}
+}
+
+/* The same, but the platform refuses c: b may serve. */
+TEST(MonitorOrder, AReplacedOrderStandsOnceTheLastOneIsRefused)
+{
+	MonitorSimulation simulation;
+
+	simulation.announce("b", 1);
+	simulation.announce("c", 1);
+	simulation.promote("b", 0);
+	simulation.state["a"].alive = false;
+	simulation.state["c"].promotable = false;
+	simulation.change_holder();
+	EXPECT_LE(simulation.until([&] { return simulation.serves("b"); }),
+		  5 * KB_NS_PER_S);
+	simulation.change_holder();
+	EXPECT_LE(simulation.until([&] { return simulation.serves("b"); }),
+		  500 * MS);
+}
+
 /* Both are refused, so that no order is open any more. */
 TEST(MonitorOrder, OrdersThatAreAllRefusedAreWithdrawn)
 {
