--- a/src/monitor_order.c
+++ b/src/monitor_order.c
@@ -14,7 +14,9 @@
 	return highest;
 }
 
-/* Whether the effect of an earlier order could be taken for that of the last.
+/*
+ * Whether the last order has replaced another one, whose effect may look like
+ * its own.
  */
 static int has_earlier_order(kb_monitor_t *monitor)
 {
