Serve a primary only once an announcement is confirmed

By reading: when an order was withdrawn, the holder's own memory showed that at the next tick, before the store or the voters had confirmed it, and the former primary was served. A successor that had read the record still took the order for open and could repeat it while the former primary had acknowledged writes.

The tests did not show it, as their simulation kept one copy of the order for the holder and for its successors. It has two now.

The monitor notes that an announcement is not confirmed, and asks for the confirmation before it serves. Orders that are known already wait for nothing.

--- a/src/monitor.c
+++ b/src/monitor.c
@@ -78,6 +78,7 @@
 	monitor->releasing = 0;
 	monitor->order_state = KB_ORDER_OPEN;
 	monitor->earlier_order = monitor->order.earlier;
+	monitor->announcing = 0;
 	monitor->unused_logged_at = 0;
 	monitor->gap_start = now;
 	kb_monitor_set_state(monitor,
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -166,6 +166,8 @@
 	 * take effect; empty if there is none.
 	 */
 	kb_name_t earlier_order;
+	/* Not each later holder knows the last order yet. */
+	int announcing;
 	/* Time of the last log line about a primary that is not used. */
 	kb_time_t unused_logged_at;
 	/*
--- a/src/monitor_order.c
+++ b/src/monitor_order.c
@@ -80,13 +80,26 @@
 	       !kb_name_is(&order->earlier, kb_name_str(primary));
 }
 
+/* Returns whether each later holder knows the order; see kb_monitor_ops_t. */
+static int announce(kb_monitor_t *monitor, const kb_name_t *target,
+		    uint64_t term)
+{
+	int is_known = monitor->ops->announce(monitor->ctx, target, term);
+
+	monitor->announcing = !is_known;
+	return is_known;
+}
+
 int kb_monitor_record_term(kb_monitor_t *monitor, const kb_name_t *primary,
 			   uint64_t term)
 {
-	if (is_term_recorded(&monitor->order, primary, term))
-		return 1;
-	return monitor->ops->announce(monitor->ctx, primary,
-				      term ? term - 1 : 0);
+	const kb_promotion_order_t order = monitor->order;
+
+	if (!is_term_recorded(&order, primary, term))
+		return announce(monitor, primary, term ? term - 1 : 0);
+	return !monitor->announcing ||
+	       announce(monitor, order.target.len ? &order.target : NULL,
+			order.term);
 }
 
 /* Remembers the target of an open order that another order replaces. */
@@ -137,7 +150,7 @@
 /* Returns whether the order is withdrawn for each later holder, too. */
 static int withdraw_order(kb_monitor_t *monitor)
 {
-	if (!monitor->ops->announce(monitor->ctx, NULL, monitor->order.term))
+	if (!announce(monitor, NULL, monitor->order.term))
 		return 0;
 	kb_log(KB_EVENT_PROMOTION_WITHDRAWN,
 	       "group=%s target=%s term=%" PRIu64 " number=%" PRIu64,
@@ -201,7 +214,7 @@
 	if (monitor->order.term > term)
 		term = monitor->order.term;
 	keep_earlier_order(monitor, &monitor->promotee, term);
-	if (!monitor->ops->announce(monitor->ctx, &monitor->promotee, term))
+	if (!announce(monitor, &monitor->promotee, term))
 		return;
 	if (monitor->order_state == KB_ORDER_NONE || !monitor->order.target.len)
 		monitor->order_state = KB_ORDER_SENT;
--- a/tests/monitor_simulation.h
+++ b/tests/monitor_simulation.h
@@ -41,8 +41,10 @@
 	unsigned active = 0;
 	kb_time_t lease_left = 900 * MS;
 	kb_time_t promotion_delay = 300 * MS;
-	/* The last order, as each holder of the lease knows it. */
+	/* The last order that this holder knows, and that each later one does.
+	 */
 	kb_promotion_order_t order{};
+	kb_promotion_order_t recorded{};
 	bool announceable = true;
 	std::string handed_over_to;
 	std::string reached_by;
@@ -125,6 +127,7 @@
 
 		kb_monitor_init(&monitor, ops, this, &group);
 		bound = "";
+		order = recorded;
 		kb_monitor_set_order(&monitor, &order, now);
 		kb_monitor_set_active(&monitor, 1, now);
 	}
@@ -136,6 +139,7 @@
 
 		kb_name_set(&name, kb_str_from(target));
 		kb_promotion_order_replace(&order, &name, term);
+		recorded = order;
 	}
 
 	/* The platform carries out a promotion. */
@@ -216,14 +220,14 @@
 	{
 		MonitorSimulation &simulation = self(ctx);
 		kb_promotion_order_t &order = simulation.order;
-		const char *name = target ? target->data : "";
+		kb_name_t name = target ? *target : kb_name_t{};
 
-		if (!simulation.announceable)
-			return 0;
 		if (order.term != term ||
-		    !kb_name_is(&order.target, kb_str_from(name)))
-			simulation.announce(name, term);
-		return 1;
+		    !kb_name_is(&order.target, kb_name_str(&name)))
+			kb_promotion_order_replace(&order, &name, term);
+		if (simulation.announceable)
+			simulation.recorded = order;
+		return kb_promotion_order_equal(&order, &simulation.recorded);
 	}
 
 	static void on_promote(void *ctx, const kb_target_entry_t *target)
