Log a withdrawn order when it is decided

The line was written when a second call found the order withdrawn for all, but the holder's own memory shows that at once, so there was no second call while the store had to confirm it, and the line was missing.

--- a/src/monitor_order.c
+++ b/src/monitor_order.c
@@ -147,18 +147,16 @@
 	monitor->ops->bind(monitor->ctx, NULL);
 }
 
-/* Returns whether the order is withdrawn for each later holder, too. */
-static int withdraw_order(kb_monitor_t *monitor)
+/* The former primary may be served once kb_monitor_record_term() allows it. */
+static void withdraw_order(kb_monitor_t *monitor)
 {
-	if (!announce(monitor, NULL, monitor->order.term))
-		return 0;
 	kb_log(KB_EVENT_PROMOTION_WITHDRAWN,
 	       "group=%s target=%s term=%" PRIu64 " number=%" PRIu64,
 	       monitor->group.data, monitor->order.target.data,
 	       monitor->order.term, monitor->order.number);
+	announce(monitor, NULL, monitor->order.term);
 	monitor->order.target.len = 0;
 	monitor->order_state = KB_ORDER_NONE;
-	return 1;
 }
 
 void kb_monitor_resolve_order(kb_monitor_t *monitor, kb_time_t now)
