Ask in one place whether the platform has refused a target

Reading of the whole change: two functions found the probe of a target and looked at `rejected`; is_rejected() serves both. is_order_open() has one caller left, in its own file, and is static. The interval of log lines about a state that lasts stood in two files of the monitor. The branches of kb_monitor_set_order() are nested by what they depend on.

--- a/src/monitor.c
+++ b/src/monitor.c
@@ -4,11 +4,6 @@
 
 #include <inttypes.h>
 
-enum {
-	/* Interval of the log lines about a primary that is not used. */
-	LOG_INTERVAL_S = 2,
-};
-
 static const char *const state_names[] = {
 	[KB_MONITOR_IDLE] = "idle",
 	[KB_MONITOR_FINDING] = "finding",
@@ -153,7 +148,8 @@
 		       kb_time_t now)
 {
 	if (monitor->unused_logged_at &&
-	    now - monitor->unused_logged_at < LOG_INTERVAL_S * KB_NS_PER_S)
+	    now - monitor->unused_logged_at <
+		    KB_MONITOR_LOG_INTERVAL_S * KB_NS_PER_S)
 		return;
 	monitor->unused_logged_at = now;
 	kb_log(KB_EVENT_PRIMARY_NOT_USED,
--- a/src/monitor_copies.c
+++ b/src/monitor_copies.c
@@ -6,8 +6,6 @@
 #include <stdio.h>
 
 enum {
-	/* Interval of the log lines while no target can be promoted. */
-	LOG_INTERVAL_S = 2,
 	/* Longest list of targets in a log line, in bytes. */
 	LIST_MAX_BYTES = 512,
 };
@@ -50,8 +48,8 @@
 		monitor->blocked = 0;
 		return 1;
 	}
-	if (monitor->blocked &&
-	    now - monitor->blocked_logged_at < LOG_INTERVAL_S * KB_NS_PER_S)
+	if (monitor->blocked && now - monitor->blocked_logged_at <
+					KB_MONITOR_LOG_INTERVAL_S * KB_NS_PER_S)
 		return 0;
 	monitor->blocked = 1;
 	monitor->blocked_logged_at = now;
--- a/src/monitor_internal.h
+++ b/src/monitor_internal.h
@@ -5,7 +5,12 @@
 
 KB_BEGIN_DECLS
 
-/* Functions shared by the source files of the monitor. */
+/* Functions and constants shared by the source files of the monitor. */
+
+enum {
+	/* Interval of the log lines about a state that lasts. */
+	KB_MONITOR_LOG_INTERVAL_S = 2,
+};
 
 void kb_monitor_set_paused(kb_monitor_t *monitor, int paused);
 void kb_monitor_set_state(kb_monitor_t *monitor, kb_monitor_state_t state,
@@ -32,9 +37,6 @@
 /* Highest term that this holder knows of. */
 uint64_t kb_monitor_highest_term(const kb_monitor_t *monitor);
 
-/* Whether the last order may still replace the primary of `term`. */
-int kb_monitor_is_order_open(kb_monitor_t *monitor, const kb_name_t *primary,
-			     uint64_t term);
 /* Whether the last order has taken effect, as a later term is known. */
 int kb_monitor_is_order_over(kb_monitor_t *monitor);
 /*
--- a/src/monitor_order.c
+++ b/src/monitor_order.c
@@ -14,6 +14,15 @@
 	return highest;
 }
 
+/* Whether the platform has refused to promote a target. */
+static int is_rejected(kb_monitor_t *monitor, const kb_name_t *target)
+{
+	const kb_monitor_probe_t *probe =
+		kb_monitor_find_probe(monitor, kb_name_str(target));
+
+	return probe && probe->rejected;
+}
+
 /*
  * Whether the last order has replaced another one, whose effect may look like
  * its own.
@@ -21,14 +30,13 @@
 static int has_earlier_order(kb_monitor_t *monitor)
 {
 	const kb_promotion_order_t *order = &monitor->order;
-	const kb_monitor_probe_t *probe =
-		kb_monitor_find_probe(monitor, kb_name_str(&order->target));
 
-	return order->earlier.len && !(probe && probe->rejected);
+	return order->earlier.len && !is_rejected(monitor, &order->target);
 }
 
-int kb_monitor_is_order_open(kb_monitor_t *monitor, const kb_name_t *primary,
-			     uint64_t term)
+/* Whether the last order may still replace the primary of `term`. */
+static int is_order_open(kb_monitor_t *monitor, const kb_name_t *primary,
+			 uint64_t term)
 {
 	const kb_promotion_order_t *order = &monitor->order;
 
@@ -58,7 +66,7 @@
 {
 	const kb_promotion_order_t *order = &monitor->order;
 
-	if (kb_monitor_is_order_open(monitor, primary, term))
+	if (is_order_open(monitor, primary, term))
 		return 0;
 	/* A withdrawn order names the term in which the group goes on. */
 	return term >= kb_monitor_highest_term(monitor) &&
@@ -107,14 +115,12 @@
 			       uint64_t term)
 {
 	const kb_name_t *target = &monitor->order.target;
-	const kb_monitor_probe_t *probe =
-		kb_monitor_find_probe(monitor, kb_name_str(target));
 
 	if (next->len && term <= monitor->order.term &&
 	    monitor->order_state == KB_ORDER_OPEN &&
 	    !kb_monitor_is_order_over(monitor) &&
 	    !kb_name_is(next, kb_name_str(target)) &&
-	    !(probe && probe->rejected))
+	    !is_rejected(monitor, target))
 		monitor->earlier_order = *target;
 	if (kb_name_is(next, kb_name_str(&monitor->earlier_order)))
 		monitor->earlier_order.len = 0;
@@ -123,15 +129,14 @@
 void kb_monitor_set_order(kb_monitor_t *monitor,
 			  const kb_promotion_order_t *order, kb_time_t now)
 {
-	int is_new = order->number != monitor->order.number;
-
-	if (monitor->state == KB_MONITOR_IDLE)
+	if (monitor->state == KB_MONITOR_IDLE) {
 		monitor->earlier_order = order->earlier;
-	else if (is_new)
+	} else if (order->number != monitor->order.number) {
 		keep_earlier_order(monitor, &order->target, order->term);
-	if (monitor->state == KB_MONITOR_FINDING && is_new &&
-	    !monitor->earlier_order.len)
-		monitor->earlier_order = order->earlier;
+		if (monitor->state == KB_MONITOR_FINDING &&
+		    !monitor->earlier_order.len)
+			monitor->earlier_order = order->earlier;
+	}
 	monitor->order = *order;
 	if ((monitor->state != KB_MONITOR_SERVING &&
 	     monitor->state != KB_MONITOR_SUSPECTING &&
