--- a/src/proxy_group.h
+++ b/src/proxy_group.h
@@ -29,10 +29,10 @@
 
 /*
  * Check that no host holds a group, and up to when the position of its primary
- * bounds every acknowledged commit: up to the time after which each target that
- * may lead the group was asked for its state, if all of them are in the term of
- * that primary. Until a target answers in an earlier term it has not been
- * promoted, so nothing was acknowledged in a later one.
+ * bounds every acknowledged commit. That is the first time at which one of the
+ * targets that may lead the group was asked for its state, if each has answered
+ * in the primary's term: none of them had been promoted to a later term by
+ * then, so no commit of a later term had been acknowledged.
  */
 typedef struct kb_proxy_vacancy {
 	/* The check is repeated until then. */
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -193,8 +193,9 @@
  * no callback is made.
  */
 /*
- * Returns `view`, filled in with the order of the group that the store's record
- * lacks, or NULL if there is none. Valid until the group's lease changes.
+ * Returns `view`, filled in with the last order of the group, or NULL if a host
+ * that has read `revision` of the store's record knows it or there is none.
+ * Valid until the group's lease changes.
  */
 kbs_order *kb_proxy_order_view(const kb_proxy_group_t *group, int64_t revision,
 			       kbs_order *view);
