--- a/tests/lease_cluster_ops.h
+++ b/tests/lease_cluster_ops.h
@@ -70,6 +70,16 @@
 	});
 }
 
+/* The order that a call about `revision` carries; its number is 0 for none. */
+inline kb_promotion_order_t sent_order(const kb_lease_t *lease,
+				       int64_t revision)
+{
+	const kb_promotion_order_t *order =
+		kb_lease_unrecorded_order(lease, revision);
+
+	return order ? *order : kb_promotion_order_t{};
+}
+
 inline void Cluster::on_request_renewal(void *ctx, kb_lease_t *lease,
 					const kb_name_t *voter,
 					kb_time_t sent_at)
@@ -80,10 +90,7 @@
 	kb_name_t self = lease->self;
 	int64_t revision = lease->revision;
 	int live = kb_lease_is_live(lease, sent_at);
-	const kb_promotion_order_t *unrecorded =
-		kb_lease_unrecorded_order(lease, revision);
-	kb_promotion_order_t order =
-		unrecorded ? *unrecorded : kb_promotion_order_t{};
+	kb_promotion_order_t order = sent_order(lease, revision);
 
 	if (!cluster.is_linked(cluster.index(host), cluster.index(other)))
 		return;
@@ -102,10 +109,7 @@
 		if (granted &&
 		    cluster.broken_rule != BrokenRule::FORGETS_ORDERS)
 			kb_lease_learn_order(&other.lease, &order);
-		const kb_promotion_order_t *unrecorded =
-			kb_lease_unrecorded_order(&other.lease, revision);
-		kb_promotion_order_t known =
-			unrecorded ? *unrecorded : kb_promotion_order_t{};
+		kb_promotion_order_t known = sent_order(&other.lease, revision);
 		kb_time_t exclusive_time =
 			cluster.broken_rule == BrokenRule::HIDES_OTHER_GRANTS
 				? KB_NS_PER_S
@@ -158,12 +162,8 @@
 				cluster.now -
 				kb_lease_exclusive_time(&other.lease,
 							cluster.now);
-			const kb_promotion_order_t *unrecorded =
-				kb_lease_unrecorded_order(&other.lease,
-							  revision);
 			kb_promotion_order_t known =
-				unrecorded ? *unrecorded
-					   : kb_promotion_order_t{};
+				sent_order(&other.lease, revision);
 			cluster.deliver(
 				host, cluster.delay(), [=, &host, &cluster] {
 					kb_lease_learn_order(&host.lease,
--- a/tests/monitor_simulation.h
+++ b/tests/monitor_simulation.h
@@ -41,8 +41,7 @@
 	unsigned active = 0;
 	kb_time_t lease_left = 900 * MS;
 	kb_time_t promotion_delay = 300 * MS;
-	/* The last order that this holder knows, and that each later one does.
-	 */
+	/* The last order that this holder knows, and that later ones know. */
 	kb_promotion_order_t order{};
 	kb_promotion_order_t recorded{};
 	bool announceable = true;
--- a/tests/test_proxy_vacancy.cc
+++ b/tests/test_proxy_vacancy.cc
@@ -67,6 +67,14 @@
 		kb_target_list_put(&proxy->targets, &entry);
 	}
 
+	/* The store's entry of a target is removed. */
+	void remove_entry(const char *name)
+	{
+		kb_proxy_vacancy_sync_targets(group.get(), time.now);
+		kb_target_list_remove(&proxy->targets, kb_str_from(name));
+		kb_proxy_vacancy_sync_targets(group.get(), time.now);
+	}
+
 	/* Another host holds the group, and it is lost. */
 	void read_key()
 	{
@@ -209,8 +217,10 @@
 	EXPECT_FALSE(ask().valid);
 }
 
-/* A target that is promoted after it reported its term has acknowledged none
- * of the commits up to the request for that report. */
+/*
+ * A target that is promoted after it reported its term has acknowledged none of
+ * the commits up to the request for that report.
+ */
 TEST_F(ProxyVacancy, HoldsUpToTheFirstRequestForAReport)
 {
 	time.now += 2000 * MS;
@@ -239,9 +249,7 @@
 TEST_F(ProxyVacancy, ATargetWhoseEntryExpiredMayHaveBeenPromoted)
 {
 	time.now += 2000 * MS;
-	kb_proxy_vacancy_sync_targets(group.get(), time.now);
-	kb_target_list_remove(&proxy->targets, KB_STR("r"));
-	kb_proxy_vacancy_sync_targets(group.get(), time.now);
+	remove_entry("r");
 	ask();
 	report("p", true, 4, 70);
 	report("q", false, 4, 70);
@@ -252,9 +260,7 @@
 {
 	time.now += 2000 * MS;
 	add("r", true);
-	kb_proxy_vacancy_sync_targets(group.get(), time.now);
-	kb_target_list_remove(&proxy->targets, KB_STR("r"));
-	kb_proxy_vacancy_sync_targets(group.get(), time.now);
+	remove_entry("r");
 	ask();
 	report("p", true, 4, 70);
 	report("q", false, 4, 70);
