--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,6 +16,8 @@
 # After the end of a cut the sender is not judged for this long.
 THAW_S = 0.3
 SLOW_LAG_S, FAST_LAG_S = 0.120, 0.005
+# Which replica answers first is chance: the same is done again if need be.
+ROUNDS = 5
 
 
 async def write(world, host, acked, stop):
@@ -36,6 +38,37 @@
             session.close()
 
 
+async def replace_in_cut(world, group, relays):
+    """Planned work, the primary is replaced, while its holder's machine is cut
+    off from the platform. Returns when the cut ended."""
+    holder, primary = world.holder("g1"), group.leader()
+    world.record.add(f"STATE holder={holder.name} primary={primary.name}")
+    replicas = sorted((b for b in group.backends if b is not primary),
+                      key=lambda b: b.name)
+    replicas[0].lag_s, replicas[1].lag_s = SLOW_LAG_S, FAST_LAG_S
+    await asyncio.sleep(1)
+    ends_at = began = time.monotonic()
+    links = [relays[holder.name, kind] for kind in ("store", "api")]
+    if w.TROUBLE:
+        for link in links:
+            link.holds_post.clear()
+            await link.cut()
+    replacing = asyncio.create_task(group.replace(primary, DRAIN_S))
+    if w.TROUBLE:
+        try:
+            await asyncio.wait_for(links[1].holds_post.wait(),
+                                   CUT_MAX_S - HELD_S)
+            await asyncio.sleep(HELD_S)
+        except asyncio.TimeoutError:
+            pass
+        for link in links:
+            await link.heal()
+        ends_at = time.monotonic()
+        world.record.add(f"CUT lasted {ends_at - began:.1f} s")
+    await replacing
+    return ends_at
+
+
 async def case(world):
     relays = {}
 
@@ -66,33 +99,14 @@
     # Planned work, long before: the primary is replaced.
     await group.replace(group.leader(), DRAIN_S)
     await asyncio.sleep(2)
-    holder, primary = world.holder("g1"), group.leader()
-    world.record.add(f"STATE holder={holder.name} primary={primary.name}")
-    replicas = [b for b in group.backends if b is not primary]
-    replicas.sort(key=lambda b: b.name)
-    replicas[0].lag_s = SLOW_LAG_S
-    await asyncio.sleep(1)
-    healed_at = time.monotonic()
-    # Planned work: the primary is replaced once more.
-    if w.TROUBLE:
-        # Meanwhile the machine of the holder is cut off from the platform.
-        began = time.monotonic()
-        for kind in ("store", "api"):
-            await relays[holder.name, kind].cut()
-    replacing = asyncio.create_task(group.replace(primary, DRAIN_S))
-    if w.TROUBLE:
-        api = relays[holder.name, "api"]
-        try:
-            await asyncio.wait_for(api.holds_post.wait(), CUT_MAX_S - HELD_S)
-            await asyncio.sleep(HELD_S)
-        except asyncio.TimeoutError:
-            pass
-        for kind in ("store", "api"):
-            await relays[holder.name, kind].heal()
-        healed_at = time.monotonic()
-        world.record.add(f"CUT lasted {healed_at - began:.1f} s")
-    await replacing
-    await asyncio.sleep(8)
+    rounds = 0
+    found = None
+    while rounds < ROUNDS and not found:
+        rounds += 1
+        healed_at = await replace_in_cut(world, group, relays)
+        await asyncio.sleep(2)
+        found = [i for i, (at, _) in stale.items()
+                 if i in acked and at > healed_at + THAW_S]
     stop.set()
     await asyncio.wait(tasks, timeout=5)
     await asyncio.sleep(1)
@@ -100,15 +114,14 @@
     kept = {i for entry in group.leader().log for i in entry[2]}
     broken = [i for i, (at, _) in stale.items()
               if i in acked and at > healed_at + THAW_S]
-    lost = [i for i, at in acked.items()
-            if i not in kept and at > healed_at + THAW_S]
+    lost = [i for i in broken if i not in kept]
     for ident in broken:
         world.record.add(f"BROKEN write {ident} was committed at "
                          f"{stale[ident][1]} after a promote had taken effect "
                          f"and acknowledged"
                          f"{', and is lost' if ident in lost else ''}")
-    world.record.add(f"RESULT acknowledged={len(acked)} broken={len(broken)} "
-                     f"of these lost={len(set(lost) & set(broken))}")
+    world.record.add(f"RESULT rounds={rounds} acknowledged={len(acked)} "
+                     f"broken={len(broken)} of these lost={len(lost)}")
     return w.BROKEN if broken else w.HELD
 
 
