--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -361,8 +361,8 @@
         self.listeners = []
         # A primary that is partitioned from its replicas.
         self.partitioned = None
-        # Promotions that took effect: (time, backend, term).
-        self.promoted = []
+        # Promotions that took effect: time, backend, term, and the end of the
+        # log with which it began.
         self.promotions = []
 
     async def replace(self, old, drain_s):
@@ -371,7 +371,8 @@
         self.platform.record.add(f"DRAINING {old.name}")
         await asyncio.sleep(drain_s)
         await old.crash()
-        new = Backend(self, f"{old.name[:-1]}{chr(ord(max(b.name[-1] for b in self.backends)) + 1)}")
+        last = max(b.name[-1] for b in self.backends)
+        new = Backend(self, old.name[:-1] + chr(ord(last) + 1))
         new.port, new.log, new.term = old.port, list(old.log), old.term
         self.backends[self.backends.index(old)] = new
         self.platform.store.remove(f"servers/{old.name}")
@@ -449,8 +450,6 @@
                 # It goes on for a second after it reaches the new one.
                 other.leads_until = time.monotonic() + 1
         backend.role, backend.term = "primary", term
-        self.promoted.append((time.monotonic(), backend.name, term))
-        # With the end of the log that it began with.
         self.promotions.append((time.monotonic(), backend.name, term,
                                 backend.position()[1]))
         self.platform.record.add(
