Reset the connection of a call that is given up

One part of the cause: a call to the platform that had no answer within its time was closed without a reset. Bytes that the cut had held up were still delivered after it, so that an order to promote took effect seconds after the holder had given it up. The same holds for calls that are cancelled and for the calls of a holder that is killed.

A call that has timed out or was cancelled now resets its connection. Calls with an effect on the platform are also reset by the end of the process (`reset_at_exit`): the linger time of their socket is 0.

Which other calls have an effect that must not come late: writes of the store name the revision that they replace, and STEPDOWN names a term, so that a late one does nothing. All calls of the HTTP client are reset when they are given up, nevertheless.

This does not cover an order that the platform has received and carries out late.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -101,10 +101,18 @@
 	event_active(client->cleanup, 0, 0);
 }
 
+static evutil_socket_t socket_of(const kb_http_call_t *call)
+{
+	return bufferevent_getfd(
+		evhttp_connection_get_bufferevent(call->connection));
+}
+
 void kb_http_client_cancel(kb_http_call_t *call)
 {
-	if (!call->ended)
-		end_call(call);
+	if (call->ended)
+		return;
+	kb_socket_reset_on_close(socket_of(call));
+	end_call(call);
 }
 
 static void finish_call(kb_http_call_t *call, const kb_http_answer_t *answer)
@@ -117,11 +125,8 @@
 {
 	struct sockaddr_storage peer;
 	socklen_t len = sizeof(peer);
-	struct bufferevent *bev =
-		evhttp_connection_get_bufferevent(call->connection);
 
-	return !getpeername(bufferevent_getfd(bev), (struct sockaddr *)&peer,
-			    &len);
+	return !getpeername(socket_of(call), (struct sockaddr *)&peer, &len);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *ctx)
@@ -133,6 +138,7 @@
 	(void)what;
 	if (is_connected(call))
 		answer.result = KB_ERR_TIMEOUT;
+	kb_socket_reset_on_close(socket_of(call));
 	finish_call(call, &answer);
 }
 
@@ -207,12 +213,10 @@
 		.interval_s = KEEPALIVE_INTERVAL_S,
 		.probes = KEEPALIVE_PROBES,
 	};
-	kb_http_call_t *call = ctx;
-	evutil_socket_t fd = bufferevent_getfd(
-		evhttp_connection_get_bufferevent(call->connection));
+	const kb_http_call_t *call = ctx;
 
 	(void)http;
-	kb_socket_set_options(fd, &keepalive);
+	kb_socket_set_options(socket_of(call), &keepalive);
 	return 0;
 }
 
@@ -301,10 +305,9 @@
 		goto fail;
 	}
 	/* The socket exists from here on; numeric addresses need no lookup. */
-	kb_socket_set_options(
-		bufferevent_getfd(
-			evhttp_connection_get_bufferevent(call->connection)),
-		NULL);
+	kb_socket_set_options(socket_of(call), NULL);
+	if (request->reset_at_exit)
+		kb_socket_reset_on_close(socket_of(call));
 	return call;
 fail:
 	free_call(call);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -43,6 +43,11 @@
 	void (*part)(void *ctx, int status, kb_str_t data);
 	void (*done)(void *ctx, const kb_http_answer_t *answer);
 	void *ctx;
+	/*
+	 * The connection is reset, too, if the process ends, so that a request
+	 * which is held up on its way does not take effect later.
+	 */
+	int reset_at_exit;
 } kb_http_request_t;
 
 typedef struct kb_http_call kb_http_call_t;
@@ -72,7 +77,8 @@
 
 /*
  * Starts a call. It ends with `done`, which is not called before the return,
- * or with kb_http_client_cancel(). Returns NULL if out of memory.
+ * or with kb_http_client_cancel(). The connection of a call that has timed out
+ * or was cancelled is reset. Returns NULL if out of memory.
  */
 kb_http_call_t *kb_http_client_call(kb_http_client_t *client,
 				    const kb_http_request_t *request);
--- a/src/socket_options.h
+++ b/src/socket_options.h
@@ -20,6 +20,13 @@
  */
 void kb_socket_set_options(int fd, const kb_keepalive_t *keepalive);
 
+/*
+ * Lets the end of a connection, also that by the end of the process, reset it:
+ * bytes that have not reached the peer by then are lost instead of delivered
+ * later. A negative `fd` is ignored.
+ */
+void kb_socket_reset_on_close(int fd);
+
 KB_END_DECLS
 
 #endif
