Keep the ordered target while its order is open and it answers

After 2 s the holder polled the replicas, ordered c and served it. The order to d got through 0.65 s after that to c, d led the next term, and the writes that c had acknowledged meanwhile were lost.

Cause: two rules for one question. A new holder repeats an open order to its target while that one answers; the holder that had given it chose anew after 2 s, among those that had answered, and the poll ends when one answer is missing at most. No cut is needed: a platform that takes longer than 2 s for one call has the same effect.

Ruled out: that the second choice was needed, as d answered throughout; and that the reset of the given-up call alone is enough, as the platform may have received it.

kb_monitor_order_step() now answers the question for both: while an order is open its target stays the choice as long as it answers, and it may be silent for 1.15 s (0.35 s if it refuses connections). Repeated, an order changes nothing if it has taken effect.

Before: MonitorOrder.ATargetThatAnswersStaysTheChoiceWhileItsOrderIsOpen failed (another target served). After: it passes, as do the other tests of Monitor.

--- a/src/monitor.c
+++ b/src/monitor.c
@@ -191,7 +191,7 @@
 	    (primary ||
 	     (ordered && ordered->answered_at > monitor->state_since))) {
 		if (is_complete)
-			kb_monitor_resolve_order(monitor, now);
+			kb_monitor_resolve_order(monitor, targets, now);
 		return;
 	}
 	if (answered &&
--- a/src/monitor_internal.h
+++ b/src/monitor_internal.h
@@ -39,6 +39,23 @@
 
 /* Whether the last order has taken effect, as a later term is known. */
 int kb_monitor_is_order_over(kb_monitor_t *monitor);
+/* What is to be done about the target of the last order. */
+typedef enum kb_order_step {
+	/* The order is not open, or its target can't be promoted: choose. */
+	KB_ORDER_STEP_CHOOSE,
+	/* It has not answered yet, but may do so. */
+	KB_ORDER_STEP_WAIT,
+	/* It has answered: to repeat the order changes nothing if it leads. */
+	KB_ORDER_STEP_REPEAT,
+} kb_order_step_t;
+/*
+ * While the last order is open its target stays the choice as long as it
+ * answers; it may be silent for KB_MONITOR_SILENT_TIMEOUT_MS. `after` is the
+ * time since which the targets are probed.
+ */
+kb_order_step_t kb_monitor_order_step(kb_monitor_t *monitor,
+				      const kb_target_list_t *targets,
+				      kb_time_t after, kb_time_t now);
 /*
  * Whether the primary of `term` may be served: neither the last order nor a
  * target that has answered nor this host's watermarks show a later term.
@@ -57,7 +74,8 @@
  * repeats it, or withdraws it if it was refused. Called once all targets have
  * had time to answer.
  */
-void kb_monitor_resolve_order(kb_monitor_t *monitor, kb_time_t now);
+void kb_monitor_resolve_order(kb_monitor_t *monitor,
+			      const kb_target_list_t *targets, kb_time_t now);
 /* Announces the order to promote `promotee`, then requests the promotion. */
 void kb_monitor_send_order(kb_monitor_t *monitor,
 			   const kb_target_list_t *targets, kb_time_t now);
--- a/src/monitor_order.c
+++ b/src/monitor_order.c
@@ -164,11 +164,31 @@
 	monitor->order_state = KB_ORDER_NONE;
 }
 
-void kb_monitor_resolve_order(kb_monitor_t *monitor, kb_time_t now)
+kb_order_step_t kb_monitor_order_step(kb_monitor_t *monitor,
+				      const kb_target_list_t *targets,
+				      kb_time_t after, kb_time_t now)
 {
-	const kb_monitor_probe_t *probe = kb_monitor_find_probe(
-		monitor, kb_name_str(&monitor->order.target));
+	kb_str_t target = kb_name_str(&monitor->order.target);
+	const kb_target_entry_t *entry = kb_target_list_find(targets, target);
+	const kb_monitor_probe_t *probe =
+		kb_monitor_find_probe(monitor, target);
+	kb_time_t timeout = KB_MONITOR_SILENT_TIMEOUT_MS * KB_NS_PER_MS;
 
+	if (monitor->order_state != KB_ORDER_OPEN || !probe || !entry ||
+	    entry->leaving || probe->rejected ||
+	    kb_monitor_is_order_over(monitor))
+		return KB_ORDER_STEP_CHOOSE;
+	if (probe->answered_at > after)
+		return KB_ORDER_STEP_REPEAT;
+	if (probe->failed_at > after && probe->refused)
+		timeout = KB_MONITOR_REFUSED_TIMEOUT_MS * KB_NS_PER_MS;
+	return now - after < timeout ? KB_ORDER_STEP_WAIT
+				     : KB_ORDER_STEP_CHOOSE;
+}
+
+void kb_monitor_resolve_order(kb_monitor_t *monitor,
+			      const kb_target_list_t *targets, kb_time_t now)
+{
 	if (now < monitor->promotion_open_until) {
 		/* Probe all targets again. */
 		monitor->state_since = now;
@@ -179,17 +199,27 @@
 		withdraw_order(monitor);
 		return;
 	}
-	if (probe && probe->answered_at > monitor->state_since) {
-		kb_log(KB_EVENT_PROMOTION_REPEATED,
-		       "group=%s target=%s term=%" PRIu64 " number=%" PRIu64,
-		       monitor->group.data, monitor->order.target.data,
-		       monitor->order.term, monitor->order.number);
+	switch (kb_monitor_order_step(monitor, targets, monitor->state_since,
+				      now)) {
+	case KB_ORDER_STEP_REPEAT:
 		kb_monitor_promote_target(monitor, &monitor->order.target, now);
-		return;
+		break;
+	case KB_ORDER_STEP_CHOOSE:
+		if (now - monitor->state_since >=
+		    KB_MONITOR_SILENT_TIMEOUT_MS * KB_NS_PER_MS)
+			kb_monitor_begin_promotion(monitor, now);
+		break;
+	default:
+		break;
 	}
-	if (now - monitor->state_since >=
-	    KB_MONITOR_SILENT_TIMEOUT_MS * KB_NS_PER_MS)
-		kb_monitor_begin_promotion(monitor, now);
+}
+
+static void log_repeated(const kb_monitor_t *monitor)
+{
+	kb_log(KB_EVENT_PROMOTION_REPEATED,
+	       "group=%s target=%s term=%" PRIu64 " number=%" PRIu64,
+	       monitor->group.data, monitor->order.target.data,
+	       monitor->order.term, monitor->order.number);
 }
 
 void kb_monitor_send_order(kb_monitor_t *monitor,
@@ -200,6 +230,9 @@
 	const kb_monitor_probe_t *probe =
 		kb_monitor_find_probe(monitor, target);
 	uint64_t term = kb_monitor_highest_term(monitor);
+	int is_repeated = monitor->order_state == KB_ORDER_OPEN &&
+			  !kb_monitor_is_order_over(monitor) &&
+			  kb_name_is(&monitor->order.target, target);
 
 	if (!entry || entry->leaving || !probe || probe->rejected ||
 	    now - monitor->promotee_since >
@@ -223,6 +256,8 @@
 		monitor->order_state = KB_ORDER_SENT;
 	else
 		monitor->order_state = KB_ORDER_OPEN;
+	if (is_repeated)
+		log_repeated(monitor);
 	monitor->promotion_sent = 1;
 	monitor->promotee_since = now;
 	monitor->promotee_term =
--- a/src/monitor_promotion.c
+++ b/src/monitor_promotion.c
@@ -128,6 +128,14 @@
 	return NULL;
 }
 
+static void order_target(kb_monitor_t *monitor, const kb_target_list_t *targets,
+			 const kb_name_t *target, kb_time_t now)
+{
+	monitor->promotee = *target;
+	monitor->promotee_since = now;
+	kb_monitor_send_order(monitor, targets, now);
+}
+
 static void tick_polling(kb_monitor_t *monitor, const kb_target_list_t *targets,
 			 kb_time_t now)
 {
@@ -146,13 +154,21 @@
 		finish_promotion(monitor, targets, successor, now);
 		return;
 	}
+	switch (kb_monitor_order_step(monitor, targets, monitor->state_since,
+				      now)) {
+	case KB_ORDER_STEP_WAIT:
+		return;
+	case KB_ORDER_STEP_REPEAT:
+		order_target(monitor, targets, &monitor->order.target, now);
+		return;
+	default:
+		break;
+	}
 	best = newest_replica(monitor, targets, monitor->state_since);
 	if (!best && kb_monitor_find_probe(
 			     monitor, kb_name_str(&monitor->earlier_order))) {
 		/* The platform tells whether it may still take effect. */
-		monitor->promotee = monitor->earlier_order;
-		monitor->promotee_since = now;
-		kb_monitor_send_order(monitor, targets, now);
+		order_target(monitor, targets, &monitor->earlier_order, now);
 		return;
 	}
 	if (!best || (monitor->durable && newer_log_exists(monitor, best))) {
@@ -165,9 +181,7 @@
 	if (monitor->durable &&
 	    !kb_monitor_is_complete(monitor, best, missing, now))
 		return;
-	monitor->promotee = best->target;
-	monitor->promotee_since = now;
-	kb_monitor_send_order(monitor, targets, now);
+	order_target(monitor, targets, &best->target, now);
 }
 
 void kb_monitor_tick_promoting(kb_monitor_t *monitor,
--- a/tests/monitor_simulation.h
+++ b/tests/monitor_simulation.h
@@ -29,6 +29,7 @@
 		kb_time_t lag = 10 * MS;
 		bool promotable = true;
 		kb_time_t promoted_at = 0;
+		kb_time_t answer_delay = 5 * MS;
 	};
 
 	kb_monitor_t monitor;
@@ -141,6 +142,13 @@
 		recorded = order;
 	}
 
+	/* Runs until the first order, and returns its target. */
+	std::string first_order()
+	{
+		until([&] { return !promotions.empty(); });
+		return promotions.empty() ? "" : promotions[0];
+	}
+
 	/* The platform carries out a promotion. */
 	void promote(const std::string &name, kb_time_t delay)
 	{
@@ -191,21 +199,22 @@
 
 		if (!t.alive && !t.refuses)
 			return;
-		simulation.events.emplace(simulation.now + 5 * MS, [&simulation,
-								    name] {
-			Target &t = simulation.state[name];
-			kb_target_report_t report = {};
-
-			report.is_primary = t.primary;
-			report.term = t.term;
-			report.received = { t.term, t.position };
-			report.lag = t.lag;
-			kb_monitor_on_probe(
-				&simulation.monitor,
-				{ name.data(), name.size() },
-				t.alive ? KB_OK : KB_ERR_UNREACHABLE,
-				t.alive ? &report : nullptr, simulation.now);
-		});
+		simulation.events.emplace(
+			simulation.now + t.answer_delay, [&simulation, name] {
+				Target &t = simulation.state[name];
+				kb_target_report_t report = {};
+
+				report.is_primary = t.primary;
+				report.term = t.term;
+				report.received = { t.term, t.position };
+				report.lag = t.lag;
+				kb_monitor_on_probe(
+					&simulation.monitor,
+					{ name.data(), name.size() },
+					t.alive ? KB_OK : KB_ERR_UNREACHABLE,
+					t.alive ? &report : nullptr,
+					simulation.now);
+			});
 	}
 
 	static void on_step_down(void *ctx, const kb_target_entry_t *target,
--- a/tests/test_monitor_order.cc
+++ b/tests/test_monitor_order.cc
@@ -316,3 +316,71 @@
 		  12 * KB_NS_PER_S);
 	EXPECT_EQ(0u, simulation.order.target.len);
 }
+
+namespace
+{
+
+/* Replaces the primary after a crash or as it is leaving. */
+void begin_replacement(MonitorSimulation &simulation, bool planned)
+{
+	simulation.until([&] { return simulation.serves("a"); });
+	if (planned)
+		simulation.add("a", true);
+	else
+		simulation.kill("a", true);
+}
+
+} // namespace
+
+/*
+ * review/6: an order that takes effect late does so while another target is
+ * served, as a second one was ordered after 2 s though the first one answered.
+ */
+TEST(MonitorOrder, ATargetThatAnswersStaysTheChoiceWhileItsOrderIsOpen)
+{
+	for (bool planned : { false, true })
+		for (kb_time_t delay : { 2100, 2600, 5000 }) {
+			MonitorSimulation simulation;
+			std::string ordered, other;
+
+			simulation.promotion_delay = delay * MS;
+			begin_replacement(simulation, planned);
+			ordered = simulation.first_order();
+			other = ordered == "b" ? "c" : "b";
+			/* The other one has the newer log and answers first. */
+			simulation.state[other].position = 200;
+			simulation.state[ordered].answer_delay = 150 * MS;
+			simulation.until([&] {
+				return simulation.bound == ordered ||
+				       simulation.bound == other;
+			});
+			EXPECT_EQ(ordered, simulation.bound);
+			for (const std::string &name : simulation.promotions)
+				EXPECT_EQ(ordered, name) << planned << delay;
+		}
+}
+
+/* The ordered target crashes before the effect: another one is ordered. */
+TEST(MonitorOrder, AnotherTargetIsOrderedOnceTheFirstOneHasCrashed)
+{
+	for (bool planned : { false, true })
+		for (bool refuses : { false, true }) {
+			MonitorSimulation simulation;
+			std::string ordered;
+			kb_time_t time;
+
+			simulation.promotion_delay = 60 * KB_NS_PER_S;
+			begin_replacement(simulation, planned);
+			ordered = simulation.first_order();
+			simulation.state[ordered].alive = false;
+			simulation.state[ordered].refuses = refuses;
+			simulation.promotion_delay = 300 * MS;
+			time = simulation.until([&] {
+				return simulation.bound == "b" ||
+				       simulation.bound == "c";
+			});
+			EXPECT_NE(ordered, simulation.bound);
+			/* The order, the silence, and the second promotion. */
+			EXPECT_LE(time, 2000 * MS + 1150 * MS + 500 * MS);
+		}
+}
