Watch the targets of orders without an answer while another one serves

Keeping to the ordered target covers the case while that one answers. If it is silent, refused or leaving, another one has to lead, and the earlier request may still be carried out.

Cause: nothing remembered a request once another target was served, a serving holder asked no replica, and of three orders of one term the middle one was forgotten, also by a successor.

Requests that may still take effect are now kept (open_orders), and the record and the voters name those without an answer before the next one is sent. While one is open and its target is not the primary, a commit is reported once that target has answered a question sent after the commit and leads no later term (proxy_confirm). In a durable group its log must have the commit as well. If it is silent, writes are refused as not run. A holder that serves gives its primary up when a target reports a later term. The record's order has the field `unanswered`; a record without it is read as before.

New log events 1318 and 1319, metric promotion_open.

--- a/src/gen/kumquat_session.h
+++ b/src/gen/kumquat_session.h
@@ -19,6 +19,7 @@
 #define KBS_ENTRIES_MAX 65536
 #define KBS_FEED_MAX 8388608
 #define KBS_LOANS_MAX 4096
+#define KBS_ORDER_TARGETS_MAX 4
 
 typedef struct {
 	u_int kbs_text_len;
@@ -151,6 +152,10 @@
 	u_quad_t term;
 	kbs_text target;
 	kbs_text earlier;
+	struct {
+		u_int unanswered_len;
+		kbs_text *unanswered_val;
+	} unanswered;
 };
 typedef struct kbs_order kbs_order;
 
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -6,6 +6,7 @@
 const KBS_ENTRIES_MAX = 65536;
 const KBS_FEED_MAX = 8388608;
 const KBS_LOANS_MAX = 4096;
+const KBS_ORDER_TARGETS_MAX = 4;
 
 typedef opaque kbs_text<KBS_TEXT_MAX>;
 
@@ -146,6 +147,8 @@
 	kbs_text target;
 	/* Target of an order that it replaced, or empty. */
 	kbs_text earlier;
+	/* Targets of former requests whose answer was lost. */
+	kbs_text unanswered<KBS_ORDER_TARGETS_MAX>;
 };
 
 /* The holder of a group asks a candidate not to take the group over. */
--- a/src/gen/kumquat_session_xdr.c
+++ b/src/gen/kumquat_session_xdr.c
@@ -277,6 +277,9 @@
 		 return FALSE;
 	 if (!xdr_kbs_text (xdrs, &objp->earlier))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->unanswered.unanswered_val, (u_int *) &objp->unanswered.unanswered_len, KBS_ORDER_TARGETS_MAX,
+		sizeof (kbs_text), (xdrproc_t) xdr_kbs_text))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/lease_order.c
+++ b/src/lease_order.c
@@ -23,17 +23,13 @@
 	       kb_promotion_order_equal(&lease->record.order, &lease->order);
 }
 
-int kb_lease_announce_order(kb_lease_t *lease, const kb_name_t *target,
-			    uint64_t term, kb_time_t now)
+int kb_lease_announce_order(kb_lease_t *lease, const kb_promotion_order_t *next,
+			    kb_time_t now)
 {
-	static const kb_name_t none;
-	const kb_name_t *name = target ? target : &none;
-
 	if (lease->role != KB_LEASE_SERVING)
 		return 0;
-	if (lease->order.term != term ||
-	    !kb_lease_names_equal(&lease->order.target, name)) {
-		kb_promotion_order_replace(&lease->order, name, term);
+	if (!kb_promotion_order_says(&lease->order, next)) {
+		kb_promotion_order_update(&lease->order, next);
 		lease->ordered_at = now;
 		/* The next tick renews, and so tells the voters. */
 		lease->renewals_sent_at = 0;
@@ -64,10 +60,7 @@
 
 void kb_lease_learn_order(kb_lease_t *lease, const kb_promotion_order_t *order)
 {
-	/* A holder may reuse a number that only few voters have been told. */
-	if (order->number > lease->order.number ||
-	    (order->number == lease->order.number &&
-	     order->term > lease->order.term))
+	if (kb_promotion_order_is_later(&lease->order, order))
 		lease->order = *order;
 }
 
--- a/src/lease_order.h
+++ b/src/lease_order.h
@@ -8,13 +8,12 @@
 /* What a holder leaves to later holders beside the lease itself. */
 
 /*
- * Announces the order to promote `target`, or with NULL withdraws the last one.
- * `term` is the highest term known. Returns whether each later holder will know
- * of it; if not, it is to be called again. Always 0 if this host does not
- * serve.
+ * Announces what `next` says (see kb_promotion_order_says()); without a target
+ * it withdraws the last order. Returns whether each later holder will know of
+ * it; if not, it is to be called again. Always 0 if this host does not serve.
  */
-int kb_lease_announce_order(kb_lease_t *lease, const kb_name_t *target,
-			    uint64_t term, kb_time_t now);
+int kb_lease_announce_order(kb_lease_t *lease, const kb_promotion_order_t *next,
+			    kb_time_t now);
 
 /* Sets the targets that the holder's record is to name as copies. */
 void kb_lease_set_copies(kb_lease_t *lease, const kb_target_names_t *copies);
--- a/src/lease_record.c
+++ b/src/lease_record.c
@@ -11,24 +11,26 @@
 	return array;
 }
 
+static json_t *format_targets(const kb_name_t *names, size_t count)
+{
+	json_t *array = count ? json_array() : NULL;
+
+	for (size_t i = 0; i < count; i++)
+		json_array_append_new(array, json_string(names[i].data));
+	return array;
+}
+
 static json_t *format_order(const kb_promotion_order_t *order)
 {
 	if (!order->number)
 		return NULL;
 	return json_pack(
-		"{s:I,s:I,s:s,s:s*}", "number", (json_int_t)order->number,
+		"{s:I,s:I,s:s,s:s*,s:o*}", "number", (json_int_t)order->number,
 		"term", (json_int_t)order->term, "target", order->target.data,
-		"earlier", order->earlier.len ? order->earlier.data : NULL);
-}
-
-static json_t *format_copies(const kb_target_names_t *copies)
-{
-	json_t *array = copies->count ? json_array() : NULL;
-
-	for (size_t i = 0; i < copies->count; i++)
-		json_array_append_new(array,
-				      json_string(copies->names[i].data));
-	return array;
+		"earlier", order->earlier.len ? order->earlier.data : NULL,
+		"unanswered",
+		format_targets(order->unanswered.names,
+			       order->unanswered.count));
 }
 
 char *kb_lease_record_format(const kb_lease_record_t *record)
@@ -36,15 +38,15 @@
 	json_t *json;
 	char *text;
 
-	json = json_pack("{s:s,s:I,s:b,s:b,s:o,s:o,s:b,s:o*,s:o*}", "holder",
-			 record->holder.data, "era", (json_int_t)record->era,
-			 "released", record->released, "settled",
-			 record->settled, "candidates",
-			 format_set(&record->voters), "former",
-			 format_set(&record->former_voters), "formerLost",
-			 record->former_unknown, "promotion",
-			 format_order(&record->order), "copies",
-			 format_copies(&record->copies));
+	json = json_pack(
+		"{s:s,s:I,s:b,s:b,s:o,s:o,s:b,s:o*,s:o*}", "holder",
+		record->holder.data, "era", (json_int_t)record->era, "released",
+		record->released, "settled", record->settled, "candidates",
+		format_set(&record->voters), "former",
+		format_set(&record->former_voters), "formerLost",
+		record->former_unknown, "promotion",
+		format_order(&record->order), "copies",
+		format_targets(record->copies.names, record->copies.count));
 	text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	json_decref(json);
 	return text;
@@ -69,21 +71,43 @@
 	return KB_OK;
 }
 
+static kb_result_t read_unanswered(kb_order_targets_t *targets,
+				   const json_t *names)
+{
+	const json_t *name;
+	size_t i;
+
+	if (names && (!json_is_array(names) ||
+		      json_array_size(names) > KB_ORDER_TARGETS_MAX))
+		return KB_ERR_PROTOCOL;
+	json_array_foreach(names, i, name)
+	{
+		if (!json_is_string(name) ||
+		    kb_name_set(&targets->names[targets->count++],
+				kb_str_from(json_string_value(name))))
+			return KB_ERR_PROTOCOL;
+	}
+	return KB_OK;
+}
+
 /* A record without an order is of a group without a promotion. */
 static kb_result_t read_order(kb_promotion_order_t *order, json_t *json)
 {
 	const char *target;
 	const char *earlier = "";
+	json_t *unanswered = NULL;
 	json_int_t number;
 	json_int_t term;
 
 	if (!json)
 		return KB_OK;
-	if (json_unpack(json, "{s:I,s:I,s:s,s?s}", "number", &number, "term",
-			&term, "target", &target, "earlier", &earlier) ||
+	if (json_unpack(json, "{s:I,s:I,s:s,s?s,s?o}", "number", &number,
+			"term", &term, "target", &target, "earlier", &earlier,
+			"unanswered", &unanswered) ||
 	    number < 0 || term < 0 ||
 	    kb_name_set(&order->target, kb_str_from(target)) ||
-	    kb_name_set(&order->earlier, kb_str_from(earlier)))
+	    kb_name_set(&order->earlier, kb_str_from(earlier)) ||
+	    read_unanswered(&order->unanswered, unanswered))
 		return KB_ERR_PROTOCOL;
 	order->number = (uint64_t)number;
 	order->term = (uint64_t)term;
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -62,6 +62,10 @@
 	 "a primary is not used as a later term or an open order is known")
 KB_EVENT(1317, VACANCY_ENDED, INFO,
 	 "a target reports a later term than that of a vacant group's primary")
+KB_EVENT(1318, ORDERS_WATCHED, WARN,
+	 "orders to promote other targets may take effect, or none does now")
+KB_EVENT(1319, LATER_TERM, WARN,
+	 "a target reports a later term than that of the serving primary")
 
 KB_EVENT(1400, MEMBER_JOINED, INFO, "host joined or returned")
 KB_EVENT(1401, MEMBER_LEAVING, INFO, "host is leaving and accepts no new work")
--- a/src/monitor.c
+++ b/src/monitor.c
@@ -73,6 +73,10 @@
 	monitor->releasing = 0;
 	monitor->order_state = KB_ORDER_OPEN;
 	monitor->earlier_order = monitor->order.earlier;
+	monitor->inherited = 1;
+	kb_open_orders_add_all(&monitor->open_orders,
+			       &monitor->order.unanswered, now);
+	monitor->watch_logged = 0;
 	monitor->announcing = 0;
 	monitor->unused_logged_at = 0;
 	monitor->gap_start = now;
@@ -255,6 +259,7 @@
 {
 	if (monitor->state == KB_MONITOR_IDLE)
 		return;
+	kb_open_orders_expire(&monitor->open_orders, now);
 	kb_monitor_sync_probes(monitor, targets);
 	kb_copies_sync(&monitor->copies, targets, kb_name_str(&monitor->group),
 		       now);
@@ -285,11 +290,12 @@
 		break;
 	}
 	kb_monitor_tick_step_down(monitor, targets, now);
+	kb_monitor_tick_watch(monitor, targets, now);
 }
 
 void kb_monitor_on_probe(kb_monitor_t *monitor, kb_str_t target,
 			 kb_result_t result, const kb_target_report_t *report,
-			 kb_time_t now)
+			 kb_time_t asked_at, kb_time_t now)
 {
 	kb_monitor_probe_t *probe = kb_monitor_find_probe(monitor, target);
 	int is_primary = monitor->has_primary &&
@@ -301,11 +307,14 @@
 	if (result && result != KB_ERR_OVERLOADED) {
 		probe->failed_at = now;
 		probe->refused = result == KB_ERR_UNREACHABLE;
+		probe->asked_at = asked_at;
 		return;
 	}
 	if (!result) {
 		probe->answered_at = now;
 		probe->report = *report;
+		probe->asked_at = asked_at;
+		kb_monitor_check_term(monitor, probe, now);
 	}
 	if (monitor->state != KB_MONITOR_SUSPECTING || !is_primary)
 		return;
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -2,7 +2,7 @@
 #define KB_MONITOR_H
 
 #include "copies.h"
-#include "promotion_order.h"
+#include "open_orders.h"
 #include "target_list.h"
 
 KB_BEGIN_DECLS
@@ -64,6 +64,9 @@
 	kb_time_t failed_at;
 	int refused;
 	kb_target_report_t report;
+	/* Time at which the question for the last answer or refusal was sent.
+	 */
+	kb_time_t asked_at;
 	/* The platform has refused to promote it. */
 	int rejected;
 } kb_monitor_probe_t;
@@ -91,12 +94,13 @@
 	void (*step_down)(void *ctx, const kb_target_entry_t *target,
 			  uint64_t term);
 	/*
-	 * Announces the order to promote `target`, or with NULL withdraws the
-	 * last one; `term` is the highest term known, or that before the term
-	 * which `target` leads already. Returns whether each later holder of
-	 * the lease will know of it; else it is called again.
+	 * Announces what `next` says: an order to promote its target or, if
+	 * that is empty, that the last one is withdrawn. Its term is the
+	 * highest one known, or that before the term which the target leads
+	 * already. Returns whether each later holder of the lease will know of
+	 * it; else it is called again.
 	 */
-	int (*announce)(void *ctx, const kb_name_t *target, uint64_t term);
+	int (*announce)(void *ctx, const kb_promotion_order_t *next);
 	/* Requests a promotion; kb_monitor_on_promoted() follows. */
 	void (*promote)(void *ctx, const kb_target_entry_t *target);
 	/*
@@ -166,6 +170,12 @@
 	 * take effect; empty if there is none.
 	 */
 	kb_name_t earlier_order;
+	/* Requests that may still take effect. They outlive the lease. */
+	kb_open_orders_t open_orders;
+	/* The last order was given by another host, which may have sent it. */
+	int inherited;
+	/* Last logged state of the watch over open orders. */
+	int watch_logged;
 	/* Not each later holder knows the last order yet. */
 	int announcing;
 	/* Time of the last log line about a primary that is not used. */
@@ -224,12 +234,13 @@
 		     kb_time_t now);
 
 /*
- * Takes the result of a probe. KB_ERR_OVERLOADED: the target is alive but did
- * not report its status. KB_ERR_UNREACHABLE: it refused the connection.
+ * Takes the result of a probe that was sent at `asked_at`. KB_ERR_OVERLOADED:
+ * the target is alive but did not report its status. KB_ERR_UNREACHABLE: it
+ * refused the connection.
  */
 void kb_monitor_on_probe(kb_monitor_t *monitor, kb_str_t target,
 			 kb_result_t result, const kb_target_report_t *report,
-			 kb_time_t now);
+			 kb_time_t asked_at, kb_time_t now);
 
 /*
  * Takes the answer to a promotion. KB_ERR_CONFLICT: refused for good.
@@ -259,6 +270,24 @@
  */
 int kb_monitor_prepare_release(kb_monitor_t *monitor, kb_time_t now);
 
+/*
+ * Whether a request to promote another target than the primary may still take
+ * effect. A commit may be acknowledged only once kb_monitor_confirms() it.
+ */
+int kb_monitor_is_watching(const kb_monitor_t *monitor);
+
+/*
+ * Whether all those targets have answered a question that was sent after
+ * `since`, at which the primary had committed `point`, and none leads a later
+ * term. If one does later, the commit was made before; of a durable group its
+ * log has the commit. One that refuses connections does not lead.
+ */
+int kb_monitor_confirms(const kb_monitor_t *monitor, kb_time_t since,
+			kb_point_t point);
+
+/* Whether one of those targets is silent, so that nothing is confirmed. */
+int kb_monitor_is_unconfirmed(const kb_monitor_t *monitor, kb_time_t now);
+
 /* Whether the primary is known and statements are directed to it. */
 int kb_monitor_is_serving(const kb_monitor_t *monitor);
 
--- a/src/monitor_internal.h
+++ b/src/monitor_internal.h
@@ -37,6 +37,17 @@
 /* Highest term that this holder knows of. */
 uint64_t kb_monitor_highest_term(const kb_monitor_t *monitor);
 
+/* Stops serving the primary, and looks for one of a later term. */
+void kb_monitor_give_up_primary(kb_monitor_t *monitor, kb_time_t now);
+/* Gives up the primary if a target has reported a later term. */
+void kb_monitor_check_term(kb_monitor_t *monitor,
+			   const kb_monitor_probe_t *probe, kb_time_t now);
+/* While serving: asks the targets whose orders may still take effect. */
+void kb_monitor_tick_watch(kb_monitor_t *monitor,
+			   const kb_target_list_t *targets, kb_time_t now);
+/* Lets later holders know once no request is open any more. */
+void kb_monitor_settle_orders(kb_monitor_t *monitor);
+
 /* Whether the last order has taken effect, as a later term is known. */
 int kb_monitor_is_order_over(kb_monitor_t *monitor);
 /* What is to be done about the target of the last order. */
--- a/src/monitor_order.c
+++ b/src/monitor_order.c
@@ -88,14 +88,26 @@
 	       !kb_name_is(&order->earlier, kb_name_str(primary));
 }
 
-/* Returns whether each later holder knows the order; see kb_monitor_ops_t. */
+/*
+ * Announces an order or, with an empty `target`, that the last one is
+ * withdrawn. Returns whether each later holder knows it; see kb_monitor_ops_t.
+ */
 static int announce(kb_monitor_t *monitor, const kb_name_t *target,
 		    uint64_t term)
 {
-	int is_known = monitor->ops->announce(monitor->ctx, target, term);
+	kb_promotion_order_t next = { .term = term, .target = *target };
+
+	kb_open_orders_names(&monitor->open_orders, target, &next.unanswered);
+	monitor->announcing = !monitor->ops->announce(monitor->ctx, &next);
+	return !monitor->announcing;
+}
+
+void kb_monitor_settle_orders(kb_monitor_t *monitor)
+{
+	const kb_promotion_order_t order = monitor->order;
 
-	monitor->announcing = !is_known;
-	return is_known;
+	if (order.unanswered.count && !monitor->open_orders.count)
+		announce(monitor, &order.target, order.term);
 }
 
 int kb_monitor_record_term(kb_monitor_t *monitor, const kb_name_t *primary,
@@ -106,8 +118,7 @@
 	if (!is_term_recorded(&order, primary, term))
 		return announce(monitor, primary, term ? term - 1 : 0);
 	return !monitor->announcing ||
-	       announce(monitor, order.target.len ? &order.target : NULL,
-			order.term);
+	       announce(monitor, &order.target, order.term);
 }
 
 /* Remembers the target of an open order that another order replaces. */
@@ -133,6 +144,11 @@
 		monitor->earlier_order = order->earlier;
 	} else if (order->number != monitor->order.number) {
 		keep_earlier_order(monitor, &order->target, order->term);
+		kb_open_orders_add_all(&monitor->open_orders,
+				       &order->unanswered, now);
+		if (!kb_name_is(&order->target,
+				kb_name_str(&monitor->promotee)))
+			monitor->inherited = 1;
 		if (monitor->state == KB_MONITOR_FINDING &&
 		    !monitor->earlier_order.len)
 			monitor->earlier_order = order->earlier;
@@ -144,22 +160,19 @@
 	    kb_monitor_may_serve(monitor, &monitor->primary.place.target,
 				 monitor->term))
 		return;
-	monitor->has_primary = 0;
-	monitor->order_state = KB_ORDER_OPEN;
-	monitor->gap_start = now;
-	kb_monitor_set_state(monitor, KB_MONITOR_FINDING, now);
-	monitor->ops->abort(monitor->ctx);
-	monitor->ops->bind(monitor->ctx, NULL);
+	kb_monitor_give_up_primary(monitor, now);
 }
 
 /* The former primary may be served once kb_monitor_record_term() allows it. */
 static void withdraw_order(kb_monitor_t *monitor)
 {
+	static const kb_name_t none;
+
 	kb_log(KB_EVENT_PROMOTION_WITHDRAWN,
 	       "group=%s target=%s term=%" PRIu64 " number=%" PRIu64,
 	       monitor->group.data, monitor->order.target.data,
 	       monitor->order.term, monitor->order.number);
-	announce(monitor, NULL, monitor->order.term);
+	announce(monitor, &none, monitor->order.term);
 	monitor->order.target.len = 0;
 	monitor->order_state = KB_ORDER_NONE;
 }
@@ -249,8 +262,14 @@
 	/* Primaries of the terms before the last order stay excluded. */
 	if (monitor->order.term > term)
 		term = monitor->order.term;
+	if (monitor->inherited && monitor->order.target.len &&
+	    !kb_monitor_is_order_over(monitor))
+		kb_open_orders_add(&monitor->open_orders,
+				   &monitor->order.target, now);
+	monitor->inherited = 0;
 	keep_earlier_order(monitor, &monitor->promotee, term);
-	if (!announce(monitor, &monitor->promotee, term))
+	if (!announce(monitor, &monitor->promotee, term) ||
+	    !kb_open_orders_add(&monitor->open_orders, &monitor->promotee, now))
 		return;
 	if (monitor->order_state == KB_ORDER_NONE || !monitor->order.target.len)
 		monitor->order_state = KB_ORDER_SENT;
@@ -280,7 +299,13 @@
 {
 	kb_monitor_probe_t *probe = kb_monitor_find_probe(monitor, target);
 	int is_first = monitor->order_state == KB_ORDER_SENT;
+	int is_refused = result == KB_ERR_CONFLICT ||
+			 result == KB_ERR_OVERLOADED ||
+			 result == KB_ERR_UNREACHABLE;
 
+	if (!result || is_refused)
+		kb_open_orders_on_answer(&monitor->open_orders, target, !result,
+					 now);
 	if (!probe || monitor->state != KB_MONITOR_PROMOTING ||
 	    !monitor->promotion_sent || !kb_name_is(&monitor->promotee, target))
 		return;
@@ -288,8 +313,7 @@
 		kb_log(KB_EVENT_PROMOTION_FAILED,
 		       "group=%s target=%s result=%s", monitor->group.data,
 		       monitor->promotee.data, kb_result_name(result));
-	if (result != KB_ERR_CONFLICT && result != KB_ERR_OVERLOADED &&
-	    result != KB_ERR_UNREACHABLE) {
+	if (!is_refused) {
 		monitor->order_state = KB_ORDER_OPEN;
 		return;
 	}
--- a/src/promotion_order.c
+++ b/src/promotion_order.c
@@ -1,10 +1,54 @@
 #include "promotion_order.h"
 
+static int targets_contain(const kb_order_targets_t *targets,
+			   const kb_name_t *target)
+{
+	for (size_t i = 0; i < targets->count; i++)
+		if (kb_name_is(&targets->names[i], kb_name_str(target)))
+			return 1;
+	return 0;
+}
+
+static int targets_equal(const kb_order_targets_t *a,
+			 const kb_order_targets_t *b)
+{
+	if (a->count != b->count)
+		return 0;
+	for (size_t i = 0; i < a->count; i++)
+		if (!targets_contain(b, &a->names[i]))
+			return 0;
+	return 1;
+}
+
+static int is_same(const kb_promotion_order_t *a, const kb_promotion_order_t *b)
+{
+	return a->term == b->term &&
+	       kb_name_is(&a->target, kb_name_str(&b->target));
+}
+
+int kb_promotion_order_says(const kb_promotion_order_t *order,
+			    const kb_promotion_order_t *next)
+{
+	return is_same(order, next) &&
+	       targets_equal(&order->unanswered, &next->unanswered);
+}
+
+int kb_promotion_order_is_later(const kb_promotion_order_t *order,
+				const kb_promotion_order_t *other)
+{
+	if (other->number != order->number)
+		return other->number > order->number;
+	/* A holder may reuse a number that only few voters have been told. */
+	if (other->term != order->term)
+		return other->term > order->term;
+	return is_same(order, other) &&
+	       other->unanswered.count > order->unanswered.count;
+}
+
 int kb_promotion_order_equal(const kb_promotion_order_t *a,
 			     const kb_promotion_order_t *b)
 {
-	return a->number == b->number && a->term == b->term &&
-	       kb_name_is(&a->target, kb_name_str(&b->target)) &&
+	return a->number == b->number && kb_promotion_order_says(a, b) &&
 	       kb_name_is(&a->earlier, kb_name_str(&b->earlier));
 }
 
@@ -24,3 +68,11 @@
 	order->target = *target;
 	order->earlier = earlier;
 }
+
+void kb_promotion_order_update(kb_promotion_order_t *order,
+			       const kb_promotion_order_t *next)
+{
+	if (!is_same(order, next))
+		kb_promotion_order_replace(order, &next->target, next->term);
+	order->unanswered = next->unanswered;
+}
--- a/src/promotion_order.h
+++ b/src/promotion_order.h
@@ -5,6 +5,17 @@
 
 KB_BEGIN_DECLS
 
+enum {
+	/* Targets for which requests to promote may be open at a time. */
+	KB_ORDER_TARGETS_MAX = 4,
+};
+
+/* Targets, each once. */
+typedef struct kb_order_targets {
+	size_t count;
+	kb_name_t names[KB_ORDER_TARGETS_MAX];
+} kb_order_targets_t;
+
 /*
  * A promotion that has been requested for a group, or is about to be, and may
  * take effect at any time. It is over once a primary of a later term leads.
@@ -21,6 +32,11 @@
 	 * none. That order may still take effect unless it was refused.
 	 */
 	kb_name_t earlier;
+	/*
+	 * Targets of former requests whose answer was lost: they may take
+	 * effect late, also once this order is over.
+	 */
+	kb_order_targets_t unanswered;
 } kb_promotion_order_t;
 
 /*
@@ -30,6 +46,27 @@
 void kb_promotion_order_replace(kb_promotion_order_t *order,
 				const kb_name_t *target, uint64_t term);
 
+/*
+ * Lets an order say what `next` says: replaces it if the target or the term
+ * differs.
+ */
+void kb_promotion_order_update(kb_promotion_order_t *order,
+			       const kb_promotion_order_t *next);
+
+/*
+ * Whether `other` is a later order than `order`, or the same one and names more
+ * targets.
+ */
+int kb_promotion_order_is_later(const kb_promotion_order_t *order,
+				const kb_promotion_order_t *other);
+
+/*
+ * Whether an order says what `next` is to say. Its number and the target of the
+ * order that it has replaced follow from the orders before.
+ */
+int kb_promotion_order_says(const kb_promotion_order_t *order,
+			    const kb_promotion_order_t *next);
+
 int kb_promotion_order_equal(const kb_promotion_order_t *a,
 			     const kb_promotion_order_t *b);
 
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -109,6 +109,7 @@
 {
 	kb_proxy_group_end_watermark_calls(group);
 	kb_proxy_group_refuse_held(group);
+	kb_proxy_confirm_end_all(group);
 	kb_proxy_probes_finish(group);
 	kb_link_pool_finish(&group->pool);
 	kb_team_accounts_finish(&group->accounts);
@@ -214,6 +215,7 @@
 	if (serves)
 		kb_proxy_keeper_tick(group, now);
 	tick_monitor(group, serves, now);
+	kb_proxy_confirm_tick(group, now);
 	kb_proxy_vacancy_tick(group, now);
 	if (serves) {
 		kbs_stamp stamp;
--- a/src/proxy_group.h
+++ b/src/proxy_group.h
@@ -7,6 +7,7 @@
 #include "lease.h"
 #include "load/link_pool.h"
 #include "monitor.h"
+#include "proxy_confirm.h"
 #include "proxy_loans.h"
 #include "proxy_start.h"
 #include "target_probe.h"
@@ -95,6 +96,8 @@
 	kb_watermark_waiter_t *watermark_waiters;
 	kb_held_run_t *held;
 	size_t held_count;
+	/* Commits that are not reported before the monitor confirms them. */
+	kb_commit_wait_t *commit_waits;
 	kb_start_group_phases_t start;
 	kb_proxy_vacancy_t vacancy;
 	/* Last use by a caller, and start of the present period of use. */
--- a/src/proxy_held.c
+++ b/src/proxy_held.c
@@ -86,7 +86,7 @@
 
 	held->args->time_left_us -= waited;
 	held->args->objective_left_us -= waited;
-	kb_link_pool_run(&group->pool, held->args, held->done, held->ctx);
+	kb_proxy_primary_run(group, held->args, held->done, held->ctx);
 	free(held);
 }
 
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -192,13 +192,19 @@
  * Asks a host for a grant of the group's lease. If the call cannot be started,
  * no callback is made.
  */
+/* An order as a message, with room for the names that it refers to. */
+typedef struct kb_proxy_order_view {
+	kbs_order order;
+	kbs_text unanswered[KB_ORDER_TARGETS_MAX];
+} kb_proxy_order_view_t;
+
 /*
  * Returns `view`, filled in with the last order of the group, or NULL if a host
  * that has read `revision` of the store's record knows it or there is none.
  * Valid until the group's lease changes.
  */
 kbs_order *kb_proxy_order_view(const kb_proxy_group_t *group, int64_t revision,
-			       kbs_order *view);
+			       kb_proxy_order_view_t *view);
 /* Takes an order that another host has sent, unless it is NULL. */
 void kb_proxy_learn_order(kb_proxy_group_t *group, const kbs_order *order);
 
--- a/src/proxy_lease.c
+++ b/src/proxy_lease.c
@@ -148,40 +148,12 @@
 	wake_if_starting(call.group);
 }
 
-kbs_order *kb_proxy_order_view(const kb_proxy_group_t *group, int64_t revision,
-			       kbs_order *view)
-{
-	const kb_promotion_order_t *order =
-		kb_lease_unrecorded_order(&group->lease, revision);
-
-	if (!order)
-		return NULL;
-	view->number = order->number;
-	view->term = order->term;
-	view->target = kb_text_view(kb_name_str(&order->target));
-	view->earlier = kb_text_view(kb_name_str(&order->earlier));
-	return view;
-}
-
-void kb_proxy_learn_order(kb_proxy_group_t *group, const kbs_order *order)
-{
-	kb_promotion_order_t learned;
-
-	if (!order)
-		return;
-	learned.number = order->number;
-	learned.term = order->term;
-	if (!kb_name_set(&learned.target, kb_text_str(order->target)) &&
-	    !kb_name_set(&learned.earlier, kb_text_str(order->earlier)))
-		kb_lease_learn_order(&group->lease, &learned);
-}
-
 kb_result_t kb_proxy_request_grant(kb_proxy_group_t *group, kb_host_t *host,
 				   int serving, kb_rpc_done_fn_t *done,
 				   void *ctx)
 {
 	kb_proxy_t *proxy = group->proxy;
-	kbs_order order;
+	kb_proxy_order_view_t order;
 	kbs_grant_args args = {
 		.group = kb_text_view(kb_name_str(&group->name)),
 		.holder = kb_text_view(kb_name_str(&proxy->self.name)),
--- a/src/proxy_metrics.c
+++ b/src/proxy_metrics.c
@@ -52,6 +52,15 @@
 			proxy->groups[i]->name.data,
 			kb_lease_may_serve(&proxy->groups[i]->lease,
 					   kb_clock_monotonic(proxy->clock)));
+	kb_metrics_text_family(
+		out, "promotion_open", "gauge",
+		"Whether an order to promote another target may take effect "
+		"while a group's primary serves.");
+	for (size_t i = 0; i < proxy->group_count; i++)
+		kb_metrics_text_value(
+			out, "promotion_open", "group",
+			proxy->groups[i]->name.data,
+			kb_monitor_is_watching(&proxy->groups[i]->monitor));
 #define POOL(member) offsetof(kb_link_pool_counters_t, member)
 	write_pools(proxy, out, "target_statements_total", "counter",
 		    POOL(statements), "Statements sent to a target.");
--- a/src/proxy_monitor.c
+++ b/src/proxy_monitor.c
@@ -34,11 +34,11 @@
 				     term);
 }
 
-static int monitor_announce(void *ctx, const kb_name_t *target, uint64_t term)
+static int monitor_announce(void *ctx, const kb_promotion_order_t *next)
 {
 	kb_proxy_group_t *group = ctx;
 
-	return kb_lease_announce_order(&group->lease, target, term,
+	return kb_lease_announce_order(&group->lease, next,
 				       kb_clock_monotonic(group->proxy->clock));
 }
 
--- a/src/proxy_probe.c
+++ b/src/proxy_probe.c
@@ -46,7 +46,7 @@
 		probe->for_monitor = 0;
 		kb_monitor_on_probe(&probe->group->monitor,
 				    kb_name_str(&target->place.target), result,
-				    report, now);
+				    report, target->started_at, now);
 		kb_proxy_wake(probe->group->proxy);
 	}
 }
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -35,7 +35,7 @@
 	}
 	group = kb_proxy_group_find(proxy, kb_text_str(args->group));
 	if (group && group->lease.role == KB_LEASE_SERVING) {
-		kb_link_pool_run(&group->pool, args, done, ctx);
+		kb_proxy_primary_run(group, args, done, ctx);
 		return;
 	}
 	if (group && kb_proxy_group_hold_run(group, args, done, ctx))
@@ -97,7 +97,7 @@
 	kb_proxy_group_t *group =
 		kb_proxy_group_get(proxy, kb_text_str(args->group));
 	kbs_grant_res res = { 0 };
-	kbs_order order;
+	kb_proxy_order_view_t order;
 	kb_name_t holder;
 
 	if (group && !kb_name_set(&holder, kb_text_str(args->holder)))
--- a/tests/monitor_simulation.h
+++ b/tests/monitor_simulation.h
@@ -46,6 +46,8 @@
 	kb_promotion_order_t order{};
 	kb_promotion_order_t recorded{};
 	bool announceable = true;
+	/* Requests to promote are neither answered nor carried out. */
+	bool platform_silent = false;
 	std::string handed_over_to;
 	std::string reached_by;
 	std::vector<std::string> promotions;
@@ -200,7 +202,8 @@
 		if (!t.alive && !t.refuses)
 			return;
 		simulation.events.emplace(
-			simulation.now + t.answer_delay, [&simulation, name] {
+			simulation.now + t.answer_delay,
+			[&simulation, name, asked_at = simulation.now] {
 				Target &t = simulation.state[name];
 				kb_target_report_t report = {};
 
@@ -212,7 +215,7 @@
 					&simulation.monitor,
 					{ name.data(), name.size() },
 					t.alive ? KB_OK : KB_ERR_UNREACHABLE,
-					t.alive ? &report : nullptr,
+					t.alive ? &report : nullptr, asked_at,
 					simulation.now);
 			});
 	}
@@ -223,16 +226,13 @@
 		self(ctx).stepped_down.push_back(name_of(target));
 	}
 
-	static int on_announce(void *ctx, const kb_name_t *target,
-			       uint64_t term)
+	static int on_announce(void *ctx, const kb_promotion_order_t *next)
 	{
 		MonitorSimulation &simulation = self(ctx);
 		kb_promotion_order_t &order = simulation.order;
-		kb_name_t name = target ? *target : kb_name_t{};
 
-		if (order.term != term ||
-		    !kb_name_is(&order.target, kb_name_str(&name)))
-			kb_promotion_order_replace(&order, &name, term);
+		if (!kb_promotion_order_says(&order, next))
+			kb_promotion_order_update(&order, next);
 		if (simulation.announceable)
 			simulation.recorded = order;
 		return kb_promotion_order_equal(&order, &simulation.recorded);
@@ -244,6 +244,17 @@
 		std::string name = name_of(target);
 
 		simulation.promotions.push_back(name);
+		if (simulation.platform_silent) {
+			simulation.events.emplace(
+				simulation.now + KB_NS_PER_S,
+				[&simulation, name] {
+					kb_monitor_on_promoted(
+						&simulation.monitor,
+						{ name.data(), name.size() },
+						KB_ERR_UNKNOWN, simulation.now);
+				});
+			return;
+		}
 		simulation.events.emplace(
 			simulation.now + 10 * MS, [&simulation, name] {
 				kb_monitor_on_promoted(
