Promote only a log that has the term which was served

Cause: the logs of the targets that answered were compared with each other, never with the term that had been served; and a new holder could not know that term, as the record told only that an order was given.

kb_monitor_may_promote() is asked by each place that picks a target. The served term is in the last order (`served`) and is recorded before its primary is served, so that a successor that starts knowing nothing decides the same. To delay no promotion it is written as soon as the platform has accepted the order.

--- a/src/gen/kumquat_session.h
+++ b/src/gen/kumquat_session.h
@@ -156,6 +156,7 @@
 		u_int unanswered_len;
 		kbs_text *unanswered_val;
 	} unanswered;
+	u_quad_t served_term;
 };
 typedef struct kbs_order kbs_order;
 
--- a/src/gen/kumquat_session.x
+++ b/src/gen/kumquat_session.x
@@ -149,6 +149,8 @@
 	kbs_text earlier;
 	/* Targets of former requests whose answer was lost. */
 	kbs_text unanswered<KBS_ORDER_TARGETS_MAX>;
+	/* Highest term whose primary may have been served. */
+	unsigned hyper served_term;
 };
 
 /* The holder of a group asks a candidate not to take the group over. */
--- a/src/gen/kumquat_session_xdr.c
+++ b/src/gen/kumquat_session_xdr.c
@@ -280,6 +280,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->unanswered.unanswered_val, (u_int *) &objp->unanswered.unanswered_len, KBS_ORDER_TARGETS_MAX,
 		sizeof (kbs_text), (xdrproc_t) xdr_kbs_text))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->served_term))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/lease_record.c
+++ b/src/lease_record.c
@@ -25,10 +25,11 @@
 	if (!order->number)
 		return NULL;
 	return json_pack(
-		"{s:I,s:I,s:s,s:s*,s:o*}", "number", (json_int_t)order->number,
-		"term", (json_int_t)order->term, "target", order->target.data,
-		"earlier", order->earlier.len ? order->earlier.data : NULL,
-		"unanswered",
+		"{s:I,s:I,s:I,s:s,s:s*,s:o*}", "number",
+		(json_int_t)order->number, "term", (json_int_t)order->term,
+		"served", (json_int_t)order->served_term, "target",
+		order->target.data, "earlier",
+		order->earlier.len ? order->earlier.data : NULL, "unanswered",
 		format_targets(order->unanswered.names,
 			       order->unanswered.count));
 }
@@ -96,21 +97,24 @@
 	const char *target;
 	const char *earlier = "";
 	json_t *unanswered = NULL;
+	json_int_t served_term = 0;
 	json_int_t number;
 	json_int_t term;
 
 	if (!json)
 		return KB_OK;
-	if (json_unpack(json, "{s:I,s:I,s:s,s?s,s?o}", "number", &number,
-			"term", &term, "target", &target, "earlier", &earlier,
-			"unanswered", &unanswered) ||
-	    number < 0 || term < 0 ||
+	if (json_unpack(json, "{s:I,s:I,s?I,s:s,s?s,s?o}", "number", &number,
+			"term", &term, "served", &served_term, "target",
+			&target, "earlier", &earlier, "unanswered",
+			&unanswered) ||
+	    number < 0 || term < 0 || served_term < 0 ||
 	    kb_name_set(&order->target, kb_str_from(target)) ||
 	    kb_name_set(&order->earlier, kb_str_from(earlier)) ||
 	    read_unanswered(&order->unanswered, unanswered))
 		return KB_ERR_PROTOCOL;
 	order->number = (uint64_t)number;
 	order->term = (uint64_t)term;
+	order->served_term = (uint64_t)served_term;
 	return KB_OK;
 }
 
--- a/src/monitor.c
+++ b/src/monitor.c
@@ -73,6 +73,8 @@
 	monitor->releasing = 0;
 	monitor->order_state = KB_ORDER_OPEN;
 	monitor->earlier_order = monitor->order.earlier;
+	monitor->served_term = kb_monitor_order_served_term(&monitor->order);
+	monitor->term_missing_since = 0;
 	monitor->inherited = 1;
 	kb_open_orders_add_all(&monitor->open_orders,
 			       &monitor->order.unanswered, now);
@@ -90,6 +92,8 @@
 {
 	if (monitor->state == KB_MONITOR_FINDING && term > monitor->term)
 		monitor->term = term;
+	if (term > monitor->served_term)
+		monitor->served_term = term;
 }
 
 /* The entry of a target; the last known one of the primary if it is gone. */
@@ -113,6 +117,8 @@
 	monitor->primary = *primary;
 	monitor->has_primary = 1;
 	monitor->term = report->term;
+	monitor->served_term = report->term;
+	monitor->term_missing_since = 0;
 	monitor->newest = report->received;
 	monitor->promotee.len = 0;
 	monitor->promotion_open_until = 0;
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -36,6 +36,11 @@
 	 * durable.
 	 */
 	KB_MONITOR_SWITCHOVER_TIMEOUT_MS = 3500,
+	/*
+	 * After this time without a log of the term that was served, one of an
+	 * earlier term is promoted.
+	 */
+	KB_MONITOR_TERM_MISSING_MAX_S = KB_COPIES_MISSING_MAX_S,
 	/* A replaced primary is sent step-down commands for this time. */
 	KB_MONITOR_STEP_DOWN_S = 20,
 };
@@ -135,8 +140,9 @@
 	/* Targets that may have them, also those without an entry. */
 	kb_copies_t copies;
 	/*
-	 * No target is known to have them all, so that none is promoted. Time
-	 * of the last log line about it.
+	 * No target that answers may be promoted: none is known to have all
+	 * acknowledged commits of a durable group, or the term that was served.
+	 * Time of the last log line about the former.
 	 */
 	int blocked;
 	kb_time_t blocked_logged_at;
@@ -145,6 +151,14 @@
 	kb_target_entry_t primary;
 	int has_primary;
 	uint64_t term;
+	/* Highest term whose primary any holder may have served. */
+	uint64_t served_term;
+	/*
+	 * Since then only targets without that term have answered, so that none
+	 * is promoted; 0 if not. Time of the last log line about it.
+	 */
+	kb_time_t term_missing_since;
+	kb_time_t term_missing_logged_at;
 	/* Newest known end of the primary's log. */
 	kb_point_t newest;
 	size_t probe_count;
@@ -159,6 +173,8 @@
 	 */
 	uint64_t promotee_term;
 	int promotion_sent;
+	/* The platform has accepted it. */
+	int promotion_accepted;
 	/*
 	 * The last order of any holder. Until a primary of a later term is
 	 * found, no earlier one is used.
--- a/src/monitor_internal.h
+++ b/src/monitor_internal.h
@@ -73,6 +73,25 @@
  */
 int kb_monitor_may_serve(kb_monitor_t *monitor, const kb_name_t *primary,
 			 uint64_t term);
+/* Highest term whose primary may have been served, as an order tells. */
+uint64_t kb_monitor_order_served_term(const kb_promotion_order_t *order);
+/*
+ * Whether the last report of a target shows that it may be promoted: its log
+ * has the term that was served. Without it, all that was acknowledged in that
+ * term would be lost, and commits that it had rolled back would be restored.
+ */
+int kb_monitor_may_promote(const kb_monitor_t *monitor,
+			   const kb_monitor_probe_t *probe);
+/*
+ * Takes the replica that may be promoted, or NULL, and the number of targets
+ * that have not answered. While the logs of all others lack the term that was
+ * served, statements are refused. The term is given up once no target that may
+ * have it is missing, or after KB_MONITOR_TERM_MISSING_MAX_S.
+ */
+void kb_monitor_check_logs(kb_monitor_t *monitor,
+			   const kb_monitor_probe_t *best, size_t missing,
+			   kb_time_t now);
+
 /*
  * Lets each later holder know that no primary of an earlier term than `term`
  * may be served. Returns whether it does; if not, it is to be called again
@@ -80,6 +99,11 @@
  */
 int kb_monitor_record_term(kb_monitor_t *monitor, const kb_name_t *primary,
 			   uint64_t term);
+/*
+ * Once the platform has accepted the order, lets later holders know that its
+ * target may be served, so that kb_monitor_record_term() need not wait.
+ */
+void kb_monitor_record_acceptance(kb_monitor_t *monitor);
 /*
  * While the last order may replace the primary that was found: waits for it,
  * repeats it, or withdraws it if it was refused. Called once all targets have
--- a/src/monitor_order.c
+++ b/src/monitor_order.c
@@ -93,9 +93,13 @@
  * withdrawn. Returns whether each later holder knows it; see kb_monitor_ops_t.
  */
 static int announce(kb_monitor_t *monitor, const kb_name_t *target,
-		    uint64_t term)
+		    uint64_t term, uint64_t served_term)
 {
-	kb_promotion_order_t next = { .term = term, .target = *target };
+	kb_promotion_order_t next = {
+		.term = term,
+		.target = *target,
+		.served_term = served_term,
+	};
 
 	kb_open_orders_names(&monitor->open_orders, target, &next.unanswered);
 	monitor->announcing = !monitor->ops->announce(monitor->ctx, &next);
@@ -107,7 +111,7 @@
 	const kb_promotion_order_t order = monitor->order;
 
 	if (order.unanswered.count && !monitor->open_orders.count)
-		announce(monitor, &order.target, order.term);
+		announce(monitor, &order.target, order.term, order.served_term);
 }
 
 int kb_monitor_record_term(kb_monitor_t *monitor, const kb_name_t *primary,
@@ -116,9 +120,21 @@
 	const kb_promotion_order_t order = monitor->order;
 
 	if (!is_term_recorded(&order, primary, term))
-		return announce(monitor, primary, term ? term - 1 : 0);
+		return announce(monitor, primary, term ? term - 1 : 0, term);
+	/* A first term is not recorded: there is none before it. */
+	if (order.served_term < term && (order.number || term > 1))
+		return announce(monitor, &order.target, order.term, term);
 	return !monitor->announcing ||
-	       announce(monitor, &order.target, order.term);
+	       announce(monitor, &order.target, order.term, order.served_term);
+}
+
+void kb_monitor_record_acceptance(kb_monitor_t *monitor)
+{
+	const kb_promotion_order_t order = monitor->order;
+
+	if (monitor->promotion_accepted && order.served_term <= order.term &&
+	    kb_name_is(&order.target, kb_name_str(&monitor->promotee)))
+		announce(monitor, &order.target, order.term, order.term + 1);
 }
 
 /* Remembers the target of an open order that another order replaces. */
@@ -137,6 +153,17 @@
 		monitor->earlier_order.len = 0;
 }
 
+/* Takes an order of another host. */
+static void inherit_order(kb_monitor_t *monitor,
+			  const kb_promotion_order_t *order)
+{
+	uint64_t served_term = kb_monitor_order_served_term(order);
+
+	monitor->inherited = 1;
+	if (served_term > monitor->served_term)
+		monitor->served_term = served_term;
+}
+
 void kb_monitor_set_order(kb_monitor_t *monitor,
 			  const kb_promotion_order_t *order, kb_time_t now)
 {
@@ -148,7 +175,7 @@
 				       &order->unanswered, now);
 		if (!kb_name_is(&order->target,
 				kb_name_str(&monitor->promotee)))
-			monitor->inherited = 1;
+			inherit_order(monitor, order);
 		if (monitor->state == KB_MONITOR_FINDING &&
 		    !monitor->earlier_order.len)
 			monitor->earlier_order = order->earlier;
@@ -172,7 +199,7 @@
 	       "group=%s target=%s term=%" PRIu64 " number=%" PRIu64,
 	       monitor->group.data, monitor->order.target.data,
 	       monitor->order.term, monitor->order.number);
-	announce(monitor, &none, monitor->order.term);
+	announce(monitor, &none, monitor->order.term, monitor->served_term);
 	monitor->order.target.len = 0;
 	monitor->order_state = KB_ORDER_NONE;
 }
@@ -192,7 +219,9 @@
 	    kb_monitor_is_order_over(monitor))
 		return KB_ORDER_STEP_CHOOSE;
 	if (probe->answered_at > after)
-		return KB_ORDER_STEP_REPEAT;
+		return kb_monitor_may_promote(monitor, probe)
+			       ? KB_ORDER_STEP_REPEAT
+			       : KB_ORDER_STEP_CHOOSE;
 	if (probe->failed_at > after && probe->refused)
 		timeout = KB_MONITOR_REFUSED_TIMEOUT_MS * KB_NS_PER_MS;
 	return now - after < timeout ? KB_ORDER_STEP_WAIT
@@ -248,6 +277,7 @@
 			  kb_name_is(&monitor->order.target, target);
 
 	if (!entry || entry->leaving || !probe || probe->rejected ||
+	    (probe->answered_at && !kb_monitor_may_promote(monitor, probe)) ||
 	    now - monitor->promotee_since >
 		    KB_MONITOR_PROMOTION_TIMEOUT_MS * KB_NS_PER_MS) {
 		/* Choose a target again. */
@@ -268,7 +298,8 @@
 				   &monitor->order.target, now);
 	monitor->inherited = 0;
 	keep_earlier_order(monitor, &monitor->promotee, term);
-	if (!announce(monitor, &monitor->promotee, term) ||
+	if (!announce(monitor, &monitor->promotee, term,
+		      monitor->served_term) ||
 	    !kb_open_orders_add(&monitor->open_orders, &monitor->promotee, now))
 		return;
 	if (monitor->order_state == KB_ORDER_NONE || !monitor->order.target.len)
@@ -278,6 +309,7 @@
 	if (is_repeated)
 		log_repeated(monitor);
 	monitor->promotion_sent = 1;
+	monitor->promotion_accepted = 0;
 	monitor->promotee_since = now;
 	monitor->promotee_term =
 		probe->report.is_primary ? probe->report.term : 0;
@@ -314,6 +346,7 @@
 		       "group=%s target=%s result=%s", monitor->group.data,
 		       monitor->promotee.data, kb_result_name(result));
 	if (!is_refused) {
+		monitor->promotion_accepted = !result;
 		monitor->order_state = KB_ORDER_OPEN;
 		return;
 	}
--- a/src/monitor_promotion.c
+++ b/src/monitor_promotion.c
@@ -55,7 +55,8 @@
 				probe->report.term >= highest;
 
 		if (probe->rejected || probe->answered_at <= after ||
-		    is_former || is_leader || !entry || entry->leaving)
+		    is_former || is_leader || !entry || entry->leaving ||
+		    !kb_monitor_may_promote(monitor, probe))
 			continue;
 		if (!best || kb_point_compare(probe->report.received,
 					      best->report.received) > 0)
@@ -165,6 +166,7 @@
 		break;
 	}
 	best = newest_replica(monitor, targets, monitor->state_since);
+	kb_monitor_check_logs(monitor, best, missing, now);
 	if (!best && kb_monitor_find_probe(
 			     monitor, kb_name_str(&monitor->earlier_order))) {
 		/* The platform tells whether it may still take effect. */
@@ -205,6 +207,7 @@
 		monitor->state_since = now;
 		return;
 	}
+	kb_monitor_record_acceptance(monitor);
 	/* Without its entry it cannot be probed, but may be promoted. */
 	probe = kb_monitor_find_probe(monitor, kb_name_str(&monitor->promotee));
 	if (!probe)
--- a/src/promotion_order.c
+++ b/src/promotion_order.c
@@ -30,6 +30,7 @@
 			    const kb_promotion_order_t *next)
 {
 	return is_same(order, next) &&
+	       order->served_term == next->served_term &&
 	       targets_equal(&order->unanswered, &next->unanswered);
 }
 
@@ -42,7 +43,8 @@
 	if (other->term != order->term)
 		return other->term > order->term;
 	return is_same(order, other) &&
-	       other->unanswered.count > order->unanswered.count;
+	       (other->unanswered.count > order->unanswered.count ||
+		other->served_term > order->served_term);
 }
 
 int kb_promotion_order_equal(const kb_promotion_order_t *a,
@@ -75,4 +77,5 @@
 	if (!is_same(order, next))
 		kb_promotion_order_replace(order, &next->target, next->term);
 	order->unanswered = next->unanswered;
+	order->served_term = next->served_term;
 }
--- a/src/promotion_order.h
+++ b/src/promotion_order.h
@@ -37,6 +37,12 @@
 	 * effect late, also once this order is over.
 	 */
 	kb_order_targets_t unanswered;
+	/*
+	 * Highest term whose primary has been served, or may be: the platform
+	 * has accepted the order. 0 if it is unknown, in the record of a host
+	 * of an earlier version.
+	 */
+	uint64_t served_term;
 } kb_promotion_order_t;
 
 /*
@@ -55,7 +61,7 @@
 
 /*
  * Whether `other` is a later order than `order`, or the same one and names more
- * targets.
+ * targets or a later served term.
  */
 int kb_promotion_order_is_later(const kb_promotion_order_t *order,
 				const kb_promotion_order_t *other);
--- a/src/proxy_confirm.c
+++ b/src/proxy_confirm.c
@@ -41,8 +41,8 @@
 {
 	kbs_run_res res = {
 		.result = KB_ERR_UNKNOWN,
-		.message = kb_text_view(KB_STR(
-			"the primary may have been replaced meanwhile")),
+		.message = kb_text_view(
+			KB_STR("the primary may have been replaced meanwhile")),
 		.offered = TRUE,
 	};
 
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -189,7 +189,7 @@
 	if (monitor->blocked)
 		kb_link_pool_refuse_waiting(
 			&group->pool, KB_ERR_NO_PRIMARY,
-			"no target is known to have all commits");
+			"no target that answers may be promoted");
 }
 
 void kb_proxy_group_tick(kb_proxy_group_t *group, kb_time_t now)
--- a/src/proxy_metrics.c
+++ b/src/proxy_metrics.c
@@ -52,6 +52,13 @@
 			proxy->groups[i]->name.data,
 			kb_lease_may_serve(&proxy->groups[i]->lease,
 					   kb_clock_monotonic(proxy->clock)));
+	kb_metrics_text_family(
+		out, "promotion_blocked", "gauge",
+		"Whether no target of a group that answers may be promoted.");
+	for (size_t i = 0; i < proxy->group_count; i++)
+		kb_metrics_text_value(out, "promotion_blocked", "group",
+				      proxy->groups[i]->name.data,
+				      proxy->groups[i]->monitor.blocked);
 	kb_metrics_text_family(
 		out, "promotion_open", "gauge",
 		"Whether an order to promote another target may take effect "
--- a/tests/test_lease_order.cc
+++ b/tests/test_lease_order.cc
@@ -32,7 +32,7 @@
 		if (!is_running(*hosts[announcer]) ||
 		    !kb_lease_may_serve(&lease, now))
 			return false;
-		kb_promotion_order_t next = { 0, term, target, {}, {} };
+		kb_promotion_order_t next = { 0, term, target, {}, {}, 0 };
 		int known = kb_lease_announce_order(&lease, &next, now);
 		return known || broken_rule == BrokenRule::UNANNOUNCED_ORDERS;
 	}
@@ -138,8 +138,8 @@
 {
 	OrderSimulation simulation(3, 1);
 	kb_lease_t &lease = simulation.hosts[0]->lease;
-	kb_promotion_order_t order = { 5, 7, name_of("t1"), {}, {} };
-	kb_promotion_order_t other = { 5, 8, name_of("t2"), {}, {} };
+	kb_promotion_order_t order = { 5, 7, name_of("t1"), {}, {}, 0 };
+	kb_promotion_order_t other = { 5, 8, name_of("t2"), {}, {}, 0 };
 
 	kb_lease_learn_order(&lease, &order);
 	kb_lease_learn_order(&lease, &other);
--- a/tests/test_lease_record.cc
+++ b/tests/test_lease_record.cc
@@ -20,6 +20,7 @@
 	record.order.term = 7;
 	kb_name_set(&record.order.target, KB_STR("t2"));
 	kb_name_set(&record.order.earlier, KB_STR("t3"));
+	record.order.served_term = 8;
 	record.order.unanswered.count = 2;
 	kb_name_set(&record.order.unanswered.names[0], KB_STR("t3"));
 	kb_name_set(&record.order.unanswered.names[1], KB_STR("t4"));
@@ -93,6 +94,8 @@
 		     replaced(text, "\"term\":7", "\"term\":\"7\""),
 		     replaced(text, "\"target\":\"t2\"", "\"target\":2"),
 		     replaced(text, "\"earlier\":\"t3\"", "\"earlier\":3"),
+		     replaced(text, "\"served\":8", "\"served\":-8"),
+		     replaced(text, "\"served\":8", "\"served\":\"8\""),
 		     replaced(text, "\"unanswered\":[\"t3\",\"t4\"]",
 			      "\"unanswered\":\"t3\""),
 		     replaced(text, "[\"t3\",\"t4\"]", "[\"t3\",4]"),
--- a/tests/test_monitor_watch.cc
+++ b/tests/test_monitor_watch.cc
@@ -138,19 +138,20 @@
 	CommitSimulation simulation;
 	std::string ordered = simulation.lose_order(false, false, 6000 * MS);
 
-	simulation.until([&] { return simulation.acknowledged == 0 &&
-				      kb_monitor_is_watching(
-					      &simulation.monitor); });
+	simulation.until([&] {
+		return simulation.acknowledged == 0 &&
+		       kb_monitor_is_watching(&simulation.monitor);
+	});
 	simulation.step_for(600 * MS);
 	EXPECT_NE(ordered, simulation.bound);
 	EXPECT_EQ(0u, simulation.acknowledged);
-	EXPECT_TRUE(kb_monitor_is_unconfirmed(&simulation.monitor,
-					      simulation.now));
+	EXPECT_TRUE(
+		kb_monitor_is_unconfirmed(&simulation.monitor, simulation.now));
 	simulation.until([&] { return simulation.state[ordered].alive; });
 	simulation.step_for(600 * MS);
 	EXPECT_GT(simulation.acknowledged, 5u);
-	EXPECT_FALSE(kb_monitor_is_unconfirmed(&simulation.monitor,
-					       simulation.now));
+	EXPECT_FALSE(
+		kb_monitor_is_unconfirmed(&simulation.monitor, simulation.now));
 }
 
 /* A process that does not run leads nothing: commits go on meanwhile. */
@@ -179,9 +180,8 @@
 	simulation.step_for(200 * MS);
 	EXPECT_TRUE(kb_monitor_confirms(&simulation.monitor,
 					simulation.now - 100 * MS, { 2, 150 }));
-	EXPECT_FALSE(kb_monitor_confirms(&simulation.monitor,
-					 simulation.now - 100 * MS,
-					 { 2, 151 }));
+	EXPECT_FALSE(kb_monitor_confirms(
+		&simulation.monitor, simulation.now - 100 * MS, { 2, 151 }));
 	simulation.state[ordered].alive = false;
 	simulation.state[ordered].refuses = true;
 	simulation.step_for(200 * MS);
--- a/tests/test_proxy_confirm.cc
+++ b/tests/test_proxy_confirm.cc
@@ -127,8 +127,8 @@
 		  [this] { group->lease.role = KB_LEASE_NONE; }, 20 * MS },
 		{ "the primary is given up",
 		  [this] { group->monitor.has_primary = 0; }, 20 * MS },
-		{ "another primary serves",
-		  [this] { group->monitor.term = 3; }, 20 * MS },
+		{ "another primary serves", [this] { group->monitor.term = 3; },
+		  20 * MS },
 	};
 
 	for (const auto &c : cases) {
