Tell a new grant of the lease from the former one

Cause: a record that names this host was taken for its own in each role. It told who holds the group, not by which grant. Beside it, found by the regression test: a voter granted renewals of revisions before a record that names the requester again, so that it served for a moment before it had read the key.

Ruled out: to take every own-named record that is not the outcome of the last write for a new grant, as each lost answer of the store would end the service.

The record now has the number of the grant: the revision that the write which named the holder has replaced. Two writes never replace the same one. Rewrites by the holder keep it. A host that finds its name with another grant loses the lease and takes it anew; a voter refuses renewals of revisions up to the grant's. The monitor gets the token instead of a flag, and begins anew with another one, as the lease may be lost and got again between two ticks.

A record without a grant (of an earlier version) is read as grant 0.

--- a/src/lease.c
+++ b/src/lease.c
@@ -188,9 +188,18 @@
 	lease->known = 1;
 }
 
+/* The grant by which this host has its role. */
+static int64_t held_grant(const kb_lease_t *lease)
+{
+	return lease->role == KB_LEASE_ACQUIRING ? lease->pending.grant
+						 : lease->record.grant;
+}
+
 void kb_lease_on_key(kb_lease_t *lease, const kb_lease_record_t *record,
 		     int64_t revision, kb_time_t now)
 {
+	int is_other_grant;
+
 	if (lease->known &&
 	    (revision < lease->as_of || (record && revision == lease->as_of)))
 		return;
@@ -214,13 +223,15 @@
 		lease->revision = 0;
 		return;
 	}
+	is_other_grant = record->grant != held_grant(lease);
 	lease->restored = 0;
 	lease->revision = revision;
 	lease->record = *record;
 	kb_lease_learn_order(lease, &record->order);
 	if (lease->role != KB_LEASE_SERVING)
 		lease->copies = record->copies;
-	if (!kb_lease_is_own(lease))
+	/* A host that was named again meanwhile has lost the former grant. */
+	if (!kb_lease_is_own(lease) || is_other_grant)
 		kb_lease_lose(lease);
 	else if (lease->role != KB_LEASE_NONE)
 		kb_lease_rebuild_grants(lease);
--- a/src/lease_grant.c
+++ b/src/lease_grant.c
@@ -135,9 +135,13 @@
 	    (kb_lease_is_own(lease) && revision <= lease->revision) ||
 	    revision < lease->granted_revision)
 		return 0;
-	/* A write that the requester has not seen names another host. */
+	/*
+	 * A write that the requester has not seen names another host, or this
+	 * one again.
+	 */
 	if (lease->known && lease->revision > revision &&
-	    !kb_lease_names_equal(&lease->record.holder, holder))
+	    (!kb_lease_names_equal(&lease->record.holder, holder) ||
+	     revision <= lease->record.grant))
 		return 0;
 	if (!kb_lease_names_equal(&lease->granted_to, holder)) {
 		lease->other_granted_at = lease->granted_at;
--- a/src/lease_record.c
+++ b/src/lease_record.c
@@ -40,9 +40,10 @@
 	char *text;
 
 	json = json_pack(
-		"{s:s,s:I,s:b,s:b,s:o,s:o,s:b,s:o*,s:o*}", "holder",
-		record->holder.data, "era", (json_int_t)record->era, "released",
-		record->released, "settled", record->settled, "candidates",
+		"{s:s,s:I,s:I,s:b,s:b,s:o,s:o,s:b,s:o*,s:o*}", "holder",
+		record->holder.data, "era", (json_int_t)record->era, "grant",
+		(json_int_t)record->grant, "released", record->released,
+		"settled", record->settled, "candidates",
 		format_set(&record->voters), "former",
 		format_set(&record->former_voters), "formerLost",
 		record->former_unknown, "promotion",
@@ -149,21 +150,23 @@
 	const char *holder;
 	/* A record without it is of the time before stores had eras. */
 	json_int_t era = 0;
+	json_int_t grant = 0;
 
 	memset(record, 0, sizeof(*record));
 	if (json &&
-	    !json_unpack(json, "{s:s,s?I,s:b,s:b,s:o,s:o,s:b,s?o,s?o}",
-			 "holder", &holder, "era", &era, "released",
-			 &record->released, "settled", &record->settled,
-			 "candidates", &voters, "former", &former_voters,
-			 "formerLost", &record->former_unknown, "promotion",
-			 &order, "copies", &copies) &&
+	    !json_unpack(json, "{s:s,s?I,s?I,s:b,s:b,s:o,s:o,s:b,s?o,s?o}",
+			 "holder", &holder, "era", &era, "grant", &grant,
+			 "released", &record->released, "settled",
+			 &record->settled, "candidates", &voters, "former",
+			 &former_voters, "formerLost", &record->former_unknown,
+			 "promotion", &order, "copies", &copies) &&
 	    *holder && !kb_name_set(&record->holder, kb_str_from(holder)) &&
 	    !read_set(&record->voters, voters) &&
 	    !read_order(&record->order, order) &&
 	    !read_copies(&record->copies, copies))
 		result = read_set(&record->former_voters, former_voters);
 	record->era = era;
+	record->grant = grant;
 	json_decref(json);
 	return result;
 }
--- a/src/lease_record.h
+++ b/src/lease_record.h
@@ -25,6 +25,12 @@
 	 * show who held the lease last, see kb_lease_t.
 	 */
 	int64_t era;
+	/*
+	 * Revision of the key that the write which named the holder has
+	 * replaced, or of the store if there was no key; 0 in a record of an
+	 * earlier version. Two grants to one host differ in it.
+	 */
+	int64_t grant;
 	/* The former holder wrote this record after it stopped serving. */
 	int released;
 	/* The leases of all former holders have ended; `holder` may serve. */
--- a/src/lease_tick.c
+++ b/src/lease_tick.c
@@ -85,11 +85,18 @@
 	record->released = replaced->released;
 }
 
+/* The grant that the next write makes if it names another holder. */
+static int64_t next_grant(const kb_lease_t *lease)
+{
+	return lease->key_revision ? lease->key_revision : lease->as_of;
+}
+
 /* Takes over the lease by a write on the known revision. */
 static void take_over(kb_lease_t *lease, const kb_lease_ranking_t *ranking,
 		      kb_time_t now)
 {
 	make_record(lease, &lease->pending, &lease->self, ranking, now);
+	lease->pending.grant = next_grant(lease);
 	if (lease->restored ||
 	    (!lease->record.holder.len && !lease->first_start))
 		lease->pending.former_unknown = 1;
@@ -272,6 +279,7 @@
 	lease->compared_at = now;
 	lease->ops->rank(lease->ctx, lease, &ranking);
 	make_record(lease, &pending, &lease->self, &ranking, now);
+	pending.grant = lease->record.grant;
 	pending.settled = lease->record.settled || settles;
 	if (!pending.settled)
 		copy_former_voters(&pending, &lease->record);
@@ -377,6 +385,7 @@
 	if (!next)
 		return;
 	make_record(lease, &lease->pending, next, &ranking, now);
+	lease->pending.grant = next_grant(lease);
 	copy_former_voters(&lease->pending, &lease->record);
 	if (lease->role == KB_LEASE_SERVING)
 		lease->pending.released = 1;
--- a/src/monitor.c
+++ b/src/monitor.c
@@ -56,11 +56,12 @@
 	       monitor->state == KB_MONITOR_SUSPECTING;
 }
 
-void kb_monitor_set_active(kb_monitor_t *monitor, int holds_lease,
-			   kb_time_t now)
+int kb_monitor_set_active(kb_monitor_t *monitor, int64_t token, kb_time_t now)
 {
-	if (holds_lease == (monitor->state != KB_MONITOR_IDLE))
-		return;
+	if (token == monitor->token)
+		return 0;
+	kb_monitor_set_state(monitor, KB_MONITOR_IDLE, now);
+	monitor->token = token;
 	monitor->has_primary = 0;
 	monitor->term = 0;
 	monitor->newest = (kb_point_t){ 0 };
@@ -82,10 +83,10 @@
 	monitor->announcing = 0;
 	monitor->unused_logged_at = 0;
 	monitor->gap_start = now;
-	kb_monitor_set_state(monitor,
-			     holds_lease ? KB_MONITOR_FINDING : KB_MONITOR_IDLE,
-			     now);
+	if (token)
+		kb_monitor_set_state(monitor, KB_MONITOR_FINDING, now);
 	monitor->ops->bind(monitor->ctx, NULL);
+	return token != 0;
 }
 
 void kb_monitor_require_term(kb_monitor_t *monitor, uint64_t term)
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -148,6 +148,8 @@
 	kb_time_t blocked_logged_at;
 	kb_monitor_state_t state;
 	kb_time_t state_since;
+	/* Fencing token of the lease; 0 in KB_MONITOR_IDLE. */
+	int64_t token;
 	kb_target_entry_t primary;
 	int has_primary;
 	uint64_t term;
@@ -221,9 +223,12 @@
 void kb_monitor_init(kb_monitor_t *monitor, const kb_monitor_ops_t *ops,
 		     void *ctx, const kb_name_t *group);
 
-/* Activates the monitor if this host holds the lease, else stops it. */
-void kb_monitor_set_active(kb_monitor_t *monitor, int holds_lease,
-			   kb_time_t now);
+/*
+ * Activates the monitor if this host holds the lease, whose fencing token is
+ * `token`, and stops it if that is 0. A lease with another token was lost
+ * meanwhile: the monitor begins anew. Returns whether it begins.
+ */
+int kb_monitor_set_active(kb_monitor_t *monitor, int64_t token, kb_time_t now);
 
 /*
  * Tells a monitor that looks for the primary that a later term than those of
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -172,11 +172,10 @@
 static void tick_monitor(kb_proxy_group_t *group, int serves, kb_time_t now)
 {
 	kb_monitor_t *monitor = &group->monitor;
-	int was_idle = monitor->state == KB_MONITOR_IDLE;
 	kb_target_names_t copies = { 0 };
 
-	kb_monitor_set_active(monitor, serves, now);
-	if (serves && was_idle)
+	if (kb_monitor_set_active(monitor, serves ? group->lease.token : 0,
+				  now))
 		kb_monitor_add_copies(monitor, &group->lease.copies, now);
 	kb_monitor_set_order(monitor, &group->lease.order, now);
 	kb_monitor_require_term(monitor, group->primary_term);
--- a/tests/lease_simulation.h
+++ b/tests/lease_simulation.h
@@ -14,6 +14,8 @@
 	std::string violation;
 	/* Last time at which a host served the group. */
 	kb_time_t served_at = 0;
+	/* Highest fencing token of a host that has served. */
+	int64_t highest_token = 0;
 
 	using Cluster::Cluster;
 
@@ -53,6 +55,14 @@
 			    !kb_lease_may_serve(&host->lease, now))
 				continue;
 			served_at = now;
+			if (host->lease.token < highest_token &&
+			    violation.empty())
+				violation = host->name + " serves with token " +
+					    std::to_string(host->lease.token) +
+					    " after " +
+					    std::to_string(highest_token);
+			highest_token =
+				std::max(highest_token, host->lease.token);
 			if (!serving.empty() && violation.empty())
 				violation = serving + " and " + host->name +
 					    " serve at " +
@@ -84,6 +94,12 @@
 		return i;
 	}
 
+	void stop_host(size_t host, kb_time_t duration)
+	{
+		hosts[host]->alive = false;
+		hosts[host]->down_until = now + duration;
+	}
+
 	void cut(size_t a, size_t b, bool broken = true)
 	{
 		broken_links[{ std::min(a, b), std::max(a, b) }] = broken;
--- a/tests/test_lease_record.cc
+++ b/tests/test_lease_record.cc
@@ -14,6 +14,7 @@
 
 	kb_name_set(&record.holder, KB_STR("h1"));
 	record.settled = 1;
+	record.grant = 41;
 	record.voters.count = 1;
 	record.voters.hosts[0] = record.holder;
 	record.order.number = 3;
@@ -60,6 +61,7 @@
 
 	ASSERT_EQ(KB_OK, parse(&read, format(record)));
 	EXPECT_TRUE(kb_promotion_order_equal(&record.order, &read.order));
+	EXPECT_EQ(41, read.grant);
 	EXPECT_TRUE(kb_target_names_equal(&record.copies, &read.copies));
 }
 
@@ -71,12 +73,13 @@
 
 	record.order = {};
 	record.copies.count = 0;
-	std::string text = format(record);
+	std::string text = replaced(format(record), "\"grant\":41,", "");
 
 	EXPECT_EQ(std::string::npos, text.find("promotion"));
 	EXPECT_EQ(std::string::npos, text.find("copies"));
 	ASSERT_EQ(KB_OK, parse(&read, text));
 	EXPECT_EQ(0u, read.order.number);
+	EXPECT_EQ(0, read.grant);
 	EXPECT_EQ(0u, read.copies.count);
 }
 
@@ -90,6 +93,7 @@
 		many += "\"t" + std::to_string(i) + "\",";
 	many.back() = ']';
 	for (const std::string &bad : {
+		     replaced(text, "\"grant\":41", "\"grant\":\"41\""),
 		     replaced(text, "\"number\":3", "\"number\":-3"),
 		     replaced(text, "\"term\":7", "\"term\":\"7\""),
 		     replaced(text, "\"target\":\"t2\"", "\"target\":2"),
--- a/tests/test_monitor_term.cc
+++ b/tests/test_monitor_term.cc
@@ -148,3 +148,28 @@
 	simulation.until([&] { return !simulation.promotions.empty(); });
 	EXPECT_EQ((std::vector<std::string>{ "c" }), simulation.promotions);
 }
+
+/*
+ * review/8: the lease was lost and got again before the monitor was told, and
+ * another holder has replaced the primary and died meanwhile.
+ */
+TEST(MonitorTerm, AMonitorBeginsAnewWithANewToken)
+{
+	MonitorSimulation simulation;
+
+	simulation.until([&] { return simulation.serves("a"); });
+	EXPECT_FALSE(
+		kb_monitor_set_active(&simulation.monitor, 1, simulation.now));
+	EXPECT_EQ("a", simulation.bound);
+	simulation.announce("b", 1);
+	simulation.promote("b", 0);
+	EXPECT_TRUE(
+		kb_monitor_set_active(&simulation.monitor, 2, simulation.now));
+	EXPECT_EQ("", simulation.bound);
+	EXPECT_EQ(0u, simulation.monitor.term);
+	EXPECT_LE(simulation.until([&] { return simulation.serves("b"); }),
+		  500 * MS);
+	EXPECT_FALSE(
+		kb_monitor_set_active(&simulation.monitor, 0, simulation.now));
+	EXPECT_EQ("", simulation.bound);
+}
