Let the soak carry out an order late, and read step-down reports

The fault late-order makes the platform late with an order and with its answer (1.2 to 4 s), and takes its target down for a part of that time in half of the cases.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -31,7 +31,7 @@
 FAULTS = ["kill-host", "stop-host", "freeze-host", "kill-primary",
           "freeze-primary", "store-down", "store-restored", "kill-all",
           "config", "release-primary", "stop-promoter", "remove-key",
-          "move-key", "turn-away", "kill-promoter"]
+          "move-key", "turn-away", "kill-promoter", "late-order"]
 SETTINGS = """[host]
 name = {name}
 data_centre = z1
@@ -112,7 +112,7 @@
         primary.state = "ready"
 
     async def end_promoter(self, group, primary, number):
-        """Sends a signal to the host that has ordered the promotion of another primary.
+        """Signals the host that has ordered the promotion of another primary.
 
         The old primary is silent until the order and leads until it takes
         effect.
@@ -129,6 +129,35 @@
             host.signal(number)
             await self.restart(host, 0.1)
 
+    async def delay_order(self, group, primary):
+        """The platform is late with an order, and with its answer.
+
+        The target may be down for a part of that time.
+        """
+        delay = self.random.uniform(1.2, 4)
+        down = self.random.uniform(0.2, delay) \
+            if self.random.random() < 0.5 else 0
+        group.order_delays = [delay]
+        ordered = len(group.ordered)
+        releasing = asyncio.create_task(self.release(group, primary))
+        until = time.monotonic() + 5
+        while time.monotonic() < until and len(group.ordered) == ordered:
+            await asyncio.sleep(0.01)
+        if len(group.ordered) > ordered and down:
+            target = next(t for t in group.targets
+                          if t.name == group.ordered[ordered])
+            if group.alive[target.name]:
+                await self.crash(group, target, down)
+        await releasing
+        group.order_delays = []
+
+    async def crash(self, group, target, seconds):
+        group.alive[target.name] = False
+        await target.crash()
+        await asyncio.sleep(seconds)
+        group.alive[target.name] = True
+        await target.start()
+
     def disturbance(self):
         return self.keys.disturbance() if self.keys else \
             contextlib.nullcontext()
@@ -194,11 +223,7 @@
             host.signal(signal.SIGTERM)
             await self.restart(host, 0.5)
         elif name == "kill-primary":
-            group.alive[primary.name] = False
-            await primary.crash()
-            await asyncio.sleep(4)
-            group.alive[primary.name] = True
-            await primary.start()
+            await self.crash(group, primary, 4)
         elif name == "freeze-primary":
             primary.running.clear()
             await asyncio.sleep(self.random.uniform(0.2, 0.8))
@@ -209,6 +234,8 @@
             await self.end_promoter(group, primary, signal.SIGTERM)
         elif name == "kill-promoter":
             await self.end_promoter(group, primary, signal.SIGKILL)
+        elif name == "late-order":
+            await self.delay_order(group, primary)
         elif name == "kill-all":
             for each in self.hosts:
                 each.signal(signal.SIGKILL)
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -187,6 +187,9 @@
         self.on_statement = lambda ident, word: None
         # Names of the hosts that ordered promotions.
         self.promoters = []
+        # Targets of these orders, and how late the next ones are carried out.
+        self.ordered = []
+        self.order_delays = []
         # Writes that a replaced primary committed.
         self.replaced_commits = set()
 
@@ -227,6 +230,9 @@
     async def promote(self, ident, token, holder):
         self.tokens.append(token)
         self.promoters.append(holder)
+        self.ordered.append(ident)
+        if self.order_delays:
+            await asyncio.sleep(self.order_delays.pop())
         target = next((t for t in self.targets if t.name == ident), None)
         if not target or not self.alive[ident]:
             return 409
--- a/src/proxy_probe.c
+++ b/src/proxy_probe.c
@@ -34,7 +34,8 @@
 	kb_proxy_probe_t *probe = ctx;
 	kb_time_t now = kb_clock_monotonic(probe->group->proxy->clock);
 
-	if (kind != KB_LINK_COMMAND_STATUS)
+	/* A step-down command is answered with a report, too. */
+	if (kind != KB_LINK_COMMAND_STATUS && !report)
 		return;
 	answer_reach_calls(probe, report);
 	if (report) {
