Give an order the next number once it says less than before

An order that only says more keeps its number, and is the later one of two with that number; one that says less gets the next number. A repeated order names no earlier served term than before.

--- a/src/monitor_order.c
+++ b/src/monitor_order.c
@@ -256,6 +256,20 @@
 	}
 }
 
+/* The served term that an order is to name; a repeated one says no less. */
+static uint64_t served_term_for(const kb_monitor_t *monitor,
+				const kb_name_t *target, uint64_t term)
+{
+	const kb_promotion_order_t *order = &monitor->order;
+
+	return order->term == term &&
+			       kb_name_is(&order->target,
+					  kb_name_str(target)) &&
+			       order->served_term > monitor->served_term
+		       ? order->served_term
+		       : monitor->served_term;
+}
+
 static void log_repeated(const kb_monitor_t *monitor)
 {
 	kb_log(KB_EVENT_PROMOTION_REPEATED,
@@ -299,7 +313,7 @@
 	monitor->inherited = 0;
 	keep_earlier_order(monitor, &monitor->promotee, term);
 	if (!announce(monitor, &monitor->promotee, term,
-		      monitor->served_term) ||
+		      served_term_for(monitor, &monitor->promotee, term)) ||
 	    !kb_open_orders_add(&monitor->open_orders, &monitor->promotee, now))
 		return;
 	if (monitor->order_state == KB_ORDER_NONE || !monitor->order.target.len)
--- a/src/promotion_order.c
+++ b/src/promotion_order.c
@@ -9,17 +9,21 @@
 	return 0;
 }
 
-static int targets_equal(const kb_order_targets_t *a,
-			 const kb_order_targets_t *b)
+static int targets_include(const kb_order_targets_t *targets,
+			   const kb_order_targets_t *others)
 {
-	if (a->count != b->count)
-		return 0;
-	for (size_t i = 0; i < a->count; i++)
-		if (!targets_contain(b, &a->names[i]))
+	for (size_t i = 0; i < others->count; i++)
+		if (!targets_contain(targets, &others->names[i]))
 			return 0;
 	return 1;
 }
 
+static int targets_equal(const kb_order_targets_t *a,
+			 const kb_order_targets_t *b)
+{
+	return a->count == b->count && targets_include(a, b);
+}
+
 static int is_same(const kb_promotion_order_t *a, const kb_promotion_order_t *b)
 {
 	return a->term == b->term &&
@@ -76,6 +80,10 @@
 {
 	if (!is_same(order, next))
 		kb_promotion_order_replace(order, &next->target, next->term);
+	else if (next->served_term < order->served_term ||
+		 !targets_include(&next->unanswered, &order->unanswered))
+		/* Else others would take what they know for the later order. */
+		order->number++;
 	order->unanswered = next->unanswered;
 	order->served_term = next->served_term;
 }
--- a/src/promotion_order.h
+++ b/src/promotion_order.h
@@ -54,7 +54,7 @@
 
 /*
  * Lets an order say what `next` says: replaces it if the target or the term
- * differs.
+ * differs. It gets the next number unless it only says more than before.
  */
 void kb_promotion_order_update(kb_promotion_order_t *order,
 			       const kb_promotion_order_t *next);
--- a/tests/test_lease_order.cc
+++ b/tests/test_lease_order.cc
@@ -340,3 +340,59 @@
 			<< seed;
 	}
 }
+
+/*
+ * Voters remember what an order said before. The holder must not learn it from
+ * them again once the order says less: it would write the record for ever.
+ */
+TEST(LeaseOrder, WhatAnOrderNoLongerSaysIsNotLearnedAgain)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		OrderSimulation simulation(5, seed);
+		kb_promotion_order_t next = { 0, 1, name_of("t"), {}, {}, 2 };
+		size_t holder;
+		int64_t revision;
+
+		simulation.run(4 * KB_NS_PER_S);
+		holder = simulation.serving_host();
+		kb_lease_t &lease = simulation.hosts[holder]->lease;
+
+		next.unanswered.count = 1;
+		next.unanswered.names[0] = name_of("u");
+		kb_lease_announce_order(&lease, &next, simulation.now);
+		simulation.run(1000 * MS);
+		ASSERT_TRUE(kb_promotion_order_says(&simulation.record.order,
+						    &next));
+		EXPECT_EQ(1u, simulation.record.order.number);
+		next.unanswered.count = 0;
+		next.served_term = 1;
+		kb_lease_announce_order(&lease, &next, simulation.now);
+		simulation.run(1000 * MS);
+		EXPECT_TRUE(kb_promotion_order_says(&simulation.record.order,
+						    &next));
+		revision = simulation.key_revision;
+		simulation.run(3000 * MS);
+		EXPECT_EQ(revision, simulation.key_revision) << seed;
+		EXPECT_TRUE(kb_promotion_order_says(&lease.order, &next));
+	}
+}
+
+/* What it says in addition does not make it another order. */
+TEST(LeaseOrder, AnOrderThatSaysMoreKeepsItsNumber)
+{
+	kb_promotion_order_t order = { 3, 1, name_of("t"), {}, {}, 1 };
+	kb_promotion_order_t before = order;
+	kb_promotion_order_t next = order;
+
+	next.served_term = 2;
+	kb_promotion_order_update(&order, &next);
+	EXPECT_EQ(3u, order.number);
+	EXPECT_TRUE(kb_promotion_order_is_later(&before, &order));
+	EXPECT_FALSE(kb_promotion_order_is_later(&order, &before));
+	before = order;
+	next.unanswered.count = 1;
+	next.unanswered.names[0] = name_of("u");
+	kb_promotion_order_update(&order, &next);
+	EXPECT_EQ(3u, order.number);
+	EXPECT_TRUE(kb_promotion_order_is_later(&before, &order));
+}
