Use the monitor's lookup of a probe in the watch

A last reading: monitor_watch.c had its own copy of kb_monitor_find_probe(); the choice of an order's served term was a nested conditional expression; two tests shared their first steps; a comment did not say what a refusal shows in a durable group. Behaviour and assertions are as before.

--- a/src/monitor.h
+++ b/src/monitor.h
@@ -300,14 +300,15 @@
 /*
  * Whether all those targets have answered a question that was sent after
  * `since`, at which the primary had committed `point`, and none leads a later
- * term. If one does later, the commit was made before; of a durable group its
- * log has the commit. One that refuses connections does not lead.
+ * term. If one does later, the commit was made before; in a durable group its
+ * log has the commit. One that refuses connections does not lead, but in a
+ * durable group it shows nothing about its log.
  */
-int kb_monitor_confirms(const kb_monitor_t *monitor, kb_time_t since,
+int kb_monitor_confirms(kb_monitor_t *monitor, kb_time_t since,
 			kb_point_t point);
 
 /* Whether one of those targets is silent, so that nothing is confirmed. */
-int kb_monitor_is_unconfirmed(const kb_monitor_t *monitor, kb_time_t now);
+int kb_monitor_is_unconfirmed(kb_monitor_t *monitor, kb_time_t now);
 
 /* Whether the primary is known and statements are directed to it. */
 int kb_monitor_is_serving(const kb_monitor_t *monitor);
--- a/src/monitor_order.c
+++ b/src/monitor_order.c
@@ -262,12 +262,11 @@
 {
 	const kb_promotion_order_t *order = &monitor->order;
 
-	return order->term == term &&
-			       kb_name_is(&order->target,
-					  kb_name_str(target)) &&
-			       order->served_term > monitor->served_term
-		       ? order->served_term
-		       : monitor->served_term;
+	if (order->term == term &&
+	    kb_name_is(&order->target, kb_name_str(target)) &&
+	    order->served_term > monitor->served_term)
+		return order->served_term;
+	return monitor->served_term;
 }
 
 static void log_repeated(const kb_monitor_t *monitor)
--- a/src/monitor_watch.c
+++ b/src/monitor_watch.c
@@ -22,15 +22,6 @@
 			   kb_name_str(&order->target));
 }
 
-static const kb_monitor_probe_t *find_probe(const kb_monitor_t *monitor,
-					    const kb_name_t *target)
-{
-	for (size_t i = 0; i < monitor->probe_count; i++)
-		if (kb_name_is(&monitor->probes[i].target, kb_name_str(target)))
-			return &monitor->probes[i];
-	return NULL;
-}
-
 int kb_monitor_is_watching(const kb_monitor_t *monitor)
 {
 	if (!has_bound_primary(monitor))
@@ -42,10 +33,11 @@
 }
 
 /* Whether the target did not lead a later term at a time after `since`. */
-static int is_ruled_out(const kb_monitor_t *monitor, const kb_name_t *target,
+static int is_ruled_out(kb_monitor_t *monitor, const kb_name_t *target,
 			kb_time_t since, kb_point_t point)
 {
-	const kb_monitor_probe_t *probe = find_probe(monitor, target);
+	const kb_monitor_probe_t *probe =
+		kb_monitor_find_probe(monitor, kb_name_str(target));
 
 	if (!probe || probe->asked_at <= since)
 		return 0;
@@ -56,7 +48,7 @@
 		kb_point_compare(probe->report.received, point) >= 0);
 }
 
-int kb_monitor_confirms(const kb_monitor_t *monitor, kb_time_t since,
+int kb_monitor_confirms(kb_monitor_t *monitor, kb_time_t since,
 			kb_point_t point)
 {
 	if (!has_bound_primary(monitor))
@@ -71,7 +63,7 @@
 	return 1;
 }
 
-int kb_monitor_is_unconfirmed(const kb_monitor_t *monitor, kb_time_t now)
+int kb_monitor_is_unconfirmed(kb_monitor_t *monitor, kb_time_t now)
 {
 	return kb_monitor_is_watching(monitor) &&
 	       !kb_monitor_confirms(monitor, now - SILENT_MS * KB_NS_PER_MS,
--- a/tests/test_monitor_log_term.cc
+++ b/tests/test_monitor_log_term.cc
@@ -23,6 +23,17 @@
 	simulation.promotions.clear();
 }
 
+/* a crashes; the platform accepts the order to b, which has no effect. */
+void accept_without_effect(MonitorSimulation &simulation)
+{
+	simulation.until([&] { return simulation.serves("a"); });
+	simulation.promotion_delay = 60 * KB_NS_PER_S;
+	simulation.state["b"].position = 150;
+	simulation.kill("a", true);
+	EXPECT_EQ("b", simulation.first_order());
+	simulation.run(100 * MS);
+}
+
 /* a is back as a replica with its log, of the term before that of b. */
 void return_former_primary(MonitorSimulation &simulation)
 {
@@ -145,12 +156,7 @@
 {
 	MonitorSimulation simulation;
 
-	simulation.until([&] { return simulation.serves("a"); });
-	simulation.promotion_delay = 60 * KB_NS_PER_S;
-	simulation.state["b"].position = 150;
-	simulation.kill("a", true);
-	EXPECT_EQ("b", simulation.first_order());
-	simulation.run(100 * MS);
+	accept_without_effect(simulation);
 	EXPECT_EQ(2u, simulation.recorded.served_term);
 	stop(simulation, "b");
 	simulation.promotion_delay = 300 * MS;
@@ -163,12 +169,7 @@
 {
 	MonitorSimulation simulation;
 
-	simulation.until([&] { return simulation.serves("a"); });
-	simulation.promotion_delay = 60 * KB_NS_PER_S;
-	simulation.state["b"].position = 150;
-	simulation.kill("a", true);
-	EXPECT_EQ("b", simulation.first_order());
-	simulation.run(100 * MS);
+	accept_without_effect(simulation);
 	stop(simulation, "b");
 	return_former_primary(simulation);
 	simulation.promotions.clear();
