--- a/review/11/case.py
+++ b/review/11/case.py
@@ -14,6 +14,8 @@
 from store import Http, Store  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE") != "0"
+# VARIANT=release: without the store's outage; see claim.txt.
+RELEASE = os.environ.get("VARIANT") == "release"
 DATABASE = "counter-intake"
 WRITERS = 6
 DOWN_S = 4.5
@@ -96,6 +98,9 @@
         if not TROUBLE:
             await asyncio.sleep(9)
             return
+        if RELEASE:
+            await self.release()
+            return
         self.note(f"the store is down for {DOWN_S} s")
         self.store.down = True
         await asyncio.sleep(DOWN_S - 0.3)
@@ -116,6 +121,32 @@
         await self.a.start()
         await asyncio.sleep(3)
 
+    async def release(self):
+        """i-b ends after its drain; its log goes to i-n at its address."""
+        await asyncio.sleep(2)
+        self.note("the primary i-a crashes")
+        self.a.crash()
+        await asyncio.sleep(4.5)
+        self.note("i-b ends; its log is transferred to i-n at its address")
+        new = Backend(self.service, "i-n", "127.0.0.1", self.b.zone,
+                      self.b.lag_s)
+        new.log, new.term, new.port = list(self.b.log), self.b.term, \
+            self.b.port
+        self.b.crash()
+        self.b.silent_until = time.monotonic() + 1000
+        self.service.backends.remove(self.b)
+        self.store.remove("servers/i-b")
+        await asyncio.sleep(0.5)
+        self.service.backends.append(new)
+        await new.start()
+        asyncio.ensure_future(new.heartbeats())
+        self.note("i-n has started and registers")
+        await asyncio.sleep(2)
+        self.note("i-a is back")
+        self.a.role = "replica" if self.judged else "primary"
+        await self.a.start()
+        await asyncio.sleep(3)
+
     async def run(self):
         store_port = await Http(self.store_call).start("127.0.0.1")
         cloud_port = await Http(self.promotion).start("127.0.0.1")
