--- a/review/lib3/database.py
+++ b/review/lib3/database.py
@@ -31,6 +31,10 @@
         # is with its next one after that.
         self.silent_until = 0
         self.server = None
+        self.last_entry = b""
+        # Cleared while it is dark: it answers nothing.
+        self.awake = asyncio.Event()
+        self.awake.set()
 
     # The log: a list of (term, number, ids).
     def position(self):
@@ -75,7 +79,8 @@
             if self.alive and not store.down and now >= self.silent_until \
                     and (now >= next_at or state != shown or
                          key not in store.items):
-                store.put(key, self.entry())
+                self.last_entry = self.entry()
+                store.put(key, self.last_entry)
                 shown, last, next_at = state, now, now + HEARTBEAT_S
             elif now - last > 3 * HEARTBEAT_S and key in store.items:
                 store.remove(key)
@@ -95,6 +100,7 @@
 
     async def session(self, reader, writer):
         words = (await reader.readuntil(b"\r\n")).decode().split()
+        await self.awake.wait()
         if words[0] != "START" or words[1] != self.service.name or (
                 len(words) > 3 and words[3] != self.id):
             writer.write(b"ERR WRONGNODE other\r\n")
@@ -105,6 +111,7 @@
             line = (await reader.readuntil(b"\r\n")).decode()[:-2]
             if line == "BYE":
                 return
+            await self.awake.wait()
             _, ident, text = line.split(" ", 2)
             rows, error = await self.run(ident, text, session)
             txn = session["txn"]
@@ -186,6 +193,7 @@
         """Appends to the log; returns once it counts as acknowledged."""
         if not ids:
             return
+        self.service.on_commit(self, ids)
         number = self.log[-1][1] + 1 if self.log else 1
         self.log.append((self.term, number, tuple(ids)))
         await self.service.replicate(self, len(self.log))
@@ -199,6 +207,8 @@
         self.backends = []
         # Called with a backend as its promotion takes effect.
         self.on_promoted = lambda backend: None
+        # Called with a backend and the ids that it commits.
+        self.on_commit = lambda backend, ids: None
 
     async def start(self):
         self.backends[0].role = "primary"
