--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,6 @@
 # can be loaded.
 set -e
 cd "$(dirname "$0")/lib3"
-for module in store database fleet clients; do
+for module in store database fleet clients network; do
 	python3 -B -c "import $module"
 done
--- a/review/lib3/database.py
+++ b/review/lib3/database.py
@@ -19,7 +19,7 @@
         self.log = []
         self.state = "ready"
         self.alive = False
-        # It receives nothing from the primary.
+        # It neither receives from other backends nor sends to them.
         self.deaf = False
         self.born = int(time.time() * 1000)
         self.slots = asyncio.Semaphore(slots)
@@ -32,6 +32,9 @@
         self.silent_until = 0
         self.server = None
         self.last_entry = b""
+        # Names of the hosts that it is partitioned from.
+        self.cut_from = set()
+        self.healed = asyncio.Event()
         # Cleared while it is dark: it answers nothing.
         self.awake = asyncio.Event()
         self.awake.set()
@@ -101,6 +104,8 @@
     async def session(self, reader, writer):
         words = (await reader.readuntil(b"\r\n")).decode().split()
         await self.awake.wait()
+        who = words[2] if len(words) > 2 else ""
+        await self.reached_by(who)
         if words[0] != "START" or words[1] != self.service.name or (
                 len(words) > 3 and words[3] != self.id):
             writer.write(b"ERR WRONGNODE other\r\n")
@@ -112,6 +117,7 @@
             if line == "BYE":
                 return
             await self.awake.wait()
+            await self.reached_by(who)
             _, ident, text = line.split(" ", 2)
             rows, error = await self.run(ident, text, session)
             txn = session["txn"]
@@ -123,6 +129,12 @@
                 (out + f"READY {state} {self.position()}\r\n").encode())
             await writer.drain()
 
+    async def reached_by(self, who):
+        while who in self.cut_from:
+            await self.healed.wait()
+            # What was held up meanwhile is lost.
+            raise ConnectionError
+
     def sign(self, ident, text):
         return "-" if ident == "-" else f"{self.id}/{ident}"
 
@@ -232,6 +244,7 @@
 
     def deliver(self, source, replica, length, received):
         if not source.alive or not replica.alive or replica.deaf or \
+                source.deaf or \
                 replica.role == "primary" or replica.term > source.term:
             return
         # A replica that was ahead of a promoted backend is rolled back.
@@ -267,6 +280,7 @@
 
     def follow(self, other, leader):
         if other.alive and leader.alive and leader.role == "primary" and \
+                not other.deaf and not leader.deaf and \
                 leader.term > other.term:
             other.role, other.term = "replica", leader.term
             other.log = list(leader.log)
--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -66,6 +66,10 @@
         self.ip = f"127.71.{fleet.net}.{number}"
         self.process = None
         self.starts = 0
+        # The port at which other hosts reach it, if not its own.
+        self.door = 0
+        # Its own address of the store, if it has one.
+        self.store_address = ""
 
     async def start(self, bootstrap):
         fleet = self.fleet
@@ -80,9 +84,11 @@
                 "readiness": f"{self.ip}:{ports['readiness']}",
                 "control": f"{self.ip}:{ports['control']}"},
             "internal_ports": [ports["internal"], ports["internal"]],
-            "seeds": [f"{h.ip}:{ports['control']}" for h in fleet.hosts[:3]],
+            "seeds": [f"{h.ip}:{h.door or ports['control']}"
+                      for h in fleet.hosts[:3]],
             "bootstrap": bootstrap,
-            "platform": {"address": fleet.store_address},
+            "platform": {"address": self.store_address or
+                         fleet.store_address},
             "cloud_api": {"address": fleet.cloud_address},
             "bounds": {"grace_s": 6}}
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as deploy:
@@ -117,10 +123,14 @@
     def add(self, zone):
         self.hosts.append(Host(self, len(self.hosts) + 1, zone))
 
-    async def start(self):
+    def choose_ports(self):
         ips = [h.ip for h in self.hosts]
         for name in ("front", "readiness", "control", "internal"):
             self.ports[name] = free_port(ips)
+
+    async def start(self):
+        if not self.ports:
+            self.choose_ports()
         for host in self.hosts:
             await host.start(True)
 
