--- a/review/13/case.py
+++ b/review/13/case.py
@@ -19,7 +19,7 @@
 WRITERS = 10
 # The site: 600 ms a promote.
 Service.PROMOTE_S = 0.6
-RESTART_S = 0.05
+RESTART_S = 0.3
 
 
 class Case:
