Let a holder know whether it knows of each order to promote

The store was down and the primary dark; an order to promote was told to the voters only and accepted; all processes were killed. The holder restarted, served the old primary, and the replica led 0.6 s after the order. With the holder's host away and a platform that takes 2 s, another host took over and served the old primary as well.

Cause: silence of a process that has just started counted as "there is no order", for the own settled record and for the grants of voters alike.

Ruled out: the pause before the restart (a slow platform makes any pause short enough); the own record alone (a host that takes over asks voters that have restarted).

Fix: one predicate, kb_order_knowledge_t: enough voters of the last host that served are informed, or that host wrote its record after it stopped. A holder of which it is not true watches all standbys for 20 s, like the targets of requests without an answer. The record names the standbys, and without the store no other target is ordered, so that a successor that knows nothing watches the right ones. Old and new hosts renew leases with each other: the flag stands at the end of the message.

The test LeaseKnowledge.EveryBrokenRuleIsDetected contains the rule of before, every process counting as informed, and finds it.

Why it works: an order leaves without the store only once all voters but half were told, so that enough informed voters include one of these; and a commit is reported only after each target that may have been ordered has shown that it does not lead.

--- a/src/lease.c
+++ b/src/lease.c
@@ -169,6 +169,10 @@
 	lease->pending.era = kb_store_era(lease->as_of);
 	lease->pending.order = lease->order;
 	lease->pending.copies = lease->copies;
+	lease->pending.standbys = lease->standbys;
+	lease->pending.orders_unknown = lease->role == KB_LEASE_ACQUIRING
+						? lease->record.orders_unknown
+						: !lease->knowledge.known;
 	lease->ops->write(lease->ctx, lease, &lease->pending,
 			  lease->key_revision, ++lease->write_number);
 }
@@ -228,8 +232,7 @@
 	lease->revision = revision;
 	lease->record = *record;
 	kb_lease_learn_order(lease, &record->order);
-	if (lease->role != KB_LEASE_SERVING)
-		lease->copies = record->copies;
+	kb_lease_take_targets(lease, record);
 	/* A host that was named again meanwhile has lost the former grant. */
 	if (!kb_lease_is_own(lease) || is_other_grant)
 		kb_lease_lose(lease);
@@ -256,6 +259,7 @@
 	lease->grant_count = 0;
 	lease->renewals_sent_at = 0;
 	lease->fence_sent_at = 0;
+	kb_order_knowledge_begin(&lease->knowledge, record, &lease->self);
 	kb_lease_set_role(lease, KB_LEASE_WAITING);
 	kb_lease_rebuild_grants(lease);
 }
--- a/src/lease.h
+++ b/src/lease.h
@@ -2,7 +2,7 @@
 #define KB_LEASE_H
 
 #include "lease_ranking.h"
-#include "lease_record.h"
+#include "order_knowledge.h"
 
 KB_BEGIN_DECLS
 
@@ -202,6 +202,10 @@
 	kb_promotion_order_t order;
 	/* Those that the record names or, of the holder, is to name. */
 	kb_target_names_t copies;
+	/* Targets that the record names as standbys or is to name. */
+	kb_target_names_t standbys;
+	/* Whether this host knows of each order that may take effect. */
+	kb_order_knowledge_t knowledge;
 	/* Time at which this host, the holder, began to announce the order. */
 	kb_time_t ordered_at;
 	/* Revision of the key at the takeover; used as fencing token. */
--- a/src/lease_internal.h
+++ b/src/lease_internal.h
@@ -78,6 +78,9 @@
  */
 int kb_lease_write_facts(kb_lease_t *lease, kb_time_t now);
 
+/* Takes the targets that the record names, unless this host names them. */
+void kb_lease_take_targets(kb_lease_t *lease, const kb_lease_record_t *record);
+
 void kb_lease_begin_read(kb_lease_t *lease, kb_time_t now);
 /* Writes `pending` in the known era, conditioned on the known key. */
 void kb_lease_begin_write(kb_lease_t *lease, kb_time_t now);
--- a/src/lease_order.c
+++ b/src/lease_order.c
@@ -23,6 +23,19 @@
 	       kb_promotion_order_equal(&lease->record.order, &lease->order);
 }
 
+/*
+ * Whether a later holder of which no voter tells the order watches the target,
+ * as the record names it. Of two records either may be the store's.
+ */
+static int is_standby(const kb_lease_t *lease, const kb_name_t *target)
+{
+	return !target->len ||
+	       (lease->revision && !lease->restored &&
+		kb_target_names_contain(&lease->record.standbys, target) &&
+		(!lease->rewriting ||
+		 kb_target_names_contain(&lease->pending.standbys, target)));
+}
+
 int kb_lease_announce_order(kb_lease_t *lease, const kb_promotion_order_t *next,
 			    kb_time_t now)
 {
@@ -36,7 +49,8 @@
 	}
 	if (known_to_store(lease))
 		return 1;
-	return now - lease->ordered_at >=
+	return is_standby(lease, &lease->order.target) &&
+	       now - lease->ordered_at >=
 		       KB_LEASE_ORDER_STORE_TIMEOUT_MS * KB_NS_PER_MS &&
 	       known_to_voters(lease, &lease->record.voters) &&
 	       (!lease->rewriting ||
@@ -58,6 +72,35 @@
 		lease->copies = *copies;
 }
 
+void kb_lease_set_standbys(kb_lease_t *lease, const kb_target_names_t *standbys)
+{
+	kb_target_names_t next = *standbys;
+
+	if (lease->role != KB_LEASE_SERVING)
+		return;
+	if (!lease->knowledge.known) {
+		/* An order of a former holder may be open to one of them. */
+		next = lease->standbys;
+		for (size_t i = 0; i < standbys->count; i++)
+			kb_target_names_add(&next, &standbys->names[i]);
+	}
+	lease->standbys = next;
+}
+
+void kb_lease_take_targets(kb_lease_t *lease, const kb_lease_record_t *record)
+{
+	if (lease->role == KB_LEASE_SERVING)
+		return;
+	lease->copies = record->copies;
+	lease->standbys = record->standbys;
+}
+
+void kb_lease_on_informed_voter(kb_lease_t *lease, const kb_name_t *voter)
+{
+	if (lease->role == KB_LEASE_WAITING || lease->role == KB_LEASE_SERVING)
+		kb_order_knowledge_on_informed(&lease->knowledge, voter);
+}
+
 void kb_lease_learn_order(kb_lease_t *lease, const kb_promotion_order_t *order)
 {
 	if (kb_promotion_order_is_later(&lease->order, order))
@@ -69,7 +112,8 @@
 	if (lease->role != KB_LEASE_SERVING || lease->rewriting ||
 	    !lease->revision ||
 	    (kb_promotion_order_equal(&lease->record.order, &lease->order) &&
-	     kb_target_names_equal(&lease->record.copies, &lease->copies)))
+	     kb_target_names_equal(&lease->record.copies, &lease->copies) &&
+	     kb_target_names_equal(&lease->record.standbys, &lease->standbys)))
 		return 0;
 	lease->pending = lease->record;
 	lease->preparing = 0;
--- a/src/lease_order.h
+++ b/src/lease_order.h
@@ -10,7 +10,8 @@
 /*
  * Announces what `next` says (see kb_promotion_order_says()); without a target
  * it withdraws the last order. Returns whether each later holder will know of
- * it; if not, it is to be called again. Always 0 if this host does not serve.
+ * it, or know that it may not; if not, it is to be called again. Always 0 if
+ * this host does not serve.
  */
 int kb_lease_announce_order(kb_lease_t *lease, const kb_promotion_order_t *next,
 			    kb_time_t now);
@@ -18,6 +19,16 @@
 /* Sets the targets that the holder's record is to name as copies. */
 void kb_lease_set_copies(kb_lease_t *lease, const kb_target_names_t *copies);
 
+/*
+ * Sets the targets that the holder's record is to name as standbys. While this
+ * host may not know of each order, those that the record has are kept.
+ */
+void kb_lease_set_standbys(kb_lease_t *lease,
+			   const kb_target_names_t *standbys);
+
+/* A voter that grants this host's renewals is informed of all orders. */
+void kb_lease_on_informed_voter(kb_lease_t *lease, const kb_name_t *voter);
+
 /*
  * Returns the last order unless a host that has read `revision` of the key
  * knows it from the record, as far as this host can tell, else NULL. Renewals
--- a/src/lease_record.c
+++ b/src/lease_record.c
@@ -40,15 +40,18 @@
 	char *text;
 
 	json = json_pack(
-		"{s:s,s:I,s:I,s:b,s:b,s:o,s:o,s:b,s:o*,s:o*}", "holder",
-		record->holder.data, "era", (json_int_t)record->era, "grant",
-		(json_int_t)record->grant, "released", record->released,
-		"settled", record->settled, "candidates",
+		"{s:s,s:I,s:I,s:b,s:b,s:o,s:o,s:b,s:o*,s:o*,s:o*,s:b}",
+		"holder", record->holder.data, "era", (json_int_t)record->era,
+		"grant", (json_int_t)record->grant, "released",
+		record->released, "settled", record->settled, "candidates",
 		format_set(&record->voters), "former",
 		format_set(&record->former_voters), "formerLost",
 		record->former_unknown, "promotion",
 		format_order(&record->order), "copies",
-		format_targets(record->copies.names, record->copies.count));
+		format_targets(record->copies.names, record->copies.count),
+		"standbys",
+		format_targets(record->standbys.names, record->standbys.count),
+		"ordersUnknown", record->orders_unknown);
 	text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	json_decref(json);
 	return text;
@@ -119,7 +122,7 @@
 	return KB_OK;
 }
 
-static kb_result_t read_copies(kb_target_names_t *copies, const json_t *names)
+static kb_result_t read_names(kb_target_names_t *targets, const json_t *names)
 {
 	const json_t *name;
 	size_t i;
@@ -134,7 +137,7 @@
 		if (!json_is_string(name) ||
 		    kb_name_set(&target, kb_str_from(json_string_value(name))))
 			return KB_ERR_PROTOCOL;
-		kb_target_names_add(copies, &target);
+		kb_target_names_add(targets, &target);
 	}
 	return KB_OK;
 }
@@ -147,6 +150,7 @@
 	json_t *former_voters;
 	json_t *order = NULL;
 	json_t *copies = NULL;
+	json_t *standbys = NULL;
 	const char *holder;
 	/* A record without it is of the time before stores had eras. */
 	json_int_t era = 0;
@@ -154,16 +158,19 @@
 
 	memset(record, 0, sizeof(*record));
 	if (json &&
-	    !json_unpack(json, "{s:s,s?I,s?I,s:b,s:b,s:o,s:o,s:b,s?o,s?o}",
+	    !json_unpack(json,
+			 "{s:s,s?I,s?I,s:b,s:b,s:o,s:o,s:b,s?o,s?o,s?o,s?b}",
 			 "holder", &holder, "era", &era, "grant", &grant,
 			 "released", &record->released, "settled",
 			 &record->settled, "candidates", &voters, "former",
 			 &former_voters, "formerLost", &record->former_unknown,
-			 "promotion", &order, "copies", &copies) &&
+			 "promotion", &order, "copies", &copies, "standbys",
+			 &standbys, "ordersUnknown", &record->orders_unknown) &&
 	    *holder && !kb_name_set(&record->holder, kb_str_from(holder)) &&
 	    !read_set(&record->voters, voters) &&
 	    !read_order(&record->order, order) &&
-	    !read_copies(&record->copies, copies))
+	    !read_names(&record->copies, copies) &&
+	    !read_names(&record->standbys, standbys))
 		result = read_set(&record->former_voters, former_voters);
 	record->era = era;
 	record->grant = grant;
--- a/src/lease_record.h
+++ b/src/lease_record.h
@@ -48,6 +48,13 @@
 	kb_promotion_order_t order;
 	/* Targets that may hold acknowledged commits of a durable group. */
 	kb_target_names_t copies;
+	/*
+	 * The only targets that a holder may order to lead while the store does
+	 * not answer.
+	 */
+	kb_target_names_t standbys;
+	/* The holder that wrote it may not know of each order. */
+	int orders_unknown;
 } kb_lease_record_t;
 
 /* Whether a host is one of the voters. */
--- a/src/lease_restore.c
+++ b/src/lease_restore.c
@@ -24,8 +24,8 @@
 		lease->record = *record;
 	if (record)
 		kb_lease_learn_order(lease, &record->order);
-	if (record && lease->role != KB_LEASE_SERVING)
-		lease->copies = record->copies;
+	if (record)
+		kb_lease_take_targets(lease, record);
 	kb_lease_set_known(lease, now);
 	lease->as_of = revision;
 	lease->key_revision = record ? revision : 0;
--- a/src/monitor.c
+++ b/src/monitor.c
@@ -79,6 +79,7 @@
 	monitor->inherited = 1;
 	kb_open_orders_add_all(&monitor->open_orders,
 			       &monitor->order.unanswered, now);
+	kb_monitor_end_expectation(monitor);
 	monitor->watch_logged = 0;
 	monitor->announcing = 0;
 	monitor->unused_logged_at = 0;
@@ -186,9 +187,12 @@
 
 	if (primary && kb_monitor_may_serve(monitor, &primary->target,
 					    primary->report.term)) {
-		if (is_complete &&
-		    kb_monitor_record_term(monitor, &primary->target,
-					   primary->report.term))
+		if (!is_complete)
+			return;
+		if (!kb_monitor_has_witness(monitor, &primary->target))
+			log_unused(monitor, primary, now);
+		else if (kb_monitor_record_term(monitor, &primary->target,
+						primary->report.term))
 			kb_monitor_begin_serving(
 				monitor,
 				kb_target_list_find(
@@ -267,6 +271,7 @@
 	if (monitor->state == KB_MONITOR_IDLE)
 		return;
 	kb_open_orders_expire(&monitor->open_orders, now);
+	kb_monitor_tick_expectation(monitor, targets, now);
 	kb_monitor_sync_probes(monitor, targets);
 	kb_copies_sync(&monitor->copies, targets, kb_name_str(&monitor->group),
 		       now);
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -190,6 +190,13 @@
 	kb_name_t earlier_order;
 	/* Requests that may still take effect. They outlive the lease. */
 	kb_open_orders_t open_orders;
+	/*
+	 * Targets that former holders may have ordered, unknown to this one,
+	 * and the time until which such an order may take effect; 0 if this
+	 * holder knows of each order.
+	 */
+	kb_target_names_t possible;
+	kb_time_t possible_until;
 	/* The last order was given by another host, which may have sent it. */
 	int inherited;
 	/* Last logged state of the watch over open orders. */
@@ -250,6 +257,20 @@
 void kb_monitor_add_copies(kb_monitor_t *monitor,
 			   const kb_target_names_t *names, kb_time_t now);
 
+/*
+ * This holder may not know of each order that can still take effect: watches
+ * the `standbys` and all targets that have an entry, after
+ * kb_monitor_set_active().
+ */
+void kb_monitor_expect_orders(kb_monitor_t *monitor,
+			      const kb_target_names_t *standbys, kb_time_t now);
+
+/* This holder knows of each order now. */
+void kb_monitor_end_expectation(kb_monitor_t *monitor);
+
+/* Whether an order that this holder does not know may take effect. */
+int kb_monitor_expects_orders(const kb_monitor_t *monitor);
+
 /* Runs the actions that are due; `targets` are those of all groups. */
 void kb_monitor_tick(kb_monitor_t *monitor, const kb_target_list_t *targets,
 		     kb_time_t now);
@@ -293,7 +314,8 @@
 
 /*
  * Whether a request to promote another target than the primary may still take
- * effect. A commit may be acknowledged only once kb_monitor_confirms() it.
+ * effect, one of this holder or of former ones. A commit may be acknowledged
+ * only once kb_monitor_confirms() it.
  */
 int kb_monitor_is_watching(const kb_monitor_t *monitor);
 
--- a/src/monitor_internal.h
+++ b/src/monitor_internal.h
@@ -45,6 +45,18 @@
 /* While serving: asks the targets whose orders may still take effect. */
 void kb_monitor_tick_watch(kb_monitor_t *monitor,
 			   const kb_target_list_t *targets, kb_time_t now);
+/*
+ * While orders are expected: adds the targets that have an entry, and ends it
+ * when none can take effect any more.
+ */
+void kb_monitor_tick_expectation(kb_monitor_t *monitor,
+				 const kb_target_list_t *targets,
+				 kb_time_t now);
+/*
+ * Whether the targets may tell which primary was served last: while orders are
+ * expected, one of the other targets that may have been ordered has to answer.
+ */
+int kb_monitor_has_witness(kb_monitor_t *monitor, const kb_name_t *primary);
 /* Lets later holders know once no request is open any more. */
 void kb_monitor_settle_orders(kb_monitor_t *monitor);
 
--- a/src/monitor_watch.c
+++ b/src/monitor_watch.c
@@ -15,21 +15,42 @@
 	       monitor->state == KB_MONITOR_SWITCHOVER;
 }
 
-/* Whether the target of an open order may replace the primary. */
-static int is_watched(const kb_monitor_t *monitor, const kb_open_order_t *order)
+/* Targets whose orders may replace the primary. */
+typedef struct watched_targets {
+	size_t count;
+	const kb_name_t *names[KB_ORDER_TARGETS_MAX + KB_TARGET_NAMES_MAX];
+} watched_targets_t;
+
+static void add_watched(const kb_monitor_t *monitor, watched_targets_t *watched,
+			const kb_name_t *target)
 {
-	return !kb_name_is(&monitor->primary.place.target,
-			   kb_name_str(&order->target));
+	kb_str_t name = kb_name_str(target);
+
+	if (kb_name_is(&monitor->primary.place.target, name))
+		return;
+	for (size_t i = 0; i < watched->count; i++)
+		if (kb_name_is(watched->names[i], name))
+			return;
+	watched->names[watched->count++] = target;
 }
 
-int kb_monitor_is_watching(const kb_monitor_t *monitor)
+static watched_targets_t watched_targets(const kb_monitor_t *monitor)
 {
+	watched_targets_t watched = { 0 };
+
 	if (!has_bound_primary(monitor))
-		return 0;
+		return watched;
 	for (size_t i = 0; i < monitor->open_orders.count; i++)
-		if (is_watched(monitor, &monitor->open_orders.orders[i]))
-			return 1;
-	return 0;
+		add_watched(monitor, &watched,
+			    &monitor->open_orders.orders[i].target);
+	for (size_t i = 0; i < monitor->possible.count; i++)
+		add_watched(monitor, &watched, &monitor->possible.names[i]);
+	return watched;
+}
+
+int kb_monitor_is_watching(const kb_monitor_t *monitor)
+{
+	return watched_targets(monitor).count != 0;
 }
 
 /* Whether the target did not lead a later term at a time after `since`. */
@@ -51,15 +72,13 @@
 int kb_monitor_confirms(kb_monitor_t *monitor, kb_time_t since,
 			kb_point_t point)
 {
+	watched_targets_t watched = watched_targets(monitor);
+
 	if (!has_bound_primary(monitor))
 		return 0;
-	for (size_t i = 0; i < monitor->open_orders.count; i++) {
-		const kb_open_order_t *order = &monitor->open_orders.orders[i];
-
-		if (is_watched(monitor, order) &&
-		    !is_ruled_out(monitor, &order->target, since, point))
+	for (size_t i = 0; i < watched.count; i++)
+		if (!is_ruled_out(monitor, watched.names[i], since, point))
 			return 0;
-	}
 	return 1;
 }
 
@@ -95,40 +114,41 @@
 }
 
 /* Logs the beginning and the end of a watch. */
-static void log_watch(kb_monitor_t *monitor, kb_time_t now)
+static void log_watch(kb_monitor_t *monitor, const watched_targets_t *watched,
+		      kb_time_t now)
 {
 	int is_silent = kb_monitor_is_unconfirmed(monitor, now);
-	int state = kb_monitor_is_watching(monitor) + is_silent;
-	const kb_open_orders_t *orders = &monitor->open_orders;
+	int state = (watched->count != 0) + is_silent;
 
 	if (state == monitor->watch_logged)
 		return;
 	monitor->watch_logged = state;
 	kb_log(KB_EVENT_ORDERS_WATCHED,
 	       "group=%s primary=%s term=%" PRIu64
-	       " targets=%zu first=%s silent=%d",
+	       " targets=%zu first=%s silent=%d unknown=%d",
 	       monitor->group.data, monitor->primary.place.target.data,
-	       monitor->term, orders->count,
-	       orders->count ? orders->orders[0].target.data : "", is_silent);
+	       monitor->term, watched->count,
+	       watched->count ? watched->names[0]->data : "", is_silent,
+	       kb_monitor_expects_orders(monitor));
 }
 
 void kb_monitor_tick_watch(kb_monitor_t *monitor,
 			   const kb_target_list_t *targets, kb_time_t now)
 {
+	watched_targets_t watched = watched_targets(monitor);
+
 	if (!has_bound_primary(monitor))
 		return;
-	for (size_t i = 0; i < monitor->open_orders.count; i++) {
-		const kb_open_order_t *order = &monitor->open_orders.orders[i];
-		kb_monitor_probe_t *probe = kb_monitor_find_probe(
-			monitor, kb_name_str(&order->target));
+	for (size_t i = 0; i < watched.count; i++) {
+		kb_str_t target = kb_name_str(watched.names[i]);
+		kb_monitor_probe_t *probe =
+			kb_monitor_find_probe(monitor, target);
 
-		if (is_watched(monitor, order) && probe)
+		if (probe)
 			kb_monitor_send_probe(
 				monitor, probe,
-				kb_target_list_find(
-					targets, kb_name_str(&order->target)),
-				now);
+				kb_target_list_find(targets, target), now);
 	}
-	log_watch(monitor, now);
+	log_watch(monitor, &watched, now);
 	kb_monitor_settle_orders(monitor);
 }
--- a/src/proxy_fence.c
+++ b/src/proxy_fence.c
@@ -1,5 +1,6 @@
 #include "proxy_internal.h"
 
+#include "grant_wire.h"
 #include "log.h"
 
 #include <inttypes.h>
@@ -37,7 +38,7 @@
 static void on_granted(void *ctx, kb_result_t result, void *res)
 {
 	fence_round_t *round = ctx;
-	const kbs_grant_res *reply = res;
+	const kbs_grant_res *reply = &((const kb_grant_res_t *)res)->base;
 	kb_time_t now = kb_clock_monotonic(round->group->proxy->clock);
 
 	if (!result)
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -169,14 +169,32 @@
 	       !kb_voter_set_contains(&lease->record.voters, &lease->self);
 }
 
+/* Lets the record name the targets that may be ordered without the store. */
+static void name_standbys(kb_proxy_group_t *group)
+{
+	kb_target_names_t standbys = { 0 };
+
+	for (const kb_target_entry_t *entry = kb_target_list_first(
+		     &group->proxy->targets, kb_name_str(&group->name));
+	     entry; entry = kb_target_list_next(entry))
+		kb_target_names_add(&standbys, &entry->place.target);
+	kb_lease_set_standbys(&group->lease, &standbys);
+}
+
 static void tick_monitor(kb_proxy_group_t *group, int serves, kb_time_t now)
 {
 	kb_monitor_t *monitor = &group->monitor;
 	kb_target_names_t copies = { 0 };
 
 	if (kb_monitor_set_active(monitor, serves ? group->lease.token : 0,
-				  now))
+				  now)) {
 		kb_monitor_add_copies(monitor, &group->lease.copies, now);
+		if (!group->lease.knowledge.known)
+			kb_monitor_expect_orders(monitor,
+						 &group->lease.standbys, now);
+	}
+	if (group->lease.knowledge.known)
+		kb_monitor_end_expectation(monitor);
 	kb_monitor_set_order(monitor, &group->lease.order, now);
 	kb_monitor_require_term(monitor, group->primary_term);
 	kb_monitor_tick(monitor, &group->proxy->targets, now);
@@ -185,6 +203,9 @@
 	if (monitor->durable)
 		kb_copies_names(&monitor->copies, &copies);
 	kb_lease_set_copies(&group->lease, &copies);
+	if (!kb_monitor_expects_orders(monitor))
+		kb_order_knowledge_set_known(&group->lease.knowledge);
+	name_standbys(group);
 	if (monitor->blocked)
 		kb_link_pool_refuse_waiting(
 			&group->pool, KB_ERR_NO_PRIMARY,
--- a/src/proxy_lease.c
+++ b/src/proxy_lease.c
@@ -1,5 +1,6 @@
 #include "proxy_internal.h"
 
+#include "grant_wire.h"
 #include "lease_order.h"
 #include "lease_record.h"
 #include "log.h"
@@ -131,7 +132,8 @@
 static void on_granted(void *ctx, kb_result_t result, void *res)
 {
 	grant_call_t call = *(grant_call_t *)ctx;
-	const kbs_grant_res *reply = res;
+	const kb_grant_res_t *answer = res;
+	const kbs_grant_res *reply = &answer->base;
 
 	free(ctx);
 	if (!result) {
@@ -144,6 +146,9 @@
 				  reply->granted,
 				  reply->quiet_us * KB_NS_PER_US,
 				  kb_clock_monotonic(call.group->proxy->clock));
+		if (reply->granted && answer->informed)
+			kb_lease_on_informed_voter(&call.group->lease,
+						   &call.voter);
 	}
 	wake_if_starting(call.group);
 }
@@ -154,20 +159,23 @@
 {
 	kb_proxy_t *proxy = group->proxy;
 	kb_proxy_order_view_t order;
-	kbs_grant_args args = {
-		.group = kb_text_view(kb_name_str(&group->name)),
-		.holder = kb_text_view(kb_name_str(&proxy->self.name)),
-		.revision = (uint64_t)group->lease.revision,
-		.serving = serving,
-		.order = kb_proxy_order_view(group, group->lease.revision,
-					     &order),
+	kb_grant_args_t args = {
+		.base = {
+			.group = kb_text_view(kb_name_str(&group->name)),
+			.holder = kb_text_view(kb_name_str(&proxy->self.name)),
+			.revision = (uint64_t)group->lease.revision,
+			.serving = serving,
+			.order = kb_proxy_order_view(
+				group, group->lease.revision, &order),
+		},
+		.informed = group->lease.knowledge.known,
 	};
 	kb_rpc_call_t rpc = {
 		.procedure = KB_PROXY_RPC_GRANT,
-		.encode = (xdrproc_t)xdr_kbs_grant_args,
+		.encode = (xdrproc_t)kb_grant_wire_args,
 		.args = &args,
-		.decode = (xdrproc_t)xdr_kbs_grant_res,
-		.res_size = sizeof(kbs_grant_res),
+		.decode = (xdrproc_t)kb_grant_wire_res,
+		.res_size = sizeof(kb_grant_res_t),
 		.timeout = KB_PROXY_CALL_TIMEOUT_MS * KB_NS_PER_MS,
 		.done = done,
 		.ctx = ctx,
--- a/src/proxy_metrics.c
+++ b/src/proxy_metrics.c
@@ -59,6 +59,15 @@
 		kb_metrics_text_value(out, "promotion_blocked", "group",
 				      proxy->groups[i]->name.data,
 				      proxy->groups[i]->monitor.blocked);
+	kb_metrics_text_family(
+		out, "orders_unknown", "gauge",
+		"Whether an order of a former holder that this one does not "
+		"know may take effect.");
+	for (size_t i = 0; i < proxy->group_count; i++)
+		kb_metrics_text_value(
+			out, "orders_unknown", "group",
+			proxy->groups[i]->name.data,
+			kb_monitor_expects_orders(&proxy->groups[i]->monitor));
 	kb_metrics_text_family(
 		out, "promotion_open", "gauge",
 		"Whether an order to promote another target may take effect "
--- a/src/proxy_rpc.c
+++ b/src/proxy_rpc.c
@@ -1,5 +1,6 @@
 #include "proxy_internal.h"
 
+#include "grant_wire.h"
 #include "log.h"
 #include "rpc_frame.h"
 
@@ -93,34 +94,40 @@
 static void serve_grant(void *ctx, kb_rpc_request_t *request, void *raw)
 {
 	kb_proxy_t *proxy = ctx;
-	const kbs_grant_args *args = raw;
+	const kb_grant_args_t *request_args = raw;
+	const kbs_grant_args *args = &request_args->base;
 	kb_proxy_group_t *group =
 		kb_proxy_group_get(proxy, kb_text_str(args->group));
-	kbs_grant_res res = { 0 };
+	kb_grant_res_t answer = { 0 };
+	kbs_grant_res *res = &answer.base;
 	kb_proxy_order_view_t order;
 	kb_name_t holder;
 
 	if (group && !kb_name_set(&holder, kb_text_str(args->holder)))
-		res.granted =
+		res->granted =
 			kb_lease_grant(&group->lease, &holder,
 				       (int64_t)args->revision, args->serving,
 				       kb_clock_monotonic(proxy->clock))
 				? TRUE
 				: FALSE;
-	if (res.granted)
+	if (res->granted) {
 		kb_proxy_learn_order(group, args->order);
+		if (request_args->informed)
+			group->lease.knowledge.informed = 1;
+		answer.informed = group->lease.knowledge.informed;
+	}
 	if (group)
-		res.order = kb_proxy_order_view(group, (int64_t)args->revision,
-						&order);
-	if (res.granted)
-		res.quiet_us = kb_lease_exclusive_time(
-				       &group->lease,
-				       kb_clock_monotonic(proxy->clock)) /
-			       KB_NS_PER_US;
-	res.store_age_us = (kb_clock_monotonic(proxy->clock) -
-			    proxy->registration.reached_at) /
-			   KB_NS_PER_US;
-	kb_rpc_server_reply(request, &res);
+		res->order = kb_proxy_order_view(group, (int64_t)args->revision,
+						 &order);
+	if (res->granted)
+		res->quiet_us = kb_lease_exclusive_time(
+					&group->lease,
+					kb_clock_monotonic(proxy->clock)) /
+				KB_NS_PER_US;
+	res->store_age_us = (kb_clock_monotonic(proxy->clock) -
+			     proxy->registration.reached_at) /
+			    KB_NS_PER_US;
+	kb_rpc_server_reply(request, &answer);
 }
 
 static void serve_recheck(void *ctx, kb_rpc_request_t *request, void *raw)
@@ -211,8 +218,8 @@
 		{ KB_PROXY_RPC_FEED, (xdrproc_t)xdr_kbs_sync_args,
 		  sizeof(kbs_sync_args), (xdrproc_t)xdr_kbs_feed_res,
 		  serve_feed, proxy },
-		{ KB_PROXY_RPC_GRANT, (xdrproc_t)xdr_kbs_grant_args,
-		  sizeof(kbs_grant_args), (xdrproc_t)xdr_kbs_grant_res,
+		{ KB_PROXY_RPC_GRANT, (xdrproc_t)kb_grant_wire_args,
+		  sizeof(kb_grant_args_t), (xdrproc_t)kb_grant_wire_res,
 		  serve_grant, proxy },
 		{ KB_PROXY_RPC_HOLDER_AGE, (xdrproc_t)xdr_kbs_heard_args,
 		  sizeof(kbs_heard_args), (xdrproc_t)xdr_kbs_heard_res,
--- a/tests/lease_cluster.h
+++ b/tests/lease_cluster.h
@@ -50,6 +50,10 @@
 	FORGETS_ORDERS,
 	/* An order counts as announced before anybody knows it. */
 	UNANNOUNCED_ORDERS,
+	/* A process that has just started claims to know all orders. */
+	CLAIMS_TO_BE_INFORMED,
+	/* An order is announced to the voters for any target. */
+	ORDERS_ANY_TARGET,
 };
 
 /* A store with the key of the lease, and hosts that may take it over. */
--- a/tests/lease_cluster_ops.h
+++ b/tests/lease_cluster_ops.h
@@ -91,6 +91,7 @@
 	int64_t revision = lease->revision;
 	int live = kb_lease_is_live(lease, sent_at);
 	kb_promotion_order_t order = sent_order(lease, revision);
+	int informed = lease->knowledge.known;
 
 	if (!cluster.is_linked(cluster.index(host), cluster.index(other)))
 		return;
@@ -109,6 +110,11 @@
 		if (granted &&
 		    cluster.broken_rule != BrokenRule::FORGETS_ORDERS)
 			kb_lease_learn_order(&other.lease, &order);
+		if (granted && informed)
+			other.lease.knowledge.informed = 1;
+		int other_informed = other.lease.knowledge.informed ||
+				     cluster.broken_rule ==
+					     BrokenRule::CLAIMS_TO_BE_INFORMED;
 		kb_promotion_order_t known = sent_order(&other.lease, revision);
 		kb_time_t exclusive_time =
 			cluster.broken_rule == BrokenRule::HIDES_OTHER_GRANTS
@@ -123,6 +129,8 @@
 			kb_lease_learn_order(&host.lease, &known);
 			kb_lease_on_grant(&host.lease, &from, sent_at, granted,
 					  exclusive_time, cluster.now);
+			if (granted && other_informed)
+				kb_lease_on_informed_voter(&host.lease, &from);
 			if (cluster.broken_rule == BrokenRule::ONE_GRANT)
 				for (size_t i = 0; i < host.lease.grant_count;
 				     i++)
--- a/tests/test_lease_order.cc
+++ b/tests/test_lease_order.cc
@@ -1,74 +1,10 @@
-#include "lease_simulation.h"
+#include "lease_order_simulation.h"
 
 using namespace lease_simulation;
 
 namespace
 {
 
-/* Hosts that give an order to promote whenever they begin to serve. */
-class OrderSimulation : public Simulation
-{
-      public:
-	/* Highest number of an order that was announced. */
-	uint64_t announced = 0;
-	/* Host that is announcing an order, and the order's term. */
-	size_t announcer = SIZE_MAX;
-	uint64_t term = 0;
-
-	using Simulation::Simulation;
-
-	/* Lets the host that serves begin to announce an order. */
-	void begin_order()
-	{
-		announcer = serving_host();
-		term++;
-	}
-
-	bool is_announced()
-	{
-		kb_name_t target = name_of("t");
-		kb_lease_t &lease = hosts[announcer]->lease;
-
-		if (!is_running(*hosts[announcer]) ||
-		    !kb_lease_may_serve(&lease, now))
-			return false;
-		kb_promotion_order_t next = { 0, term, target, {}, {}, 0 };
-		int known = kb_lease_announce_order(&lease, &next, now);
-		return known || broken_rule == BrokenRule::UNANNOUNCED_ORDERS;
-	}
-
-	/* Each host that serves knows the orders that were announced. */
-	void check_orders()
-	{
-		size_t holder = serving_host();
-
-		if (announcer < hosts.size() && is_announced())
-			announced =
-				std::max(announced,
-					 hosts[announcer]->lease.order.number);
-		if (holder < hosts.size() && violation.empty() &&
-		    hosts[holder]->lease.order.number < announced)
-			violation = hosts[holder]->name +
-				    " serves without order " +
-				    std::to_string(announced) + " at " +
-				    std::to_string(now / MS) + " ms";
-	}
-
-	void run_checked(kb_time_t duration)
-	{
-		for (kb_time_t end = now + duration; now < end;) {
-			step();
-			check_orders();
-		}
-	}
-
-	void stop(size_t host, kb_time_t duration)
-	{
-		hosts[host]->alive = false;
-		hosts[host]->down_until = now + duration;
-	}
-};
-
 enum class Store { REACHED, UNREACHED_BY_HOLDER, DOWN };
 
 /*
--- a/tests/test_lease_record.cc
+++ b/tests/test_lease_record.cc
@@ -17,6 +17,7 @@
 	record.grant = 41;
 	record.voters.count = 1;
 	record.voters.hosts[0] = record.holder;
+	record.orders_unknown = 1;
 	record.order.number = 3;
 	record.order.term = 7;
 	kb_name_set(&record.order.target, KB_STR("t2"));
@@ -28,6 +29,7 @@
 	for (const char *name : { "t1", "t2" }) {
 		kb_name_set(&copy, kb_str_from(name));
 		kb_target_names_add(&record.copies, &copy);
+		kb_target_names_add(&record.standbys, &copy);
 	}
 	return record;
 }
@@ -63,6 +65,8 @@
 	EXPECT_TRUE(kb_promotion_order_equal(&record.order, &read.order));
 	EXPECT_EQ(41, read.grant);
 	EXPECT_TRUE(kb_target_names_equal(&record.copies, &read.copies));
+	EXPECT_TRUE(kb_target_names_equal(&record.standbys, &read.standbys));
+	EXPECT_TRUE(read.orders_unknown);
 }
 
 /* As hosts of an earlier version write it. */
@@ -73,14 +77,19 @@
 
 	record.order = {};
 	record.copies.count = 0;
+	record.standbys.count = 0;
 	std::string text = replaced(format(record), "\"grant\":41,", "");
+	text = replaced(text, ",\"ordersUnknown\":true", "");
 
 	EXPECT_EQ(std::string::npos, text.find("promotion"));
 	EXPECT_EQ(std::string::npos, text.find("copies"));
+	EXPECT_EQ(std::string::npos, text.find("standbys"));
 	ASSERT_EQ(KB_OK, parse(&read, text));
 	EXPECT_EQ(0u, read.order.number);
 	EXPECT_EQ(0, read.grant);
 	EXPECT_EQ(0u, read.copies.count);
+	EXPECT_EQ(0u, read.standbys.count);
+	EXPECT_FALSE(read.orders_unknown);
 }
 
 TEST(LeaseRecord, AMalformedOrderOrCopyIsRejected)
@@ -112,6 +121,10 @@
 		     replaced(text, "\"copies\":[\"t1\",\"t2\"]",
 			      "\"copies\":[1]"),
 		     replaced(text, "\"copies\":[\"t1\",\"t2\"]", many),
+		     replaced(text, "\"standbys\":[\"t1\",\"t2\"]",
+			      "\"standbys\":[1]"),
+		     replaced(text, "\"ordersUnknown\":true",
+			      "\"ordersUnknown\":2"),
 	     })
 		EXPECT_EQ(KB_ERR_PROTOCOL, parse(&read, bad)) << bad;
 }
