--- a/src/order_knowledge.c
+++ b/src/order_knowledge.c
@@ -30,8 +30,8 @@
 {
 	knowledge->known = 0;
 	knowledge->informed_voters.count = 0;
-	knowledge->voters = record->settled ? record->voters
-					    : record->former_voters;
+	knowledge->voters =
+		record->settled ? record->voters : record->former_voters;
 	if (knowledge->informed)
 		kb_order_knowledge_on_informed(knowledge, self);
 	/* A holder without other voters tells its orders to the store only. */
--- a/tests/test_lease_knowledge.cc
+++ b/tests/test_lease_knowledge.cc
@@ -179,7 +179,8 @@
 	EXPECT_EQ("", simulation.violation);
 	EXPECT_EQ(2u, simulation.record.standbys.count);
 	size_t holder = simulation.serving_host();
-	kb_order_knowledge_set_known(&simulation.hosts[holder]->lease.knowledge);
+	kb_order_knowledge_set_known(
+		&simulation.hosts[holder]->lease.knowledge);
 	simulation.announced = 0;
 	simulation.run_checked(KB_NS_PER_S);
 	EXPECT_EQ(1u, simulation.record.standbys.count);
@@ -192,11 +193,16 @@
 		std::vector<size_t> informed;
 		bool known;
 	} cases[] = {
-		{ 1, {}, true },      { 2, {}, false },
-		{ 2, { 1 }, true },   { 3, { 1 }, true },
-		{ 4, { 1 }, false },  { 4, { 1, 3 }, true },
-		{ 5, { 4 }, false },  { 5, { 2, 2 }, false },
-		{ 5, { 2, 9 }, false }, { 5, { 2, 4 }, true },
+		{ 1, {}, true },
+		{ 2, {}, false },
+		{ 2, { 1 }, true },
+		{ 3, { 1 }, true },
+		{ 4, { 1 }, false },
+		{ 4, { 1, 3 }, true },
+		{ 5, { 4 }, false },
+		{ 5, { 2, 2 }, false },
+		{ 5, { 2, 9 }, false },
+		{ 5, { 2, 4 }, true },
 		/* The former holder itself. */
 		{ 5, { 0 }, true },
 	};
--- a/tests/test_monitor_expectation.cc
+++ b/tests/test_monitor_expectation.cc
@@ -48,8 +48,9 @@
 		simulation.run(KB_NS_PER_S);
 		simulation.take_over({ "a", "b", "c" });
 		simulation.promote("b", delay);
-		simulation.until([&] { return simulation.serves("a") ||
-					      simulation.serves("b"); });
+		simulation.until([&] {
+			return simulation.serves("a") || simulation.serves("b");
+		});
 		while (!simulation.serves("b")) {
 			bool is_replaced = simulation.serves("a") &&
 					   simulation.state["b"].primary;
@@ -57,8 +58,9 @@
 			EXPECT_FALSE(is_replaced &&
 				     simulation.confirms(simulation.now))
 				<< delay / MS;
-			EXPECT_TRUE(!simulation.serves("a") ||
-				    kb_monitor_is_watching(&simulation.monitor));
+			EXPECT_TRUE(
+				!simulation.serves("a") ||
+				kb_monitor_is_watching(&simulation.monitor));
 			simulation.run(20 * MS);
 			ASSERT_LT(simulation.now, 10 * KB_NS_PER_S);
 		}
@@ -75,8 +77,8 @@
 	kb_time_t committed_at = simulation.now;
 	simulation.run(100 * MS);
 	EXPECT_TRUE(simulation.confirms(committed_at));
-	EXPECT_FALSE(kb_monitor_is_unconfirmed(&simulation.monitor,
-					       simulation.now));
+	EXPECT_FALSE(
+		kb_monitor_is_unconfirmed(&simulation.monitor, simulation.now));
 }
 
 /* The names of silent targets, and whether writes can be confirmed. */
@@ -129,8 +131,8 @@
 	simulation.state["d"].alive = false;
 	simulation.state["d"].refuses = false;
 	simulation.run(KB_NS_PER_S);
-	EXPECT_TRUE(kb_monitor_is_unconfirmed(&simulation.monitor,
-					      simulation.now));
+	EXPECT_TRUE(
+		kb_monitor_is_unconfirmed(&simulation.monitor, simulation.now));
 }
 
 /*
