Count a draining copy until its heir has registered

A replica drained as planned, its entry expired while the store was down, the primary crashed, and the replica without the newest commits was promoted.

Cause: is_gone() took an entry that goes while its last state was leaving for proof that the log had been passed on. Entries also expire by silence, and a log that is passed on is back only with the target that registers at the address.

Fix: one predicate, locate_log(): in the copy, in its heir, or lost after ten minutes. The heir is a later target at the address of a copy that was leaving; it has to answer itself. The record names address, start and heir for later holders; without them (an earlier version) a copy counts as missing, as before. The 17th copy is no longer dropped without a word: such a group does not count as complete.

ProxyVacancy.ATargetThatHasLeftIsNotWaitedFor expected the fault: that a target is gone with its entry. Its successor requires in addition that the heir has registered and answered.

--- a/src/copies.h
+++ b/src/copies.h
@@ -1,8 +1,8 @@
 #ifndef KB_COPIES_H
 #define KB_COPIES_H
 
+#include "departures.h"
 #include "target_list.h"
-#include "target_names.h"
 
 KB_BEGIN_DECLS
 
@@ -13,27 +13,48 @@
 
 /* A target that may hold acknowledged commits of its group. */
 typedef struct kb_copy {
-	kb_name_t target;
+	/* Its last entry, and its heir if it was leaving. */
+	kb_departure_t last;
 	/* It was leaving when its entry was last seen. */
 	int leaving;
+	/* It was added when the entries were last compared. */
+	int is_new;
 	/* Time since which it has no entry; 0 if it has one. */
 	kb_time_t missing_since;
 } kb_copy_t;
 
+/* Where the log of a copy is. */
+typedef enum kb_copy_log {
+	/* In the copy, which may be without an entry for some time. */
+	KB_COPY_LOG_KEPT,
+	/* In its heir, which counts in its place. */
+	KB_COPY_LOG_TRANSFERRED,
+	/* Nowhere: it has had no entry for KB_COPIES_MISSING_MAX_S. */
+	KB_COPY_LOG_LOST,
+} kb_copy_log_t;
+
 /*
- * The targets that may hold acknowledged commits of a group. An entry that
- * expires tells nothing about the target's log, so the target still counts. One
- * that was leaving has passed its log on.
+ * The targets that may hold acknowledged commits of a group. An entry that goes
+ * tells nothing about the target's log, as it also expires by silence: the
+ * target counts until another one that may have its log counts. That is the one
+ * that registers at the address of a target that was leaving, and has started
+ * after it.
  */
 typedef struct kb_copies {
 	size_t count;
 	kb_copy_t copies[KB_TARGET_NAMES_MAX];
+	/* There were more; it is not known what the others have. */
+	int truncated;
 } kb_copies_t;
 
 /* Adds the targets that are not contained, as missing. */
 void kb_copies_add(kb_copies_t *copies, const kb_target_names_t *names,
 		   kb_time_t now);
 
+/* Takes what a former holder knew of those that were leaving. */
+void kb_copies_add_departures(kb_copies_t *copies,
+			      const kb_departures_t *departures);
+
 /* Compares the copies with the entries of the group's targets. */
 void kb_copies_sync(kb_copies_t *copies, const kb_target_list_t *targets,
 		    kb_str_t group, kb_time_t now);
@@ -41,8 +62,10 @@
 /* Number of copies without an entry. */
 size_t kb_copies_missing(const kb_copies_t *copies);
 
-/* Fills in the names of all copies. */
+/* Fill in the names of all copies, and those that were leaving. */
 void kb_copies_names(const kb_copies_t *copies, kb_target_names_t *names);
+void kb_copies_departures(const kb_copies_t *copies,
+			  kb_departures_t *departures);
 
 KB_END_DECLS
 
--- /dev/null
+++ b/src/departures.c
@@ -0,0 +1,25 @@
+#include "departures.h"
+
+int kb_endpoint_equal(const kb_endpoint_t *a, const kb_endpoint_t *b)
+{
+	return a->port == b->port &&
+	       kb_name_is(&a->address, kb_name_str(&b->address));
+}
+
+static int is_equal(const kb_departure_t *a, const kb_departure_t *b)
+{
+	return kb_name_is(&a->target, kb_name_str(&b->target)) &&
+	       kb_endpoint_equal(&a->endpoint, &b->endpoint) &&
+	       a->started_at_ms == b->started_at_ms &&
+	       kb_name_is(&a->heir, kb_name_str(&b->heir));
+}
+
+int kb_departures_equal(const kb_departures_t *a, const kb_departures_t *b)
+{
+	if (a->count != b->count || a->truncated != b->truncated)
+		return 0;
+	for (size_t i = 0; i < a->count; i++)
+		if (!is_equal(&a->departures[i], &b->departures[i]))
+			return 0;
+	return 1;
+}
--- /dev/null
+++ b/src/departures.h
@@ -0,0 +1,35 @@
+#ifndef KB_DEPARTURES_H
+#define KB_DEPARTURES_H
+
+#include "endpoint.h"
+#include "target_names.h"
+
+KB_BEGIN_DECLS
+
+/* A target that was leaving when its entry was last seen. */
+typedef struct kb_departure {
+	kb_name_t target;
+	/* Its log is transferred to a new target at this address. */
+	kb_endpoint_t endpoint;
+	/* Its start time, in milliseconds since 1970-01-01 UTC; 0: unknown. */
+	uint64_t started_at_ms;
+	/* That new target, once it has registered; else empty. */
+	kb_name_t heir;
+} kb_departure_t;
+
+/* The copies of a group that were leaving, for later holders. */
+typedef struct kb_departures {
+	size_t count;
+	kb_departure_t departures[KB_TARGET_NAMES_MAX];
+	/* The group has had more copies than can be named. */
+	int truncated;
+} kb_departures_t;
+
+int kb_endpoint_equal(const kb_endpoint_t *a, const kb_endpoint_t *b);
+
+/* Whether both tell the same, in the same order. */
+int kb_departures_equal(const kb_departures_t *a, const kb_departures_t *b);
+
+KB_END_DECLS
+
+#endif
--- a/src/lease.c
+++ b/src/lease.c
@@ -169,6 +169,7 @@
 	lease->pending.era = kb_store_era(lease->as_of);
 	lease->pending.order = lease->order;
 	lease->pending.copies = lease->copies;
+	lease->pending.departures = lease->departures;
 	lease->pending.standbys = lease->standbys;
 	lease->pending.orders_unknown = lease->role == KB_LEASE_ACQUIRING
 						? lease->record.orders_unknown
--- a/src/lease.h
+++ b/src/lease.h
@@ -202,6 +202,7 @@
 	kb_promotion_order_t order;
 	/* Those that the record names or, of the holder, is to name. */
 	kb_target_names_t copies;
+	kb_departures_t departures;
 	/* Targets that the record names as standbys or is to name. */
 	kb_target_names_t standbys;
 	/* Whether this host knows of each order that may take effect. */
--- a/src/lease_order.c
+++ b/src/lease_order.c
@@ -66,10 +66,13 @@
 	return lease->order.number && !is_known ? &lease->order : NULL;
 }
 
-void kb_lease_set_copies(kb_lease_t *lease, const kb_target_names_t *copies)
+void kb_lease_set_copies(kb_lease_t *lease, const kb_target_names_t *copies,
+			 const kb_departures_t *departures)
 {
-	if (lease->role == KB_LEASE_SERVING)
-		lease->copies = *copies;
+	if (lease->role != KB_LEASE_SERVING)
+		return;
+	lease->copies = *copies;
+	lease->departures = *departures;
 }
 
 void kb_lease_set_standbys(kb_lease_t *lease, const kb_target_names_t *standbys)
@@ -92,6 +95,7 @@
 	if (lease->role == KB_LEASE_SERVING)
 		return;
 	lease->copies = record->copies;
+	lease->departures = record->departures;
 	lease->standbys = record->standbys;
 }
 
@@ -113,6 +117,8 @@
 	    !lease->revision ||
 	    (kb_promotion_order_equal(&lease->record.order, &lease->order) &&
 	     kb_target_names_equal(&lease->record.copies, &lease->copies) &&
+	     kb_departures_equal(&lease->record.departures,
+				 &lease->departures) &&
 	     kb_target_names_equal(&lease->record.standbys, &lease->standbys)))
 		return 0;
 	lease->pending = lease->record;
--- a/src/lease_order.h
+++ b/src/lease_order.h
@@ -16,8 +16,12 @@
 int kb_lease_announce_order(kb_lease_t *lease, const kb_promotion_order_t *next,
 			    kb_time_t now);
 
-/* Sets the targets that the holder's record is to name as copies. */
-void kb_lease_set_copies(kb_lease_t *lease, const kb_target_names_t *copies);
+/*
+ * Sets the targets that the holder's record is to name as copies, and those of
+ * them that are leaving.
+ */
+void kb_lease_set_copies(kb_lease_t *lease, const kb_target_names_t *copies,
+			 const kb_departures_t *departures);
 
 /*
  * Sets the targets that the holder's record is to name as standbys. While this
--- a/src/lease_record.c
+++ b/src/lease_record.c
@@ -34,13 +34,31 @@
 			       order->unanswered.count));
 }
 
+static json_t *format_departures(const kb_departures_t *departures)
+{
+	json_t *array = departures->count ? json_array() : NULL;
+
+	for (size_t i = 0; i < departures->count; i++) {
+		const kb_departure_t *each = &departures->departures[i];
+
+		json_array_append_new(
+			array, json_pack("{s:s,s:s,s:i,s:I,s:s}", "target",
+					 each->target.data, "address",
+					 each->endpoint.address.data, "port",
+					 each->endpoint.port, "startedAtMs",
+					 (json_int_t)each->started_at_ms,
+					 "heir", each->heir.data));
+	}
+	return array;
+}
+
 char *kb_lease_record_format(const kb_lease_record_t *record)
 {
 	json_t *json;
 	char *text;
 
 	json = json_pack(
-		"{s:s,s:I,s:I,s:b,s:b,s:o,s:o,s:b,s:o*,s:o*,s:o*,s:b}",
+		"{s:s,s:I,s:I,s:b,s:b,s:o,s:o,s:b,s:o*,s:o*,s:o*,s:b,s:o*,s:b}",
 		"holder", record->holder.data, "era", (json_int_t)record->era,
 		"grant", (json_int_t)record->grant, "released",
 		record->released, "settled", record->settled, "candidates",
@@ -51,7 +69,9 @@
 		format_targets(record->copies.names, record->copies.count),
 		"standbys",
 		format_targets(record->standbys.names, record->standbys.count),
-		"ordersUnknown", record->orders_unknown);
+		"ordersUnknown", record->orders_unknown, "departing",
+		format_departures(&record->departures), "moreCopies",
+		record->departures.truncated);
 	text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	json_decref(json);
 	return text;
@@ -142,6 +162,45 @@
 	return KB_OK;
 }
 
+static kb_result_t read_departure(kb_departure_t *departure, json_t *json)
+{
+	const char *target;
+	const char *address;
+	const char *heir;
+	json_int_t started_at_ms;
+	int port;
+
+	if (json_unpack(json, "{s:s,s:s,s:i,s:I,s:s}", "target", &target,
+			"address", &address, "port", &port, "startedAtMs",
+			&started_at_ms, "heir", &heir) ||
+	    port < 0 || port > UINT16_MAX || started_at_ms < 0 ||
+	    kb_name_set(&departure->target, kb_str_from(target)) ||
+	    kb_name_set(&departure->endpoint.address, kb_str_from(address)) ||
+	    kb_name_set(&departure->heir, kb_str_from(heir)))
+		return KB_ERR_PROTOCOL;
+	departure->endpoint.port = (uint16_t)port;
+	departure->started_at_ms = (uint64_t)started_at_ms;
+	return KB_OK;
+}
+
+static kb_result_t read_departures(kb_departures_t *departures,
+				   const json_t *array)
+{
+	json_t *json;
+	size_t i;
+
+	if (array && (!json_is_array(array) ||
+		      json_array_size(array) > KB_TARGET_NAMES_MAX))
+		return KB_ERR_PROTOCOL;
+	json_array_foreach(array, i, json)
+	{
+		if (read_departure(&departures->departures[departures->count++],
+				   json))
+			return KB_ERR_PROTOCOL;
+	}
+	return KB_OK;
+}
+
 kb_result_t kb_lease_record_parse(kb_lease_record_t *record, kb_str_t text)
 {
 	json_t *json = json_loadb(text.data, text.len, 0, NULL);
@@ -151,6 +210,7 @@
 	json_t *order = NULL;
 	json_t *copies = NULL;
 	json_t *standbys = NULL;
+	json_t *departures = NULL;
 	const char *holder;
 	/* A record without it is of the time before stores had eras. */
 	json_int_t era = 0;
@@ -158,19 +218,22 @@
 
 	memset(record, 0, sizeof(*record));
 	if (json &&
-	    !json_unpack(json,
-			 "{s:s,s?I,s?I,s:b,s:b,s:o,s:o,s:b,s?o,s?o,s?o,s?b}",
-			 "holder", &holder, "era", &era, "grant", &grant,
-			 "released", &record->released, "settled",
-			 &record->settled, "candidates", &voters, "former",
-			 &former_voters, "formerLost", &record->former_unknown,
-			 "promotion", &order, "copies", &copies, "standbys",
-			 &standbys, "ordersUnknown", &record->orders_unknown) &&
+	    !json_unpack(
+		    json,
+		    "{s:s,s?I,s?I,s:b,s:b,s:o,s:o,s:b,s?o,s?o,s?o,s?b,s?o,s?b}",
+		    "holder", &holder, "era", &era, "grant", &grant, "released",
+		    &record->released, "settled", &record->settled,
+		    "candidates", &voters, "former", &former_voters,
+		    "formerLost", &record->former_unknown, "promotion", &order,
+		    "copies", &copies, "standbys", &standbys, "ordersUnknown",
+		    &record->orders_unknown, "departing", &departures,
+		    "moreCopies", &record->departures.truncated) &&
 	    *holder && !kb_name_set(&record->holder, kb_str_from(holder)) &&
 	    !read_set(&record->voters, voters) &&
 	    !read_order(&record->order, order) &&
 	    !read_names(&record->copies, copies) &&
-	    !read_names(&record->standbys, standbys))
+	    !read_names(&record->standbys, standbys) &&
+	    !read_departures(&record->departures, departures))
 		result = read_set(&record->former_voters, former_voters);
 	record->era = era;
 	record->grant = grant;
--- a/src/lease_record.h
+++ b/src/lease_record.h
@@ -1,8 +1,8 @@
 #ifndef KB_LEASE_RECORD_H
 #define KB_LEASE_RECORD_H
 
+#include "departures.h"
 #include "promotion_order.h"
-#include "target_names.h"
 
 KB_BEGIN_DECLS
 
@@ -48,6 +48,8 @@
 	kb_promotion_order_t order;
 	/* Targets that may hold acknowledged commits of a durable group. */
 	kb_target_names_t copies;
+	/* Those of them that were leaving. */
+	kb_departures_t departures;
 	/*
 	 * The only targets that a holder may order to lead while the store does
 	 * not answer.
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -70,6 +70,8 @@
 	 "no target that answers has the term that was served")
 KB_EVENT(1321, ORDERS_UNKNOWN, WARN,
 	 "orders of former holders may be unknown, or all are known now")
+KB_EVENT(1322, COPY_GONE, INFO,
+	 "a target without an entry no longer counts as a copy")
 
 KB_EVENT(1400, MEMBER_JOINED, INFO, "host joined or returned")
 KB_EVENT(1401, MEMBER_LEAVING, INFO, "host is leaving and accepts no new work")
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -251,11 +251,12 @@
 			  const kb_promotion_order_t *order, kb_time_t now);
 
 /*
- * Takes the targets that a former holder knew to hold commits, after
- * kb_monitor_set_active().
+ * Takes the targets that a former holder knew to hold commits, and those of
+ * them that were leaving, after kb_monitor_set_active().
  */
 void kb_monitor_add_copies(kb_monitor_t *monitor,
-			   const kb_target_names_t *names, kb_time_t now);
+			   const kb_target_names_t *names,
+			   const kb_departures_t *departures, kb_time_t now);
 
 /*
  * This holder may not know of each order that can still take effect: watches
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -185,10 +185,12 @@
 {
 	kb_monitor_t *monitor = &group->monitor;
 	kb_target_names_t copies = { 0 };
+	kb_departures_t departures = { 0 };
 
 	if (kb_monitor_set_active(monitor, serves ? group->lease.token : 0,
 				  now)) {
-		kb_monitor_add_copies(monitor, &group->lease.copies, now);
+		kb_monitor_add_copies(monitor, &group->lease.copies,
+				      &group->lease.departures, now);
 		if (!group->lease.knowledge.known)
 			kb_monitor_expect_orders(monitor,
 						 &group->lease.standbys, now);
@@ -200,9 +202,11 @@
 	kb_monitor_tick(monitor, &group->proxy->targets, now);
 	if (!serves)
 		return;
-	if (monitor->durable)
+	if (monitor->durable) {
 		kb_copies_names(&monitor->copies, &copies);
-	kb_lease_set_copies(&group->lease, &copies);
+		kb_copies_departures(&monitor->copies, &departures);
+	}
+	kb_lease_set_copies(&group->lease, &copies, &departures);
 	if (!kb_monitor_expects_orders(monitor))
 		kb_order_knowledge_set_known(&group->lease.knowledge);
 	name_standbys(group);
--- a/tests/monitor_simulation.h
+++ b/tests/monitor_simulation.h
@@ -84,12 +84,18 @@
 		kb_target_list_finish(&targets);
 	}
 
-	void add(const std::string &name, bool leaving = false)
+	/* `address_of`: the target whose address it has, else its own. */
+	void add(const std::string &name, bool leaving = false,
+		 const std::string &address_of = "", uint64_t started_at = 0)
 	{
 		kb_target_entry_t entry = {};
+		const std::string &at = address_of.empty() ? name : address_of;
 
 		kb_name_set(&entry.place.group, KB_STR("g"));
 		kb_name_set(&entry.place.target, { name.data(), name.size() });
+		kb_name_set(&entry.place.endpoint.address,
+			    { at.data(), at.size() });
+		entry.started_at_ms = started_at;
 		entry.leaving = leaving;
 		entry.slots = 2;
 		kb_target_list_put(&targets, &entry);
--- a/tests/test_lease_order.cc
+++ b/tests/test_lease_order.cc
@@ -262,7 +262,13 @@
 
 			kb_target_names_add(&copies, &target);
 		}
-		kb_lease_set_copies(&simulation.hosts[holder]->lease, &copies);
+		kb_departures_t departures = {};
+		departures.count = 1;
+		departures.departures[0].target = name_of("t2");
+		departures.departures[0].endpoint = { name_of("10.0.0.1"), 7 };
+		departures.departures[0].heir = name_of("t4");
+		kb_lease_set_copies(&simulation.hosts[holder]->lease, &copies,
+				    &departures);
 		simulation.run_checked(100 * MS);
 		for (auto &host : simulation.hosts) {
 			host->alive = false;
@@ -274,6 +280,10 @@
 		EXPECT_TRUE(kb_target_names_equal(
 			&copies, &simulation.hosts[holder]->lease.copies))
 			<< seed;
+		EXPECT_TRUE(kb_departures_equal(
+			&departures,
+			&simulation.hosts[holder]->lease.departures))
+			<< seed;
 	}
 }
 
--- a/tests/test_lease_record.cc
+++ b/tests/test_lease_record.cc
@@ -18,6 +18,16 @@
 	record.voters.count = 1;
 	record.voters.hosts[0] = record.holder;
 	record.orders_unknown = 1;
+	record.departures.count = 2;
+	record.departures.truncated = 1;
+	for (kb_departure_t *each : { &record.departures.departures[0],
+				      &record.departures.departures[1] }) {
+		kb_name_set(&each->target, KB_STR("t2"));
+		kb_name_set(&each->endpoint.address, KB_STR("10.0.0.2"));
+		each->endpoint.port = 5432;
+		each->started_at_ms = 1700000000001;
+	}
+	kb_name_set(&record.departures.departures[1].heir, KB_STR("t5"));
 	record.order.number = 3;
 	record.order.term = 7;
 	kb_name_set(&record.order.target, KB_STR("t2"));
@@ -67,6 +77,9 @@
 	EXPECT_TRUE(kb_target_names_equal(&record.copies, &read.copies));
 	EXPECT_TRUE(kb_target_names_equal(&record.standbys, &read.standbys));
 	EXPECT_TRUE(read.orders_unknown);
+	EXPECT_TRUE(kb_departures_equal(&record.departures, &read.departures));
+	read.departures.departures[0].heir = read.order.target;
+	EXPECT_FALSE(kb_departures_equal(&record.departures, &read.departures));
 }
 
 /* As hosts of an earlier version write it. */
@@ -78,8 +91,10 @@
 	record.order = {};
 	record.copies.count = 0;
 	record.standbys.count = 0;
+	record.departures.count = 0;
 	std::string text = replaced(format(record), "\"grant\":41,", "");
 	text = replaced(text, ",\"ordersUnknown\":true", "");
+	text = replaced(text, ",\"moreCopies\":true", "");
 
 	EXPECT_EQ(std::string::npos, text.find("promotion"));
 	EXPECT_EQ(std::string::npos, text.find("copies"));
@@ -89,6 +104,8 @@
 	EXPECT_EQ(0, read.grant);
 	EXPECT_EQ(0u, read.copies.count);
 	EXPECT_EQ(0u, read.standbys.count);
+	EXPECT_EQ(0u, read.departures.count);
+	EXPECT_FALSE(read.departures.truncated);
 	EXPECT_FALSE(read.orders_unknown);
 }
 
@@ -125,6 +142,11 @@
 			      "\"standbys\":[1]"),
 		     replaced(text, "\"ordersUnknown\":true",
 			      "\"ordersUnknown\":2"),
+		     replaced(text, "\"port\":5432", "\"port\":65536"),
+		     replaced(text, "\"port\":5432", "\"port\":-1"),
+		     replaced(text, "1700000000001", "-1"),
+		     replaced(text, ",\"heir\":\"t5\"", ""),
+		     replaced(text, "\"moreCopies\":true", "\"moreCopies\":[]"),
 	     })
 		EXPECT_EQ(KB_ERR_PROTOCOL, parse(&read, bad)) << bad;
 }
--- a/tests/test_proxy_vacancy.cc
+++ b/tests/test_proxy_vacancy.cc
@@ -57,13 +57,18 @@
 		kb_hosts_finish(&proxy->hosts);
 	}
 
-	void add(const char *name, bool leaving = false)
+	/* `address_of`: the target whose address it has, else its own. */
+	void add(const char *name, bool leaving = false,
+		 const char *address_of = nullptr, uint64_t started_at = 0)
 	{
 		kb_target_entry_t entry = {};
 
 		entry.leaving = leaving;
 		entry.place.group = group->name;
 		kb_name_set(&entry.place.target, kb_str_from(name));
+		kb_name_set(&entry.place.endpoint.address,
+			    kb_str_from(address_of ? address_of : name));
+		entry.started_at_ms = started_at;
 		kb_target_list_put(&proxy->targets, &entry);
 	}
 
@@ -256,14 +261,23 @@
 	EXPECT_FALSE(ask().valid);
 }
 
-TEST_F(ProxyVacancy, ATargetThatHasLeftIsNotWaitedFor)
+/* review/11: the entry of a target that is leaving expires by silence, too. */
+TEST_F(ProxyVacancy, ATargetThatHasLeftIsNotWaitedForOnceItsHeirAnswers)
 {
 	time.now += 2000 * MS;
-	add("r", true);
+	add("r", true, "r", 3);
 	remove_entry("r");
 	ask();
 	report("p", true, 4, 70);
 	report("q", false, 4, 70);
+	EXPECT_FALSE(ask().valid);
+	add("s", false, "r", 5);
+	time.now += 300 * MS;
+	ask();
+	report("p", true, 4, 70);
+	report("q", false, 4, 70);
+	EXPECT_FALSE(ask().valid);
+	report("s", false, 4, 70);
 	EXPECT_TRUE(ask().valid);
 }
 
