Watch no target that was leaving when the record was written

Cause: the record named all targets with an entry as standbys, but one that is leaving is never ordered (kb_monitor_send_order()).

Now standbys are targets that are not leaving. One that begins to leave later stays named until the holder, which knows of each order, writes the record again. The new test fails without the change. An heir needs a known start of the copy as well.

--- a/src/copies.c
+++ b/src/copies.c
@@ -70,6 +70,7 @@
 static int is_heir(const kb_copy_t *heir, const kb_copy_t *copy)
 {
 	return heir != copy && heir->is_new && copy->leaving &&
+	       copy->last.started_at_ms &&
 	       kb_endpoint_equal(&heir->last.endpoint, &copy->last.endpoint) &&
 	       heir->last.started_at_ms > copy->last.started_at_ms;
 }
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -260,7 +260,7 @@
 
 /*
  * This holder may not know of each order that can still take effect: watches
- * the `standbys` and all targets that have an entry, after
+ * the `standbys` and all targets that have an entry and are not leaving, after
  * kb_monitor_set_active().
  */
 void kb_monitor_expect_orders(kb_monitor_t *monitor,
--- a/src/monitor_expectation.c
+++ b/src/monitor_expectation.c
@@ -48,7 +48,9 @@
 	for (const kb_target_entry_t *entry = kb_target_list_first(
 		     targets, kb_name_str(&monitor->group));
 	     entry; entry = kb_target_list_next(entry))
-		kb_target_names_add(&monitor->possible, &entry->place.target);
+		if (!entry->leaving)
+			kb_target_names_add(&monitor->possible,
+					    &entry->place.target);
 }
 
 int kb_monitor_has_witness(kb_monitor_t *monitor, const kb_name_t *primary)
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -169,7 +169,10 @@
 	       !kb_voter_set_contains(&lease->record.voters, &lease->self);
 }
 
-/* Lets the record name the targets that may be ordered without the store. */
+/*
+ * Lets the record name the targets that may be ordered without the store. One
+ * that is leaving is not ordered.
+ */
 static void name_standbys(kb_proxy_group_t *group)
 {
 	kb_target_names_t standbys = { 0 };
@@ -177,7 +180,8 @@
 	for (const kb_target_entry_t *entry = kb_target_list_first(
 		     &group->proxy->targets, kb_name_str(&group->name));
 	     entry; entry = kb_target_list_next(entry))
-		kb_target_names_add(&standbys, &entry->place.target);
+		if (!entry->leaving)
+			kb_target_names_add(&standbys, &entry->place.target);
 	kb_lease_set_standbys(&group->lease, &standbys);
 }
 
--- a/tests/test_monitor_copies.cc
+++ b/tests/test_monitor_copies.cc
@@ -151,7 +151,7 @@
 	DurableGroup group;
 
 	group.until([&] { return group.serves("a"); });
-	group.add("b", true);
+	group.add("b", true, "", 3);
 	group.run(100 * MS);
 	group.lose("b");
 	group.run(100 * MS);
--- a/tests/test_monitor_expectation.cc
+++ b/tests/test_monitor_expectation.cc
@@ -135,6 +135,29 @@
 		kb_monitor_is_unconfirmed(&simulation.monitor, simulation.now));
 }
 
+/* It was not ordered, and ends while the watch lasts. */
+TEST(MonitorExpectation, ATargetThatIsLeavingIsNotWatched)
+{
+	ExpectationSimulation simulation;
+
+	simulation.add("d", true);
+	simulation.take_over({ "a", "b", "c" });
+	simulation.until([&] { return simulation.serves("a"); });
+	simulation.state["d"].alive = false;
+	simulation.state["d"].refuses = false;
+	simulation.remove("d");
+	simulation.run(KB_NS_PER_S);
+	EXPECT_TRUE(simulation.serves("a"));
+	EXPECT_FALSE(
+		kb_monitor_is_unconfirmed(&simulation.monitor, simulation.now));
+	/* A former holder may have ordered it before it was leaving. */
+	simulation.add("c", true);
+	simulation.remove("c");
+	simulation.run(KB_NS_PER_S);
+	EXPECT_TRUE(
+		kb_monitor_is_unconfirmed(&simulation.monitor, simulation.now));
+}
+
 /*
  * A promotion of which only a silent target tells may have been served, so that
  * reads of the former primary would be stale.
