Let a departed copy count until a replica has caught up

What callers would see: since a draining copy counts until its heir has registered, a later holder of a durable group whose targets were replaced waits up to ten minutes for them when the primary crashes.

Cause: only the heir and time ended a copy.

Now the serving holder asks the replicas once the entry of a copy that was leaving has gone. A replica that then has all that the primary's log had reached at that time has each commit which the copy may have; later ones are in the primary and in a copy that still counts. So each acknowledged commit is in two of the copies that are left.

--- a/src/copies.c
+++ b/src/copies.c
@@ -61,6 +61,8 @@
 		return KB_COPY_LOG_KEPT;
 	if (copy->last.heir.len)
 		return KB_COPY_LOG_TRANSFERRED;
+	if (copy->is_superseded)
+		return KB_COPY_LOG_SUPERSEDED;
 	if (now - copy->missing_since >= KB_COPIES_MISSING_MAX_S * KB_NS_PER_S)
 		return KB_COPY_LOG_LOST;
 	return KB_COPY_LOG_KEPT;
@@ -99,6 +101,7 @@
 	copy->is_new = is_new;
 	copy->leaving = entry->leaving;
 	copy->missing_since = 0;
+	copy->is_superseded = 0;
 	copy->last.endpoint = entry->place.endpoint;
 	copy->last.started_at_ms = entry->started_at_ms;
 	if (!entry->leaving)
@@ -108,9 +111,10 @@
 static void log_gone(const kb_copy_t *copy, kb_str_t group, kb_time_t now)
 {
 	kb_log(KB_EVENT_COPY_GONE,
-	       "group=%.*s target=%s heir=%s missing_ms=%" PRId64,
+	       "group=%.*s target=%s heir=%s superseded=%d"
+	       " missing_ms=%" PRId64,
 	       (int)group.len, group.data, copy->last.target.data,
-	       copy->last.heir.data,
+	       copy->last.heir.data, copy->is_superseded,
 	       (now - copy->missing_since) / KB_NS_PER_MS);
 }
 
@@ -148,6 +152,26 @@
 	return missing;
 }
 
+int kb_copies_have_departed(const kb_copies_t *copies)
+{
+	for (size_t i = 0; i < copies->count; i++)
+		if (copies->copies[i].leaving &&
+		    copies->copies[i].missing_since)
+			return 1;
+	return 0;
+}
+
+void kb_copies_supersede(kb_copies_t *copies, kb_time_t since)
+{
+	for (size_t i = 0; i < copies->count; i++) {
+		kb_copy_t *copy = &copies->copies[i];
+
+		if (copy->leaving && copy->missing_since &&
+		    copy->missing_since <= since)
+			copy->is_superseded = 1;
+	}
+}
+
 void kb_copies_names(const kb_copies_t *copies, kb_target_names_t *names)
 {
 	names->count = 0;
--- a/tests/test_monitor_copies.cc
+++ b/tests/test_monitor_copies.cc
@@ -339,3 +339,54 @@
 		EXPECT_TRUE(group.monitor.blocked) << later_holder;
 	}
 }
+
+/*
+ * The platform may start the replacement of a draining target first, at another
+ * address. A later holder need not wait for what a replica has, too.
+ */
+TEST(MonitorCopies, ADepartedCopyCountsUntilAReplicaHasCaughtUp)
+{
+	for (uint64_t position : { 100u, 119u, 120u }) {
+		DurableGroup group;
+		bool caught_up = position == 120;
+
+		group.until([&] { return group.serves("a"); });
+		group.state["a"].position = 120;
+		kb_monitor_on_answer(&group.monitor, { 1, 120 });
+		group.state["b"].position = 120;
+		group.state["c"].position = 110;
+		group.add("d", false, "", 5);
+		group.state["d"].position = 110;
+		group.add("b", true, "", 3);
+		group.run(100 * MS);
+		group.lose("b");
+		group.run(KB_NS_PER_S);
+		EXPECT_EQ(4u, group.monitor.copies.count);
+		group.state["c"].position = position;
+		group.run(KB_NS_PER_S);
+		EXPECT_EQ(caught_up ? 3u : 4u, group.monitor.copies.count);
+		group.state["a"].alive = false;
+		group.change_holder_with_record();
+		group.run(5 * KB_NS_PER_S);
+		EXPECT_EQ(caught_up, group.serves("c")) << position;
+	}
+}
+
+/* What is acknowledged after the entry went can't be in that copy only. */
+TEST(MonitorCopies, AReplicaThatIsLeavingOrOfAnotherTermSupersedesNothing)
+{
+	for (bool leaving : { false, true }) {
+		DurableGroup group;
+
+		group.until([&] { return group.serves("a"); });
+		group.add("b", true, "", 3);
+		group.add("c", leaving);
+		if (!leaving)
+			group.state["c"].term = 0;
+		group.run(100 * MS);
+		group.lose("b");
+		group.run(3 * KB_NS_PER_S);
+		EXPECT_TRUE(group.serves("a"));
+		EXPECT_EQ(3u, group.monitor.copies.count) << leaving;
+	}
+}
