Rule out a departed target as an unseen primary after 40 s

What callers would see: after a planned replacement whose target has no heir, reads without a holder in reach are refused for ten minutes, as the replaced target counts as missing; before it was counted out with its entry, although a holder behind a cut may have ordered it.

Cause: one number answered two questions, where the log of a copy is and which target may lead unseen.

A target that is leaving is not ordered by a host that knows so. One that does not know serves for 20 s without the store at most, and its order may take effect for 20 s. The test checks 2, 39 and 41 s, for a target that was leaving and for one that was not; it fails before at 41 s.

--- a/src/copies.c
+++ b/src/copies.c
@@ -152,6 +152,20 @@
 	return missing;
 }
 
+size_t kb_copies_may_lead(const kb_copies_t *copies, kb_time_t now)
+{
+	kb_time_t past = now - KB_COPIES_UNSEEN_LEADER_S * KB_NS_PER_S;
+	size_t count = 0;
+
+	for (size_t i = 0; i < copies->count; i++) {
+		const kb_copy_t *copy = &copies->copies[i];
+
+		count += copy->missing_since &&
+			 (!copy->leaving || copy->missing_since > past);
+	}
+	return count;
+}
+
 int kb_copies_have_departed(const kb_copies_t *copies)
 {
 	for (size_t i = 0; i < copies->count; i++)
--- a/src/copies.h
+++ b/src/copies.h
@@ -9,6 +9,12 @@
 enum {
 	/* A target without an entry for this time no longer counts. */
 	KB_COPIES_MISSING_MAX_S = 600,
+	/*
+	 * Time for which a target may be promoted after its entry went while it
+	 * was leaving: a holder serves for 20 s without the store, and an order
+	 * without an answer may take effect for 20 s.
+	 */
+	KB_COPIES_UNSEEN_LEADER_S = 40,
 };
 
 /* A target that may hold acknowledged commits of its group. */
@@ -69,6 +75,13 @@
 /* Number of copies without an entry. */
 size_t kb_copies_missing(const kb_copies_t *copies);
 
+/*
+ * Number of copies without an entry that may have been promoted meanwhile. One
+ * that is leaving is not ordered by a host that knows; one that does not know
+ * can't order it later than KB_COPIES_UNSEEN_LEADER_S ago.
+ */
+size_t kb_copies_may_lead(const kb_copies_t *copies, kb_time_t now);
+
 /* Whether a copy that was leaving has no entry any more. */
 int kb_copies_have_departed(const kb_copies_t *copies);
 
--- a/src/proxy_vacancy.c
+++ b/src/proxy_vacancy.c
@@ -151,9 +151,10 @@
 {
 	const kb_promotion_order_t *order = &group->lease.order;
 
-	kb_proxy_vacancy_sync_targets(group,
-				      kb_clock_monotonic(group->proxy->clock));
-	if (kb_copies_missing(&group->vacancy.targets))
+	kb_time_t now = kb_clock_monotonic(group->proxy->clock);
+
+	kb_proxy_vacancy_sync_targets(group, now);
+	if (kb_copies_may_lead(&group->vacancy.targets, now))
 		return 1;
 	return order->target.len && order->term >= term &&
 	       !kb_target_list_find(&group->proxy->targets,
--- a/tests/test_proxy_vacancy.cc
+++ b/tests/test_proxy_vacancy.cc
@@ -281,6 +281,26 @@
 	EXPECT_TRUE(ask().valid);
 }
 
+/* A holder that does not know that it is leaving can't order it for long. */
+TEST_F(ProxyVacancy, ATargetThatHasLeftMayLeadForSomeTime)
+{
+	for (bool leaving : { false, true }) {
+		kb_proxy_probes_finish(group.get());
+		group->vacancy = {};
+		add("r", leaving);
+		remove_entry("r");
+		kb_time_t removed_at = time.now;
+		for (kb_time_t waited : { 2, 39, 41 }) {
+			time.now = removed_at + waited * KB_NS_PER_S;
+			ask();
+			report("p", true, 4, 70);
+			report("q", false, 4, 70);
+			EXPECT_EQ(leaving && waited == 41, ask().valid)
+				<< waited;
+		}
+	}
+}
+
 /* The voters on this side have been told of an order to an unknown target. */
 TEST_F(ProxyVacancy, AnOpenOrderToATargetWithoutAnEntryRulesItOut)
 {
