Bound no reads while a standby of the record has no entry

What callers could see: a host that has started since the store was down knows no target whose entry expired meanwhile. Without a holder it bounds reads by the primary that it knows, though the record's holder may have ordered that target.

Now a standby that the record names and that has no entry rules the bound out, like a target whose entry this host has seen expire. The new test fails before.

--- a/src/proxy_vacancy.c
+++ b/src/proxy_vacancy.c
@@ -146,6 +146,21 @@
 		       kb_name_str(&group->name), now);
 }
 
+/*
+ * Whether a target that the record's holder could order has no entry. A host
+ * that has started since may never have seen it.
+ */
+static int is_standby_missing(const kb_proxy_group_t *group)
+{
+	const kb_target_names_t *standbys = &group->lease.record.standbys;
+
+	for (size_t i = 0; i < standbys->count; i++)
+		if (!kb_target_list_find(&group->proxy->targets,
+					 kb_name_str(&standbys->names[i])))
+			return 1;
+	return 0;
+}
+
 /* Whether a target that this host can't ask may have been promoted. */
 static int may_unknown_target_lead(kb_proxy_group_t *group, uint64_t term)
 {
@@ -154,7 +169,8 @@
 	kb_time_t now = kb_clock_monotonic(group->proxy->clock);
 
 	kb_proxy_vacancy_sync_targets(group, now);
-	if (kb_copies_may_lead(&group->vacancy.targets, now))
+	if (kb_copies_may_lead(&group->vacancy.targets, now) ||
+	    is_standby_missing(group))
 		return 1;
 	return order->target.len && order->term >= term &&
 	       !kb_target_list_find(&group->proxy->targets,
--- a/tests/test_proxy_vacancy.cc
+++ b/tests/test_proxy_vacancy.cc
@@ -281,6 +281,29 @@
 	EXPECT_TRUE(ask().valid);
 }
 
+/*
+ * The ordered target's entry expired with the store down; this host started
+ * later and has never seen it.
+ */
+TEST_F(ProxyVacancy, AStandbyThatThisHostHasNeverSeenMayLead)
+{
+	kb_name_t standby;
+
+	kb_name_set(&standby, KB_STR("x"));
+	kb_target_names_add(&group->lease.record.standbys, &standby);
+	time.now += 2000 * MS;
+	ask();
+	report_all(70);
+	EXPECT_FALSE(ask().valid);
+	add("x");
+	time.now += 300 * MS;
+	ask();
+	report_all(71);
+	EXPECT_FALSE(ask().valid);
+	report("x", false, 4, 60);
+	EXPECT_TRUE(ask().valid);
+}
+
 /* A holder that does not know that it is leaving can't order it for long. */
 TEST_F(ProxyVacancy, ATargetThatHasLeftMayLeadForSomeTime)
 {
