--- a/soak/soak.py
+++ b/soak/soak.py
@@ -23,6 +23,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from callers import CALLERS, Caller, Records  # noqa: E402
 from keys import BOUND_S, TEAMS, Keys  # noqa: E402
+from lost_order import kill_as_ordered  # noqa: E402
 from ports import free_port  # noqa: E402
 from standin import Platform  # noqa: E402
 
@@ -31,7 +32,8 @@
 FAULTS = ["kill-host", "stop-host", "freeze-host", "kill-primary",
           "freeze-primary", "store-down", "store-restored", "kill-all",
           "config", "release-primary", "stop-promoter", "remove-key",
-          "move-key", "turn-away", "kill-promoter", "late-order"]
+          "move-key", "turn-away", "kill-promoter", "late-order",
+          "kill-as-ordered"]
 SETTINGS = """[host]
 name = {name}
 data_centre = z1
@@ -236,6 +238,8 @@
             await self.end_promoter(group, primary, signal.SIGKILL)
         elif name == "late-order":
             await self.delay_order(group, primary)
+        elif name == "kill-as-ordered":
+            await kill_as_ordered(self, group, primary)
         elif name == "kill-all":
             for each in self.hosts:
                 each.signal(signal.SIGKILL)
