Keep departures of four targets at a time

What a host would feel: the state of a group had grown from 22,520 to 42,992 bytes, 262 MB for 6,100 groups on every host, where control may take 256 MB. Cause: address, start and heir for each of 16 copies, in five places. They are needed of leaving targets only, of which few leave at a time: 32,352 bytes. A fifth has no heir; it counts until a replica has caught up, or for ten minutes.

--- a/src/copies.c
+++ b/src/copies.c
@@ -7,8 +7,7 @@
 static kb_copy_t *find(kb_copies_t *copies, const kb_name_t *target)
 {
 	for (size_t i = 0; i < copies->count; i++)
-		if (kb_name_is(&copies->copies[i].last.target,
-			       kb_name_str(target)))
+		if (kb_name_is(&copies->copies[i].target, kb_name_str(target)))
 			return &copies->copies[i];
 	return NULL;
 }
@@ -21,7 +20,7 @@
 		return copy;
 	copy = &copies->copies[copies->count++];
 	memset(copy, 0, sizeof(*copy));
-	copy->last.target = *target;
+	copy->target = *target;
 	return copy;
 }
 
@@ -36,30 +35,42 @@
 		if (copy)
 			copy->missing_since = now;
 		else
-			copies->truncated = 1;
+			copies->departures.truncated = 1;
 	}
 }
 
 void kb_copies_add_departures(kb_copies_t *copies,
 			      const kb_departures_t *departures)
 {
-	copies->truncated |= departures->truncated;
+	int truncated = copies->departures.truncated || departures->truncated;
+
+	copies->departures = *departures;
+	copies->departures.truncated = truncated;
 	for (size_t i = 0; i < departures->count; i++) {
-		const kb_departure_t *departure = &departures->departures[i];
-		kb_copy_t *copy = find(copies, &departure->target);
+		kb_copy_t *copy =
+			find(copies, &departures->departures[i].target);
 
-		if (!copy)
-			continue;
-		copy->last = *departure;
-		copy->leaving = 1;
+		if (copy)
+			copy->leaving = 1;
 	}
 }
 
-static kb_copy_log_t locate_log(const kb_copy_t *copy, kb_time_t now)
+/* Returns the heir of a copy, or an empty name. */
+static const kb_name_t *heir_of(kb_copies_t *copies, const kb_copy_t *copy)
+{
+	static const kb_name_t none;
+	const kb_departure_t *departure =
+		kb_departures_find(&copies->departures, &copy->target);
+
+	return departure ? &departure->heir : &none;
+}
+
+static kb_copy_log_t locate_log(kb_copies_t *copies, const kb_copy_t *copy,
+				kb_time_t now)
 {
 	if (!copy->missing_since)
 		return KB_COPY_LOG_KEPT;
-	if (copy->last.heir.len)
+	if (heir_of(copies, copy)->len)
 		return KB_COPY_LOG_TRANSFERRED;
 	if (copy->is_superseded)
 		return KB_COPY_LOG_SUPERSEDED;
@@ -68,53 +79,77 @@
 	return KB_COPY_LOG_KEPT;
 }
 
-/* Whether a copy that was just added is the heir of one that was leaving. */
-static int is_heir(const kb_copy_t *heir, const kb_copy_t *copy)
+/* Whether a target that was just added is the heir of one that was leaving. */
+static int is_heir(const kb_target_entry_t *entry,
+		   const kb_departure_t *departure)
 {
-	return heir != copy && heir->is_new && copy->leaving &&
-	       copy->last.started_at_ms &&
-	       kb_endpoint_equal(&heir->last.endpoint, &copy->last.endpoint) &&
-	       heir->last.started_at_ms > copy->last.started_at_ms;
+	return kb_endpoint_equal(&entry->place.endpoint,
+				 &departure->endpoint) &&
+	       departure->started_at_ms &&
+	       entry->started_at_ms > departure->started_at_ms;
 }
 
-static void name_heirs(kb_copies_t *copies)
+static void name_heirs(kb_copies_t *copies, const kb_target_list_t *targets)
 {
-	for (size_t i = 0; i < copies->count; i++)
-		for (size_t j = 0; j < copies->count; j++)
-			if (is_heir(&copies->copies[j], &copies->copies[i]))
-				copies->copies[i].last.heir =
-					copies->copies[j].last.target;
-	for (size_t i = 0; i < copies->count; i++)
-		copies->copies[i].is_new = 0;
+	for (size_t i = 0; i < copies->count; i++) {
+		kb_copy_t *copy = &copies->copies[i];
+		const kb_target_entry_t *entry = kb_target_list_find(
+			targets, kb_name_str(&copy->target));
+
+		for (size_t j = 0; copy->is_new && j < copies->departures.count;
+		     j++) {
+			kb_departure_t *departure =
+				&copies->departures.departures[j];
+
+			if (is_heir(entry, departure))
+				departure->heir = copy->target;
+		}
+		copy->is_new = 0;
+	}
+}
+
+/* Keeps the departure of a target that is leaving. */
+static void take_departure(kb_departures_t *departures,
+			   const kb_target_entry_t *entry)
+{
+	const kb_name_t *target = &entry->place.target;
+	kb_departure_t *departure;
+
+	if (!entry->leaving) {
+		kb_departures_remove(departures, target);
+		return;
+	}
+	departure = kb_departures_add(departures, target);
+	if (!departure)
+		return;
+	departure->endpoint = entry->place.endpoint;
+	departure->started_at_ms = entry->started_at_ms;
 }
 
-/* Takes the entry of a target, which it may have changed. */
 static void take_entry(kb_copies_t *copies, const kb_target_entry_t *entry)
 {
 	int is_new = !find(copies, &entry->place.target);
 	kb_copy_t *copy = add(copies, &entry->place.target);
 
 	if (!copy) {
-		copies->truncated = 1;
+		copies->departures.truncated = 1;
 		return;
 	}
 	copy->is_new = is_new;
 	copy->leaving = entry->leaving;
 	copy->missing_since = 0;
 	copy->is_superseded = 0;
-	copy->last.endpoint = entry->place.endpoint;
-	copy->last.started_at_ms = entry->started_at_ms;
-	if (!entry->leaving)
-		copy->last.heir.len = 0;
+	take_departure(&copies->departures, entry);
 }
 
-static void log_gone(const kb_copy_t *copy, kb_str_t group, kb_time_t now)
+static void log_gone(kb_copies_t *copies, const kb_copy_t *copy, kb_str_t group,
+		     kb_time_t now)
 {
 	kb_log(KB_EVENT_COPY_GONE,
 	       "group=%.*s target=%s heir=%s superseded=%d"
 	       " missing_ms=%" PRId64,
-	       (int)group.len, group.data, copy->last.target.data,
-	       copy->last.heir.data, copy->is_superseded,
+	       (int)group.len, group.data, copy->target.data,
+	       heir_of(copies, copy)->data, copy->is_superseded,
 	       (now - copy->missing_since) / KB_NS_PER_MS);
 }
 
@@ -127,18 +162,19 @@
 		     kb_target_list_first(targets, group);
 	     entry; entry = kb_target_list_next(entry))
 		take_entry(copies, entry);
-	name_heirs(copies);
+	name_heirs(copies, targets);
 	for (size_t i = 0; i < copies->count; i++) {
 		kb_copy_t *copy = &copies->copies[i];
 
 		if (!copy->missing_since &&
-		    !kb_target_list_find(targets,
-					 kb_name_str(&copy->last.target)))
+		    !kb_target_list_find(targets, kb_name_str(&copy->target)))
 			copy->missing_since = now;
-		if (locate_log(copy, now) == KB_COPY_LOG_KEPT)
+		if (locate_log(copies, copy, now) == KB_COPY_LOG_KEPT) {
 			copies->copies[kept++] = *copy;
-		else
-			log_gone(copy, group, now);
+			continue;
+		}
+		log_gone(copies, copy, group, now);
+		kb_departures_remove(&copies->departures, &copy->target);
 	}
 	copies->count = kept;
 }
@@ -190,16 +226,5 @@
 {
 	names->count = 0;
 	for (size_t i = 0; i < copies->count; i++)
-		kb_target_names_add(names, &copies->copies[i].last.target);
-}
-
-void kb_copies_departures(const kb_copies_t *copies,
-			  kb_departures_t *departures)
-{
-	departures->count = 0;
-	departures->truncated = copies->truncated;
-	for (size_t i = 0; i < copies->count; i++)
-		if (copies->copies[i].leaving)
-			departures->departures[departures->count++] =
-				copies->copies[i].last;
+		kb_target_names_add(names, &copies->copies[i].target);
 }
--- a/src/copies.h
+++ b/src/copies.h
@@ -19,8 +19,7 @@
 
 /* A target that may hold acknowledged commits of its group. */
 typedef struct kb_copy {
-	/* Its last entry, and its heir if it was leaving. */
-	kb_departure_t last;
+	kb_name_t target;
 	/* It was leaving when its entry was last seen. */
 	int leaving;
 	/* It was added when the entries were last compared. */
@@ -56,8 +55,8 @@
 typedef struct kb_copies {
 	size_t count;
 	kb_copy_t copies[KB_TARGET_NAMES_MAX];
-	/* There were more; it is not known what the others have. */
-	int truncated;
+	/* Those that were leaving, with their heirs. */
+	kb_departures_t departures;
 } kb_copies_t;
 
 /* Adds the targets that are not contained, as missing. */
@@ -91,10 +90,8 @@
  */
 void kb_copies_supersede(kb_copies_t *copies, kb_time_t since);
 
-/* Fill in the names of all copies, and those that were leaving. */
+/* Fills in the names of all copies. */
 void kb_copies_names(const kb_copies_t *copies, kb_target_names_t *names);
-void kb_copies_departures(const kb_copies_t *copies,
-			  kb_departures_t *departures);
 
 KB_END_DECLS
 
--- a/src/departures.c
+++ b/src/departures.c
@@ -1,5 +1,40 @@
 #include "departures.h"
 
+kb_departure_t *kb_departures_find(kb_departures_t *departures,
+				   const kb_name_t *target)
+{
+	for (size_t i = 0; i < departures->count; i++)
+		if (kb_name_is(&departures->departures[i].target,
+			       kb_name_str(target)))
+			return &departures->departures[i];
+	return NULL;
+}
+
+kb_departure_t *kb_departures_add(kb_departures_t *departures,
+				  const kb_name_t *target)
+{
+	kb_departure_t *departure = kb_departures_find(departures, target);
+
+	if (departure || departures->count == KB_DEPARTURES_MAX)
+		return departure;
+	departure = &departures->departures[departures->count++];
+	*departure = (kb_departure_t){ .target = *target };
+	return departure;
+}
+
+void kb_departures_remove(kb_departures_t *departures, const kb_name_t *target)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < departures->count; i++) {
+		const kb_departure_t *departure = &departures->departures[i];
+
+		if (!kb_name_is(&departure->target, kb_name_str(target)))
+			departures->departures[kept++] = *departure;
+	}
+	departures->count = kept;
+}
+
 int kb_endpoint_equal(const kb_endpoint_t *a, const kb_endpoint_t *b)
 {
 	return a->port == b->port &&
--- a/src/lease_record.c
+++ b/src/lease_record.c
@@ -190,7 +190,7 @@
 	size_t i;
 
 	if (array && (!json_is_array(array) ||
-		      json_array_size(array) > KB_TARGET_NAMES_MAX))
+		      json_array_size(array) > KB_DEPARTURES_MAX))
 		return KB_ERR_PROTOCOL;
 	json_array_foreach(array, i, json)
 	{
--- a/src/monitor.c
+++ b/src/monitor.c
@@ -67,7 +67,7 @@
 	monitor->newest = (kb_point_t){ 0 };
 	monitor->probe_count = 0;
 	monitor->copies.count = 0;
-	monitor->copies.truncated = 0;
+	monitor->copies.departures = (kb_departures_t){ 0 };
 	monitor->blocked = 0;
 	monitor->promotee.len = 0;
 	monitor->former_primary.len = 0;
--- a/src/monitor_copies.c
+++ b/src/monitor_copies.c
@@ -27,7 +27,7 @@
 
 	list[0] = 0;
 	for (size_t i = 0; i < monitor->copies.count; i++) {
-		const kb_name_t *name = &monitor->copies.copies[i].last.target;
+		const kb_name_t *name = &monitor->copies.copies[i].target;
 		const kb_monitor_probe_t *probe =
 			kb_monitor_find_probe(monitor, kb_name_str(name));
 
@@ -92,7 +92,7 @@
 	char list[LIST_MAX_BYTES];
 
 	unanswered += kb_copies_missing(&monitor->copies);
-	if ((unanswered <= 1 && !monitor->copies.truncated) ||
+	if ((unanswered <= 1 && !monitor->copies.departures.truncated) ||
 	    (monitor->newest.term &&
 	     kb_point_compare(best->report.received, monitor->newest) >= 0)) {
 		monitor->blocked = 0;
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -208,7 +208,7 @@
 		return;
 	if (monitor->durable) {
 		kb_copies_names(&monitor->copies, &copies);
-		kb_copies_departures(&monitor->copies, &departures);
+		departures = monitor->copies.departures;
 	}
 	kb_lease_set_copies(&group->lease, &copies, &departures);
 	if (!kb_monitor_expects_orders(monitor))
--- a/tests/test_monitor_copies.cc
+++ b/tests/test_monitor_copies.cc
@@ -33,11 +33,10 @@
 	void change_holder_with_record()
 	{
 		kb_target_names_t names;
-		kb_departures_t departures;
+		kb_departures_t departures = monitor.copies.departures;
 		std::vector<const char *> copies;
 
 		kb_copies_names(&monitor.copies, &names);
-		kb_copies_departures(&monitor.copies, &departures);
 		for (size_t i = 0; i < names.count; i++)
 			copies.push_back(names.names[i].data);
 		change_holder(copies, departures);
