Withdraw that a replica which has caught up ends a departed copy

Found by reading, and shown by the new test, which fails with it: an entry also expires by silence. The draining copy may be alive, go on receiving, and be the only one with later commits; they are lost if the primary crashes then.

--- a/src/copies.c
+++ b/src/copies.c
@@ -72,8 +72,6 @@
 		return KB_COPY_LOG_KEPT;
 	if (heir_of(copies, copy)->len)
 		return KB_COPY_LOG_TRANSFERRED;
-	if (copy->is_superseded)
-		return KB_COPY_LOG_SUPERSEDED;
 	if (now - copy->missing_since >= KB_COPIES_MISSING_MAX_S * KB_NS_PER_S)
 		return KB_COPY_LOG_LOST;
 	return KB_COPY_LOG_KEPT;
@@ -138,7 +136,6 @@
 	copy->is_new = is_new;
 	copy->leaving = entry->leaving;
 	copy->missing_since = 0;
-	copy->is_superseded = 0;
 	take_departure(&copies->departures, entry);
 }
 
@@ -146,10 +143,9 @@
 		     kb_time_t now)
 {
 	kb_log(KB_EVENT_COPY_GONE,
-	       "group=%.*s target=%s heir=%s superseded=%d"
-	       " missing_ms=%" PRId64,
+	       "group=%.*s target=%s heir=%s missing_ms=%" PRId64,
 	       (int)group.len, group.data, copy->target.data,
-	       heir_of(copies, copy)->data, copy->is_superseded,
+	       heir_of(copies, copy)->data,
 	       (now - copy->missing_since) / KB_NS_PER_MS);
 }
 
@@ -202,26 +198,6 @@
 	return count;
 }
 
-int kb_copies_have_departed(const kb_copies_t *copies)
-{
-	for (size_t i = 0; i < copies->count; i++)
-		if (copies->copies[i].leaving &&
-		    copies->copies[i].missing_since)
-			return 1;
-	return 0;
-}
-
-void kb_copies_supersede(kb_copies_t *copies, kb_time_t since)
-{
-	for (size_t i = 0; i < copies->count; i++) {
-		kb_copy_t *copy = &copies->copies[i];
-
-		if (copy->leaving && copy->missing_since &&
-		    copy->missing_since <= since)
-			copy->is_superseded = 1;
-	}
-}
-
 void kb_copies_names(const kb_copies_t *copies, kb_target_names_t *names)
 {
 	names->count = 0;
--- a/src/copies.h
+++ b/src/copies.h
@@ -26,11 +26,6 @@
 	int is_new;
 	/* Time since which it has no entry; 0 if it has one. */
 	kb_time_t missing_since;
-	/*
-	 * Another copy has its acknowledged commits: it had reached the end of
-	 * the primary's log of a later time.
-	 */
-	int is_superseded;
 } kb_copy_t;
 
 /* Where the log of a copy is. */
@@ -39,8 +34,6 @@
 	KB_COPY_LOG_KEPT,
 	/* In its heir, which counts in its place. */
 	KB_COPY_LOG_TRANSFERRED,
-	/* What of it was acknowledged is in another copy, too. */
-	KB_COPY_LOG_SUPERSEDED,
 	/* Nowhere: it has had no entry for KB_COPIES_MISSING_MAX_S. */
 	KB_COPY_LOG_LOST,
 } kb_copy_log_t;
@@ -50,7 +43,7 @@
  * tells nothing about the target's log, as it also expires by silence: the
  * target counts until another one that may have its log counts. That is the one
  * that registers at the address of a target that was leaving, and has started
- * after it, or any that has caught up with the primary since.
+ * after it.
  */
 typedef struct kb_copies {
 	size_t count;
@@ -81,15 +74,6 @@
  */
 size_t kb_copies_may_lead(const kb_copies_t *copies, kb_time_t now);
 
-/* Whether a copy that was leaving has no entry any more. */
-int kb_copies_have_departed(const kb_copies_t *copies);
-
-/*
- * A copy other than the primary has all that was acknowledged up to `since`:
- * those that were leaving and whose entry had gone by then need not count.
- */
-void kb_copies_supersede(kb_copies_t *copies, kb_time_t since);
-
 /* Fills in the names of all copies. */
 void kb_copies_names(const kb_copies_t *copies, kb_target_names_t *names);
 
--- a/src/monitor.c
+++ b/src/monitor.c
@@ -303,7 +303,6 @@
 		break;
 	}
 	kb_monitor_tick_step_down(monitor, targets, now);
-	kb_monitor_tick_departed(monitor, targets, now);
 	kb_monitor_tick_watch(monitor, targets, now);
 }
 
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -163,12 +163,6 @@
 	kb_time_t term_missing_logged_at;
 	/* Newest known end of the primary's log. */
 	kb_point_t newest;
-	/*
-	 * End of the primary's log, and when it was noted, that a replica has
-	 * to reach so that copies which have left need not count; 0 for none.
-	 */
-	kb_point_t catch_up_point;
-	kb_time_t catch_up_since;
 	size_t probe_count;
 	kb_monitor_probe_t probes[KB_MONITOR_TARGETS_MAX];
 	/*
--- a/src/monitor_internal.h
+++ b/src/monitor_internal.h
@@ -137,12 +137,6 @@
 int kb_monitor_is_complete(kb_monitor_t *monitor,
 			   const kb_monitor_probe_t *best, size_t unanswered,
 			   kb_time_t now);
-/*
- * While serving a durable group: lets copies that were leaving and have no
- * entry any more count no longer, once a replica has what they may have.
- */
-void kb_monitor_tick_departed(kb_monitor_t *monitor,
-			      const kb_target_list_t *targets, kb_time_t now);
 /* Begins to promote `target`, without a poll of the replicas. */
 void kb_monitor_promote_target(kb_monitor_t *monitor, const kb_name_t *target,
 			       kb_time_t now);
--- a/tests/test_monitor_copies.cc
+++ b/tests/test_monitor_copies.cc
@@ -340,52 +340,31 @@
 }
 
 /*
- * The platform may start the replacement of a draining target first, at another
- * address. A later holder need not wait for what a replica has, too.
+ * A draining copy whose entry has expired still receives, and may be the only
+ * one that has the latest commits, though another one had caught up meanwhile.
  */
-TEST(MonitorCopies, ADepartedCopyCountsUntilAReplicaHasCaughtUp)
+TEST(MonitorCopies, ADrainingCopyWithoutAnEntryMayHaveLaterCommits)
 {
-	for (uint64_t position : { 100u, 119u, 120u }) {
+	for (bool later_holder : { false, true }) {
 		DurableGroup group;
-		bool caught_up = position == 120;
 
 		group.until([&] { return group.serves("a"); });
-		group.state["a"].position = 120;
 		kb_monitor_on_answer(&group.monitor, { 1, 120 });
-		group.state["b"].position = 120;
-		group.state["c"].position = 110;
-		group.add("d", false, "", 5);
-		group.state["d"].position = 110;
-		group.add("b", true, "", 3);
-		group.run(100 * MS);
-		group.lose("b");
-		group.run(KB_NS_PER_S);
-		EXPECT_EQ(4u, group.monitor.copies.count);
-		group.state["c"].position = position;
-		group.run(KB_NS_PER_S);
-		EXPECT_EQ(caught_up ? 3u : 4u, group.monitor.copies.count);
-		group.state["a"].alive = false;
-		group.change_holder_with_record();
-		group.run(5 * KB_NS_PER_S);
-		EXPECT_EQ(caught_up, group.serves("c")) << position;
-	}
-}
-
-/* What is acknowledged after the entry went can't be in that copy only. */
-TEST(MonitorCopies, AReplicaThatIsLeavingOrOfAnotherTermSupersedesNothing)
-{
-	for (bool leaving : { false, true }) {
-		DurableGroup group;
-
-		group.until([&] { return group.serves("a"); });
 		group.add("b", true, "", 3);
-		group.add("c", leaving);
-		if (!leaving)
-			group.state["c"].term = 0;
 		group.run(100 * MS);
-		group.lose("b");
+		group.expire("b");
+		for (const char *name : { "a", "c" })
+			group.state[name].position = 120;
 		group.run(3 * KB_NS_PER_S);
-		EXPECT_TRUE(group.serves("a"));
-		EXPECT_EQ(3u, group.monitor.copies.count) << leaving;
+		kb_monitor_on_answer(&group.monitor, { 1, 130 });
+		group.state["b"].position = 130;
+		if (later_holder) {
+			group.state["a"].alive = false;
+			group.change_holder_with_record();
+		} else {
+			group.kill("a", true);
+		}
+		group.run(4 * KB_NS_PER_S);
+		EXPECT_TRUE(group.promotions.empty()) << later_holder;
 	}
 }
