Watch no target whose entry does not come back

So a target without an entry for 5 s, while the entries that this host knows are recent, is not watched any more, and no standby.

Which standbys the record names is decided in one place now, kb_monitor_standbys(); the test that a holder which may lack orders keeps those of the record has moved from LeaseKnowledge to MonitorExpectation.

--- a/src/lease_order.c
+++ b/src/lease_order.c
@@ -77,17 +77,8 @@
 
 void kb_lease_set_standbys(kb_lease_t *lease, const kb_target_names_t *standbys)
 {
-	kb_target_names_t next = *standbys;
-
-	if (lease->role != KB_LEASE_SERVING)
-		return;
-	if (!lease->knowledge.known) {
-		/* An order of a former holder may be open to one of them. */
-		next = lease->standbys;
-		for (size_t i = 0; i < standbys->count; i++)
-			kb_target_names_add(&next, &standbys->names[i]);
-	}
-	lease->standbys = next;
+	if (lease->role == KB_LEASE_SERVING)
+		lease->standbys = *standbys;
 }
 
 void kb_lease_take_targets(kb_lease_t *lease, const kb_lease_record_t *record)
--- a/src/lease_order.h
+++ b/src/lease_order.h
@@ -23,10 +23,7 @@
 void kb_lease_set_copies(kb_lease_t *lease, const kb_target_names_t *copies,
 			 const kb_departures_t *departures);
 
-/*
- * Sets the targets that the holder's record is to name as standbys. While this
- * host may not know of each order, those that the record has are kept.
- */
+/* Sets the targets that the holder's record is to name as standbys. */
 void kb_lease_set_standbys(kb_lease_t *lease,
 			   const kb_target_names_t *standbys);
 
--- a/src/monitor.h
+++ b/src/monitor.h
@@ -41,6 +41,14 @@
 	 * earlier term is promoted.
 	 */
 	KB_MONITOR_TERM_MISSING_MAX_S = KB_COPIES_MISSING_MAX_S,
+	/*
+	 * A target without an entry for this time, while the store is reached,
+	 * is gone. Targets that are alive register within two seconds of the
+	 * store's return.
+	 */
+	KB_MONITOR_ENTRY_MISSING_MAX_MS = 5000,
+	/* Older entries are out of date. */
+	KB_MONITOR_ENTRIES_MAX_AGE_MS = 3000,
 	/* A replaced primary is sent step-down commands for this time. */
 	KB_MONITOR_STEP_DOWN_S = 20,
 };
@@ -197,6 +205,13 @@
 	 */
 	kb_target_names_t possible;
 	kb_time_t possible_until;
+	/*
+	 * Last time at which each of them had an entry, or at which the entries
+	 * were out of date.
+	 */
+	kb_time_t possible_seen_at[KB_TARGET_NAMES_MAX];
+	/* Time at which the store had the entries that this host knows. */
+	kb_time_t entries_as_of;
 	/* The last order was given by another host, which may have sent it. */
 	int inherited;
 	/* Last logged state of the watch over open orders. */
@@ -269,6 +284,21 @@
 /* This holder knows of each order now. */
 void kb_monitor_end_expectation(kb_monitor_t *monitor);
 
+/*
+ * Takes the time at which the store had the entries that are passed to
+ * kb_monitor_tick().
+ */
+void kb_monitor_set_entries_time(kb_monitor_t *monitor, kb_time_t as_of);
+
+/*
+ * Fills in the targets that this holder, or a former one as far as it does not
+ * know, may order: those that have an entry and are not leaving, and while
+ * orders are expected, those that are watched.
+ */
+void kb_monitor_standbys(const kb_monitor_t *monitor,
+			 const kb_target_list_t *targets,
+			 kb_target_names_t *standbys);
+
 /* Whether an order that this holder does not know may take effect. */
 int kb_monitor_expects_orders(const kb_monitor_t *monitor);
 
--- a/src/monitor_internal.h
+++ b/src/monitor_internal.h
@@ -46,8 +46,8 @@
 void kb_monitor_tick_watch(kb_monitor_t *monitor,
 			   const kb_target_list_t *targets, kb_time_t now);
 /*
- * While orders are expected: adds the targets that have an entry, and ends it
- * when none can take effect any more.
+ * While orders are expected: adds the targets that have an entry, removes those
+ * that are gone, and ends it when no order can take effect any more.
  */
 void kb_monitor_tick_expectation(kb_monitor_t *monitor,
 				 const kb_target_list_t *targets,
--- a/src/proxy_group.c
+++ b/src/proxy_group.c
@@ -169,27 +169,12 @@
 	       !kb_voter_set_contains(&lease->record.voters, &lease->self);
 }
 
-/*
- * Lets the record name the targets that may be ordered without the store. One
- * that is leaving is not ordered.
- */
-static void name_standbys(kb_proxy_group_t *group)
-{
-	kb_target_names_t standbys = { 0 };
-
-	for (const kb_target_entry_t *entry = kb_target_list_first(
-		     &group->proxy->targets, kb_name_str(&group->name));
-	     entry; entry = kb_target_list_next(entry))
-		if (!entry->leaving)
-			kb_target_names_add(&standbys, &entry->place.target);
-	kb_lease_set_standbys(&group->lease, &standbys);
-}
-
 static void tick_monitor(kb_proxy_group_t *group, int serves, kb_time_t now)
 {
 	kb_monitor_t *monitor = &group->monitor;
 	kb_target_names_t copies = { 0 };
 	kb_departures_t departures = { 0 };
+	kb_target_names_t standbys;
 
 	if (kb_monitor_set_active(monitor, serves ? group->lease.token : 0,
 				  now)) {
@@ -203,6 +188,7 @@
 		kb_monitor_end_expectation(monitor);
 	kb_monitor_set_order(monitor, &group->lease.order, now);
 	kb_monitor_require_term(monitor, group->primary_term);
+	kb_monitor_set_entries_time(monitor, group->proxy->mirror.as_of);
 	kb_monitor_tick(monitor, &group->proxy->targets, now);
 	if (!serves)
 		return;
@@ -213,7 +199,8 @@
 	kb_lease_set_copies(&group->lease, &copies, &departures);
 	if (!kb_monitor_expects_orders(monitor))
 		kb_order_knowledge_set_known(&group->lease.knowledge);
-	name_standbys(group);
+	kb_monitor_standbys(monitor, &group->proxy->targets, &standbys);
+	kb_lease_set_standbys(&group->lease, &standbys);
 	if (monitor->blocked)
 		kb_link_pool_refuse_waiting(
 			&group->pool, KB_ERR_NO_PRIMARY,
--- a/tests/test_lease_knowledge.cc
+++ b/tests/test_lease_knowledge.cc
@@ -167,25 +167,6 @@
 	}
 }
 
-/* The entry of an ordered target may have expired while the store was down. */
-TEST(LeaseKnowledge, AHolderThatMayLackOrdersKeepsTheStandbysOfTheRecord)
-{
-	LossSimulation simulation(5, 1);
-
-	simulation.run_loss({ 450 * MS, 50 * MS, false, 0 });
-	ASSERT_FALSE(simulation.known);
-	simulation.targets = { "u" };
-	simulation.run_checked(KB_NS_PER_S);
-	EXPECT_EQ("", simulation.violation);
-	EXPECT_EQ(2u, simulation.record.standbys.count);
-	size_t holder = simulation.serving_host();
-	kb_order_knowledge_set_known(
-		&simulation.hosts[holder]->lease.knowledge);
-	simulation.announced = 0;
-	simulation.run_checked(KB_NS_PER_S);
-	EXPECT_EQ(1u, simulation.record.standbys.count);
-}
-
 TEST(OrderKnowledge, AQuorumOfTheFormerVotersIsNeeded)
 {
 	struct {
--- a/tests/test_monitor_expectation.cc
+++ b/tests/test_monitor_expectation.cc
@@ -135,6 +135,67 @@
 		kb_monitor_is_unconfirmed(&simulation.monitor, simulation.now));
 }
 
+/* The entry of an ordered target may have expired while the store was down. */
+TEST(MonitorExpectation, AHolderThatMayLackOrdersKeepsTheStandbysOfTheRecord)
+{
+	ExpectationSimulation simulation;
+	kb_target_names_t standbys;
+
+	simulation.remove("b");
+	simulation.take_over({ "a", "b", "c" });
+	simulation.run(KB_NS_PER_S);
+	kb_monitor_standbys(&simulation.monitor, &simulation.targets,
+			    &standbys);
+	EXPECT_EQ(3u, standbys.count);
+	simulation.add("d");
+	simulation.add("e", true);
+	kb_monitor_end_expectation(&simulation.monitor);
+	kb_monitor_standbys(&simulation.monitor, &simulation.targets,
+			    &standbys);
+	EXPECT_EQ(3u, standbys.count);
+}
+
+/*
+ * A target that is alive registers within two seconds of the store's return,
+ * and one without an entry after that is gone.
+ */
+TEST(MonitorExpectation, ATargetWithoutAnEntryIsGoneOnceTheStoreIsReached)
+{
+	struct {
+		bool entry;
+		bool reached;
+		bool watched;
+	} cases[] = {
+		{ false, true, false },
+		{ false, false, true },
+		{ true, true, true },
+	};
+
+	for (const auto &c : cases) {
+		ExpectationSimulation simulation;
+
+		simulation.state["b"].alive = false;
+		simulation.state["b"].refuses = false;
+		if (!c.entry)
+			simulation.remove("b");
+		simulation.take_over({ "a", "b", "c" });
+		for (int i = 0; i < 60; i++) {
+			if (c.reached)
+				kb_monitor_set_entries_time(&simulation.monitor,
+							    simulation.now);
+			EXPECT_TRUE(
+				i < 10 || i > 45 ||
+				kb_monitor_is_unconfirmed(&simulation.monitor,
+							  simulation.now));
+			simulation.run(100 * MS);
+		}
+		EXPECT_EQ(c.watched,
+			  !!kb_monitor_is_unconfirmed(&simulation.monitor,
+						      simulation.now));
+		EXPECT_TRUE(kb_monitor_expects_orders(&simulation.monitor));
+	}
+}
+
 /* It was not ordered, and ends while the watch lasts. */
 TEST(MonitorExpectation, ATargetThatIsLeavingIsNotWatched)
 {
