Read the answer of a voter only if there is one

A call that failed has no answer; the address of its first member was taken before the result was checked, also in the round of fences. The sanitizer's build ends at that; without it the address is not used. Ruled out: two soaks beside each other on one port (the logs name the line). The check that found it is the test.

--- a/src/proxy_fence.c
+++ b/src/proxy_fence.c
@@ -38,13 +38,13 @@
 static void on_granted(void *ctx, kb_result_t result, void *res)
 {
 	fence_round_t *round = ctx;
-	const kbs_grant_res *reply = &((const kb_grant_res_t *)res)->base;
+	const kb_grant_res_t *reply = res;
 	kb_time_t now = kb_clock_monotonic(round->group->proxy->clock);
 
 	if (!result)
-		kb_proxy_learn_order(round->group, reply->order);
-	if (!result && reply->granted) {
-		kb_time_t at = now - reply->quiet_us * KB_NS_PER_US;
+		kb_proxy_learn_order(round->group, reply->base.order);
+	if (!result && reply->base.granted) {
+		kb_time_t at = now - reply->base.quiet_us * KB_NS_PER_US;
 
 		round->granted++;
 		if (at > round->other_granted_at)
--- a/src/proxy_lease.c
+++ b/src/proxy_lease.c
@@ -132,21 +132,20 @@
 static void on_granted(void *ctx, kb_result_t result, void *res)
 {
 	grant_call_t call = *(grant_call_t *)ctx;
-	const kb_grant_res_t *answer = res;
-	const kbs_grant_res *reply = &answer->base;
+	const kb_grant_res_t *reply = res;
 
 	free(ctx);
 	if (!result) {
-		kb_proxy_learn_order(call.group, reply->order);
+		kb_proxy_learn_order(call.group, reply->base.order);
 		kb_lease_on_voter_store_age(
 			&call.group->lease, &call.voter,
-			reply->store_age_us * KB_NS_PER_US,
+			reply->base.store_age_us * KB_NS_PER_US,
 			kb_clock_monotonic(call.group->proxy->clock));
 		kb_lease_on_grant(&call.group->lease, &call.voter, call.sent_at,
-				  reply->granted,
-				  reply->quiet_us * KB_NS_PER_US,
+				  reply->base.granted,
+				  reply->base.quiet_us * KB_NS_PER_US,
 				  kb_clock_monotonic(call.group->proxy->clock));
-		if (reply->granted && answer->informed)
+		if (reply->base.granted && reply->informed)
 			kb_lease_on_informed_voter(&call.group->lease,
 						   &call.voter);
 	}
