Look up the entries of new copies only, and compare endpoints in one place

The comparison of copies with entries runs in each tick of a served group: it looked up the entry of every copy to name heirs, though only a copy that was just added can be one, and searched for each target twice. target_probe.c and proxy.c compared addresses and ports by hand, as kb_endpoint_equal() does; that stands in endpoint.c now. No behaviour changes.

--- a/src/copies.c
+++ b/src/copies.c
@@ -87,22 +87,26 @@
 	       entry->started_at_ms > departure->started_at_ms;
 }
 
+static void name_heir(kb_copies_t *copies, const kb_target_entry_t *entry)
+{
+	for (size_t i = 0; i < copies->departures.count; i++) {
+		kb_departure_t *departure = &copies->departures.departures[i];
+
+		if (is_heir(entry, departure))
+			departure->heir = entry->place.target;
+	}
+}
+
 static void name_heirs(kb_copies_t *copies, const kb_target_list_t *targets)
 {
 	for (size_t i = 0; i < copies->count; i++) {
 		kb_copy_t *copy = &copies->copies[i];
-		const kb_target_entry_t *entry = kb_target_list_find(
-			targets, kb_name_str(&copy->target));
-
-		for (size_t j = 0; copy->is_new && j < copies->departures.count;
-		     j++) {
-			kb_departure_t *departure =
-				&copies->departures.departures[j];
 
-			if (is_heir(entry, departure))
-				departure->heir = copy->target;
-		}
+		if (!copy->is_new)
+			continue;
 		copy->is_new = 0;
+		name_heir(copies, kb_target_list_find(
+					  targets, kb_name_str(&copy->target)));
 	}
 }
 
@@ -126,9 +130,11 @@
 
 static void take_entry(kb_copies_t *copies, const kb_target_entry_t *entry)
 {
-	int is_new = !find(copies, &entry->place.target);
-	kb_copy_t *copy = add(copies, &entry->place.target);
+	kb_copy_t *copy = find(copies, &entry->place.target);
+	int is_new = !copy;
 
+	if (is_new)
+		copy = add(copies, &entry->place.target);
 	if (!copy) {
 		copies->departures.truncated = 1;
 		return;
--- a/src/departures.c
+++ b/src/departures.c
@@ -35,12 +35,6 @@
 	departures->count = kept;
 }
 
-int kb_endpoint_equal(const kb_endpoint_t *a, const kb_endpoint_t *b)
-{
-	return a->port == b->port &&
-	       kb_name_is(&a->address, kb_name_str(&b->address));
-}
-
 static int is_equal(const kb_departure_t *a, const kb_departure_t *b)
 {
 	return kb_name_is(&a->target, kb_name_str(&b->target)) &&
--- a/src/departures.h
+++ b/src/departures.h
@@ -41,8 +41,6 @@
 /* Removes a target's departure, if present. */
 void kb_departures_remove(kb_departures_t *departures, const kb_name_t *target);
 
-int kb_endpoint_equal(const kb_endpoint_t *a, const kb_endpoint_t *b);
-
 /* Whether both tell the same, in the same order. */
 int kb_departures_equal(const kb_departures_t *a, const kb_departures_t *b);
 
--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -49,3 +49,9 @@
 	}
 	return KB_ERR_INVALID;
 }
+
+int kb_endpoint_equal(const kb_endpoint_t *a, const kb_endpoint_t *b)
+{
+	return a->port == b->port &&
+	       kb_name_is(&a->address, kb_name_str(&b->address));
+}
--- a/src/endpoint.h
+++ b/src/endpoint.h
@@ -11,6 +11,8 @@
 	uint16_t port;
 } kb_endpoint_t;
 
+int kb_endpoint_equal(const kb_endpoint_t *a, const kb_endpoint_t *b);
+
 KB_END_DECLS
 
 #endif
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -168,9 +168,7 @@
 		const kb_endpoint_t *endpoint = &settings->seeds[i];
 		kb_proxy_seed_t *seed = &proxy->seeds[proxy->seed_count];
 
-		if (endpoint->port == proxy->self.endpoint.port &&
-		    kb_name_is(&endpoint->address,
-			       kb_name_str(&proxy->self.endpoint.address)))
+		if (kb_endpoint_equal(endpoint, &proxy->self.endpoint))
 			continue;
 		seed->endpoint = *endpoint;
 		if (kb_rpc_peer_init(&seed->peer, proxy->setup.loop,
--- a/src/target_probe.c
+++ b/src/target_probe.c
@@ -117,9 +117,7 @@
 void kb_target_probe_set_place(kb_target_probe_t *probe,
 			       const kb_link_place_t *place)
 {
-	if (probe->place.endpoint.port == place->endpoint.port &&
-	    kb_name_is(&probe->place.endpoint.address,
-		       kb_name_str(&place->endpoint.address)) &&
+	if (kb_endpoint_equal(&probe->place.endpoint, &place->endpoint) &&
 	    kb_name_is(&probe->place.group, kb_name_str(&place->group)))
 		return;
 	probe->place = *place;
